--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/src/connection/http_server.rs
@@ -0,0 +1,299 @@
+//! The HTTP/1.1 server: one task for each connection.
+//!
+//! Limits on headers, bodies and times are enforced here, before a request reaches its handler. A
+//! graceful stop closes the listener, lets each connection finish the request in progress, and
+//! completes when the last connection is closed.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::future::{Future, poll_fn};
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::{Either, select};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use monoio::io::IntoPollIo;
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+use serde::Serialize;
+
+use crate::connection::body::Body;
+use crate::error::{Error, ErrorKind};
+use crate::process::timer::TimerService;
+
+/// The result of opening a listener.
+pub type Result<T> = std::io::Result<T>;
+
+/// Bounds on what a connection may send.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpLimits {
+    /// Longest body accepted.
+    pub body_bytes: usize,
+    /// Longest request line and headers accepted.
+    pub header_bytes: usize,
+    /// Time for the headers of a request to arrive, and for an idle connection to stay open.
+    pub header_time: Duration,
+    /// Time for the body of a request to arrive.
+    pub body_time: Duration,
+    /// Most connections open at once; further ones are closed at once.
+    pub connections: usize,
+}
+
+impl Default for HttpLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 4 << 20,
+            header_bytes: 32 << 10,
+            header_time: Duration::from_secs(30),
+            body_time: Duration::from_secs(30),
+            connections: 20_000,
+        }
+    }
+}
+
+/// Answers requests.
+pub trait Handler: 'static {
+    /// Answers one request, whose body has been read in full.
+    fn handle(&self, request: Request<Bytes>) -> impl Future<Output = Response<Body>>;
+}
+
+#[derive(Default)]
+struct Shared {
+    stopping: Cell<bool>,
+    connections: Cell<usize>,
+    wakers: RefCell<Vec<Waker>>,
+}
+
+impl Shared {
+    fn notify(&self) {
+        for waker in self.wakers.borrow_mut().drain(..) {
+            waker.wake();
+        }
+    }
+
+    async fn wait(&self, condition: impl Fn(&Shared) -> bool) {
+        poll_fn(|context| {
+            if condition(self) {
+                return Poll::Ready(());
+            }
+            self.wakers.borrow_mut().push(context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+}
+
+/// A running server.
+#[derive(Clone)]
+pub struct Server {
+    shared: Rc<Shared>,
+    address: SocketAddr,
+}
+
+impl Server {
+    /// The address that the listener is bound to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The number of open connections.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.get()
+    }
+
+    /// Stops accepting, lets requests in progress finish, and waits until all connections are closed.
+    pub async fn stop(&self) {
+        self.shared.stopping.set(true);
+        self.shared.notify();
+        self.shared
+            .wait(|shared| shared.connections.get() == 0)
+            .await;
+    }
+}
+
+/// Binds `address` and serves connections until [`Server::stop`].
+pub fn serve<H: Handler>(
+    address: SocketAddr,
+    limits: HttpLimits,
+    timer: TimerService,
+    handler: Rc<H>,
+) -> Result<Server> {
+    let options = ListenerOpts::new()
+        .reuse_port(false)
+        .reuse_addr(true)
+        .backlog(1024);
+    let listener = TcpListener::bind_with_config(address, &options)?;
+    let address = listener.local_addr()?;
+    let shared = Rc::new(Shared::default());
+    let server = Server {
+        shared: shared.clone(),
+        address,
+    };
+    monoio::spawn(accept_loop(listener, limits, timer, handler, shared));
+    Ok(server)
+}
+
+async fn accept_loop<H: Handler>(
+    listener: TcpListener,
+    limits: HttpLimits,
+    timer: TimerService,
+    handler: Rc<H>,
+    shared: Rc<Shared>,
+) {
+    /// Pause after a failed accept, so that running out of descriptors does not spin.
+    const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+    loop {
+        let stop = pin!(shared.wait(|shared| shared.stopping.get()));
+        let accepted = match select(pin!(listener.accept()), stop).await {
+            Either::Left((accepted, _)) => accepted,
+            Either::Right(_) => return,
+        };
+        match accepted {
+            Ok((stream, _)) if shared.connections.get() < limits.connections => {
+                shared.connections.set(shared.connections.get() + 1);
+                monoio::spawn(connection_task(
+                    stream,
+                    limits,
+                    timer.clone(),
+                    handler.clone(),
+                    shared.clone(),
+                ));
+            }
+            Ok(_) => {
+                log::warn!(limit = limits.connections; "connection refused: too many are open")
+            }
+            Err(error) => {
+                log::warn!("accept failed: {error}");
+                timer.sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn connection_task<H: Handler>(
+    stream: TcpStream,
+    limits: HttpLimits,
+    timer: TimerService,
+    handler: Rc<H>,
+    shared: Rc<Shared>,
+) {
+    if let Err(error) = serve_connection(stream, limits, timer, handler, &shared).await {
+        log::debug!("connection ended: {error}");
+    }
+    shared.connections.set(shared.connections.get() - 1);
+    if shared.stopping.get() {
+        shared.notify();
+    }
+}
+
+async fn serve_connection<H: Handler>(
+    stream: TcpStream,
+    limits: HttpLimits,
+    timer: TimerService,
+    handler: Rc<H>,
+    shared: &Shared,
+) -> std::result::Result<(), Box<dyn std::error::Error>> {
+    stream.set_nodelay(true)?;
+    let io = MonoioIo::new(stream.into_poll_io()?);
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        let timer = timer.clone();
+        async move { Ok::<_, Infallible>(handle_request(request, limits, timer, handler).await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(MonoioTimer)
+        .header_read_timeout(limits.header_time)
+        .max_buf_size(limits.header_bytes.max(8 << 10))
+        .serve_connection(io, service);
+    let mut connection = pin!(connection);
+    let stop = pin!(shared.wait(|shared| shared.stopping.get()));
+    match select(connection.as_mut(), stop).await {
+        Either::Left((result, _)) => result?,
+        Either::Right(_) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await?;
+        }
+    }
+    Ok(())
+}
+
+async fn handle_request<H: Handler>(
+    request: Request<Incoming>,
+    limits: HttpLimits,
+    timer: TimerService,
+    handler: Rc<H>,
+) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let body = match timer
+        .timeout(limits.body_time, read_body(body, limits.body_bytes))
+        .await
+    {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => return error_response(&error),
+        Err(_) => {
+            let message = format!(
+                "the request body did not arrive within {} ms; send it again",
+                limits.body_time.as_millis()
+            );
+            return error_response(&Error::new(ErrorKind::BodyTimeout, message));
+        }
+    };
+    handler.handle(Request::from_parts(head, body)).await
+}
+
+async fn read_body(mut body: Incoming, limit_bytes: usize) -> crate::error::Result<Bytes> {
+    let mut buffer = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            Error::new(ErrorKind::BadRequest, "the request body is incomplete").with_cause(error)
+        })?;
+        if let Ok(data) = frame.into_data() {
+            if buffer.len() + data.len() > limit_bytes {
+                let message = format!("the request body is longer than {limit_bytes} bytes");
+                return Err(Error::new(ErrorKind::BodyTooLarge, message));
+            }
+            buffer.extend_from_slice(&data);
+        }
+    }
+    Ok(buffer.freeze())
+}
+
+/// Turns an error into its answer by the table of error kinds.
+pub fn error_response(error: &Error) -> Response<Body> {
+    let answer = error.kind.answer();
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = json_response(status, &error.to_body());
+    if let Some(delay) = answer.retry_after {
+        // The header has whole seconds only; the body has the exact time.
+        let seconds = delay.as_millis().div_ceil(1000) as u64;
+        response.headers_mut().insert(RETRY_AFTER, seconds.into());
+    }
+    response
+}
+
+/// An answer with a JSON body.
+pub fn json_response(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => {
+            let mut response = Response::new(Body::full(bytes));
+            *response.status_mut() = status;
+            let content_type = hyper::header::HeaderValue::from_static("application/json");
+            response.headers_mut().insert(CONTENT_TYPE, content_type);
+            response
+        }
+        Err(error) => {
+            log::error!("an answer could not be encoded: {error}");
+            let mut response = Response::new(Body::full(Bytes::new()));
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
--- /dev/null
+++ b/src/connection/sse.rs
@@ -0,0 +1,99 @@
+//! Server-sent events: writing them, and reading them from chunks that may split anywhere.
+
+use bytes::{Bytes, BytesMut};
+use serde::Serialize;
+
+/// One event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Empty where the stream names no event.
+    pub name: String,
+    /// The lines of data, joined by line feeds.
+    pub data: String,
+}
+
+/// Writes one event with a JSON body.
+pub fn encode(name: &str, value: &impl Serialize) -> Bytes {
+    let data = serde_json::to_string(value).unwrap_or_else(|error| {
+        log::error!("an event could not be encoded: {error}");
+        String::from("{}")
+    });
+    Bytes::from(format!("event: {name}\ndata: {data}\n\n"))
+}
+
+/// Why a stream of events cannot be read.
+#[derive(Debug, PartialEq, Eq)]
+pub enum ParseError {
+    /// An event is longer than the limit.
+    TooLong,
+    /// An event is not UTF-8.
+    NotUtf8,
+}
+
+impl std::fmt::Display for ParseError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            ParseError::TooLong => "an event of the stream is longer than 1 MiB",
+            ParseError::NotUtf8 => "an event of the stream is not UTF-8",
+        })
+    }
+}
+
+impl std::error::Error for ParseError {}
+
+/// The result of reading events.
+pub type Result<T> = std::result::Result<T, ParseError>;
+
+const EVENT_LIMIT_BYTES: usize = 1 << 20;
+
+/// Reads events from chunks.
+#[derive(Default)]
+pub struct Parser {
+    /// Holds the bytes after the last complete line.
+    buffer: BytesMut,
+    name: String,
+    data: String,
+    has_data: bool,
+}
+
+impl Parser {
+    /// Takes a chunk and returns the events that it completes.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<Event>> {
+        if self.buffer.len() + self.data.len() + chunk.len() > EVENT_LIMIT_BYTES {
+            return Err(ParseError::TooLong);
+        }
+        self.buffer.extend_from_slice(chunk);
+        let mut events = Vec::new();
+        while let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+            let line = self.buffer.split_to(end + 1);
+            let line = std::str::from_utf8(&line[..end]).map_err(|_| ParseError::NotUtf8)?;
+            let line = line.strip_suffix('\r').unwrap_or(line).to_string();
+            events.extend(self.take_line(&line));
+        }
+        Ok(events)
+    }
+
+    fn take_line(&mut self, line: &str) -> Option<Event> {
+        if line.is_empty() {
+            let name = std::mem::take(&mut self.name);
+            let data = std::mem::take(&mut self.data);
+            let complete = std::mem::take(&mut self.has_data);
+            return complete.then_some(Event { name, data });
+        }
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "event" => self.name = value.to_string(),
+            "data" => {
+                if self.has_data {
+                    self.data.push('\n');
+                }
+                self.data.push_str(value);
+                self.has_data = true;
+            }
+            // Comments and fields that this program does not use.
+            _ => {}
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/process.rs
@@ -0,0 +1,4 @@
+//! What lives as long as the process.
+
+pub mod settings;
+pub mod timer;
--- /dev/null
+++ b/src/process/timer.rs
@@ -0,0 +1,210 @@
+//! The timer service that all parts of a process subscribe to.
+//!
+//! One task drives it: it sleeps until the earliest deadline and wakes the futures that are due.
+//! Having one source of time keeps the number of runtime timers constant and lets every module take
+//! its time limits from the same place.
+
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::fmt;
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+use futures_util::future::{Either, select};
+use indexmap::IndexMap;
+
+/// The result of work with a time limit.
+pub type Result<T> = std::result::Result<T, Elapsed>;
+
+/// The time limit passed before the work ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Elapsed;
+
+impl fmt::Display for Elapsed {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("time limit exceeded")
+    }
+}
+
+impl std::error::Error for Elapsed {}
+
+type TimerId = u64;
+
+#[derive(Default)]
+struct State {
+    /// May hold ids that are no longer in `wakers`; they are skipped when due.
+    deadlines: RefCell<BinaryHeap<Reverse<(Instant, TimerId)>>>,
+    wakers: RefCell<IndexMap<TimerId, Waker>>,
+    next_id: Cell<TimerId>,
+    driver: RefCell<Option<Waker>>,
+}
+
+/// A handle to the timer service of this thread; clones share the same service.
+#[derive(Clone)]
+pub struct TimerService {
+    state: Rc<State>,
+}
+
+impl TimerService {
+    /// Starts the driver task on the current runtime.
+    pub fn start() -> Self {
+        let service = Self {
+            state: Rc::default(),
+        };
+        let state = service.state.clone();
+        monoio::spawn(async move { drive(&state).await });
+        service
+    }
+
+    /// The current instant of the monotonic clock.
+    pub fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    /// Completes after `duration`.
+    pub fn sleep(&self, duration: Duration) -> Sleep {
+        self.sleep_until(Instant::now() + duration)
+    }
+
+    /// Completes at `deadline`.
+    pub fn sleep_until(&self, deadline: Instant) -> Sleep {
+        Sleep {
+            state: self.state.clone(),
+            deadline,
+            id: None,
+        }
+    }
+
+    /// Subscribes to ticks that are `period` apart.
+    pub fn subscribe(&self, period: Duration) -> Ticks {
+        Ticks {
+            timer: self.clone(),
+            period,
+            next: Instant::now() + period,
+        }
+    }
+
+    /// Runs `work` for at most `limit`.
+    pub async fn timeout<F: Future>(&self, limit: Duration, work: F) -> Result<F::Output> {
+        self.timeout_at(Instant::now() + limit, work).await
+    }
+
+    /// Runs `work` until `deadline` at the latest.
+    pub async fn timeout_at<F: Future>(&self, deadline: Instant, work: F) -> Result<F::Output> {
+        let work = pin!(work);
+        match select(work, self.sleep_until(deadline)).await {
+            Either::Left((output, _)) => Ok(output),
+            Either::Right(_) => Err(Elapsed),
+        }
+    }
+}
+
+/// A future that completes at its deadline.
+pub struct Sleep {
+    state: Rc<State>,
+    deadline: Instant,
+    id: Option<TimerId>,
+}
+
+impl Future for Sleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        if Instant::now() >= self.deadline {
+            return Poll::Ready(());
+        }
+        let id = match self.id {
+            Some(id) => id,
+            None => {
+                let id = self.state.next_id.get();
+                self.state.next_id.set(id + 1);
+                self.id = Some(id);
+                self.state
+                    .deadlines
+                    .borrow_mut()
+                    .push(Reverse((self.deadline, id)));
+                if let Some(driver) = self.state.driver.borrow_mut().take() {
+                    driver.wake();
+                }
+                id
+            }
+        };
+        self.state
+            .wakers
+            .borrow_mut()
+            .insert(id, context.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for Sleep {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.state.wakers.borrow_mut().swap_remove(&id);
+        }
+    }
+}
+
+/// A subscription to periodic ticks.
+pub struct Ticks {
+    timer: TimerService,
+    period: Duration,
+    next: Instant,
+}
+
+impl Ticks {
+    /// Waits for the next tick. Ticks that were missed are skipped, not made up for.
+    pub async fn tick(&mut self) {
+        self.timer.sleep_until(self.next).await;
+        self.next = (self.next + self.period).max(Instant::now());
+    }
+}
+
+async fn drive(state: &State) {
+    let mut wait: Option<(Instant, Pin<Box<monoio::time::Sleep>>)> = None;
+    poll_fn(|context| {
+        loop {
+            wake_due(state, Instant::now());
+            let Some(next) = next_deadline(state) else {
+                wait = None;
+                break;
+            };
+            if wait.as_ref().is_none_or(|(deadline, _)| *deadline != next) {
+                wait = Some((next, Box::pin(monoio::time::sleep_until(next.into()))));
+            }
+            let Some((_, sleep)) = wait.as_mut() else {
+                break;
+            };
+            if sleep.as_mut().poll(context).is_pending() {
+                break;
+            }
+            wait = None;
+        }
+        *state.driver.borrow_mut() = Some(context.waker().clone());
+        Poll::<()>::Pending
+    })
+    .await;
+}
+
+fn wake_due(state: &State, now: Instant) {
+    loop {
+        let id = match state.deadlines.borrow_mut().peek_mut() {
+            Some(first) if first.0.0 <= now => {
+                std::collections::binary_heap::PeekMut::pop(first).0.1
+            }
+            _ => return,
+        };
+        let waker = state.wakers.borrow_mut().swap_remove(&id);
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+    }
+}
+
+fn next_deadline(state: &State) -> Option<Instant> {
+    state.deadlines.borrow().peek().map(|first| first.0.0)
+}
--- /dev/null
+++ b/src/request.rs
@@ -0,0 +1,1 @@
+//! What lives for one request.
--- /dev/null
+++ b/src/version.rs
@@ -0,0 +1,3 @@
+//! What lives for one version of the configuration.
+
+pub mod config;
