--- a/src/process.rs
+++ b/src/process.rs
@@ -1,5 +1,10 @@
 //! What lives as long as the process.
 
+pub mod conversation;
+pub mod journal;
+pub mod notify;
+pub mod recovery;
 pub mod rows;
 pub mod settings;
+pub mod slots;
 pub mod timer;
--- /dev/null
+++ b/src/process/journal/segment.rs
@@ -0,0 +1,82 @@
+//! The encoding of segments and checkpoints.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::process::conversation::{Conversation, Record};
+
+/// The result of decoding.
+pub type Result<T> = std::result::Result<T, DecodeError>;
+
+/// An object is not what its key says.
+#[derive(Debug)]
+pub enum DecodeError {
+    /// The format version is unknown; the object was written by a newer program.
+    Version(u8),
+    /// The content does not decode.
+    Content(postcard::Error),
+}
+
+impl fmt::Display for DecodeError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            DecodeError::Version(version) => {
+                write!(
+                    formatter,
+                    "format version {version} is unknown; update this program"
+                )
+            }
+            DecodeError::Content(_) => formatter.write_str("the object is damaged"),
+        }
+    }
+}
+
+impl std::error::Error for DecodeError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            DecodeError::Version(_) => None,
+            DecodeError::Content(error) => Some(error),
+        }
+    }
+}
+
+/// The first byte of every object.
+const FORMAT_VERSION: u8 = 1;
+
+/// State of all conversations of a slot.
+#[derive(Serialize, Deserialize)]
+pub struct Checkpoint {
+    /// In the order in which the slot's holder met them.
+    pub conversations: Vec<Conversation>,
+}
+
+/// Size of a record in a segment.
+pub fn encoded_len(record: &Record) -> usize {
+    postcard::experimental::serialized_size(record).unwrap_or(usize::MAX / 2)
+}
+
+/// Encodes an object.
+pub fn encode(content: &impl Serialize) -> Result<Vec<u8>> {
+    postcard::to_extend(content, vec![FORMAT_VERSION]).map_err(DecodeError::Content)
+}
+
+/// Decodes the records of a segment.
+pub fn decode_segment(bytes: &[u8]) -> Result<Vec<Record>> {
+    decode(bytes)
+}
+
+/// Decodes a checkpoint.
+pub fn decode_checkpoint(bytes: &[u8]) -> Result<Checkpoint> {
+    decode(bytes)
+}
+
+fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T> {
+    match bytes.split_first() {
+        Some((&FORMAT_VERSION, content)) => {
+            postcard::from_bytes(content).map_err(DecodeError::Content)
+        }
+        Some((&version, _)) => Err(DecodeError::Version(version)),
+        None => Err(DecodeError::Version(0)),
+    }
+}
--- /dev/null
+++ b/src/process/recovery.rs
@@ -0,0 +1,225 @@
+//! Recovery of an entry that lost its lease.
+//!
+//! Any entry may recover any other. All steps can be repeated, also by several entries at once: the
+//! content of the recovered checkpoints depends on the fenced journal only, and one transaction
+//! hands over all slots and closes the row.
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use indexmap::IndexMap;
+
+use crate::connection::platform::{
+    Check, CommitOutcome, PlatformClient, PlatformError, Result, Write,
+};
+use crate::ids::{ConversationKey, SlotId};
+use crate::process::conversation::{Conversation, Record};
+use crate::process::journal::segment::{self, Checkpoint};
+use crate::process::rows::{
+    EntryRow, EntryState, Holder, SLOT_PREFIX, SlotRow, entry_key, recovery_checkpoint_key,
+    segment_key, slot_key,
+};
+
+/// Segments read at the same time.
+const PARALLEL_READS: usize = 16;
+
+/// Fences the entry of `row`, if `version` is still the version of its row, and recovers it.
+pub async fn fence_and_recover(
+    platform: &PlatformClient,
+    row: &EntryRow,
+    version: u64,
+) -> Result<()> {
+    let mut row = row.clone();
+    let mut version = version;
+    if row.state != EntryState::Fenced {
+        row.state = EntryState::Fenced;
+        row.renewal += 1;
+        let key = entry_key(&row.entry_id);
+        let check = Check {
+            key: key.clone(),
+            version,
+        };
+        match platform.commit(&[check], &[Write::put(key, &row)?]).await? {
+            CommitOutcome::Committed(versions) => version = versions.first().copied().unwrap_or(0),
+            // The entry is alive after all, or another entry was faster.
+            CommitOutcome::Conflict(_) => return Ok(()),
+            CommitOutcome::Unknown(error) => return Err(error),
+        }
+        log::warn!(
+            entry = &*row.entry_id, incarnation = row.incarnation, segment = row.segment;
+            "entry fenced"
+        );
+    }
+    recover(platform, &row, version).await
+}
+
+/// Recovers a fenced entry: its slots get checkpoints and become free.
+pub async fn recover(platform: &PlatformClient, row: &EntryRow, version: u64) -> Result<()> {
+    let holder = Holder {
+        entry_id: row.entry_id.clone(),
+        incarnation: row.incarnation,
+    };
+    let slots = slots_of(platform, &holder).await?;
+    let records = read_segments(platform, row, &holder, &slots).await?;
+    let mut checks = vec![Check {
+        key: entry_key(&row.entry_id),
+        version,
+    }];
+    let mut writes = vec![Write::put(entry_key(&row.entry_id), &closed(row))?];
+    for (slot, (slot_row, slot_version)) in &slots {
+        let checkpoint = recover_slot(platform, slot_row, &holder, &records).await?;
+        checks.push(Check {
+            key: slot_key(*slot),
+            version: *slot_version,
+        });
+        let free = SlotRow {
+            slot: *slot,
+            holder: None,
+            checkpoint,
+            first_segment: 0,
+        };
+        writes.push(Write::put(slot_key(*slot), &free)?);
+    }
+    match platform.commit(&checks, &writes).await? {
+        CommitOutcome::Committed(_) => {
+            log::info!(entry = &*row.entry_id, slots = slots.len(); "entry recovered");
+            Ok(())
+        }
+        // Another entry finished the same recovery.
+        CommitOutcome::Conflict(_) => Ok(()),
+        CommitOutcome::Unknown(error) => Err(error),
+    }
+}
+
+fn closed(row: &EntryRow) -> EntryRow {
+    EntryRow {
+        state: EntryState::Closed,
+        renewal: row.renewal + 1,
+        ..row.clone()
+    }
+}
+
+type HeldSlots = IndexMap<SlotId, (SlotRow, u64)>;
+
+async fn slots_of(platform: &PlatformClient, holder: &Holder) -> Result<HeldSlots> {
+    let mut slots = HeldSlots::new();
+    for row in platform.scan(SLOT_PREFIX).await? {
+        let slot_row: SlotRow = row.decode()?;
+        if slot_row.holder.as_ref() == Some(holder) {
+            slots.insert(slot_row.slot, (slot_row, row.version));
+        }
+    }
+    Ok(slots)
+}
+
+type NumberedRecord = (u64, Record);
+
+/// Reads every segment that a slot's checkpoint does not include, in order.
+async fn read_segments(
+    platform: &PlatformClient,
+    row: &EntryRow,
+    holder: &Holder,
+    slots: &HeldSlots,
+) -> Result<Vec<NumberedRecord>> {
+    let Some(first) = slots
+        .values()
+        .map(|(slot_row, _)| slot_row.first_segment)
+        .min()
+    else {
+        return Ok(Vec::new());
+    };
+    let first = first.max(row.first_segment);
+    let mut numbers = first..=row.segment;
+    let mut reads = FuturesUnordered::new();
+    let mut segments = IndexMap::new();
+    loop {
+        while reads.len() < PARALLEL_READS
+            && let Some(number) = numbers.next()
+        {
+            reads.push(read_segment(platform, holder, number));
+        }
+        let Some(read) = reads.next().await else {
+            break;
+        };
+        let (number, records) = read?;
+        segments.insert(number, records);
+    }
+    segments.sort_unstable_keys();
+    let numbered = segments
+        .into_iter()
+        .flat_map(|(number, records)| records.into_iter().map(move |record| (number, record)));
+    Ok(numbered.collect())
+}
+
+async fn read_segment(
+    platform: &PlatformClient,
+    holder: &Holder,
+    number: u64,
+) -> Result<(u64, Vec<Record>)> {
+    let key = segment_key(holder, number);
+    let bytes = platform
+        .get_object(&key, None)
+        .await?
+        .ok_or_else(|| missing(&key))?;
+    let records = segment::decode_segment(&bytes).map_err(|error| damaged(&key, &error))?;
+    Ok((number, records))
+}
+
+async fn recover_slot(
+    platform: &PlatformClient,
+    slot_row: &SlotRow,
+    holder: &Holder,
+    records: &[NumberedRecord],
+) -> Result<Option<String>> {
+    let mut conversations = load_checkpoint(platform, slot_row).await?;
+    for (number, record) in records {
+        if record.slot == slot_row.slot && *number >= slot_row.first_segment {
+            conversations
+                .entry(record.key.clone())
+                .or_insert_with(|| Conversation::new(record.key.clone()))
+                .apply(&record.event, record.at_ms);
+        }
+    }
+    for conversation in conversations.values_mut() {
+        conversation.interrupt_open_calls();
+    }
+    if conversations.is_empty() {
+        return Ok(slot_row.checkpoint.clone());
+    }
+    let key = recovery_checkpoint_key(slot_row.slot, holder);
+    let checkpoint = Checkpoint {
+        conversations: conversations.into_values().collect(),
+    };
+    let bytes = segment::encode(&checkpoint).map_err(|error| damaged(&key, &error))?;
+    platform.put_object(&key, bytes.into()).await?;
+    Ok(Some(key))
+}
+
+/// Reads the conversations of a slot's checkpoint; empty if there is none.
+pub async fn load_checkpoint(
+    platform: &PlatformClient,
+    slot_row: &SlotRow,
+) -> Result<IndexMap<ConversationKey, Conversation>> {
+    let Some(key) = &slot_row.checkpoint else {
+        return Ok(IndexMap::new());
+    };
+    let bytes = platform
+        .get_object(key, None)
+        .await?
+        .ok_or_else(|| missing(key))?;
+    let checkpoint = segment::decode_checkpoint(&bytes).map_err(|error| damaged(key, &error))?;
+    let by_key = checkpoint
+        .conversations
+        .into_iter()
+        .map(|state| (state.key.clone(), state));
+    Ok(by_key.collect())
+}
+
+fn missing(key: &str) -> PlatformError {
+    PlatformError::Status(404, format!("the object `{key}` is missing"))
+}
+
+fn damaged(key: &str, error: &segment::DecodeError) -> PlatformError {
+    PlatformError::Status(
+        200,
+        format!("the object `{key}`: {}", crate::error::chain(error)),
+    )
+}
--- a/src/process/rows.rs
+++ b/src/process/rows.rs
@@ -48,10 +48,19 @@
     pub renewal: u64,
     /// The last segment that is committed; 0 before the first. Higher ones do not count.
     pub segment: u64,
+    /// Segments below this one are included in checkpoints and may be deleted; at least 1.
+    pub first_segment: u64,
     /// The configuration version in force on the entry; 0 while it has none.
     pub config_version: VersionNumber,
 }
 
+impl EntryRow {
+    /// The start of the entry that the row is about.
+    pub fn holder(&self) -> Holder {
+        Holder { entry_id: self.entry_id.clone(), incarnation: self.incarnation }
+    }
+}
+
 /// Names one start of an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Holder {
@@ -92,6 +101,15 @@
     )
 }
 
+/// Key of the checkpoint that a recovery of `holder` writes; the same for every recovering entry,
+/// because all of them derive the same content.
+pub fn recovery_checkpoint_key(slot: SlotId, holder: &Holder) -> String {
+    format!(
+        "checkpoints/{slot:06}/{}-{}-recovery",
+        holder.entry_id, holder.incarnation
+    )
+}
+
 /// Key of the object with a checkpoint of a slot.
 pub fn checkpoint_key(slot: SlotId, holder: &Holder, number: u64) -> String {
     format!(
--- /dev/null
+++ b/src/process/slots.rs
@@ -0,0 +1,318 @@
+//! The slots that this entry holds, and the conversations in them.
+//!
+//! A slot is held from the moment its row names this entry until the row is released or the entry is
+//! fenced. A request opens a conversation through [`Slots::open`]; while it is open, the slot is not
+//! released. The journal applies durable events through [`JournalSink`], so that at any moment the
+//! state in memory is exactly the fold of all committed segments, and a checkpoint taken then is
+//! complete.
+
+pub mod lock;
+pub mod manager;
+pub mod placement;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+
+use crate::ids::{ConversationKey, Incarnation, Micros, RunId, SlotId};
+use crate::process::conversation::{Conversation, Event, Record};
+use crate::process::journal::JournalSink;
+use crate::process::journal::segment::Checkpoint;
+use crate::process::notify::Notify;
+use crate::process::rows::SlotRow;
+use crate::process::slots::lock::ThreadLocks;
+
+/// The result of opening a conversation.
+pub type Result<T> = std::result::Result<T, NotHeld>;
+
+/// This entry does not hold the slot at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotHeld {
+    /// The slot.
+    pub slot: SlotId,
+}
+
+/// A conversation in memory, with what is not durable about it.
+pub struct ConversationCell {
+    /// The fold of all durable events, and the pending reservations.
+    pub state: RefCell<Conversation>,
+    /// One call at a time for each thread, in the order of arrival.
+    pub locks: ThreadLocks,
+    /// Notified when a run ends or is cancelled.
+    pub ended: Notify,
+    /// Engines that may hold a prefix of a thread.
+    pub engines: RefCell<IndexMap<RunId, Vec<std::net::SocketAddr>>>,
+}
+
+impl ConversationCell {
+    fn new(state: Conversation) -> Self {
+        Self {
+            state: RefCell::new(state),
+            locks: ThreadLocks::default(),
+            ended: Notify::default(),
+            engines: RefCell::default(),
+        }
+    }
+}
+
+struct HeldSlot {
+    row: SlotRow,
+    version: u64,
+    conversations: IndexMap<ConversationKey, Rc<ConversationCell>>,
+    /// The first segment with an event that no checkpoint includes.
+    dirty_from: Option<u64>,
+    /// The last segment with an event of the slot.
+    last_dirty: Option<u64>,
+    /// Conversations that are open.
+    open: usize,
+    /// Set while the slot is being released; then nothing is opened any more.
+    releasing: bool,
+}
+
+/// All slots that this entry holds.
+pub struct Slots {
+    slot_count: SlotId,
+    incarnation: Cell<Incarnation>,
+    held: RefCell<IndexMap<SlotId, HeldSlot>>,
+    changed: Notify,
+}
+
+impl Slots {
+    /// Makes an empty set of slots out of `slot_count`.
+    pub fn new(slot_count: SlotId) -> Self {
+        Self {
+            slot_count,
+            incarnation: Cell::new(0),
+            held: RefCell::default(),
+            changed: Notify::default(),
+        }
+    }
+
+    /// Number of slots of the site.
+    pub fn slot_count(&self) -> SlotId {
+        self.slot_count
+    }
+
+    /// The slot of a conversation.
+    pub fn slot_of(&self, key: &ConversationKey) -> SlotId {
+        placement::slot_of(key, self.slot_count)
+    }
+
+    /// Notified when a slot was taken, released or lost, or a conversation was closed.
+    pub fn changed(&self) -> &Notify {
+        &self.changed
+    }
+
+    /// Whether the slot is held and takes requests.
+    pub fn is_open(&self, slot: SlotId) -> bool {
+        self.held.borrow().get(&slot).is_some_and(|held| !held.releasing)
+    }
+
+    /// Whether the slot is held, also while it is being released.
+    pub fn is_held(&self, slot: SlotId) -> bool {
+        self.held.borrow().contains_key(&slot)
+    }
+
+    /// The slots that are held.
+    pub fn held(&self) -> Vec<SlotId> {
+        self.held.borrow().keys().copied().collect()
+    }
+
+    /// Number of conversations in memory.
+    pub fn conversation_count(&self) -> usize {
+        self.held.borrow().values().map(|held| held.conversations.len()).sum()
+    }
+
+    /// All conversations in memory.
+    pub fn conversations(&self) -> Vec<Rc<ConversationCell>> {
+        let held = self.held.borrow();
+        held.values().flat_map(|slot| slot.conversations.values().cloned()).collect()
+    }
+
+    /// Opens a conversation, which is made if it does not exist.
+    pub fn open(self: &Rc<Self>, key: &ConversationKey) -> Result<OpenConversation> {
+        let slot = self.slot_of(key);
+        let mut held = self.held.borrow_mut();
+        let held_slot = held.get_mut(&slot).filter(|held| !held.releasing).ok_or(NotHeld { slot })?;
+        let cell = held_slot
+            .conversations
+            .entry(key.clone())
+            .or_insert_with(|| Rc::new(ConversationCell::new(Conversation::new(key.clone()))))
+            .clone();
+        held_slot.open += 1;
+        let incarnation = self.incarnation.get();
+        Ok(OpenConversation { slots: self.clone(), slot, incarnation, cell })
+    }
+
+    /// Starts to serve a slot whose row now names this incarnation.
+    fn insert(
+        &self,
+        incarnation: Incarnation,
+        row: SlotRow,
+        version: u64,
+        conversations: IndexMap<ConversationKey, Conversation>,
+    ) {
+        self.incarnation.set(incarnation);
+        let conversations = conversations
+            .into_iter()
+            .map(|(key, state)| (key, Rc::new(ConversationCell::new(state))))
+            .collect();
+        let slot = row.slot;
+        let held =
+            HeldSlot { row, version, conversations, dirty_from: None, last_dirty: None, open: 0, releasing: false };
+        self.held.borrow_mut().insert(slot, held);
+        self.changed.notify();
+    }
+
+    /// Whether nothing of the slot is open.
+    fn is_idle(&self, slot: SlotId) -> bool {
+        self.held.borrow().get(&slot).is_none_or(|held| held.open == 0)
+    }
+
+    fn set_releasing(&self, slot: SlotId) {
+        if let Some(held) = self.held.borrow_mut().get_mut(&slot) {
+            held.releasing = true;
+        }
+    }
+
+    fn remove(&self, slot: SlotId) {
+        self.held.borrow_mut().swap_remove(&slot);
+        self.changed.notify();
+    }
+
+    /// Row, version and state of a slot that has changed since its last checkpoint.
+    fn snapshot_if_dirty(&self, slot: SlotId) -> Option<(SlotRow, u64, Checkpoint)> {
+        let held = self.held.borrow();
+        let held = held.get(&slot)?;
+        held.dirty_from?;
+        let states = held.conversations.values().map(|cell| cell.state.borrow().clone());
+        // A conversation that was opened and never got an event is not kept.
+        let conversations = states.filter(|state| !state.runs.is_empty()).collect();
+        Some((held.row.clone(), held.version, Checkpoint { conversations }))
+    }
+
+    fn row(&self, slot: SlotId) -> Option<(SlotRow, u64)> {
+        let held = self.held.borrow();
+        held.get(&slot).map(|held| (held.row.clone(), held.version))
+    }
+
+    /// Notes that the row names a checkpoint with all segments below its `first_segment`.
+    fn checkpointed(&self, row: SlotRow, version: u64) {
+        if let Some(held) = self.held.borrow_mut().get_mut(&row.slot) {
+            // Events that were committed while the checkpoint was written are not part of it.
+            held.dirty_from = held
+                .last_dirty
+                .filter(|last| *last >= row.first_segment)
+                .map(|_| row.first_segment);
+            held.row = row;
+            held.version = version;
+        }
+    }
+
+    fn dirty_slots(&self) -> Vec<SlotId> {
+        let held = self.held.borrow();
+        held.iter().filter(|(_, slot)| slot.dirty_from.is_some()).map(|(slot, _)| *slot).collect()
+    }
+
+    /// The first segment that a recovery would have to read, if the last one is `last_segment`.
+    fn first_needed_segment(&self, last_segment: u64) -> u64 {
+        let held = self.held.borrow();
+        let dirty = held.values().filter_map(|slot| slot.dirty_from);
+        dirty.min().unwrap_or(last_segment + 1)
+    }
+
+    fn close(&self, slot: SlotId, incarnation: Incarnation) {
+        if self.incarnation.get() != incarnation {
+            return;
+        }
+        if let Some(held) = self.held.borrow_mut().get_mut(&slot) {
+            held.open -= 1;
+        }
+        self.changed.notify();
+    }
+}
+
+impl JournalSink for Slots {
+    fn committed(&self, records: &[Record], segment: u64) {
+        let mut held = self.held.borrow_mut();
+        for record in records {
+            let Some(slot) = held.get_mut(&record.slot) else {
+                metrics::counter!("invariant_violations_total", "invariant" => "slot_held")
+                    .increment(1);
+                log::error!(slot = record.slot; "an event was committed for a slot that is not held");
+                debug_assert!(false, "slot {} is not held", record.slot);
+                continue;
+            };
+            slot.dirty_from.get_or_insert(segment);
+            slot.last_dirty = Some(segment);
+            let cell = slot
+                .conversations
+                .entry(record.key.clone())
+                .or_insert_with(|| Rc::new(ConversationCell::new(Conversation::new(record.key.clone()))));
+            apply(cell, record);
+        }
+    }
+
+    fn fenced(&self) {
+        self.held.borrow_mut().clear();
+        self.incarnation.set(0);
+        self.changed.notify();
+    }
+}
+
+fn apply(cell: &ConversationCell, record: &Record) {
+    let mut state = cell.state.borrow_mut();
+    if let Some((run_id, amount)) = pending_of(&record.event) {
+        state.clear_pending(run_id, amount);
+    }
+    state.apply(&record.event, record.at_ms);
+    if matches!(record.event, Event::RunEnded { .. }) {
+        cell.ended.notify();
+    }
+}
+
+/// The pending reservation that becomes durable with an event.
+fn pending_of(event: &Event) -> Option<(RunId, Micros)> {
+    match event {
+        Event::TurnStarted { run_id, reserved_micros, .. } => Some((*run_id, *reserved_micros)),
+        Event::ActionIntended { run_id, action, .. } => Some((*run_id, action.reserved_micros)),
+        _ => None,
+    }
+}
+
+/// A conversation that a request works on. The slot is not released before it is dropped.
+pub struct OpenConversation {
+    slots: Rc<Slots>,
+    slot: SlotId,
+    incarnation: Incarnation,
+    cell: Rc<ConversationCell>,
+}
+
+impl OpenConversation {
+    /// The slot of the conversation.
+    pub fn slot(&self) -> SlotId {
+        self.slot
+    }
+
+    /// The incarnation that holds the slot; events of it are refused after the entry was fenced.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// The conversation.
+    pub fn cell(&self) -> &Rc<ConversationCell> {
+        &self.cell
+    }
+
+    /// Whether the slot is still held by the incarnation that opened the conversation.
+    pub fn is_current(&self) -> bool {
+        self.slots.incarnation.get() == self.incarnation && self.slots.is_held(self.slot)
+    }
+}
+
+impl Drop for OpenConversation {
+    fn drop(&mut self) {
+        self.slots.close(self.slot, self.incarnation);
+    }
+}
--- /dev/null
+++ b/src/process/slots/manager.rs
@@ -0,0 +1,407 @@
+//! Takes, releases and checkpoints slots, and recovers entries that lost their lease.
+//!
+//! Three tasks run side by side, so that a long recovery does not keep slots from moving:
+//!
+//! - `move_slots` takes free slots that prefer this entry and releases those that prefer another,
+//! - `write_checkpoints` bounds what a recovery has to read,
+//! - `recover_entries` fences and recovers entries whose lease has expired.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::stream::{self, StreamExt};
+use indexmap::{IndexMap, IndexSet};
+
+use crate::connection::platform::PlatformClient;
+use crate::error::chain;
+use crate::ids::{ConversationKey, EntryId, SlotId};
+use crate::process::conversation::Conversation;
+use crate::process::journal::{Journal, SlotChange, SlotChangeOutcome, segment};
+use crate::process::membership::Membership;
+use crate::process::recovery;
+use crate::process::rows::{
+    EntryRow, EntryState, Holder, SLOT_PREFIX, SlotRow, checkpoint_key, entry_key, segment_key,
+};
+use crate::process::settings::Settings;
+use crate::process::slots::{Slots, placement};
+use crate::process::timer::TimerService;
+
+/// Pause between two looks at the slot rows while slots that prefer this entry are missing.
+const MOVE_INTERVAL: Duration = Duration::from_millis(200);
+/// A slot that prefers another entry is released when it is idle, and after this time in any case.
+const FORCED_RELEASE_AFTER: Duration = Duration::from_secs(10);
+/// Objects read or written at the same time.
+const PARALLEL_OBJECTS: usize = 16;
+/// Slot rows changed in one commit.
+const CHANGES_PER_COMMIT: usize = 256;
+
+/// Moves slots between this entry and the others.
+pub struct SlotManager {
+    slots: Rc<Slots>,
+    journal: Journal,
+    platform: PlatformClient,
+    membership: Membership,
+    timer: TimerService,
+    settings: Rc<Settings>,
+    leaving: Cell<bool>,
+    /// Holders that were seen in slot rows; a hint only.
+    holders: RefCell<IndexMap<SlotId, EntryId>>,
+    unwanted_since: RefCell<IndexMap<SlotId, Instant>>,
+    next_checkpoint: Cell<u64>,
+}
+
+impl SlotManager {
+    /// Makes a manager; nothing happens before [`SlotManager::start`].
+    pub fn new(
+        slots: Rc<Slots>,
+        journal: Journal,
+        platform: PlatformClient,
+        membership: Membership,
+        timer: TimerService,
+        settings: Rc<Settings>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            slots,
+            journal,
+            platform,
+            membership,
+            timer,
+            settings,
+            leaving: Cell::new(false),
+            holders: RefCell::default(),
+            unwanted_since: RefCell::default(),
+            next_checkpoint: Cell::new(1),
+        })
+    }
+
+    /// Starts the tasks.
+    pub fn start(self: &Rc<Self>) {
+        monoio::spawn(move_slots(self.clone()));
+        monoio::spawn(write_checkpoints(self.clone()));
+        monoio::spawn(recover_entries(self.clone()));
+    }
+
+    /// Makes the entry take no more slots and release those it holds.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+        self.slots.changed().notify();
+    }
+
+    /// The entry that probably serves a slot: the holder seen last, else the preferred one.
+    pub fn probable_holder(&self, slot: SlotId) -> Option<EntryId> {
+        if self.slots.is_open(slot) {
+            return Some(self.settings.entry_id.clone());
+        }
+        let candidates = self.candidates();
+        let hint = self.holders.borrow().get(&slot).cloned();
+        let hint = hint.filter(|hint| candidates.contains(hint) && *hint != self.settings.entry_id);
+        hint.or_else(|| placement::preferred(slot, &candidates).cloned())
+    }
+
+    /// Notes which entry says that it holds a slot.
+    pub fn learn_holder(&self, slot: SlotId, holder: Option<EntryId>) {
+        let mut holders = self.holders.borrow_mut();
+        match holder {
+            Some(holder) => {
+                holders.insert(slot, holder);
+            }
+            None => {
+                holders.swap_remove(&slot);
+            }
+        }
+    }
+
+    /// Entries in the order in which a slot prefers them.
+    pub fn preference(&self, slot: SlotId) -> Vec<EntryId> {
+        let candidates = self.candidates();
+        placement::rank(slot, &candidates).into_iter().cloned().collect()
+    }
+
+    /// Entries that may hold slots.
+    fn candidates(&self) -> IndexSet<EntryId> {
+        let mut candidates: IndexSet<EntryId> =
+            self.membership.live(self.settings.lease_ttl).into_iter().map(|row| row.entry_id).collect();
+        if self.leaving.get() {
+            candidates.shift_remove(&self.settings.entry_id);
+        } else if self.journal.holder().is_some() {
+            candidates.insert(self.settings.entry_id.clone());
+        }
+        candidates
+    }
+
+    fn partition(&self) -> (Vec<SlotId>, Vec<SlotId>) {
+        let candidates = self.candidates();
+        let own = &self.settings.entry_id;
+        let prefers_own = |slot: &SlotId| placement::preferred(*slot, &candidates) == Some(own);
+        let wanted = (0..self.slots.slot_count())
+            .filter(|slot| !self.slots.is_held(*slot) && prefers_own(slot))
+            .collect();
+        let unwanted =
+            self.slots.held().into_iter().filter(|slot| !prefers_own(slot)).collect();
+        (wanted, unwanted)
+    }
+
+    /// Takes the free ones among the slots that prefer this entry.
+    async fn take(&self, wanted: &[SlotId]) -> crate::connection::platform::Result<()> {
+        let Some(holder) = self.journal.holder() else { return Ok(()) };
+        let mut rows: IndexMap<SlotId, (SlotRow, u64)> = IndexMap::new();
+        for row in self.platform.scan(SLOT_PREFIX).await? {
+            let slot_row: SlotRow = row.decode()?;
+            let seen = slot_row.holder.as_ref().map(|holder| holder.entry_id.clone());
+            self.learn_holder(slot_row.slot, seen);
+            rows.insert(slot_row.slot, (slot_row, row.version));
+        }
+        let free = wanted.iter().filter_map(|slot| match rows.get(slot) {
+            None => Some((SlotRow { slot: *slot, holder: None, checkpoint: None, first_segment: 0 }, 0)),
+            Some((row, version)) if row.holder.is_none() => Some((row.clone(), *version)),
+            Some(_) => None,
+        });
+        let free: Vec<_> = free.collect();
+        for chunk in free.chunks(CHANGES_PER_COMMIT) {
+            self.take_chunk(&holder, chunk).await?;
+        }
+        Ok(())
+    }
+
+    async fn take_chunk(
+        &self,
+        holder: &Holder,
+        free: &[(SlotRow, u64)],
+    ) -> crate::connection::platform::Result<()> {
+        let loads = free.iter().map(|(row, _)| recovery::load_checkpoint(&self.platform, row));
+        let loaded: Vec<_> = stream::iter(loads).buffered(PARALLEL_OBJECTS).collect().await;
+        let mut changes = Vec::new();
+        let mut states: Vec<IndexMap<ConversationKey, Conversation>> = Vec::new();
+        for ((row, version), loaded) in free.iter().zip(loaded) {
+            states.push(loaded?);
+            let row = SlotRow {
+                holder: Some(holder.clone()),
+                first_segment: self.journal.segment() + 1,
+                ..row.clone()
+            };
+            changes.push(SlotChange { version: *version, row });
+        }
+        let rows: Vec<SlotRow> = changes.iter().map(|change| change.row.clone()).collect();
+        let Ok(outcomes) = self.journal.change_slots(changes).await else { return Ok(()) };
+        if self.journal.holder().as_ref() != Some(holder) {
+            return Ok(());
+        }
+        for ((row, state), outcome) in rows.into_iter().zip(states).zip(outcomes) {
+            if let SlotChangeOutcome::Written(version) = outcome {
+                self.slots.insert(holder.incarnation, row, version, state);
+            }
+        }
+        Ok(())
+    }
+
+    /// Releases slots that prefer another entry: idle ones at once, others when their time is up.
+    async fn release(&self, unwanted: &[SlotId]) -> crate::connection::platform::Result<()> {
+        let now = Instant::now();
+        {
+            let mut since = self.unwanted_since.borrow_mut();
+            since.retain(|slot, _| unwanted.contains(slot));
+            for slot in unwanted {
+                since.entry(*slot).or_insert(now);
+            }
+        }
+        let mut idle = Vec::new();
+        for slot in unwanted {
+            let since = self.unwanted_since.borrow().get(slot).copied().unwrap_or(now);
+            if self.slots.is_idle(*slot) {
+                self.slots.set_releasing(*slot);
+                idle.push(*slot);
+            } else if now.duration_since(since) >= FORCED_RELEASE_AFTER {
+                self.slots.set_releasing(*slot);
+            }
+        }
+        for chunk in idle.chunks(CHANGES_PER_COMMIT) {
+            self.checkpoint(chunk, true).await?;
+        }
+        Ok(())
+    }
+
+    /// Writes checkpoints of slots, and gives the slots up if `release` is set.
+    async fn checkpoint(
+        &self,
+        slots: &[SlotId],
+        release: bool,
+    ) -> crate::connection::platform::Result<()> {
+        let Some(holder) = self.journal.holder() else { return Ok(()) };
+        let first_segment = self.journal.segment() + 1;
+        let mut changes = Vec::new();
+        let mut objects = Vec::new();
+        let mut replaced = Vec::new();
+        for slot in slots {
+            let Some((mut row, version)) = self.slots.row(*slot) else { continue };
+            if let Some((_, _, checkpoint)) = self.slots.snapshot_if_dirty(*slot) {
+                let key = checkpoint_key(*slot, &holder, self.next_checkpoint.get());
+                self.next_checkpoint.set(self.next_checkpoint.get() + 1);
+                match segment::encode(&checkpoint) {
+                    Ok(bytes) => objects.push((key.clone(), bytes)),
+                    Err(error) => unreachable!("a state in memory always encodes: {error}"),
+                }
+                replaced.extend(row.checkpoint.replace(key));
+            }
+            row.first_segment = first_segment;
+            row.holder = (!release).then(|| holder.clone());
+            changes.push(SlotChange { version, row });
+        }
+        let puts = objects.into_iter().map(|(key, bytes)| async move {
+            self.platform.put_object(&key, bytes.into()).await
+        });
+        let written: Vec<_> = stream::iter(puts).buffered(PARALLEL_OBJECTS).collect().await;
+        for result in written {
+            result?;
+        }
+        let rows: Vec<SlotRow> = changes.iter().map(|change| change.row.clone()).collect();
+        let Ok(outcomes) = self.journal.change_slots(changes).await else { return Ok(()) };
+        for (row, outcome) in rows.into_iter().zip(outcomes) {
+            match outcome {
+                SlotChangeOutcome::Written(_) if release => {
+                    self.learn_holder(row.slot, None);
+                    self.slots.remove(row.slot);
+                }
+                SlotChangeOutcome::Written(version) => self.slots.checkpointed(row, version),
+                SlotChangeOutcome::Conflict => {
+                    metrics::counter!("invariant_violations_total", "invariant" => "slot_row")
+                        .increment(1);
+                    log::error!(slot = row.slot; "the row of a held slot was changed by another entry");
+                }
+            }
+        }
+        for key in replaced {
+            if let Err(error) = self.platform.delete_object(&key).await {
+                log::debug!("the old checkpoint `{key}` was not deleted: {}", chain(&error));
+            }
+        }
+        Ok(())
+    }
+
+    /// Deletes segments that all checkpoints include, after the entry row says so.
+    async fn trim_journal(&self, deleted_below: &mut u64) {
+        let Some(holder) = self.journal.holder() else { return };
+        let first = self.slots.first_needed_segment(self.journal.segment());
+        self.journal.set_first_segment(first);
+        let committed = self.journal.committed_first_segment();
+        while *deleted_below < committed {
+            let key = segment_key(&holder, *deleted_below);
+            if let Err(error) = self.platform.delete_object(&key).await {
+                log::debug!("the segment `{key}` was not deleted: {}", chain(&error));
+                return;
+            }
+            *deleted_below += 1;
+        }
+    }
+}
+
+async fn move_slots(manager: Rc<SlotManager>) {
+    loop {
+        manager.journal.registered().await;
+        let (wanted, unwanted) = manager.partition();
+        if !wanted.is_empty()
+            && let Err(error) = manager.take(&wanted).await
+        {
+            log::warn!("slots were not taken: {}", chain(&error));
+        }
+        if !unwanted.is_empty()
+            && let Err(error) = manager.release(&unwanted).await
+        {
+            log::warn!("slots were not released: {}", chain(&error));
+        }
+        manager.timer.sleep(MOVE_INTERVAL).await;
+    }
+}
+
+async fn write_checkpoints(manager: Rc<SlotManager>) {
+    let mut ticks = manager.timer.subscribe(manager.settings.checkpoint_interval);
+    let mut incarnation = 0;
+    let mut deleted_below = 1;
+    loop {
+        ticks.tick().await;
+        let Some(holder) = manager.journal.holder() else { continue };
+        if holder.incarnation != incarnation {
+            incarnation = holder.incarnation;
+            deleted_below = 1;
+        }
+        for chunk in manager.slots.dirty_slots().chunks(CHANGES_PER_COMMIT) {
+            let held: Vec<_> =
+                chunk.iter().copied().filter(|slot| manager.slots.is_open(*slot)).collect();
+            if let Err(error) = manager.checkpoint(&held, false).await {
+                log::warn!("checkpoints were not written: {}", chain(&error));
+            }
+        }
+        manager.trim_journal(&mut deleted_below).await;
+    }
+}
+
+async fn recover_entries(manager: Rc<SlotManager>) {
+    let mut ticks = manager.timer.subscribe(manager.settings.membership_interval);
+    let mut first_seen: IndexMap<Holder, Instant> = IndexMap::new();
+    loop {
+        ticks.tick().await;
+        let rows = manager.recoverable();
+        first_seen.retain(|holder, _| rows.iter().any(|row| row.holder() == *holder));
+        for row in rows {
+            let seen = *first_seen.entry(row.holder()).or_insert_with(Instant::now);
+            if !manager.should_recover(&row.entry_id, seen.elapsed()) {
+                continue;
+            }
+            if let Err(error) = manager.recover(&row).await {
+                log::warn!(entry = &*row.entry_id; "the entry was not recovered: {}", chain(&error));
+            }
+        }
+    }
+}
+
+impl SlotManager {
+    /// Entries whose lease has expired, and fenced ones whose recovery is not complete.
+    fn recoverable(&self) -> Vec<EntryRow> {
+        let mut rows = self.membership.expired(self.settings.lease_ttl);
+        let fenced = self.membership.entries().into_iter();
+        rows.extend(fenced.filter(|row| row.state == EntryState::Fenced));
+        rows
+    }
+
+    async fn recover(&self, seen: &EntryRow) -> crate::connection::platform::Result<()> {
+        let row = self.platform.read_one(&entry_key(&seen.entry_id)).await?;
+        let current: EntryRow = row.decode()?;
+        // The entry has renewed its lease since the scan, or is closed by now.
+        if current != *seen {
+            return Ok(());
+        }
+        recovery::fence_and_recover(&self.platform, &current, row.version).await
+    }
+}
+
+impl SlotManager {
+    /// One entry goes first, so that not all of them read the same journal; the others follow if
+    /// it does not finish.
+    fn should_recover(&self, entry_id: &EntryId, since_expiry: Duration) -> bool {
+        /// Extra time given to the entry that goes first, in lease times.
+        const FIRST_TURN_LEASES: u32 = 2;
+        if *entry_id == self.settings.entry_id || self.journal.holder().is_none() {
+            return false;
+        }
+        let number = placement::hash_bytes(0, entry_id.as_bytes()) as SlotId;
+        let candidates = self.candidates();
+        let first = placement::preferred(number, &candidates);
+        first == Some(&self.settings.entry_id)
+            || since_expiry >= self.settings.lease_ttl * FIRST_TURN_LEASES
+    }
+
+    /// Waits until all slots are released.
+    pub async fn released(&self) {
+        self.slots.changed().until(|| self.slots.held().is_empty()).await;
+    }
+
+    /// Whether the entry is on its way out.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Registers the state of the entry in its row.
+    pub async fn set_state(&self, state: EntryState) {
+        self.journal.set_state(state).await;
+    }
+}
