--- a/src/request.rs
+++ b/src/request.rs
@@ -1,1 +1,3 @@
 //! What lives for one request.
+
+pub mod api;
