--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! `docs/design.md` explains how the parts work together.
 
+pub mod caller;
 pub mod connection;
 pub mod error;
 pub mod ids;
