--- /dev/null
+++ b/src/connection/tool.rs
@@ -0,0 +1,182 @@
+//! The client of tool services, whose calls are actions with a price.
+//!
+//! An action carries its id as the idempotency key. The errors tell whether the action may have
+//! run, because an action that is not idempotent must not be repeated when that is unknown.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, Uri};
+use serde::{Deserialize, Serialize};
+
+use crate::connection::http_client::{ClientError, HttpClient};
+use crate::ids::Micros;
+
+/// The result of a call to a tool.
+pub type Result<T> = std::result::Result<T, ToolError>;
+
+/// Why a call to a tool failed.
+#[derive(Debug)]
+pub enum ToolError {
+    /// Nothing was written: the action certainly did not run.
+    NotSent(String),
+    /// The tool answered with this error status and message.
+    Refused(u16, String),
+    /// No complete answer came: the action may have run.
+    Unknown(String),
+}
+
+impl fmt::Display for ToolError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ToolError::NotSent(reason) => {
+                write!(formatter, "the action was not sent to the tool: {reason}")
+            }
+            ToolError::Refused(status, message) => {
+                write!(
+                    formatter,
+                    "the tool refused the action with status {status}: {message}"
+                )
+            }
+            ToolError::Unknown(reason) => {
+                write!(
+                    formatter,
+                    "it is not known whether the action ran: {reason}"
+                )
+            }
+        }
+    }
+}
+
+impl std::error::Error for ToolError {}
+
+impl From<ClientError> for ToolError {
+    fn from(error: ClientError) -> Self {
+        match error {
+            ClientError::NotSent(reason) => ToolError::NotSent(reason),
+            other => ToolError::Unknown(other.to_string()),
+        }
+    }
+}
+
+/// What a finished action returned.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ActionResult {
+    /// Any JSON value.
+    #[serde(default)]
+    pub result: serde_json::Value,
+    /// What the tool charged.
+    #[serde(default)]
+    pub charge_micros: Micros,
+}
+
+/// What a tool knows of an action.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ActionStatus {
+    /// The tool has not received it.
+    Unknown,
+    /// The action is in progress.
+    Running,
+    /// The action ran.
+    Done(ActionResult),
+}
+
+#[derive(Serialize)]
+struct ActionBody<'a> {
+    tool: &'a str,
+    arguments: &'a serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct StatusBody {
+    state: State,
+    #[serde(flatten)]
+    result: ActionResult,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Unknown,
+    Running,
+    Done,
+}
+
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Longest answer of a tool.
+const ANSWER_LIMIT_BYTES: usize = 4 << 20;
+/// Part of an error answer that is kept for its message.
+const MESSAGE_LIMIT_BYTES: usize = 4 << 10;
+
+/// A client of tool services; clones share the connections.
+#[derive(Clone)]
+pub struct ToolClient {
+    http: HttpClient,
+    status_time: Duration,
+}
+
+impl ToolClient {
+    /// Makes a client whose status queries take at most `status_time` each.
+    pub fn new(http: HttpClient, status_time: Duration) -> Self {
+        Self { http, status_time }
+    }
+
+    /// Runs an action and waits at most `limit` for its result.
+    pub async fn run(
+        &self,
+        address: SocketAddr,
+        action_id: &str,
+        tool: &str,
+        arguments: &serde_json::Value,
+        limit: Duration,
+    ) -> Result<ActionResult> {
+        let body = serde_json::to_vec(&ActionBody { tool, arguments }).map_err(not_sent)?;
+        let key = HeaderValue::from_str(action_id).map_err(not_sent)?;
+        let mut request = Request::new(Bytes::from(body));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = Uri::from_static("/v1/actions");
+        request.headers_mut().insert(IDEMPOTENCY_KEY, key);
+        let content_type = HeaderValue::from_static("application/json");
+        request.headers_mut().insert(CONTENT_TYPE, content_type);
+        let response = self
+            .http
+            .fetch(address, request, limit, ANSWER_LIMIT_BYTES)
+            .await?;
+        decode(&response)
+    }
+
+    /// Asks the tool for the state of an action.
+    pub async fn status(&self, address: SocketAddr, action_id: &str) -> Result<ActionStatus> {
+        let mut request = Request::new(Bytes::new());
+        *request.uri_mut() = format!("/v1/actions/{action_id}")
+            .parse()
+            .map_err(not_sent)?;
+        let response = self
+            .http
+            .fetch(address, request, self.status_time, ANSWER_LIMIT_BYTES)
+            .await?;
+        let status: StatusBody = decode(&response)?;
+        Ok(match status.state {
+            State::Unknown => ActionStatus::Unknown,
+            State::Running => ActionStatus::Running,
+            State::Done => ActionStatus::Done(status.result),
+        })
+    }
+}
+
+fn not_sent(error: impl std::error::Error) -> ToolError {
+    ToolError::NotSent(error.to_string())
+}
+
+fn decode<'a, T: Deserialize<'a>>(response: &'a Response<Bytes>) -> Result<T> {
+    if !response.status().is_success() {
+        let end = response.body().len().min(MESSAGE_LIMIT_BYTES);
+        let message = String::from_utf8_lossy(&response.body()[..end]).into_owned();
+        return Err(ToolError::Refused(response.status().as_u16(), message));
+    }
+    serde_json::from_slice(response.body())
+        .map_err(|error| ToolError::Unknown(format!("the answer is not valid: {error}")))
+}
