--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,292 @@
+//! A model engine with continuous batching and a prefix cache (design section 5.2).
+//!
+//! A request waits for a place in the batch, is prefilled, and then yields one token for each decode
+//! step. Prefills take place one after the other. A step takes longer the more requests are in the
+//! batch. The answer is a function of the messages, see [`text`]; tokens are counted by
+//! [`count_tokens`].
+
+mod batch;
+mod cache;
+mod chat;
+mod control;
+mod events;
+mod load;
+mod orders;
+pub mod text;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use getopts::Options;
+use hyper::{Method, Request, Response, StatusCode};
+use sapphireford::connection::body::Body;
+use sapphireford::connection::http_server::Handler;
+use sapphireford::process::timer::TimerService;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::answer;
+use crate::arguments::{self, Arguments};
+use batch::Batch;
+use cache::{Cache, ExportedEntry};
+use control::Faults;
+use events::EventLog;
+use load::LoadReport;
+use orders::Orders;
+pub use text::{Message, count_tokens};
+
+const DEFAULT_DECODE_MS: f64 = 10.0;
+const DEFAULT_PREFILL_TOKENS_PER_SECOND: f64 = 20_000.0;
+const DEFAULT_MAX_BATCH: usize = 32;
+const DEFAULT_CACHE_TOKENS: u64 = 200_000;
+const DEFAULT_BATCH_SLOWDOWN: f64 = 0.02;
+const DEFAULT_REPORT_LAG_MS: f64 = 500.0;
+const DEFAULT_EVENT_LAG_MS: f64 = 500.0;
+
+/// The options of the binary.
+pub fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt(
+        "",
+        "decode-ms",
+        "time of a decode step for a batch of one",
+        "MS",
+    );
+    options.optopt(
+        "",
+        "batch-slowdown",
+        "share added to a step by each further request",
+        "SHARE",
+    );
+    options.optopt("", "prefill-tokens-per-second", "speed of prefills", "RATE");
+    options.optopt("", "max-batch", "requests decoded together", "COUNT");
+    options.optopt("", "cache-tokens", "memory of the prefix cache", "TOKENS");
+    options.optopt(
+        "",
+        "import-tokens-per-second",
+        "speed of imports; 0 for no delay",
+        "RATE",
+    );
+    options.optopt(
+        "",
+        "report-lag-ms",
+        "time between two load reports; 0 for none",
+        "MS",
+    );
+    options.optopt(
+        "",
+        "event-lag-ms",
+        "time until a cache event is published",
+        "MS",
+    );
+    options.optopt(
+        "",
+        "event-gap-rate",
+        "share of cache events that are lost",
+        "SHARE",
+    );
+    options.optopt(
+        "",
+        "cancel-lag-ms",
+        "time until a closed connection ends its request",
+        "MS",
+    );
+    options.optopt("", "stop-after", "most tokens of an answer", "TOKENS");
+    options.optopt(
+        "",
+        "seed",
+        "seed of the choice of lost cache events",
+        "SEED",
+    );
+    options.optflag(
+        "",
+        "checks-fencing",
+        "refuse orders with an old fencing number",
+    );
+    options
+}
+
+/// The engine.
+pub struct Engine {
+    state: Rc<State>,
+}
+
+struct State {
+    timer: TimerService,
+    settings: Settings,
+    batch: Rc<Batch>,
+    cache: RefCell<Cache>,
+    load: RefCell<LoadReport>,
+    orders: RefCell<Orders>,
+    faults: RefCell<Faults>,
+    stats: RefCell<Stats>,
+    /// When the prefills that were started so far are complete.
+    prefill_free_at: Cell<Instant>,
+}
+
+struct Settings {
+    decode_step: Duration,
+    batch_slowdown: f64,
+    prefill_tokens_per_second: f64,
+    import_tokens_per_second: f64,
+    cancel_lag: Duration,
+    stop_after: u64,
+}
+
+#[derive(Clone, Default, Serialize)]
+struct Stats {
+    calls_started: u64,
+    calls_finished: u64,
+    calls_cancelled: u64,
+    calls_broken: u64,
+    calls_refused: u64,
+    calls_started_while_leaving: u64,
+    tokens_prefilled: u64,
+    tokens_from_cache: u64,
+    tokens_generated: u64,
+    tokens_generated_without_reader: u64,
+    tokens_recomputed_after_eviction: u64,
+}
+
+#[derive(Deserialize)]
+struct CacheKeyBody {
+    cache_key: String,
+}
+
+impl Engine {
+    /// Makes an idle engine from its options.
+    pub fn new(arguments: &Arguments, timer: TimerService) -> arguments::Result<Self> {
+        let events = EventLog::new(
+            arguments.millis("event-lag-ms", DEFAULT_EVENT_LAG_MS)?,
+            arguments.value("event-gap-rate", 0.0)?,
+            arguments.value("seed", 0)?,
+        );
+        let cache_tokens = arguments.value("cache-tokens", DEFAULT_CACHE_TOKENS)?;
+        let report_lag = arguments.millis("report-lag-ms", DEFAULT_REPORT_LAG_MS)?;
+        let state = State {
+            settings: Settings::new(arguments)?,
+            batch: Batch::new(arguments.value("max-batch", DEFAULT_MAX_BATCH)?),
+            cache: RefCell::new(Cache::new(cache_tokens, events)),
+            load: RefCell::new(LoadReport::new(report_lag)),
+            orders: RefCell::new(Orders::new(arguments.flag("checks-fencing"))),
+            faults: RefCell::default(),
+            stats: RefCell::default(),
+            prefill_free_at: Cell::new(timer.now()),
+            timer,
+        };
+        let state = Rc::new(state);
+        if !report_lag.is_zero() {
+            monoio::spawn(load::report(state.clone(), report_lag));
+        }
+        Ok(Self { state })
+    }
+}
+
+impl Settings {
+    fn new(arguments: &Arguments) -> arguments::Result<Self> {
+        Ok(Self {
+            decode_step: arguments.millis("decode-ms", DEFAULT_DECODE_MS)?,
+            batch_slowdown: arguments.value("batch-slowdown", DEFAULT_BATCH_SLOWDOWN)?,
+            prefill_tokens_per_second: arguments.value(
+                "prefill-tokens-per-second",
+                DEFAULT_PREFILL_TOKENS_PER_SECOND,
+            )?,
+            import_tokens_per_second: arguments.value("import-tokens-per-second", 0.0)?,
+            cancel_lag: arguments.millis("cancel-lag-ms", 0.0)?,
+            stop_after: arguments.value("stop-after", u64::MAX)?,
+        })
+    }
+}
+
+impl Handler for Engine {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
+        let state = &self.state;
+        let body = request.body();
+        let answer = match (request.method(), request.uri().path()) {
+            (&Method::POST, "/control") => answer::decode(body).map(|body| state.control(body)),
+            (&Method::GET, "/stats") => Ok(state.stats()),
+            (&Method::POST, "/v1/chat/completions") => match answer::decode(body) {
+                Ok(body) => Ok(chat::complete(state.clone(), body).await),
+                Err(refusal) => Err(refusal),
+            },
+            (&Method::GET, "/v1/load") => Ok(answer::ok(&load::current(state))),
+            (&Method::GET, "/v1/cache") => Ok(state.cache_entries()),
+            (&Method::GET, "/v1/cache/events") => Ok(state.events(request.uri().query())),
+            (&Method::POST, "/v1/cache/release") => {
+                answer::decode(body).map(|body| state.release(body))
+            }
+            (&Method::POST, "/v1/cache/export") => {
+                answer::decode(body).map(|body| state.export(body))
+            }
+            (&Method::POST, "/v1/cache/import") => match answer::decode(body) {
+                Ok(body) => Ok(state.import(body).await),
+                Err(refusal) => Err(refusal),
+            },
+            (&Method::POST, "/v1/orders") => {
+                answer::decode(body).map(|body| state.orders.borrow_mut().take(body))
+            }
+            _ => Ok(answer::no_such_path()),
+        };
+        answer.unwrap_or_else(|refusal| refusal)
+    }
+}
+
+impl State {
+    fn control(&self, control: control::Control) -> Response<Body> {
+        self.faults.borrow_mut().apply(control);
+        answer::ok(&json!({}))
+    }
+
+    fn stats(&self) -> Response<Body> {
+        let cache = self.cache.borrow();
+        let mut stats = json!(&*self.stats.borrow());
+        stats["tokens_evicted"] = json!(cache.evicted_tokens());
+        stats["tokens_released"] = json!(cache.released_tokens());
+        stats["cache_used_tokens"] = json!(cache.used_tokens());
+        stats["running"] = json!(self.batch.running());
+        stats["waiting"] = json!(self.batch.waiting());
+        stats["orders"] = json!(self.orders.borrow().accepted());
+        answer::ok(&stats)
+    }
+
+    fn cache_entries(&self) -> Response<Body> {
+        answer::ok(&json!({"entries": self.cache.borrow().entries()}))
+    }
+
+    fn events(&self, query: Option<&str>) -> Response<Body> {
+        let after = query.and_then(|query| query.strip_prefix("after="));
+        let after = after.map_or(Ok(0), str::parse);
+        match after {
+            Ok(after) => answer::ok(&self.cache.borrow().events().after(after)),
+            Err(_) => answer::refused(StatusCode::BAD_REQUEST, "`after` is not a number"),
+        }
+    }
+
+    fn release(&self, body: CacheKeyBody) -> Response<Body> {
+        if !self.faults.borrow().ignore_releases {
+            self.cache.borrow_mut().release(&body.cache_key);
+        }
+        answer::ok(&json!({}))
+    }
+
+    fn export(&self, body: CacheKeyBody) -> Response<Body> {
+        match self.cache.borrow().export(&body.cache_key) {
+            Some(entry) => answer::ok(&entry),
+            None => answer::refused(StatusCode::NOT_FOUND, "no such cache entry"),
+        }
+    }
+
+    async fn import(&self, entry: ExportedEntry) -> Response<Body> {
+        let rate = self.settings.import_tokens_per_second;
+        self.timer.sleep(time_for(entry.tokens(), rate)).await;
+        let tokens = self.cache.borrow_mut().import(entry);
+        answer::ok(&json!({"tokens": tokens}))
+    }
+}
+
+/// Time for a number of tokens at a rate; none for the rate 0.
+fn time_for(tokens: u64, per_second: f64) -> Duration {
+    Duration::try_from_secs_f64(tokens as f64 / per_second).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standin/src/engine/text.rs
@@ -0,0 +1,97 @@
+//! Token counts, and the text that the engine generates.
+//!
+//! A text of `n` words counts `n` tokens, words being separated by whitespace. A message counts the
+//! words of its content plus [`TOKENS_PER_MESSAGE`]. A generated token is one word.
+//!
+//! The generated words are a function of the messages. In each group of [`GROUP_WORDS`] words, the
+//! first holds a hash of all messages, the second the first word of the first message that is not a
+//! system message, and the third the first word of the last message. A test that begins its messages
+//! with marks can therefore tell to which conversation and turn an answer belongs.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use serde::{Deserialize, Serialize};
+
+/// Tokens that each message counts besides its words.
+pub const TOKENS_PER_MESSAGE: u64 = 4;
+/// Words after which the generated text names its conversation again.
+pub const GROUP_WORDS: u64 = 16;
+/// Longest part of a message's word that is repeated in a generated word.
+const MARK_CHARS: usize = 64;
+
+/// A message of a chat.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Message {
+    /// `system`, `user`, `assistant` or `tool`.
+    pub role: String,
+    /// The text.
+    pub content: String,
+}
+
+/// Counts the prompt tokens of messages.
+pub fn count_tokens(messages: &[Message]) -> u64 {
+    messages.iter().map(message_tokens).sum()
+}
+
+/// Counts the tokens of one message.
+pub fn message_tokens(message: &Message) -> u64 {
+    message.content.split_whitespace().count() as u64 + TOKENS_PER_MESSAGE
+}
+
+/// The first `count` words of the answer to `messages`, as the client joins them.
+pub fn expected_text(messages: &[Message], count: u64) -> String {
+    let words = Words::new(messages);
+    (0..count).map(|index| words.token(index)).collect()
+}
+
+/// Hashes a message to compare it with a cached one.
+pub(super) fn message_hash(message: &Message) -> u64 {
+    hash(message)
+}
+
+/// The words of the answer to some messages.
+pub(super) struct Words {
+    seed: u64,
+    first_mark: String,
+    last_mark: String,
+}
+
+impl Words {
+    pub(super) fn new(messages: &[Message]) -> Self {
+        let first = messages.iter().find(|message| message.role != "system");
+        Self {
+            seed: hash(messages),
+            first_mark: mark(first),
+            last_mark: mark(messages.last()),
+        }
+    }
+
+    /// The word at `index`, with the space that separates it from the one before.
+    pub(super) fn token(&self, index: u64) -> String {
+        let word = self.word(index);
+        match index {
+            0 => word,
+            _ => format!(" {word}"),
+        }
+    }
+
+    fn word(&self, index: u64) -> String {
+        match index % GROUP_WORDS {
+            0 => format!("hash:{:016x}", self.seed),
+            1 => format!("first:{}", self.first_mark),
+            2 => format!("last:{}", self.last_mark),
+            _ => format!("w{index}-{:04x}", hash(&(self.seed, index)) as u16),
+        }
+    }
+}
+
+fn mark(message: Option<&Message>) -> String {
+    let word = message.and_then(|message| message.content.split_whitespace().next());
+    word.unwrap_or_default().chars().take(MARK_CHARS).collect()
+}
+
+fn hash<T: Hash + ?Sized>(value: &T) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,19 @@
-//! Stand-ins.
+//! Test doubles for the outside systems that an entry talks to.
+//!
+//! Each binary serves one protocol of `docs/design.md` over HTTP/1.1 and keeps everything in memory:
+//!
+//! - [`platform`]: table, object store, VM list and weight store (section 5.4),
+//! - [`engine`]: a model engine with continuous batching and a prefix cache (section 5.2),
+//! - [`tool`] and [`service`]: a tool service and a plain service (section 5.3).
+//!
+//! All of them take failure injection by `POST /control` and report counters by `GET /stats`. Tests
+//! start them as child processes. They are for tests and the local site only.
+
+pub mod answer;
+pub mod arguments;
+pub mod engine;
+pub mod fault;
+pub mod platform;
+pub mod server;
+pub mod service;
+pub mod tool;
--- /dev/null
+++ b/crates/standin/src/platform/control.rs
@@ -0,0 +1,93 @@
+//! Failure injection of the platform.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use sapphireford::connection::platform::Vm;
+use serde::Deserialize;
+
+/// How calls fail while the platform is out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Outage {
+    /// Calls are served.
+    #[default]
+    None,
+    /// Every call is answered 503 without taking effect.
+    Refuse,
+    /// No call takes effect or is ever answered.
+    Hang,
+}
+
+/// What `POST /control` may set; absent fields stay as they are.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Control {
+    /// Pause before each call takes effect.
+    pub delay_ms: Option<u64>,
+    /// How calls fail from now on.
+    pub outage: Option<Outage>,
+    /// The next commits take effect, and their connections break without an answer.
+    pub lose_acknowledgements: Option<u64>,
+    /// Share of commits whose acknowledgement is lost, from 0 to 1.
+    pub lose_acknowledgement_rate: Option<f64>,
+    /// Seed of the choice by rate.
+    pub seed: Option<u64>,
+    /// The list of VMs.
+    pub vms: Option<Vec<Vm>>,
+    /// Time from setting the list until it is served.
+    pub vm_list_lag_ms: Option<u64>,
+}
+
+/// The failures in force.
+pub struct Faults {
+    pub delay: Duration,
+    pub outage: Outage,
+    lose_next: u64,
+    /// From 0 to 1.
+    lose_rate: f64,
+    random: StdRng,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            delay: Duration::ZERO,
+            outage: Outage::None,
+            lose_next: 0,
+            lose_rate: 0.0,
+            random: StdRng::seed_from_u64(0),
+        }
+    }
+}
+
+impl Faults {
+    /// Takes over the fields that are present.
+    pub fn apply(&mut self, control: Control) {
+        if let Some(delay_ms) = control.delay_ms {
+            self.delay = Duration::from_millis(delay_ms);
+        }
+        if let Some(outage) = control.outage {
+            self.outage = outage;
+        }
+        if let Some(count) = control.lose_acknowledgements {
+            self.lose_next = count;
+        }
+        if let Some(rate) = control.lose_acknowledgement_rate {
+            self.lose_rate = rate.clamp(0.0, 1.0);
+        }
+        if let Some(seed) = control.seed {
+            self.random = StdRng::seed_from_u64(seed);
+        }
+    }
+
+    /// Decides whether the commit that just took effect loses its acknowledgement.
+    pub fn loses_acknowledgement(&mut self) -> bool {
+        if self.lose_next > 0 {
+            self.lose_next -= 1;
+            return true;
+        }
+        self.lose_rate > 0.0 && self.random.random_bool(self.lose_rate)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,63 @@
+//! Starts a stand-in: parses the command line, binds the listener and serves until SIGTERM.
+
+use std::error::Error;
+use std::future::pending;
+use std::io::Write;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use getopts::Options;
+use monoio::{LegacyDriver, RuntimeBuilder};
+use sapphireford::connection::http_server::{Handler, HttpLimits, serve};
+use sapphireford::process::timer::TimerService;
+
+use crate::arguments::Arguments;
+
+/// Objects and contexts in tests stay far below this.
+const BODY_LIMIT_BYTES: usize = 64 << 20;
+/// Idle connections stay open longer than any test, so that no test meets a closed one by accident.
+const IDLE_TIME: Duration = Duration::from_secs(600);
+
+/// Serves the handler that `build` makes. Prints `listening on ADDRESS` once it accepts connections.
+///
+/// SIGTERM ends the process by its default action; nothing needs to be saved.
+pub fn run<H: Handler>(
+    options: Options,
+    build: impl FnOnce(&Arguments, TimerService) -> crate::arguments::Result<H>,
+) -> ExitCode {
+    match try_run(options, build) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn try_run<H: Handler>(
+    options: Options,
+    build: impl FnOnce(&Arguments, TimerService) -> crate::arguments::Result<H>,
+) -> Result<(), Box<dyn Error>> {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let arguments = Arguments::parse(options, &words)?;
+    let listen = arguments.listen()?;
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_all().build()?;
+    runtime.block_on(async {
+        let timer = TimerService::start();
+        let handler = Rc::new(build(&arguments, timer.clone())?);
+        let server = serve(listen, limits(), timer, handler)?;
+        println!("listening on {}", server.address());
+        std::io::stdout().flush()?;
+        pending::<()>().await;
+        Ok(())
+    })
+}
+
+fn limits() -> HttpLimits {
+    HttpLimits {
+        body_bytes: BODY_LIMIT_BYTES,
+        header_time: IDLE_TIME,
+        ..HttpLimits::default()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/tool.rs
@@ -0,0 +1,213 @@
+//! A tool service that counts its executions (design section 5.3).
+//!
+//! Every request executes, a repeated idempotency key too, so that a double execution shows in
+//! `GET /stats`. With `--idempotent` a repeated key returns the stored result instead. An execution
+//! takes place even when its caller has closed the connection in the meantime.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use getopts::Options;
+use hyper::{Method, Request, Response, StatusCode};
+use indexmap::IndexMap;
+use sapphireford::connection::body::Body;
+use sapphireford::connection::http_server::Handler;
+use sapphireford::process::timer::TimerService;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::answer;
+use crate::arguments::{self, Arguments};
+use crate::fault::{Fault, FaultPlan};
+
+const KEY_HEADER: &str = "idempotency-key";
+const ACTIONS_PATH: &str = "/v1/actions";
+
+/// The options of the binary.
+pub fn options() -> Options {
+    let mut options = Options::new();
+    options.optflag(
+        "",
+        "idempotent",
+        "return the stored result of a repeated key",
+    );
+    options.optflag("", "no-status-query", "serve no GET /v1/actions/{key}");
+    options.optopt(
+        "",
+        "price-micros",
+        "charge of an action that names none",
+        "MICROS",
+    );
+    options
+}
+
+/// The tool service.
+pub struct Tool {
+    state: Rc<State>,
+}
+
+struct State {
+    timer: TimerService,
+    faults: FaultPlan,
+    idempotent: bool,
+    has_status_query: bool,
+    price_micros: u64,
+    /// State of each action by its key; a key that was never executed or queued is absent.
+    actions: RefCell<IndexMap<String, Action>>,
+    stats: RefCell<Stats>,
+}
+
+#[derive(Clone)]
+enum Action {
+    Running,
+    Done(Outcome),
+}
+
+#[derive(Clone, Serialize)]
+struct Outcome {
+    result: Value,
+    charge_micros: u64,
+}
+
+#[derive(Default, Serialize)]
+struct Stats {
+    requests: u64,
+    executions_by_key: IndexMap<String, u64>,
+    executions_by_tool: IndexMap<String, u64>,
+    charges_micros: u64,
+}
+
+#[derive(Deserialize)]
+struct ActionRequest {
+    tool: String,
+    #[serde(default)]
+    arguments: Value,
+}
+
+impl Tool {
+    /// Makes the tool service from its options.
+    pub fn new(arguments: &Arguments, timer: TimerService) -> arguments::Result<Self> {
+        let state = State {
+            timer,
+            faults: FaultPlan::default(),
+            idempotent: arguments.flag("idempotent"),
+            has_status_query: !arguments.flag("no-status-query"),
+            price_micros: arguments.value("price-micros", 0)?,
+            actions: RefCell::default(),
+            stats: RefCell::default(),
+        };
+        Ok(Self {
+            state: Rc::new(state),
+        })
+    }
+}
+
+impl Handler for Tool {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
+        let state = &self.state;
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/control") => match answer::decode(request.body()) {
+                Ok(control) => {
+                    state.faults.apply(control);
+                    answer::ok(&json!({}))
+                }
+                Err(refusal) => refusal,
+            },
+            (&Method::GET, "/stats") => answer::ok(&*state.stats.borrow()),
+            (&Method::POST, ACTIONS_PATH) => {
+                // A task of its own: the execution goes on when the caller is gone.
+                monoio::spawn(act(state.clone(), request)).await
+            }
+            (&Method::GET, path) => match path.strip_prefix("/v1/actions/") {
+                Some(key) if state.has_status_query => state.status(key),
+                _ => answer::no_such_path(),
+            },
+            _ => answer::no_such_path(),
+        }
+    }
+}
+
+async fn act(state: Rc<State>, request: Request<Bytes>) -> Response<Body> {
+    state.stats.borrow_mut().requests += 1;
+    let key = request.headers().get(KEY_HEADER);
+    let Some(key) = key.and_then(|key| key.to_str().ok()).map(str::to_string) else {
+        return answer::refused(StatusCode::BAD_REQUEST, "the idempotency-key is missing");
+    };
+    let action: ActionRequest = match answer::decode(request.body()) {
+        Ok(action) => action,
+        Err(refusal) => return refusal,
+    };
+    let fault = state.faults.take();
+    match fault {
+        Fault::HangBefore => return answer::hang().await,
+        Fault::Fail => {
+            return answer::refused(StatusCode::INTERNAL_SERVER_ERROR, "not executed");
+        }
+        _ => {}
+    }
+    let outcome = state.execute(&key, &action).await;
+    match fault {
+        Fault::HangAfter => answer::hang().await,
+        Fault::DropAfter => answer::broken().await,
+        _ => answer::ok(&outcome),
+    }
+}
+
+impl State {
+    async fn execute(&self, key: &str, action: &ActionRequest) -> Outcome {
+        let known = self.actions.borrow().get(key).cloned();
+        if let (true, Some(Action::Done(outcome))) = (self.idempotent, &known) {
+            return outcome.clone();
+        }
+        if known.is_none() {
+            let mut actions = self.actions.borrow_mut();
+            actions.insert(key.to_string(), Action::Running);
+        }
+        self.timer.sleep(self.faults.delay()).await;
+        // A request with the same key may have been executed during the pause.
+        let known = self.actions.borrow().get(key).cloned();
+        if let (true, Some(Action::Done(outcome))) = (self.idempotent, known) {
+            return outcome;
+        }
+        let outcome = self.count(key, action);
+        let mut actions = self.actions.borrow_mut();
+        actions.insert(key.to_string(), Action::Done(outcome.clone()));
+        outcome
+    }
+
+    fn count(&self, key: &str, action: &ActionRequest) -> Outcome {
+        let named_charge = action
+            .arguments
+            .get("charge_micros")
+            .and_then(Value::as_u64);
+        let charge_micros = named_charge.unwrap_or(self.price_micros);
+        let mut stats = self.stats.borrow_mut();
+        let by_tool = &mut stats.executions_by_tool;
+        *by_tool.entry(action.tool.clone()).or_default() += 1;
+        stats.charges_micros += charge_micros;
+        let execution = stats.executions_by_key.entry(key.to_string()).or_default();
+        *execution += 1;
+        let result = json!({
+            "tool": action.tool,
+            "arguments": action.arguments,
+            "execution": *execution,
+        });
+        Outcome {
+            result,
+            charge_micros,
+        }
+    }
+
+    fn status(&self, key: &str) -> Response<Body> {
+        match self.actions.borrow().get(key) {
+            None => answer::ok(&json!({"state": "unknown"})),
+            Some(Action::Running) => answer::ok(&json!({"state": "running"})),
+            Some(Action::Done(outcome)) => answer::ok(&json!({
+                "state": "done",
+                "result": outcome.result,
+                "charge_micros": outcome.charge_micros,
+            })),
+        }
+    }
+}
