--- a/src/connection/platform.rs
+++ b/src/connection/platform.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::connection::http_client::{ClientError, HttpClient};
+use crate::process::timer::TimerService;
 
 /// The result of a call to the platform.
 pub type Result<T> = std::result::Result<T, PlatformError>;
@@ -186,6 +187,11 @@
         }
     }
 
+    /// The timer service that bounds the calls.
+    pub fn timer(&self) -> &TimerService {
+        self.http.timer()
+    }
+
     /// Reads rows; a row that does not exist has version 0.
     pub async fn read(&self, keys: &[String]) -> Result<Vec<Row>> {
         Ok(self
--- /dev/null
+++ b/src/version/check.rs
@@ -0,0 +1,435 @@
+//! Makes a checked [`Config`] of a merged document.
+//!
+//! All problems of a document are found in one pass, each with the file, the path inside it, the
+//! reason and what to do.
+
+use std::fmt;
+use std::hash::Hash;
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::version::config::{
+    BackendServer, Config, Limits, Model, Operator, PlacementKind, Policy, Priority, Program,
+    QueueKind, Service, ServiceRoute, Team, Tool,
+};
+use crate::version::merge::{Merged, child_path};
+use crate::version::raw::{
+    RawBackendServer, RawConfig, RawLimits, RawModel, RawOperator, RawPlacement, RawPolicy,
+    RawPriority, RawProgram, RawQueue, RawService, RawTeam, RawTool,
+};
+
+/// The result of checking a document.
+pub type Result<T> = std::result::Result<T, CheckError>;
+
+/// Why a value was refused.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Problem {
+    /// The file that set the value, if it is known.
+    pub file: Option<String>,
+    /// A JSON pointer to the value.
+    pub path: String,
+    /// What is wrong.
+    pub reason: String,
+    /// What to do about it.
+    pub action: String,
+}
+
+impl Problem {
+    /// Makes a problem; the file is that of the value at `path`.
+    pub fn new(merged: &Merged, path: String, reason: String, action: String) -> Self {
+        Self {
+            file: merged.file_of(&path).map(str::to_string),
+            path,
+            reason,
+            action,
+        }
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(file) = &self.file {
+            write!(formatter, "{file}: ")?;
+        }
+        write!(formatter, "{}: {}; {}", self.path, self.reason, self.action)
+    }
+}
+
+/// The problems of a document; at least one.
+#[derive(Clone, Debug)]
+pub struct CheckError {
+    /// In the order in which they were found.
+    pub problems: Vec<Problem>,
+}
+
+impl fmt::Display for CheckError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "the configuration is not valid")?;
+        for problem in &self.problems {
+            write!(formatter, "\n  {problem}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for CheckError {}
+
+impl TryFrom<&Merged> for Config {
+    type Error = CheckError;
+
+    /// The version of the result is 0, because the document does not hold it.
+    fn try_from(merged: &Merged) -> Result<Self> {
+        let mut problems = Vec::new();
+        let raw = RawConfig::parse(merged, &mut problems);
+        let mut checker = Checker { merged, problems };
+        let names = Names::of(merged);
+        let config = checker.config(&raw, &names);
+        match checker.problems.is_empty() {
+            true => Ok(config),
+            false => Err(CheckError {
+                problems: checker.problems,
+            }),
+        }
+    }
+}
+
+/// Longest time that a configuration may set. It keeps deadlines far from the end of the clock.
+const MAX_TIME_MS: u64 = 30 * 24 * 3_600 * 1_000;
+
+/// The names that a document defines, faulty items included, so that one faulty item is not
+/// reported again by everything that refers to it.
+struct Names<'a> {
+    merged: &'a Merged,
+}
+
+impl<'a> Names<'a> {
+    fn of(merged: &'a Merged) -> Self {
+        Self { merged }
+    }
+
+    fn has(&self, section: &str, name: &str) -> bool {
+        let section = self.merged.document.get(section);
+        section.is_some_and(|section| section.get(name).is_some())
+    }
+}
+
+struct Checker<'a> {
+    merged: &'a Merged,
+    problems: Vec<Problem>,
+}
+
+impl Checker<'_> {
+    fn config(&mut self, raw: &RawConfig, names: &Names) -> Config {
+        let config = Config {
+            version: 0,
+            teams: self.section("teams", &raw.teams, Self::team),
+            operators: self.section("operators", &raw.operators, Self::operator),
+            models: self.section("models", &raw.models, Self::model),
+            backend_servers: self.section("backend_servers", &raw.backend_servers, {
+                |checker, path, raw| checker.backend_server(path, raw, names)
+            }),
+            tools: self.section("tools", &raw.tools, Self::tool),
+            services: self.section("services", &raw.services, Self::service),
+            programs: self.section("programs", &raw.programs, {
+                |checker, path, raw| checker.program(path, raw, names)
+            }),
+            limits: self.limits(&raw.limits),
+            policy: policy(&raw.policy),
+        };
+        self.unique_keys(&config);
+        self.unique_addresses(&config);
+        config
+    }
+
+    fn section<R, T>(
+        &mut self,
+        section: &str,
+        raw: &IndexMap<String, R>,
+        check: impl Fn(&mut Self, &str, &R) -> T,
+    ) -> IndexMap<Rc<str>, T> {
+        let mut items = IndexMap::new();
+        for (name, raw) in raw {
+            let path = child_path(&child_path("", section), name);
+            self.id(&path, name);
+            items.insert(name.as_str().into(), check(self, &path, raw));
+        }
+        items
+    }
+
+    fn team(&mut self, path: &str, raw: &RawTeam) -> Team {
+        self.at_least_one(path, "weight", raw.weight.into());
+        Team {
+            key_sha256: self.key_sha256(path, &raw.key_sha256),
+            weight: raw.weight,
+        }
+    }
+
+    fn operator(&mut self, path: &str, raw: &RawOperator) -> Operator {
+        Operator {
+            key_sha256: self.key_sha256(path, &raw.key_sha256),
+        }
+    }
+
+    fn model(&mut self, path: &str, raw: &RawModel) -> Model {
+        self.at_least_one(path, "context_tokens", raw.context_tokens.into());
+        Model {
+            prompt_micros_per_1k_tokens: raw.prompt_micros_per_1k_tokens,
+            output_micros_per_1k_tokens: raw.output_micros_per_1k_tokens,
+            context_tokens: raw.context_tokens,
+        }
+    }
+
+    fn backend_server(
+        &mut self,
+        path: &str,
+        raw: &RawBackendServer,
+        names: &Names,
+    ) -> BackendServer {
+        self.id(&child_path(path, "failure_domain"), &raw.failure_domain);
+        self.not_empty(path, "models", raw.models.len());
+        self.references(path, "models", &raw.models, names);
+        let calls = raw.max_concurrent_calls.into();
+        self.at_least_one(path, "max_concurrent_calls", calls);
+        self.at_least_one(path, "cache_tokens", raw.cache_tokens);
+        BackendServer {
+            address: raw.address,
+            failure_domain: raw.failure_domain.as_str().into(),
+            models: ids(&raw.models),
+            max_concurrent_calls: raw.max_concurrent_calls,
+            cache_tokens: raw.cache_tokens,
+            checks_fencing: raw.checks_fencing,
+        }
+    }
+
+    fn tool(&mut self, path: &str, raw: &RawTool) -> Tool {
+        Tool {
+            address: raw.address,
+            price_limit_micros: raw.price_limit_micros,
+            time_limit: self.time(path, "time_limit_ms", raw.time_limit_ms),
+            idempotent: raw.idempotent,
+            has_status_query: raw.has_status_query,
+        }
+    }
+
+    fn service(&mut self, path: &str, raw: &RawService) -> Service {
+        self.not_empty(path, "addresses", raw.addresses.len());
+        let mut routes = Vec::new();
+        for route in &raw.routes {
+            let path = child_path(path, "routes");
+            let method = &route.method;
+            if method.is_empty() || !method.chars().all(|c| c.is_ascii_uppercase()) {
+                let reason = format!("`{method}` is not an HTTP method in capitals");
+                self.report(path.clone(), reason, "write one such as GET");
+            }
+            if !route.path_prefix.starts_with('/') {
+                let reason = format!("the path prefix `{}` has no slash", route.path_prefix);
+                self.report(path, reason, "start it with a slash");
+            }
+            routes.push(ServiceRoute {
+                method: method.clone(),
+                path_prefix: route.path_prefix.clone(),
+                repeatable: route.repeatable,
+            });
+        }
+        Service {
+            addresses: raw.addresses.clone(),
+            time_limit: self.time(path, "time_limit_ms", raw.time_limit_ms),
+            routes,
+        }
+    }
+
+    fn program(&mut self, path: &str, raw: &RawProgram, names: &Names) -> Program {
+        self.reference(path, "team", "teams", &raw.team, names);
+        self.reference(path, "model", "models", &raw.model, names);
+        self.references(path, "tools", &raw.tools, names);
+        self.at_least_one(path, "budget_micros", raw.budget_micros);
+        self.at_least_one(path, "max_calls", raw.max_calls.into());
+        Program {
+            team_id: raw.team.as_str().into(),
+            model_id: raw.model.as_str().into(),
+            budget_micros: raw.budget_micros,
+            priority: priority(raw.priority),
+            tools: ids(&raw.tools),
+            max_calls: raw.max_calls,
+            max_sub_agents: raw.max_sub_agents,
+            max_depth: raw.max_depth,
+            system_prompt: raw.system_prompt.as_str().into(),
+        }
+    }
+
+    fn limits(&mut self, raw: &RawLimits) -> Limits {
+        let path = "/limits";
+        self.at_least_one(path, "input_bytes", raw.input_bytes as u64);
+        self.at_least_one(path, "output_tokens", raw.output_tokens.into());
+        self.at_least_one(path, "waiting_per_run", raw.waiting_per_run as u64);
+        self.at_least_one(path, "requests_per_entry", raw.requests_per_entry as u64);
+        if raw.retry_percent > 100 {
+            let reason = format!("{} is more than 100 percent", raw.retry_percent);
+            let path = child_path(path, "retry_percent");
+            self.report(path, reason, "write a number from 0 to 100");
+        }
+        Limits {
+            input_bytes: raw.input_bytes,
+            output_tokens: raw.output_tokens,
+            waiting_per_run: raw.waiting_per_run,
+            requests_per_entry: raw.requests_per_entry,
+            queue_time: self.time(path, "queue_time_ms", raw.queue_time_ms),
+            token_gap: self.time(path, "token_gap_ms", raw.token_gap_ms),
+            abandon_after: self.time(path, "abandon_ms", raw.abandon_ms),
+            retry_percent: raw.retry_percent,
+        }
+    }
+
+    /// A key must name one team or one operator only, because it is all that a request presents.
+    fn unique_keys(&mut self, config: &Config) {
+        let teams = config.teams.iter();
+        let teams = teams.map(|(name, team)| ("teams", name, team.key_sha256));
+        let operators = config.operators.iter();
+        let operators = operators.map(|(name, one)| ("operators", name, one.key_sha256));
+        let keys = teams.chain(operators).map(|(section, name, key)| {
+            let path = child_path(&child_path("", section), name);
+            (child_path(&path, "key_sha256"), key)
+        });
+        // A key that is not valid is all zeros and was reported before.
+        let keys = keys.filter(|(_, key)| *key != [0; 32]);
+        self.unique(keys, "key", "make a new key with `sapphireford-admin key`");
+    }
+
+    fn unique_addresses(&mut self, config: &Config) {
+        let addresses = config.backend_servers.iter().map(|(name, server)| {
+            let path = child_path("/backend_servers", name);
+            (child_path(&path, "address"), server.address)
+        });
+        self.unique(
+            addresses,
+            "address",
+            "give each backend server its own address",
+        );
+    }
+
+    fn unique<T: Eq + Hash>(
+        &mut self,
+        values: impl Iterator<Item = (String, T)>,
+        what: &str,
+        action: &str,
+    ) {
+        let mut seen: IndexMap<T, String> = IndexMap::new();
+        for (path, value) in values {
+            match seen.get(&value) {
+                Some(first) => {
+                    let reason = format!("the {what} is the same as that of {first}");
+                    self.report(path, reason, action);
+                }
+                None => {
+                    seen.insert(value, path);
+                }
+            }
+        }
+    }
+
+    fn id(&mut self, path: &str, id: &str) {
+        let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        if id.is_empty() || !id.chars().all(allowed) {
+            let reason = format!("the name `{id}` has characters that are not allowed or is empty");
+            let action = "use letters, digits, `-`, `_` and `.` only";
+            self.report(path.to_string(), reason, action);
+        }
+    }
+
+    fn key_sha256(&mut self, path: &str, text: &str) -> [u8; 32] {
+        let key = decode_hex(text).filter(|key| *key != [0; 32]);
+        if key.is_none() {
+            let reason = "the value is not a SHA-256 of 64 hexadecimal digits".to_string();
+            let action = "copy the key_sha256 that `sapphireford-admin key` prints";
+            self.report(child_path(path, "key_sha256"), reason, action);
+        }
+        key.unwrap_or_default()
+    }
+
+    fn references(&mut self, path: &str, field: &str, ids: &[String], names: &Names) {
+        for (index, id) in ids.iter().enumerate() {
+            self.reference(path, field, field, id, names);
+            if ids[..index].contains(id) {
+                let reason = format!("`{id}` is listed twice");
+                self.report(child_path(path, field), reason, "list it once");
+            }
+        }
+    }
+
+    fn reference(&mut self, path: &str, field: &str, section: &str, id: &str, names: &Names) {
+        if !names.has(section, id) {
+            let reason = format!("`{id}` is not defined in the section `{section}`");
+            let action = "define it there or correct the name";
+            self.report(child_path(path, field), reason, action);
+        }
+    }
+
+    fn not_empty(&mut self, path: &str, field: &str, count: usize) {
+        if count == 0 {
+            let reason = "the list is empty".to_string();
+            self.report(child_path(path, field), reason, "list at least one");
+        }
+    }
+
+    fn at_least_one(&mut self, path: &str, field: &str, value: u64) {
+        if value == 0 {
+            let reason = "the value is 0".to_string();
+            self.report(child_path(path, field), reason, "write at least 1");
+        }
+    }
+
+    fn time(&mut self, path: &str, field: &str, millis: u64) -> Duration {
+        if millis == 0 || millis > MAX_TIME_MS {
+            let reason = format!("{millis} ms is out of range");
+            let action = "write a number from 1 to 2592000000, which is 30 days";
+            self.report(child_path(path, field), reason, action);
+        }
+        Duration::from_millis(millis)
+    }
+
+    fn report(&mut self, path: String, reason: String, action: &str) {
+        let problem = Problem::new(self.merged, path, reason, action.to_string());
+        self.problems.push(problem);
+    }
+}
+
+fn policy(raw: &RawPolicy) -> Policy {
+    Policy {
+        placement: match raw.placement {
+            RawPlacement::RoundRobin => PlacementKind::RoundRobin,
+            RawPlacement::LeastLoad => PlacementKind::LeastLoad,
+            RawPlacement::PrefixAndLoad => PlacementKind::PrefixAndLoad,
+        },
+        queue: match raw.queue {
+            RawQueue::Fifo => QueueKind::Fifo,
+            RawQueue::LeastService => QueueKind::LeastService,
+        },
+    }
+}
+
+fn priority(raw: RawPriority) -> Priority {
+    match raw {
+        RawPriority::Background => Priority::Background,
+        RawPriority::Normal => Priority::Normal,
+        RawPriority::Urgent => Priority::Urgent,
+    }
+}
+
+fn ids(names: &[String]) -> Vec<Rc<str>> {
+    names.iter().map(|name| name.as_str().into()).collect()
+}
+
+/// Reads 64 hexadecimal digits.
+fn decode_hex(text: &str) -> Option<[u8; 32]> {
+    if text.len() != 64 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut bytes = [0; 32];
+    for (index, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(bytes)
+}
--- /dev/null
+++ b/src/version/diff.rs
@@ -0,0 +1,48 @@
+//! The differences between two merged documents.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::version::merge::child_path;
+
+/// One value that differs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// A JSON pointer to the value.
+    pub path: String,
+    /// The value before; `None` if it was added.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub old: Option<Value>,
+    /// The value after; `None` if it was removed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub new: Option<Value>,
+}
+
+/// Lists the changes from one document to another, in the order of their paths.
+///
+/// Objects are compared key by key; arrays and other values as a whole.
+pub fn diff(old: &Value, new: &Value) -> Vec<Change> {
+    let mut changes = Vec::new();
+    compare("", Some(old), Some(new), &mut changes);
+    changes
+}
+
+fn compare(path: &str, old: Option<&Value>, new: Option<&Value>, changes: &mut Vec<Change>) {
+    if old == new {
+        return;
+    }
+    if let (Some(Value::Object(old)), Some(Value::Object(new))) = (old, new) {
+        let mut keys: Vec<&String> = old.keys().chain(new.keys()).collect();
+        keys.sort();
+        keys.dedup();
+        for key in keys {
+            compare(&child_path(path, key), old.get(key), new.get(key), changes);
+        }
+        return;
+    }
+    changes.push(Change {
+        path: path.to_string(),
+        old: old.cloned(),
+        new: new.cloned(),
+    });
+}
--- /dev/null
+++ b/src/version/raw.rs
@@ -0,0 +1,381 @@
+//! What a configuration file may hold, before it is checked.
+//!
+//! Unknown keys are refused, so that a misspelt key never passes unnoticed. Fields carry their unit
+//! in their name. `docs/operators.md` lists them with their defaults.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::version::check::Problem;
+use crate::version::merge::{Merged, child_path};
+
+/// A whole merged document.
+#[derive(Debug, Default)]
+pub struct RawConfig {
+    /// By team id.
+    pub teams: IndexMap<String, RawTeam>,
+    /// By name of the operator.
+    pub operators: IndexMap<String, RawOperator>,
+    /// By model id.
+    pub models: IndexMap<String, RawModel>,
+    /// By backend server id.
+    pub backend_servers: IndexMap<String, RawBackendServer>,
+    /// By tool id.
+    pub tools: IndexMap<String, RawTool>,
+    /// By name of the service.
+    pub services: IndexMap<String, RawService>,
+    /// By program id.
+    pub programs: IndexMap<String, RawProgram>,
+    /// Limits that hold for all programs.
+    pub limits: RawLimits,
+    /// How calls are placed and ordered.
+    pub policy: RawPolicy,
+}
+
+/// A team.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawTeam {
+    /// SHA-256 of the key, 64 hexadecimal digits.
+    pub key_sha256: String,
+    /// Share of the engines relative to other teams.
+    #[serde(default = "one")]
+    pub weight: u32,
+}
+
+/// An operator.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawOperator {
+    /// SHA-256 of the key, 64 hexadecimal digits.
+    pub key_sha256: String,
+}
+
+/// A model.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawModel {
+    /// Price of 1,000 prompt tokens.
+    pub prompt_micros_per_1k_tokens: u64,
+    /// Price of 1,000 generated tokens.
+    pub output_micros_per_1k_tokens: u64,
+    /// Most tokens of prompt and output together.
+    pub context_tokens: u32,
+}
+
+/// A model engine.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawBackendServer {
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: String,
+    /// The models that it serves.
+    pub models: Vec<String>,
+    /// Calls that it may run at once.
+    pub max_concurrent_calls: u32,
+    /// Tokens that its prefix cache holds.
+    pub cache_tokens: u64,
+    /// Whether it refuses an order with an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
+}
+
+/// A tool.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawTool {
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    /// The most that one action may charge.
+    pub price_limit_micros: u64,
+    /// Time for one action.
+    pub time_limit_ms: u64,
+    /// Whether an action may be repeated without a second effect. It has no default, because a wrong
+    /// guess either repeats a booking or gives up a harmless read.
+    pub idempotent: bool,
+    /// Whether the tool tells the state of an action by its id.
+    #[serde(default)]
+    pub has_status_query: bool,
+}
+
+/// A plain service.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawService {
+    /// Addresses of its servers.
+    pub addresses: Vec<SocketAddr>,
+    /// Time for one call.
+    pub time_limit_ms: u64,
+    /// The routes, tried in order.
+    #[serde(default)]
+    pub routes: Vec<RawServiceRoute>,
+}
+
+/// A route of a plain service.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawServiceRoute {
+    /// An HTTP method in capitals.
+    pub method: String,
+    /// Starts with a slash.
+    pub path_prefix: String,
+    /// Whether a call may be repeated when its outcome is unknown.
+    #[serde(default)]
+    pub repeatable: bool,
+}
+
+/// How urgent a program is.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RawPriority {
+    /// Served when nothing else waits.
+    Background,
+    /// The usual case.
+    #[default]
+    Normal,
+    /// Served first.
+    Urgent,
+}
+
+/// A program.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawProgram {
+    /// The team whose callers may run it.
+    pub team: String,
+    /// The model that its turns call.
+    pub model: String,
+    /// The most that one run may spend.
+    pub budget_micros: u64,
+    /// How urgent its calls are.
+    #[serde(default)]
+    pub priority: RawPriority,
+    /// The tools that it may call.
+    #[serde(default)]
+    pub tools: Vec<String>,
+    /// Most calls of one run.
+    pub max_calls: u32,
+    /// Most sub-agents of one run.
+    #[serde(default)]
+    pub max_sub_agents: u32,
+    /// Most levels of sub-agents below the first run.
+    #[serde(default)]
+    pub max_depth: u32,
+    /// Text put before the history of each run.
+    #[serde(default)]
+    pub system_prompt: String,
+}
+
+/// Limits that hold for all programs.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawLimits {
+    /// Longest input of one turn.
+    pub input_bytes: usize,
+    /// Most output tokens that one turn may ask for.
+    pub output_tokens: u32,
+    /// Requests that may wait for one run.
+    pub waiting_per_run: usize,
+    /// Requests in progress on one entry.
+    pub requests_per_entry: usize,
+    /// Longest time a call waits for an engine.
+    pub queue_time_ms: u64,
+    /// Longest time from one token to the next.
+    pub token_gap_ms: u64,
+    /// A run without requests for this time is abandoned.
+    pub abandon_ms: u64,
+    /// Retries for every 100 requests.
+    pub retry_percent: u32,
+}
+
+impl Default for RawLimits {
+    fn default() -> Self {
+        Self {
+            input_bytes: 1 << 20,
+            output_tokens: 8_192,
+            waiting_per_run: 16,
+            requests_per_entry: 4_096,
+            queue_time_ms: 30_000,
+            token_gap_ms: 10_000,
+            abandon_ms: 600_000,
+            retry_percent: 10,
+        }
+    }
+}
+
+/// How calls are placed on engines.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RawPlacement {
+    /// Each engine in turn.
+    RoundRobin,
+    /// The engine that reported the least load.
+    LeastLoad,
+    /// Cached prefix weighed against the present load.
+    #[default]
+    PrefixAndLoad,
+}
+
+/// The order in which waiting calls are served.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RawQueue {
+    /// First come, first served.
+    Fifo,
+    /// By priority, then the program that received least service.
+    #[default]
+    LeastService,
+}
+
+/// How calls are placed and ordered.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawPolicy {
+    /// The choice of an engine.
+    pub placement: RawPlacement,
+    /// The order of the waiting calls.
+    pub queue: RawQueue,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// Keys that a document may have at its top.
+const SECTIONS: &[&str] = &[
+    "teams",
+    "operators",
+    "models",
+    "backend_servers",
+    "tools",
+    "services",
+    "programs",
+    "limits",
+    "policy",
+];
+
+impl RawConfig {
+    /// Gives a merged document its shape. All problems are reported, not only the first.
+    pub fn parse(merged: &Merged, problems: &mut Vec<Problem>) -> Self {
+        let mut parser = Parser { merged, problems };
+        parser.refuse_unknown_sections();
+        Self {
+            teams: parser.section("teams"),
+            operators: parser.section("operators"),
+            models: parser.section("models"),
+            backend_servers: parser.section("backend_servers"),
+            tools: parser.section("tools"),
+            services: parser.section("services"),
+            programs: parser.section("programs"),
+            limits: parser.item("limits"),
+            policy: parser.item("policy"),
+        }
+    }
+}
+
+struct Parser<'a> {
+    merged: &'a Merged,
+    problems: &'a mut Vec<Problem>,
+}
+
+impl Parser<'_> {
+    fn refuse_unknown_sections(&mut self) {
+        let Some(document) = self.merged.document.as_object() else {
+            return;
+        };
+        for key in document.keys() {
+            if !SECTIONS.contains(&key.as_str()) {
+                let reason = format!("unknown section `{key}`");
+                let action = format!("use one of {}", SECTIONS.join(", "));
+                self.report(child_path("", key), reason, action);
+            }
+        }
+    }
+
+    fn section<T: DeserializeOwned>(&mut self, section: &str) -> IndexMap<String, T> {
+        let mut items = IndexMap::new();
+        let path = child_path("", section);
+        match self.merged.document.get(section) {
+            None => {}
+            Some(Value::Object(object)) => {
+                for (key, value) in object {
+                    if let Some(item) = self.value(&child_path(&path, key), value) {
+                        items.insert(key.clone(), item);
+                    }
+                }
+            }
+            Some(_) => self.report(
+                path,
+                "the section is not a JSON object".into(),
+                "write it as an object with one member for each name".into(),
+            ),
+        }
+        items
+    }
+
+    fn item<T: DeserializeOwned + Default>(&mut self, section: &str) -> T {
+        let value = self.merged.document.get(section);
+        value
+            .and_then(|value| self.value(&child_path("", section), value))
+            .unwrap_or_default()
+    }
+
+    fn value<T: DeserializeOwned>(&mut self, path: &str, value: &Value) -> Option<T> {
+        match T::deserialize(value) {
+            Ok(item) => Some(item),
+            Err(error) => {
+                let reason = error.to_string();
+                let path = faulty_path::<T>(path, value, &reason);
+                let action = action_for(&reason);
+                self.report(path, reason, action.into());
+                None
+            }
+        }
+    }
+
+    fn report(&mut self, path: String, reason: String, action: String) {
+        self.problems
+            .push(Problem::new(self.merged, path, reason, action));
+    }
+}
+
+/// Finds the member of an object that makes it unreadable.
+///
+/// Deserialization stops at the first faulty member, so the reason stays the same when any other
+/// member is left out.
+fn faulty_path<T: DeserializeOwned>(path: &str, value: &Value, reason: &str) -> String {
+    let Some(object) = value.as_object() else {
+        return path.to_string();
+    };
+    if reason.starts_with("missing field") {
+        return path.to_string();
+    }
+    let is_faulty = |key: &&String| {
+        let mut rest = object.clone();
+        rest.remove(key.as_str());
+        match T::deserialize(&Value::Object(rest)) {
+            Ok(_) => true,
+            Err(error) => error.to_string() != reason,
+        }
+    };
+    match object.keys().find(is_faulty) {
+        Some(key) => child_path(path, key),
+        None => path.to_string(),
+    }
+}
+
+fn action_for(reason: &str) -> &'static str {
+    if reason.starts_with("unknown field") {
+        "remove the key or correct its spelling"
+    } else if reason.starts_with("missing field") {
+        "add the field"
+    } else {
+        "write a value of the expected kind"
+    }
+}
--- /dev/null
+++ b/src/version/store.rs
@@ -0,0 +1,297 @@
+//! The accepted configuration versions in the platform.
+//!
+//! The row `config/head` names the version in force. Each version has an object with its merged
+//! document and an audit row. [`apply`] writes the object first and then the head and the audit row
+//! in one commit, so that a version that can be seen is always complete.
+
+use std::fmt;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+use crate::connection::platform::{
+    Check, CommitOutcome, PlatformClient, PlatformError, Row, Write,
+};
+use crate::ids::VersionNumber;
+use crate::process::rows::{CONFIG_AUDIT_PREFIX, CONFIG_HEAD_KEY};
+use crate::version::check::CheckError;
+use crate::version::config::Config;
+use crate::version::diff::{Change, diff};
+use crate::version::merge::Merged;
+
+/// The result of work on the accepted versions.
+pub type Result<T> = std::result::Result<T, StoreError>;
+
+/// Why an accepted version could not be read or written.
+#[derive(Debug)]
+pub enum StoreError {
+    /// A call to the platform failed.
+    Platform(PlatformError),
+    /// The document to be applied does not pass the checks.
+    Invalid(CheckError),
+    /// There is no such version.
+    NoSuchVersion(VersionNumber),
+    /// The object of a version is missing.
+    MissingObject(String),
+    /// The object of a version is not a merged document.
+    Decode(String, serde_json::Error),
+    /// The platform stopped answering before it was certain whether the version was accepted.
+    Unresolved(VersionNumber),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Platform(_) => {
+                formatter.write_str("the accepted configuration could not be read or written")
+            }
+            StoreError::Invalid(error) => error.fmt(formatter),
+            StoreError::NoSuchVersion(version) => write!(
+                formatter,
+                "there is no configuration version {version}; `sapphireford-admin log` lists them"
+            ),
+            StoreError::MissingObject(key) => write!(
+                formatter,
+                "the object `{key}` is missing; apply the configuration folder again"
+            ),
+            StoreError::Decode(key, _) => write!(
+                formatter,
+                "the object `{key}` is not a merged configuration; apply the folder again"
+            ),
+            StoreError::Unresolved(version) => write!(
+                formatter,
+                "the platform did not say whether version {version} was accepted; \
+                 look at `sapphireford-admin log` before applying again"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            StoreError::Platform(error) => Some(error),
+            StoreError::Decode(_, error) => Some(error),
+            _ => None,
+        }
+    }
+}
+
+impl From<PlatformError> for StoreError {
+    fn from(error: PlatformError) -> Self {
+        StoreError::Platform(error)
+    }
+}
+
+/// The row that names the version in force.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Head {
+    /// From 1; grows by one with each accepted version.
+    pub version: VersionNumber,
+    /// The object with the merged document.
+    pub object_key: String,
+    /// Who applied it.
+    pub author: String,
+    /// When, in milliseconds since 1970.
+    pub applied_at_ms: u64,
+}
+
+/// The audit row of a version. It is written once and never changed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AuditRow {
+    /// The version.
+    pub version: VersionNumber,
+    /// The object with the merged document. It also identifies the attempt that was accepted.
+    pub object_key: String,
+    /// When the version was applied, in milliseconds since 1970.
+    pub time_ms: u64,
+    /// Who applied it.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+    /// What it changed in the version before.
+    pub changes: Vec<Change>,
+}
+
+/// How an attempt to apply a configuration ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ApplyOutcome {
+    /// It is accepted as this version.
+    Applied {
+        /// The new version.
+        version: VersionNumber,
+        /// What it changed in the version before.
+        changes: Vec<Change>,
+    },
+    /// Another version than the expected one is in force; nothing was changed.
+    Refused {
+        /// The version in force; 0 if there is none.
+        current: VersionNumber,
+        /// What the refused document would change in the version in force.
+        difference: Vec<Change>,
+    },
+}
+
+/// Attempts of one commit before its outcome is left open.
+const COMMIT_ATTEMPTS: u32 = 5;
+/// Pause before the next attempt of a commit.
+const COMMIT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Key of the audit row of a version.
+pub fn audit_key(version: VersionNumber) -> String {
+    format!("{CONFIG_AUDIT_PREFIX}{version:010}")
+}
+
+/// Reads the head; `None` before the first version.
+pub async fn head(platform: &PlatformClient) -> Result<Option<Head>> {
+    decode_head(&platform.read_one(CONFIG_HEAD_KEY).await?)
+}
+
+/// Reads the audit rows of all versions, in their order.
+pub async fn audit(platform: &PlatformClient) -> Result<Vec<AuditRow>> {
+    let rows = platform.scan(CONFIG_AUDIT_PREFIX).await?;
+    Ok(rows
+        .iter()
+        .map(Row::decode)
+        .collect::<std::result::Result<_, _>>()?)
+}
+
+/// Reads the merged document of an accepted version; version 0 is the empty document.
+pub async fn load(platform: &PlatformClient, version: VersionNumber) -> Result<Merged> {
+    if version == 0 {
+        return Ok(Merged::default());
+    }
+    match audit_row(platform, version).await? {
+        Some(audit) => load_object(platform, &audit.object_key).await,
+        None => Err(StoreError::NoSuchVersion(version)),
+    }
+}
+
+/// Reads a merged document from its object.
+pub async fn load_object(platform: &PlatformClient, key: &str) -> Result<Merged> {
+    let object = platform.get_object(key, None).await?;
+    let bytes = object.ok_or_else(|| StoreError::MissingObject(key.to_string()))?;
+    serde_json::from_slice(&bytes).map_err(|error| StoreError::Decode(key.to_string(), error))
+}
+
+/// Makes `merged` the next version, if `expected_version` is the one in force.
+pub async fn apply(
+    platform: &PlatformClient,
+    expected_version: VersionNumber,
+    merged: &Merged,
+    author: &str,
+    reason: &str,
+) -> Result<ApplyOutcome> {
+    Config::try_from(merged).map_err(StoreError::Invalid)?;
+    let head_row = platform.read_one(CONFIG_HEAD_KEY).await?;
+    let current = decode_head(&head_row)?.map_or(0, |head| head.version);
+    if current != expected_version {
+        return refused(platform, merged).await;
+    }
+    let before = load(platform, current).await?;
+    let version = current + 1;
+    let audit = AuditRow {
+        version,
+        object_key: object_key(version),
+        time_ms: now_ms(),
+        author: author.to_string(),
+        reason: reason.to_string(),
+        changes: diff(&before.document, &merged.document),
+    };
+    let object = serde_json::to_vec(merged).map_err(PlatformError::Decode)?;
+    platform
+        .put_object(&audit.object_key, object.into())
+        .await?;
+    if commit(platform, head_row.version, &audit).await? {
+        let changes = audit.changes;
+        return Ok(ApplyOutcome::Applied { version, changes });
+    }
+    if let Err(error) = platform.delete_object(&audit.object_key).await {
+        log::warn!(
+            "the unused object `{}` was not deleted: {error}",
+            audit.object_key
+        );
+    }
+    refused(platform, merged).await
+}
+
+/// Commits the head and the audit row; `false` if another version was accepted instead.
+///
+/// Whether a commit took effect is read from the audit row, because the head may already have moved
+/// on. A commit without an answer may still arrive later, so it is repeated until the audit row
+/// exists: then either it is ours or ours can never take effect.
+async fn commit(platform: &PlatformClient, head_version: u64, audit: &AuditRow) -> Result<bool> {
+    let audit_key = audit_key(audit.version);
+    let head = Head {
+        version: audit.version,
+        object_key: audit.object_key.clone(),
+        author: audit.author.clone(),
+        applied_at_ms: audit.time_ms,
+    };
+    let checks = [check(CONFIG_HEAD_KEY, head_version), check(&audit_key, 0)];
+    let writes = [
+        Write::put(CONFIG_HEAD_KEY, &head)?,
+        Write::put(audit_key.as_str(), audit)?,
+    ];
+    for _ in 0..COMMIT_ATTEMPTS {
+        match platform.commit(&checks, &writes).await {
+            Ok(CommitOutcome::Committed(_)) => return Ok(true),
+            Ok(CommitOutcome::Conflict(_)) => {}
+            Ok(CommitOutcome::Unknown(error)) | Err(error) => {
+                log::warn!("commit of version {}: {error}", audit.version);
+            }
+        }
+        match audit_row(platform, audit.version).await {
+            Ok(Some(accepted)) => return Ok(accepted.object_key == audit.object_key),
+            Ok(None) => {}
+            Err(error) => log::warn!("read of version {}: {error}", audit.version),
+        }
+        platform.timer().sleep(COMMIT_PAUSE).await;
+    }
+    Err(StoreError::Unresolved(audit.version))
+}
+
+async fn refused(platform: &PlatformClient, merged: &Merged) -> Result<ApplyOutcome> {
+    let current = head(platform).await?.map_or(0, |head| head.version);
+    let in_force = load(platform, current).await?;
+    let difference = diff(&in_force.document, &merged.document);
+    Ok(ApplyOutcome::Refused {
+        current,
+        difference,
+    })
+}
+
+async fn audit_row(platform: &PlatformClient, version: VersionNumber) -> Result<Option<AuditRow>> {
+    let row = platform.read_one(&audit_key(version)).await?;
+    match row.version {
+        0 => Ok(None),
+        _ => Ok(Some(row.decode()?)),
+    }
+}
+
+fn decode_head(row: &Row) -> Result<Option<Head>> {
+    match row.version {
+        0 => Ok(None),
+        _ => Ok(Some(row.decode()?)),
+    }
+}
+
+fn check(key: &str, version: u64) -> Check {
+    Check {
+        key: key.to_string(),
+        version,
+    }
+}
+
+/// A key that no other attempt uses, so that two operators at once never write the same object.
+fn object_key(version: VersionNumber) -> String {
+    format!(
+        "config/versions/{version:010}-{:016x}",
+        rand::random::<u64>()
+    )
+}
+
+fn now_ms() -> u64 {
+    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_1970.map_or(0, |time| time.as_millis() as u64)
+}
