--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,450 @@
+//! The operators' command: one module for each subcommand.
+//!
+//! A subcommand returns a [`Report`], which is printed as text or, with `--json`, as one JSON
+//! object. The exit code is [`DONE`], [`FAILED`] or [`WRONG_USAGE`].
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use getopts::{Matches, Options};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use serde_json::{Value, json};
+
+use crate::connection::http_client::{ClientError, HttpClient};
+use crate::connection::platform::{PlatformClient, PlatformError};
+use crate::error::chain;
+use crate::process::timer::TimerService;
+use crate::version::check::CheckError;
+use crate::version::merge::MergeError;
+use crate::version::store::StoreError;
+
+pub mod apply;
+pub mod cancel;
+pub mod certificates;
+pub mod check;
+pub mod diff;
+pub mod drain;
+pub mod key;
+pub mod log;
+pub mod operator;
+pub mod program;
+pub mod rollout;
+pub mod show;
+pub mod status;
+
+/// The result of a subcommand.
+pub type Result<T> = std::result::Result<T, AdminError>;
+
+/// Exit code: the subcommand did what it was told.
+pub const DONE: u8 = 0;
+/// Exit code: it was refused, it failed, or what it waited for did not come.
+pub const FAILED: u8 = 1;
+/// Exit code: the arguments are wrong and nothing was done.
+pub const WRONG_USAGE: u8 = 2;
+
+/// Environment variable with the platform's address, used without `--platform`.
+pub const PLATFORM_VARIABLE: &str = "SAPPHIREFORD_PLATFORM";
+
+/// Time limit of one call to the platform.
+const PLATFORM_CALL: Duration = Duration::from_secs(5);
+
+/// Why a subcommand failed.
+#[derive(Debug)]
+pub enum AdminError {
+    /// The arguments are wrong.
+    Usage(String),
+    /// The configuration folder could not be read.
+    Merge(MergeError),
+    /// The configuration is not valid.
+    Check(CheckError),
+    /// The accepted configuration could not be read or written.
+    Store(StoreError),
+    /// A call to the platform failed.
+    Platform(PlatformError),
+    /// A call to an entry failed.
+    Entry(SocketAddr, ClientError),
+    /// An entry refused what was asked.
+    Refused(String),
+    /// A file could not be read or written.
+    File(PathBuf, std::io::Error),
+    /// A certificate could not be made.
+    Certificate(rcgen::Error),
+    /// The system gave no random bytes.
+    Random(String),
+}
+
+impl fmt::Display for AdminError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AdminError::Usage(reason) | AdminError::Refused(reason) => formatter.write_str(reason),
+            AdminError::Merge(error) => error.fmt(formatter),
+            AdminError::Check(error) => error.fmt(formatter),
+            AdminError::Store(error) => error.fmt(formatter),
+            AdminError::Platform(_) => formatter.write_str(
+                "the platform's table could not be read; check the address and try again",
+            ),
+            AdminError::Entry(address, _) => {
+                write!(formatter, "the entry at {address} gave no complete answer")
+            }
+            AdminError::File(path, _) => {
+                write!(formatter, "could not read or write `{}`", path.display())
+            }
+            AdminError::Certificate(_) => formatter.write_str("could not make the certificate"),
+            AdminError::Random(reason) => {
+                write!(formatter, "could not get random bytes: {reason}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for AdminError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            AdminError::Usage(_)
+            | AdminError::Refused(_)
+            | AdminError::Random(_)
+            | AdminError::Check(_) => None,
+            AdminError::Merge(error) => error.source(),
+            AdminError::Store(error) => error.source(),
+            AdminError::Platform(error) => Some(error),
+            AdminError::Entry(_, error) => Some(error),
+            AdminError::File(_, error) => Some(error),
+            AdminError::Certificate(error) => Some(error),
+        }
+    }
+}
+
+impl From<MergeError> for AdminError {
+    fn from(error: MergeError) -> Self {
+        AdminError::Merge(error)
+    }
+}
+
+impl From<CheckError> for AdminError {
+    fn from(error: CheckError) -> Self {
+        AdminError::Check(error)
+    }
+}
+
+impl From<StoreError> for AdminError {
+    fn from(error: StoreError) -> Self {
+        match error {
+            StoreError::Invalid(error) => AdminError::Check(error),
+            error => AdminError::Store(error),
+        }
+    }
+}
+
+impl From<PlatformError> for AdminError {
+    fn from(error: PlatformError) -> Self {
+        AdminError::Platform(error)
+    }
+}
+
+/// What a subcommand reports.
+#[derive(Debug)]
+pub struct Report {
+    /// Whether it did what it was told.
+    pub done: bool,
+    /// For people.
+    pub text: String,
+    /// For scripts; an object.
+    pub json: Value,
+}
+
+impl Report {
+    /// A report of success.
+    pub fn done(text: impl Into<String>, json: Value) -> Self {
+        Self {
+            done: true,
+            text: text.into(),
+            json,
+        }
+    }
+}
+
+/// A subcommand and how it is called.
+struct Command {
+    name: &'static str,
+    arguments: &'static str,
+    options: &'static [&'static str],
+    about: &'static str,
+}
+
+const COMMANDS: &[Command] = &[
+    Command {
+        name: "check",
+        arguments: "FOLDER",
+        options: &[],
+        about: "check a configuration folder; needs no platform",
+    },
+    Command {
+        name: "diff",
+        arguments: "FOLDER",
+        options: &["platform"],
+        about: "show what applying a folder would change",
+    },
+    Command {
+        name: "apply",
+        arguments: "FOLDER --expect N --author NAME --reason TEXT [--wait-ms N]",
+        options: &["platform", "expect", "author", "reason", "wait-ms"],
+        about: "make a folder the next version if version N is in force, and wait for the entries",
+    },
+    Command {
+        name: "show",
+        arguments: "[--origin]",
+        options: &["platform", "origin"],
+        about: "print the accepted configuration, or which file set each value",
+    },
+    Command {
+        name: "log",
+        arguments: "",
+        options: &["platform"],
+        about: "list the accepted versions with author, reason and changes",
+    },
+    Command {
+        name: "rollout",
+        arguments: "",
+        options: &["platform"],
+        about: "show which entries have the accepted version in force",
+    },
+    Command {
+        name: "status",
+        arguments: "",
+        options: &["platform"],
+        about: "list the entries with their state and slots",
+    },
+    Command {
+        name: "key",
+        arguments: "NAME",
+        options: &[],
+        about: "make a random key for a team or an operator",
+    },
+    Command {
+        name: "certificates",
+        arguments: "FOLDER --entry ID ...",
+        options: &["entry"],
+        about: "make certificates for the connections between entries",
+    },
+    Command {
+        name: "drain",
+        arguments: "ENTRY",
+        options: &["platform", "key-file"],
+        about: "make an entry leave",
+    },
+    Command {
+        name: "program",
+        arguments: "TEAM CONVERSATION [--entry ID]",
+        options: &["platform", "key-file", "entry"],
+        about: "show the runs of a conversation",
+    },
+    Command {
+        name: "cancel",
+        arguments: "TEAM CONVERSATION [--entry ID]",
+        options: &["platform", "key-file", "entry"],
+        about: "cancel the runs of a conversation",
+    },
+];
+
+/// Options that every subcommand takes.
+const COMMON_OPTIONS: &[&str] = &["json", "help"];
+
+/// Runs one call of the command on a runtime of its own and returns the exit code.
+pub fn main(arguments: &[String]) -> u8 {
+    let matches = match options().parse(arguments) {
+        Ok(matches) => matches,
+        Err(error) => return print_error(&AdminError::Usage(error.to_string()), false),
+    };
+    let json = matches.opt_present("json");
+    if matches.opt_present("help") {
+        println!("{}", usage());
+        return DONE;
+    }
+    let result = run(matches);
+    match result {
+        Ok(report) => print_report(&report, json),
+        Err(error) => print_error(&error, json),
+    }
+}
+
+fn run(matches: Matches) -> Result<Report> {
+    let arguments = Arguments::new(matches)?;
+    let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_all().build();
+    let mut runtime = runtime.map_err(|error| AdminError::File("the runtime".into(), error))?;
+    runtime.block_on(dispatch(&arguments))
+}
+
+async fn dispatch(arguments: &Arguments) -> Result<Report> {
+    match arguments.command.name {
+        "check" => check::run(arguments),
+        "diff" => diff::run(arguments).await,
+        "apply" => apply::run(arguments).await,
+        "show" => show::run(arguments).await,
+        "log" => log::run(arguments).await,
+        "rollout" => rollout::run(arguments).await,
+        "status" => status::run(arguments).await,
+        "key" => key::run(arguments),
+        "certificates" => certificates::run(arguments),
+        "drain" => drain::run(arguments).await,
+        "program" => program::run(arguments).await,
+        _ => cancel::run(arguments).await,
+    }
+}
+
+fn print_report(report: &Report, json: bool) -> u8 {
+    if json {
+        println!("{}", report.json);
+    } else {
+        println!("{}", report.text.trim_end());
+    }
+    if report.done { DONE } else { FAILED }
+}
+
+fn print_error(error: &AdminError, json: bool) -> u8 {
+    let text = chain(error);
+    let wrong_usage = matches!(error, AdminError::Usage(_));
+    if json {
+        let mut body = json!({"done": false, "error": text});
+        if let AdminError::Check(error) = error {
+            body["problems"] = json!(error.problems);
+        }
+        println!("{body}");
+    } else {
+        eprintln!("error: {text}");
+        if wrong_usage {
+            eprintln!("see `sapphireford-admin --help`");
+        }
+    }
+    if wrong_usage { WRONG_USAGE } else { FAILED }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "platform", "address of the platform", "ADDRESS");
+    options.optflag("", "json", "print one JSON object");
+    options.optflag("h", "help", "print this help");
+    options.optopt("", "expect", "the version that must be in force", "N");
+    options.optopt("", "author", "who applies", "NAME");
+    options.optopt("", "reason", "why", "TEXT");
+    let about = "longest wait for the entries; 0 to return at once (default 10000)";
+    options.optopt("", "wait-ms", about, "N");
+    options.optflag("", "origin", "show which file set each value");
+    options.optmulti("", "entry", "an entry's id; its address too", "ID");
+    let about = "file with the operator key (default: SAPPHIREFORD_OPERATOR_KEY)";
+    options.optopt("", "key-file", about, "FILE");
+    options
+}
+
+/// The help text.
+pub fn usage() -> String {
+    let mut brief = String::from("usage: sapphireford-admin COMMAND [OPTIONS]\n\nCommands:\n");
+    for command in COMMANDS {
+        let call = format!("{} {}", command.name, command.arguments);
+        brief.push_str(&format!("    {}\n        {}\n", call.trim(), command.about));
+    }
+    brief.push_str("\nExit codes: 0 done, 1 refused or failed, 2 wrong usage");
+    options().usage(&brief)
+}
+
+/// The arguments of one call.
+pub struct Arguments {
+    command: &'static Command,
+    /// Without the name of the subcommand.
+    operands: Vec<String>,
+    matches: Matches,
+}
+
+impl Arguments {
+    fn new(mut matches: Matches) -> Result<Self> {
+        if matches.free.is_empty() {
+            return Err(AdminError::Usage("no command is given".into()));
+        }
+        let name = matches.free.remove(0);
+        let Some(command) = COMMANDS.iter().find(|command| command.name == name) else {
+            return Err(AdminError::Usage(format!("there is no command `{name}`")));
+        };
+        let arguments = Self {
+            command,
+            operands: std::mem::take(&mut matches.free),
+            matches,
+        };
+        arguments.refuse_other_options()?;
+        Ok(arguments)
+    }
+
+    fn refuse_other_options(&self) -> Result<()> {
+        let others = COMMANDS.iter().flat_map(|command| command.options);
+        for option in others {
+            let allowed = self.command.options.contains(option) || COMMON_OPTIONS.contains(option);
+            if !allowed && self.matches.opt_present(option) {
+                let name = self.command.name;
+                let reason = format!("the command `{name}` has no option `--{option}`");
+                return Err(AdminError::Usage(reason));
+            }
+        }
+        Ok(())
+    }
+
+    /// The operands, if there are `N` of them.
+    fn operands<const N: usize>(&self) -> Result<[&str; N]> {
+        let operands: Vec<&str> = self.operands.iter().map(String::as_str).collect();
+        operands.try_into().map_err(|_| {
+            let Command {
+                name, arguments, ..
+            } = self.command;
+            AdminError::Usage(format!("call it as `{name} {arguments}`"))
+        })
+    }
+
+    /// The only operand, as a path.
+    fn folder(&self) -> Result<&Path> {
+        let [folder] = self.operands()?;
+        Ok(Path::new(folder))
+    }
+
+    fn text(&self, option: &str) -> Option<String> {
+        self.matches.opt_str(option)
+    }
+
+    fn required(&self, option: &str) -> Result<String> {
+        let text = self.text(option).filter(|text| !text.is_empty());
+        text.ok_or_else(|| AdminError::Usage(format!("the option `--{option}` is missing")))
+    }
+
+    fn number(&self, option: &str, text: &str) -> Result<u64> {
+        let wrong = |_| AdminError::Usage(format!("`--{option}` needs a number, not `{text}`"));
+        text.parse().map_err(wrong)
+    }
+
+    /// A client of the platform that the arguments or the environment name.
+    fn platform(&self) -> Result<PlatformClient> {
+        let text = self.text("platform");
+        let Some(text) = text.or_else(|| std::env::var(PLATFORM_VARIABLE).ok()) else {
+            let reason = format!("name the platform with `--platform` or in {PLATFORM_VARIABLE}");
+            return Err(AdminError::Usage(reason));
+        };
+        let address = text.parse().map_err(|_| {
+            AdminError::Usage(format!("`{text}` is not an address such as 127.0.0.1:7000"))
+        })?;
+        let http = HttpClient::new(TimerService::start());
+        Ok(PlatformClient::new(http, address, PLATFORM_CALL))
+    }
+}
+
+/// Lays out rows in aligned columns.
+fn columns(rows: &[Vec<String>]) -> String {
+    let mut text = String::new();
+    for row in rows {
+        let mut line = String::new();
+        for (column, cell) in row.iter().enumerate() {
+            let widths = rows.iter().filter_map(|row| row.get(column));
+            let width = widths.map(|cell| cell.chars().count()).max().unwrap_or(0);
+            line.push_str(&format!("{cell:width$}  "));
+        }
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+    text
+}
--- /dev/null
+++ b/src/admin/apply.rs
@@ -0,0 +1,126 @@
+//! `apply FOLDER`: makes a folder the next version and waits until the entries have it in force.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::admin::diff::describe;
+use crate::admin::rollout::{self, Rollout};
+use crate::admin::{Arguments, Report, Result};
+use crate::connection::platform::PlatformClient;
+use crate::ids::VersionNumber;
+use crate::version::diff::Change;
+use crate::version::merge::Merged;
+use crate::version::store::{self, ApplyOutcome};
+
+/// Longest wait for the entries by default; the design allows 7 s for a version to be in effect.
+const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+/// Pause between two looks at the entry rows.
+const POLL_PAUSE: Duration = Duration::from_millis(200);
+
+/// Runs the subcommand.
+pub async fn run(arguments: &Arguments) -> Result<Report> {
+    let merged = Merged::read_folder(arguments.folder()?)?;
+    let expected = arguments.number("expect", &arguments.required("expect")?)?;
+    let author = arguments.required("author")?;
+    let reason = arguments.required("reason")?;
+    let wait = match arguments.text("wait-ms") {
+        Some(text) => Duration::from_millis(arguments.number("wait-ms", &text)?),
+        None => DEFAULT_WAIT,
+    };
+    let platform = arguments.platform()?;
+    match store::apply(&platform, expected, &merged, &author, &reason).await? {
+        ApplyOutcome::Refused {
+            current,
+            difference,
+        } => Ok(refused(expected, current, &difference)),
+        ApplyOutcome::Applied { version, changes } => {
+            let rollout = wait_for_entries(&platform, version, wait).await;
+            Ok(applied(version, &changes, rollout, wait))
+        }
+    }
+}
+
+fn refused(expected: VersionNumber, current: VersionNumber, difference: &[Change]) -> Report {
+    let text = format!(
+        "refused: version {current} is in force, not {expected}; nothing was changed\n\
+         look at the changes since {expected} with `log`, then apply with `--expect {current}`\n\
+         the folder would change this in version {current}:\n{}",
+        describe(difference)
+    );
+    Report {
+        done: false,
+        text,
+        json: json!({
+            "done": false,
+            "applied": false,
+            "expected": expected,
+            "current": current,
+            "difference": difference,
+        }),
+    }
+}
+
+/// Waits until all live entries have the version in force, or until the time is over. A failed read
+/// of the rows does not end the wait, because the version is already accepted.
+async fn wait_for_entries(
+    platform: &PlatformClient,
+    version: VersionNumber,
+    wait: Duration,
+) -> Result<Rollout> {
+    let timer = platform.timer();
+    let deadline = timer.now().checked_add(wait);
+    let mut first = None;
+    loop {
+        let rollout = rollout::read(platform, version).await;
+        let complete = rollout.as_ref().is_ok_and(Rollout::is_complete);
+        let over = deadline.is_some_and(|deadline| timer.now() >= deadline);
+        if let Ok(rollout) = &rollout
+            && first.is_none()
+        {
+            first = Some(rollout.clone());
+        }
+        if complete || over {
+            return rollout.map(|rollout| match &first {
+                Some(first) => rollout.compared_with(first, wait),
+                None => rollout,
+            });
+        }
+        timer.sleep(POLL_PAUSE).await;
+    }
+}
+
+fn applied(
+    version: VersionNumber,
+    changes: &[Change],
+    rollout: Result<Rollout>,
+    wait: Duration,
+) -> Report {
+    let mut text = format!("version {version} is accepted\n{}", describe(changes));
+    let mut json = json!({"applied": true, "version": version, "changes": changes});
+    let done = match &rollout {
+        Ok(rollout) if rollout.is_complete() => {
+            text.push_str(&format!("it is in force on {}\n", rollout.live_text()));
+            true
+        }
+        // Without a wait the rollout is not part of the task.
+        _ if wait.is_zero() => true,
+        Ok(rollout) => {
+            text.push_str("not in force on all entries yet; do not apply again\n");
+            text.push_str(&rollout.missing_text());
+            false
+        }
+        Err(error) => {
+            text.push_str(&format!(
+                "the entries could not be read: {error}; do not apply again, look at `rollout`\n"
+            ));
+            json["error"] = json!(crate::error::chain(error));
+            false
+        }
+    };
+    json["done"] = json!(done);
+    if let Ok(rollout) = &rollout {
+        json["entries"] = json!(rollout.entries);
+    }
+    Report { done, text, json }
+}
--- /dev/null
+++ b/src/admin/drain.rs
@@ -0,0 +1,13 @@
+//! `drain ENTRY`: makes an entry leave.
+
+use hyper::Method;
+
+use crate::admin::operator::{call, entry_address};
+use crate::admin::{Arguments, Report, Result};
+
+/// Runs the subcommand.
+pub async fn run(arguments: &Arguments) -> Result<Report> {
+    let [entry] = arguments.operands()?;
+    let address = entry_address(arguments, entry).await?;
+    call(arguments, address, Method::POST, "/v1/operator/drain").await
+}
--- /dev/null
+++ b/src/admin/key.rs
@@ -0,0 +1,27 @@
+//! `key NAME`: makes a random key for a team or an operator.
+
+use rand::TryRngCore;
+use rand::rngs::OsRng;
+use serde_json::json;
+
+use crate::admin::{AdminError, Arguments, Report, Result};
+use crate::version::key::{digest, encode_hex};
+
+/// Enough that a key cannot be guessed.
+const KEY_BYTES: usize = 32;
+
+/// Runs the subcommand.
+pub fn run(arguments: &Arguments) -> Result<Report> {
+    let [name] = arguments.operands()?;
+    let mut bytes = [0; KEY_BYTES];
+    let random = OsRng.try_fill_bytes(&mut bytes);
+    random.map_err(|error| AdminError::Random(error.to_string()))?;
+    let key = encode_hex(&bytes);
+    let key_sha256 = encode_hex(&digest(&key));
+    let text = format!(
+        "key of {name}, shown only here:\n{key}\n\nfor the configuration:\n\
+         \"{name}\": {{\"key_sha256\": \"{key_sha256}\"}}\n"
+    );
+    let json = json!({"done": true, "name": name, "key": key, "key_sha256": key_sha256});
+    Ok(Report::done(text, json))
+}
--- /dev/null
+++ b/src/admin/rollout.rs
@@ -0,0 +1,155 @@
+//! `rollout`: shows which entries have the accepted version in force.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use serde_json::json;
+
+use crate::admin::{Arguments, Report, Result, columns};
+use crate::connection::platform::PlatformClient;
+use crate::ids::{EntryId, VersionNumber};
+use crate::process::rows::{ENTRY_PREFIX, EntryRow, EntryState};
+use crate::version::store;
+
+/// Shorter than the default lease, an unchanged row does not show that the entry has stopped.
+const LEASE_TTL: Duration = Duration::from_secs(4);
+
+/// An entry and the version in force on it.
+#[derive(Clone, Debug, Serialize)]
+pub struct EntryRollout {
+    /// The entry.
+    pub entry_id: EntryId,
+    /// Its state.
+    pub state: EntryState,
+    /// The version in force; 0 if there is none.
+    pub config_version: VersionNumber,
+    /// Whether that is the awaited version or a later one.
+    pub in_force: bool,
+    /// What the entry does until it has the awaited version.
+    pub meanwhile: Option<String>,
+    /// Version of the row; it grows with each sign of life.
+    #[serde(skip)]
+    row_version: u64,
+}
+
+/// How far a version has come.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    /// The awaited version.
+    pub version: VersionNumber,
+    /// All entries that are not closed.
+    pub entries: Vec<EntryRollout>,
+}
+
+/// Runs the subcommand.
+pub async fn run(arguments: &Arguments) -> Result<Report> {
+    let [] = arguments.operands()?;
+    let platform = arguments.platform()?;
+    let version = store::head(&platform).await?.map_or(0, |head| head.version);
+    let rollout = read(&platform, version).await?;
+    let mut text = format!("version {version} is accepted\n{}", rollout.table());
+    text.push_str(&rollout.missing_text());
+    let done = rollout.is_complete();
+    let json = json!({"done": done, "version": version, "entries": rollout.entries});
+    Ok(Report { done, text, json })
+}
+
+/// Reads from the entry rows how far a version has come.
+pub async fn read(platform: &PlatformClient, version: VersionNumber) -> Result<Rollout> {
+    let mut entries = Vec::new();
+    for row in platform.scan(ENTRY_PREFIX).await? {
+        let entry: EntryRow = row.decode()?;
+        if entry.state == EntryState::Closed {
+            continue;
+        }
+        let in_force = entry.config_version >= version;
+        entries.push(EntryRollout {
+            meanwhile: (!in_force).then(|| meanwhile(&entry)),
+            entry_id: entry.entry_id,
+            state: entry.state,
+            config_version: entry.config_version,
+            in_force,
+            row_version: row.version,
+        });
+    }
+    Ok(Rollout { version, entries })
+}
+
+impl Rollout {
+    /// Whether all live entries have the version in force.
+    pub fn is_complete(&self) -> bool {
+        self.missing().next().is_none()
+    }
+
+    /// The live entries that do not have the version in force.
+    pub fn missing(&self) -> impl Iterator<Item = &EntryRollout> {
+        let is_missing = |entry: &&EntryRollout| entry.state == EntryState::Live && !entry.in_force;
+        self.entries.iter().filter(is_missing)
+    }
+
+    /// Adds what can be told from the rows of the same entries `wait` earlier.
+    pub fn compared_with(mut self, earlier: &Rollout, wait: Duration) -> Self {
+        for entry in &mut self.entries {
+            let unchanged = earlier.entries.iter().any(|before| {
+                before.entry_id == entry.entry_id && before.row_version == entry.row_version
+            });
+            if unchanged
+                && wait >= LEASE_TTL
+                && let Some(meanwhile) = &mut entry.meanwhile
+            {
+                let millis = wait.as_millis();
+                *meanwhile = format!(
+                    "has not renewed its lease for {millis} ms: it is stopped, paused or cut off; \
+                     the other entries fence it, and it loads the accepted version when it returns"
+                );
+            }
+        }
+        self
+    }
+
+    /// Names the number of live entries.
+    pub fn live_text(&self) -> String {
+        let is_live = |entry: &&EntryRollout| entry.state == EntryState::Live;
+        match self.entries.iter().filter(is_live).count() {
+            0 => "no entry, because none is live".to_string(),
+            1 => "the only live entry".to_string(),
+            count => format!("all {count} live entries"),
+        }
+    }
+
+    /// One line for each entry that is missing.
+    pub fn missing_text(&self) -> String {
+        let line = |entry: &EntryRollout| {
+            let meanwhile = entry.meanwhile.as_deref().unwrap_or_default();
+            format!("missing: {} {meanwhile}\n", entry.entry_id)
+        };
+        self.missing().map(line).collect()
+    }
+
+    fn table(&self) -> String {
+        let mut rows = vec![vec!["entry".into(), "state".into(), "version".into()]];
+        for entry in &self.entries {
+            let state = format!("{:?}", entry.state).to_lowercase();
+            let version = entry.config_version.to_string();
+            rows.push(vec![entry.entry_id.to_string(), state, version]);
+        }
+        columns(&rows)
+    }
+}
+
+fn meanwhile(entry: &EntryRow) -> String {
+    let version = entry.config_version;
+    match (entry.state, version) {
+        (EntryState::Live, 0) => {
+            "has no configuration and is not ready: it refuses requests; look in its log".into()
+        }
+        (EntryState::Live, _) => format!(
+            "serves requests with version {version}; if this lasts, look in its log for a refused \
+             version or an unreachable platform"
+        ),
+        (EntryState::Leaving, _) => {
+            format!("is leaving: it finishes its requests with version {version}")
+        }
+        (EntryState::Fenced | EntryState::Closed, _) => "serves nothing".into(),
+    }
+}
--- /dev/null
+++ b/src/admin/status.rs
@@ -0,0 +1,86 @@
+//! `status`: lists the entries with their state and slots, as the platform's table shows them.
+
+use indexmap::IndexMap;
+use serde_json::json;
+
+use crate::admin::{Arguments, Report, Result, columns};
+use crate::ids::EntryId;
+use crate::process::rows::{ENTRY_PREFIX, EntryRow, Holder, SLOT_PREFIX, SlotRow};
+use crate::version::store;
+
+/// Runs the subcommand.
+pub async fn run(arguments: &Arguments) -> Result<Report> {
+    let [] = arguments.operands()?;
+    let platform = arguments.platform()?;
+    let version = store::head(&platform).await?.map_or(0, |head| head.version);
+    let mut entries: Vec<EntryRow> = Vec::new();
+    for row in platform.scan(ENTRY_PREFIX).await? {
+        entries.push(row.decode()?);
+    }
+    let mut slots = Slots::default();
+    for row in platform.scan(SLOT_PREFIX).await? {
+        slots.count(row.decode()?);
+    }
+    let text = format!(
+        "accepted configuration: version {version}\n{}slots without a holder: {}\n",
+        table(&entries, &slots),
+        slots.free
+    );
+    let entries: Vec<_> = entries
+        .iter()
+        .map(|entry| json!({"entry": entry, "slots": slots.held_by(entry)}))
+        .collect();
+    let json = json!({
+        "done": true,
+        "version": version,
+        "entries": entries,
+        "free_slots": slots.free,
+    });
+    Ok(Report::done(text, json))
+}
+
+#[derive(Default)]
+struct Slots {
+    held: IndexMap<(EntryId, u64), usize>,
+    free: usize,
+}
+
+impl Slots {
+    fn count(&mut self, row: SlotRow) {
+        match row.holder {
+            Some(Holder {
+                entry_id,
+                incarnation,
+            }) => *self.held.entry((entry_id, incarnation)).or_default() += 1,
+            None => self.free += 1,
+        }
+    }
+
+    fn held_by(&self, entry: &EntryRow) -> usize {
+        let holder = (entry.entry_id.clone(), entry.incarnation);
+        self.held.get(&holder).copied().unwrap_or(0)
+    }
+}
+
+fn table(entries: &[EntryRow], slots: &Slots) -> String {
+    let titles = [
+        "entry",
+        "failure domain",
+        "address",
+        "state",
+        "slots",
+        "version",
+    ];
+    let mut rows = vec![titles.map(String::from).to_vec()];
+    for entry in entries {
+        rows.push(vec![
+            entry.entry_id.to_string(),
+            entry.failure_domain.to_string(),
+            entry.http_address.to_string(),
+            format!("{:?}", entry.state).to_lowercase(),
+            slots.held_by(entry).to_string(),
+            entry.config_version.to_string(),
+        ]);
+    }
+    columns(&rows)
+}
--- /dev/null
+++ b/src/bin/sapphireford-admin/main.rs
@@ -0,0 +1,8 @@
+//! The operators' command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    ExitCode::from(sapphireford::admin::main(&arguments))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,10 +7,12 @@
 //! - [`request`]: one request of a caller,
 //! - [`connection`]: one connection to a caller, a peer, a backend server or the platform,
 //! - [`version`]: one version of the configuration,
-//! - [`process`]: the whole life of an entry process.
+//! - [`process`]: the whole life of an entry process,
+//! - [`admin`]: one call of the operators' command.
 //!
 //! `docs/design.md` explains how the parts work together.
 
+pub mod admin;
 pub mod connection;
 pub mod error;
 pub mod ids;
--- a/src/version/check.rs
+++ b/src/version/check.rs
@@ -15,6 +15,7 @@
     BackendServer, Config, Limits, Model, Operator, PlacementKind, Policy, Priority, Program,
     QueueKind, Service, ServiceRoute, Team, Tool,
 };
+use crate::version::key::decode_hex;
 use crate::version::merge::{Merged, child_path};
 use crate::version::raw::{
     RawBackendServer, RawConfig, RawLimits, RawModel, RawOperator, RawPlacement, RawPolicy,
@@ -421,15 +422,3 @@
 fn ids(names: &[String]) -> Vec<Rc<str>> {
     names.iter().map(|name| name.as_str().into()).collect()
 }
-
-/// Reads 64 hexadecimal digits.
-fn decode_hex(text: &str) -> Option<[u8; 32]> {
-    if text.len() != 64 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-        return None;
-    }
-    let mut bytes = [0; 32];
-    for (index, byte) in bytes.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
-    }
-    Some(bytes)
-}
