--- a/src/connection.rs
+++ b/src/connection.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod http_client;
 pub mod http_server;
+pub mod peer;
 pub mod platform;
 pub mod sse;
 pub mod tool;
--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -96,7 +96,7 @@
         let candidates = self.candidates();
         let hint = self.holders.borrow().get(&slot).cloned();
         let hint = hint.filter(|hint| candidates.contains(hint) && *hint != self.settings.entry_id);
-        hint.or_else(|| placement::preferred(slot, &candidates).cloned())
+        hint.or_else(|| preferred(slot, &candidates))
     }
 
     /// Notes which entry says that it holds a slot.
@@ -115,13 +115,14 @@
     /// Entries in the order in which a slot prefers them.
     pub fn preference(&self, slot: SlotId) -> Vec<EntryId> {
         let candidates = self.candidates();
-        placement::rank(slot, &candidates).into_iter().cloned().collect()
+        let ranked = placement::rank(slot, candidates.iter().map(|id| &**id));
+        ranked.into_iter().map(EntryId::from).collect()
     }
 
     /// Entries that may hold slots.
     fn candidates(&self) -> IndexSet<EntryId> {
         let mut candidates: IndexSet<EntryId> =
-            self.membership.live(self.settings.lease_ttl).into_iter().map(|row| row.entry_id).collect();
+            self.membership.live().into_iter().map(|row| row.entry_id).collect();
         if self.leaving.get() {
             candidates.shift_remove(&self.settings.entry_id);
         } else if self.journal.holder().is_some() {
@@ -133,7 +134,7 @@
     fn partition(&self) -> (Vec<SlotId>, Vec<SlotId>) {
         let candidates = self.candidates();
         let own = &self.settings.entry_id;
-        let prefers_own = |slot: &SlotId| placement::preferred(*slot, &candidates) == Some(own);
+        let prefers_own = |slot: &SlotId| preferred(*slot, &candidates).as_ref() == Some(own);
         let wanted = (0..self.slots.slot_count())
             .filter(|slot| !self.slots.is_held(*slot) && prefers_own(slot))
             .collect();
@@ -295,6 +296,10 @@
     }
 }
 
+fn preferred(slot: SlotId, candidates: &IndexSet<EntryId>) -> Option<EntryId> {
+    placement::preferred(slot, candidates.iter().map(|id| &**id)).map(EntryId::from)
+}
+
 async fn move_slots(manager: Rc<SlotManager>) {
     loop {
         manager.journal.registered().await;
@@ -383,10 +388,9 @@
         if *entry_id == self.settings.entry_id || self.journal.holder().is_none() {
             return false;
         }
-        let number = placement::hash_bytes(0, entry_id.as_bytes()) as SlotId;
-        let candidates = self.candidates();
-        let first = placement::preferred(number, &candidates);
-        first == Some(&self.settings.entry_id)
+        let number = placement::hash_bytes(entry_id.as_bytes()) as SlotId;
+        let first = preferred(number, &self.candidates());
+        first.as_ref() == Some(&self.settings.entry_id)
             || since_expiry >= self.settings.lease_ttl * FIRST_TURN_LEASES
     }
 
--- a/src/process/slots/placement.rs
+++ b/src/process/slots/placement.rs
@@ -1,53 +1,66 @@
-//! Which slot a conversation belongs to, and which entry a slot prefers.
+//! Which slot a conversation belongs to, and which entry should hold a slot.
 //!
-//! All entries must agree on both, so the hash is written out here and never changes.
+//! All entries of a site must come to the same result, also while their builds differ, so both
+//! functions are fixed: neither depends on the standard library's hasher nor on the order of the
+//! candidates. The slot uses SHA-256, because callers choose conversation ids and could otherwise
+//! crowd one slot. The weights of entries use a fast mixing function: at the large size an entry
+//! computes 16,384 slots times 640 entries whenever the set of entries changes.
 
-use crate::ids::{ConversationKey, EntryId, SlotId};
+use std::cmp::Reverse;
 
-/// The slot of a conversation.
+use sha2::{Digest, Sha256};
+
+use crate::ids::{ConversationKey, SlotId};
+
+/// The slot of a conversation; `slot_count` must be at least 1.
 pub fn slot_of(key: &ConversationKey, slot_count: SlotId) -> SlotId {
-    let mut hash = hash_bytes(HASH_SEED, key.team_id.as_bytes());
-    // The separator keeps `ab` + `c` and `a` + `bc` apart.
-    hash = hash_bytes(hash, &[0]);
-    hash = hash_bytes(hash, key.conversation_id.as_bytes());
-    (mix(hash) % u64::from(slot_count)) as SlotId
+    let mut digest = Sha256::new();
+    // The length separates the ids, so that ("a", "bc") and ("ab", "c") differ.
+    digest.update((key.team_id.len() as u64).to_be_bytes());
+    digest.update(key.team_id.as_bytes());
+    digest.update(key.conversation_id.as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest.finalize()[..8]);
+    (u64::from_be_bytes(first) % u64::from(slot_count)) as SlotId
 }
 
-/// The entry with the highest rendezvous weight for a slot.
-pub fn preferred<'a>(
-    slot: SlotId,
-    entries: impl IntoIterator<Item = &'a EntryId>,
-) -> Option<&'a EntryId> {
-    entries.into_iter().max_by_key(|entry| (weight(slot, entry), (*entry).clone()))
+/// The candidates in the order in which they should hold the slot, by rendezvous hashing: when an
+/// entry comes or goes, only its own slots move.
+pub fn rank<'a>(slot: SlotId, candidates: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut ranked: Vec<_> = candidates
+        .into_iter()
+        .map(|id| (Reverse(weight(slot, id)), id))
+        .collect();
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, id)| id).collect()
 }
 
-/// Entries in the order in which a slot prefers them.
-pub fn rank<'a>(
+/// The first of [`rank`], without sorting the others.
+pub fn preferred<'a>(
     slot: SlotId,
-    entries: impl IntoIterator<Item = &'a EntryId>,
-) -> Vec<&'a EntryId> {
-    let mut ranked: Vec<_> = entries.into_iter().collect();
-    ranked.sort_by_key(|entry| std::cmp::Reverse((weight(slot, entry), (*entry).clone())));
-    ranked
+    candidates: impl IntoIterator<Item = &'a str>,
+) -> Option<&'a str> {
+    candidates
+        .into_iter()
+        .min_by_key(|id| (Reverse(weight(slot, id)), *id))
 }
 
-fn weight(slot: SlotId, entry: &EntryId) -> u64 {
-    mix(hash_bytes(HASH_SEED, entry.as_bytes()) ^ mix(u64::from(slot) + 1))
+fn weight(slot: SlotId, entry_id: &str) -> u64 {
+    mix(hash_bytes(entry_id.as_bytes()) ^ mix(u64::from(slot)))
 }
 
-const HASH_SEED: u64 = 0xcbf2_9ce4_8422_2325;
-const HASH_PRIME: u64 = 0x0000_0100_0000_01b3;
-
-/// FNV-1a.
-pub fn hash_bytes(seed: u64, bytes: &[u8]) -> u64 {
-    bytes.iter().fold(seed, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(HASH_PRIME))
+/// FNV-1a with 64 bits.
+pub fn hash_bytes(bytes: &[u8]) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
+    bytes.iter().fold(OFFSET, step)
 }
 
-/// The finalizer of SplitMix64, which spreads every input bit over all output bits.
-fn mix(mut value: u64) -> u64 {
-    value ^= value >> 30;
-    value = value.wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    value ^= value >> 27;
-    value = value.wrapping_mul(0x94d0_49bb_1331_11eb);
+/// The output function of SplitMix64, which spreads each input bit over all output bits.
+fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
 }
