--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,11 +12,8 @@
 //!
 //! `docs/design.md` explains how the parts work together.
 
-<<<<<<< HEAD
-pub mod caller;
-=======
 pub mod admin;
->>>>>>> config
+pub mod caller;
 pub mod connection;
 pub mod error;
 pub mod ids;
