--- a/src/process.rs
+++ b/src/process.rs
@@ -2,6 +2,9 @@
 
 pub mod config_watch;
 pub mod conversation;
+pub mod audit;
+pub mod entry;
+pub mod shutdown;
 pub mod journal;
 pub mod membership;
 pub mod notify;
--- /dev/null
+++ b/src/process/entry/background.rs
@@ -0,0 +1,152 @@
+//! The periodic work of an entry beside its requests.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::connection::peer::messages::PeerRequest;
+use crate::ids::{ConversationKey, RunId};
+use crate::process::conversation::{EndReason, Event, Record, RunState};
+use crate::process::entry::Entry;
+use crate::process::slots::ConversationCell;
+use crate::request::call::cache_key;
+
+/// Pause between two searches for abandoned runs.
+const ABANDON_INTERVAL: Duration = Duration::from_secs(5);
+/// Longest call that tells a peer the configuration version.
+const PEER_CALL_TIME: Duration = Duration::from_secs(1);
+/// Times that an engine is asked to release a prefix before it is left to the reconciliation.
+const RELEASE_ATTEMPTS: u32 = 5;
+/// Pause before a failed release is tried again; doubles each time.
+const RELEASE_RETRY: Duration = Duration::from_millis(200);
+
+/// Starts all periodic tasks of an entry.
+pub fn start(entry: &Rc<Entry>) {
+    entry.router.start_polling(entry.engines.clone());
+    monoio::spawn(follow_config(entry.clone()));
+    monoio::spawn(follow_vm_list(entry.clone()));
+    monoio::spawn(end_abandoned_runs(entry.clone()));
+}
+
+/// Puts each new configuration in force and tells the peers about it.
+async fn follow_config(entry: Rc<Entry>) {
+    let mut version = 0;
+    loop {
+        let config = entry.config.newer_than(version).await;
+        version = config.version;
+        entry.router.set_config(&config);
+        entry.journal.set_config_version(version);
+        for row in entry.membership.live() {
+            if row.entry_id != entry.settings.entry_id && row.config_version < version {
+                monoio::spawn(tell_config_version(entry.clone(), row, version));
+            }
+        }
+    }
+}
+
+async fn tell_config_version(
+    entry: Rc<Entry>,
+    row: crate::process::rows::EntryRow,
+    version: crate::ids::VersionNumber,
+) {
+    let request = PeerRequest::ConfigVersion(version);
+    let told = entry.peers.call(row.peer_address, &row.entry_id, request, PEER_CALL_TIME).await;
+    if let Err(error) = told {
+        log::debug!(peer = &*row.entry_id; "the peer was not told the version: {error}");
+    }
+}
+
+/// Keeps new work from engines that the platform lists as leaving.
+async fn follow_vm_list(entry: Rc<Entry>) {
+    let mut changes = entry.membership.subscribe();
+    loop {
+        changes.changed().await;
+        let vms = entry.membership.vms();
+        let is_leaving = |address| {
+            use crate::connection::platform::VmState;
+            vms.iter().any(|vm| vm.address == address && vm.state == VmState::Leaving)
+        };
+        entry.router.set_vms_leaving(is_leaving);
+    }
+}
+
+/// Ends root runs that had no event for longer than the limit.
+async fn end_abandoned_runs(entry: Rc<Entry>) {
+    let mut ticks = entry.timer.subscribe(ABANDON_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let Some(config) = entry.config.current() else { continue };
+        let limit_ms = config.limits.abandon_after.as_millis() as u64;
+        let before_ms = entry.unix_ms().saturating_sub(limit_ms);
+        for cell in entry.slots.conversations() {
+            for run_id in abandoned_runs(&cell, before_ms) {
+                monoio::spawn(end_abandoned_run(entry.clone(), cell.clone(), run_id, before_ms));
+            }
+        }
+    }
+}
+
+fn abandoned_runs(cell: &ConversationCell, before_ms: u64) -> Vec<RunId> {
+    let state = cell.state.borrow();
+    let runs = state.runs.iter().filter(|(run_id, run)| {
+        let is_root = run.parent_run_id.is_none();
+        is_root && run.state == RunState::Active && state.last_event_ms(**run_id) < before_ms
+    });
+    runs.map(|(run_id, _)| *run_id).collect()
+}
+
+async fn end_abandoned_run(
+    entry: Rc<Entry>,
+    cell: Rc<ConversationCell>,
+    run_id: RunId,
+    before_ms: u64,
+) {
+    let key = cell.state.borrow().key.clone();
+    let Ok(open) = entry.slots.open(&key) else { return };
+    let thread_number = cell.state.borrow().thread_number(run_id);
+    // A run with a call in progress is not abandoned.
+    let Some(_lock) = cell.locks.try_lock(thread_number) else { return };
+    if !abandoned_runs(&cell, before_ms).contains(&run_id) {
+        return;
+    }
+    let event = Event::RunEnded {
+        request_id: None,
+        fingerprint: 0,
+        run_id,
+        reason: EndReason::Abandoned,
+    };
+    let record =
+        Record { slot: open.slot(), key: key.clone(), at_ms: entry.unix_ms(), event };
+    let Ok(mut receipt) = entry.journal.append(open.incarnation(), record) else { return };
+    if receipt.durable().await.is_ok() {
+        log::info!(team = &*key.team_id, conversation = &*key.conversation_id, run_id; "run abandoned");
+        release_ended(&entry, &cell, &key);
+    }
+}
+
+/// Releases the engine memory of all threads that no active run uses.
+pub fn release_ended(entry: &Rc<Entry>, cell: &ConversationCell, key: &ConversationKey) {
+    let state = cell.state.borrow();
+    let threads = state.runs.keys().map(|run_id| state.thread_number(*run_id));
+    let threads: indexmap::IndexSet<RunId> = threads.collect();
+    for thread_number in threads {
+        if state.is_thread_active(thread_number) {
+            continue;
+        }
+        let cache_key = cache_key(key, thread_number);
+        for (_, address) in entry.router.take_holders(&cache_key) {
+            monoio::spawn(release(entry.clone(), address, cache_key.clone()));
+        }
+    }
+}
+
+async fn release(entry: Rc<Entry>, address: std::net::SocketAddr, cache_key: Rc<str>) {
+    let mut delay = RELEASE_RETRY;
+    for _ in 0..RELEASE_ATTEMPTS {
+        match entry.engines.release(address, &cache_key).await {
+            Ok(()) => return,
+            Err(error) => log::info!("the engine did not release `{cache_key}`: {error}"),
+        }
+        entry.timer.sleep(delay).await;
+        delay *= 2;
+    }
+}
--- /dev/null
+++ b/src/process/shutdown.rs
@@ -0,0 +1,47 @@
+//! Requests to stop the process: signals, and operators.
+//!
+//! A signal handler may only set a flag, so a task looks at the flag at every tick.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use crate::process::timer::TimerService;
+
+/// The result of installing the signal handlers.
+pub type Result<T> = std::io::Result<T>;
+
+static REQUESTED: AtomicBool = AtomicBool::new(false);
+
+/// Pause between two looks at the flag.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Makes SIGTERM and SIGINT request a graceful stop.
+pub fn install() -> Result<()> {
+    let flag = std::sync::Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, flag.clone())?;
+    }
+    *SIGNALLED.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = Some(flag);
+    Ok(())
+}
+
+static SIGNALLED: std::sync::Mutex<Option<std::sync::Arc<AtomicBool>>> = std::sync::Mutex::new(None);
+
+/// Requests a graceful stop.
+pub fn request() {
+    REQUESTED.store(true, Ordering::Relaxed);
+}
+
+fn is_requested() -> bool {
+    let signalled = SIGNALLED.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let signalled = signalled.as_ref().is_some_and(|flag| flag.load(Ordering::Relaxed));
+    signalled || REQUESTED.load(Ordering::Relaxed)
+}
+
+/// Completes when a stop was requested.
+pub async fn requested(timer: &TimerService) {
+    let mut ticks = timer.subscribe(POLL_INTERVAL);
+    while !is_requested() {
+        ticks.tick().await;
+    }
+}
--- a/src/process/slots.rs
+++ b/src/process/slots.rs
@@ -41,8 +41,6 @@
     pub locks: ThreadLocks,
     /// Notified when a run ends or is cancelled.
     pub ended: Notify,
-    /// Engines that may hold a prefix of a thread.
-    pub engines: RefCell<IndexMap<RunId, Vec<std::net::SocketAddr>>>,
 }
 
 impl ConversationCell {
@@ -51,7 +49,6 @@
             state: RefCell::new(state),
             locks: ThreadLocks::default(),
             ended: Notify::default(),
-            engines: RefCell::default(),
         }
     }
 }
@@ -130,6 +127,14 @@
         held.values().flat_map(|slot| slot.conversations.values().cloned()).collect()
     }
 
+    /// Looks up a conversation of a held slot; `None` if it does not exist.
+    pub fn find(&self, key: &ConversationKey) -> Result<Option<Rc<ConversationCell>>> {
+        let slot = self.slot_of(key);
+        let held = self.held.borrow();
+        let held_slot = held.get(&slot).ok_or(NotHeld { slot })?;
+        Ok(held_slot.conversations.get(key).cloned())
+    }
+
     /// Opens a conversation, which is made if it does not exist.
     pub fn open(self: &Rc<Self>, key: &ConversationKey) -> Result<OpenConversation> {
         let slot = self.slot_of(key);
--- a/src/process/slots/lock.rs
+++ b/src/process/slots/lock.rs
@@ -51,6 +51,18 @@
     }
 }
 
+impl ThreadLocks {
+    /// Takes the lock of a thread if it is free.
+    pub fn try_lock(&self, thread_number: RunId) -> Option<ThreadLock> {
+        let mut queues = self.queues.borrow_mut();
+        if queues.contains_key(&thread_number) {
+            return None;
+        }
+        queues.insert(thread_number, VecDeque::new());
+        Some(ThreadLock { queues: self.queues.clone(), thread_number })
+    }
+}
+
 /// A place in the queue. A grant that nobody took when it is dropped passes to the next one.
 struct Waiting {
     queues: Rc<RefCell<Queues>>,
--- /dev/null
+++ b/src/request/dispatch.rs
@@ -0,0 +1,230 @@
+//! The entrance of all requests: routes, keys and the answers that need no conversation.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+
+use crate::connection::body::Body;
+use crate::connection::http_server::{Handler, error_response, json_response};
+use crate::connection::peer::PeerHandler;
+use crate::connection::peer::messages::{
+    ForwardHead, ForwardRequest, PeerRequest, PeerResponse, headers_from_map, headers_to_map,
+};
+use crate::error::{Error, ErrorKind, Result};
+use crate::ids::{ConversationKey, EntryId, TeamId};
+use crate::process::entry::Entry;
+use crate::request::api::{EntriesAnswer, EntryAddress};
+use crate::request::conversation_request::ConversationRequest;
+use crate::request::{forward, operator, service_call};
+use crate::version::config::Config;
+use crate::version::keys::Principal;
+
+/// How long callers may use a list of entries.
+const ENTRIES_TTL_MS: u64 = 5_000;
+
+/// Answers the requests of callers, operators and peers.
+pub struct Dispatcher {
+    entry: Rc<Entry>,
+}
+
+impl Dispatcher {
+    /// Makes the dispatcher of an entry.
+    pub fn new(entry: Rc<Entry>) -> Self {
+        Self { entry }
+    }
+
+    async fn dispatch(&self, request: Request<Bytes>) -> Result<Response<Body>> {
+        let path = request.uri().path();
+        match path {
+            "/healthz" => return Ok(text_response(StatusCode::OK, "ok")),
+            "/readyz" => return Ok(self.readiness()),
+            "/metrics" => return Ok(text_response(StatusCode::OK, crate::process::metrics::render())),
+            _ => {}
+        }
+        let config = self.entry.config.current().ok_or_else(not_ready)?;
+        let principal = self.authenticate(&config, &request)?;
+        if let Some(rest) = path.strip_prefix("/v1/operator/") {
+            let Principal::Operator(name) = principal else {
+                return Err(forbidden("this path needs the key of an operator"));
+            };
+            let rest = rest.to_string();
+            return operator::respond(&self.entry, &config, &name, &rest, request).await;
+        }
+        let Principal::Team(team_id) = principal else {
+            return Err(forbidden("this path needs the key of a team"));
+        };
+        self.dispatch_team(config, team_id, request).await
+    }
+
+    async fn dispatch_team(
+        &self,
+        config: Rc<Config>,
+        team_id: TeamId,
+        request: Request<Bytes>,
+    ) -> Result<Response<Body>> {
+        let limit = config.limits.requests_per_entry;
+        let _in_progress = InProgress::enter(&self.entry, limit)?;
+        let path = request.uri().path();
+        if path == "/v1/entries" {
+            return Ok(self.entries(&team_id, request.uri().query().unwrap_or("")));
+        }
+        if let Some(rest) = path.strip_prefix("/v1/services/") {
+            let rest = rest.to_string();
+            return service_call::respond(&self.entry, &config, &team_id, &rest, request).await;
+        }
+        let request = ConversationRequest::parse(team_id, request)?;
+        forward::respond(&self.entry, config, request).await
+    }
+
+    fn authenticate(&self, config: &Config, request: &Request<Bytes>) -> Result<Principal> {
+        let value = request.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let key = value.and_then(|value| value.strip_prefix("Bearer "));
+        let unauthorized = |message: &str| Error::new(ErrorKind::Unauthorized, message);
+        let key = key.ok_or_else(|| unauthorized("send the header `authorization: Bearer KEY`"))?;
+        let keys = self.entry.keys.get(config);
+        let principal = keys.find(key).cloned();
+        principal.ok_or_else(|| unauthorized("the key is unknown; ask an operator for a new one"))
+    }
+
+    fn readiness(&self) -> Response<Body> {
+        let entry = &self.entry;
+        if entry.config.current().is_none() {
+            return text_response(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
+        }
+        if entry.journal.holder().is_none() {
+            return text_response(StatusCode::SERVICE_UNAVAILABLE, "the entry has no lease");
+        }
+        if entry.manager.is_leaving() {
+            return text_response(StatusCode::SERVICE_UNAVAILABLE, "the entry is leaving");
+        }
+        text_response(StatusCode::OK, "ready")
+    }
+
+    fn entries(&self, team_id: &TeamId, query: &str) -> Response<Body> {
+        let conversation = query.split('&').find_map(|pair| pair.strip_prefix("conversation="));
+        let key = ConversationKey {
+            team_id: team_id.clone(),
+            conversation_id: conversation.unwrap_or_default().into(),
+        };
+        let slot = self.entry.slots.slot_of(&key);
+        let rows = self.entry.manager.preference(slot).into_iter();
+        let rows = rows.filter_map(|entry_id| self.entry.membership.get(&entry_id));
+        let entries = rows.map(|row| EntryAddress {
+            entry_id: row.entry_id,
+            address: row.http_address,
+            failure_domain: row.failure_domain,
+        });
+        let answer = EntriesAnswer { entries: entries.collect(), ttl_ms: ENTRIES_TTL_MS };
+        json_response(StatusCode::OK, &answer)
+    }
+}
+
+impl Handler for Dispatcher {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
+        let method = request.method().clone();
+        let path = request.uri().path().to_string();
+        match self.dispatch(request).await {
+            Ok(response) => response,
+            Err(error) => {
+                note_error(&method, &path, &error);
+                error_response(&error)
+            }
+        }
+    }
+}
+
+impl PeerHandler for Dispatcher {
+    async fn call(&self, _from: EntryId, request: PeerRequest) -> PeerResponse {
+        match request {
+            PeerRequest::ConfigVersion(version) => {
+                self.entry.config.hint(version);
+                PeerResponse::ConfigVersion(self.entry.config.version())
+            }
+            PeerRequest::ReleaseSlot(slot) => {
+                PeerResponse::ReleaseSlot(self.entry.slots.is_held(slot))
+            }
+            PeerRequest::RunsActive(cache_keys) => {
+                let keys = cache_keys.iter();
+                let active = keys.map(|key| crate::request::call::is_cache_key_active(&self.entry, key));
+                PeerResponse::RunsActive(active.collect())
+            }
+            PeerRequest::Forward(_) => {
+                PeerResponse::Refused("a forwarded request came as a call".to_string())
+            }
+        }
+    }
+
+    async fn forward(&self, _from: EntryId, forwarded: ForwardRequest) -> (ForwardHead, Body) {
+        let response = match self.serve_forwarded(forwarded).await {
+            Ok(response) => response,
+            Err(error) => error_response(&error),
+        };
+        let (head, body) = response.into_parts();
+        let headers = headers_from_map(&head.headers);
+        (ForwardHead { status: head.status.as_u16(), headers }, body)
+    }
+}
+
+impl Dispatcher {
+    async fn serve_forwarded(&self, forwarded: ForwardRequest) -> Result<Response<Body>> {
+        let config = self.entry.config.current().ok_or_else(not_ready)?;
+        let bad = |reason: &str| Error::new(ErrorKind::BadRequest, reason);
+        let mut request = Request::new(forwarded.body);
+        *request.method_mut() = Method::from_bytes(forwarded.method.as_bytes())
+            .map_err(|_| bad("the forwarded method is not valid"))?;
+        *request.uri_mut() =
+            forwarded.path.parse().map_err(|_| bad("the forwarded path is not valid"))?;
+        *request.headers_mut() = headers_to_map(&forwarded.headers);
+        let request = ConversationRequest::parse(forwarded.team_id, request)?;
+        forward::respond_for_peer(&self.entry, config, request).await
+    }
+}
+
+/// Counts a request while it is in progress, up to the point where its answer begins.
+struct InProgress<'a> {
+    entry: &'a Entry,
+}
+
+impl<'a> InProgress<'a> {
+    fn enter(entry: &'a Entry, limit: usize) -> Result<Self> {
+        if entry.requests.get() >= limit {
+            let message = format!("{limit} requests are in progress on this entry; come back later");
+            return Err(Error::new(ErrorKind::Overloaded, message));
+        }
+        entry.requests.set(entry.requests.get() + 1);
+        entry.retry_budget.request();
+        Ok(Self { entry })
+    }
+}
+
+impl Drop for InProgress<'_> {
+    fn drop(&mut self) {
+        self.entry.requests.set(self.entry.requests.get() - 1);
+    }
+}
+
+fn note_error(method: &Method, path: &str, error: &Error) {
+    let kind = error.kind.answer().name;
+    metrics::counter!("requests_failed_total", "kind" => kind).increment(1);
+    let message = crate::error::chain(error);
+    log::info!(method = method.as_str(), path, kind; "request failed: {message}");
+}
+
+fn not_ready() -> Error {
+    let message = "the entry has no configuration yet; come back soon, or ask another entry";
+    Error::new(ErrorKind::NotReady, message)
+}
+
+fn forbidden(message: &str) -> Error {
+    Error::new(ErrorKind::Forbidden, message)
+}
+
+fn text_response(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(Body::full(text));
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
--- /dev/null
+++ b/src/request/forward.rs
@@ -0,0 +1,241 @@
+//! Brings a request to the holder of its conversation.
+//!
+//! The entry that the caller chose serves the request itself if it holds the slot, else it passes
+//! the request to the entry that probably does. While the slot has no holder, or the holder was lost
+//! before its answer began, the request waits and is tried again: repeating it is safe, because its
+//! request id is never executed twice. A request that was passed on is not passed on again.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::select;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{Response, StatusCode};
+
+use crate::connection::body::Body;
+use crate::connection::peer::messages::{ForwardHead, ForwardRequest, headers_to_map};
+use crate::connection::peer::{ForwardBody, PeerError};
+use crate::error::{Error, ErrorKind, Result};
+use crate::ids::{EntryId, SlotId};
+use crate::process::entry::Entry;
+use crate::process::slots::OpenConversation;
+use crate::request::call::CallContext;
+use crate::request::conversation_request::{ConversationRequest, Operation};
+use crate::request::{read, run, tool_call, turn};
+use crate::version::config::Config;
+
+/// Pause before a slot without a reachable holder is tried again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// How long an entry lets a forwarded request wait for a slot that it is about to take.
+const PEER_WAIT: Duration = Duration::from_millis(1_000);
+/// Tells the entry that forwarded a request which entry holds the slot.
+const HOLDER_HEADER: HeaderName = HeaderName::from_static("x-sapphireford-holder");
+/// Set on the answer of an entry that does not hold the slot.
+const NOT_HELD_HEADER: HeaderName = HeaderName::from_static("x-sapphireford-not-held");
+
+/// Serves a caller's request here or at the holder of its slot.
+pub async fn respond(
+    entry: &Rc<Entry>,
+    config: Rc<Config>,
+    request: ConversationRequest,
+) -> Result<Response<Body>> {
+    let slot = entry.slots.slot_of(&request.key);
+    let deadline = Instant::now() + entry.settings.slot_wait;
+    let mut last_error = None;
+    loop {
+        let seen = entry.slots.changed().changes();
+        if let Ok(open) = entry.slots.open(&request.key) {
+            return serve(entry, config, open, request).await;
+        }
+        let holder = entry.manager.probable_holder(slot);
+        if let Some(holder) = holder.filter(|holder| *holder != entry.settings.entry_id) {
+            match pass_on(entry, slot, &holder, &request).await {
+                Ok(Some(response)) => return Ok(response),
+                Ok(None) => {}
+                Err(error) => last_error = Some(error),
+            }
+        }
+        if Instant::now() >= deadline {
+            return Err(last_error.unwrap_or_else(|| unavailable(slot)));
+        }
+        let changed = std::pin::pin!(entry.slots.changed().changed_since(seen));
+        select(entry.timer.sleep(RETRY_INTERVAL), changed).await;
+    }
+}
+
+/// Serves a request that another entry has passed on, if this entry holds or takes the slot.
+pub async fn respond_for_peer(
+    entry: &Rc<Entry>,
+    config: Rc<Config>,
+    request: ConversationRequest,
+) -> Result<Response<Body>> {
+    let slot = entry.slots.slot_of(&request.key);
+    let deadline = Instant::now() + PEER_WAIT;
+    loop {
+        let seen = entry.slots.changed().changes();
+        if let Ok(open) = entry.slots.open(&request.key) {
+            return serve(entry, config, open, request).await;
+        }
+        let holder = entry.manager.probable_holder(slot);
+        let is_other = holder.as_ref().is_some_and(|holder| *holder != entry.settings.entry_id);
+        if is_other || Instant::now() >= deadline {
+            return Ok(not_held(slot, holder.filter(|_| is_other)));
+        }
+        let changed = std::pin::pin!(entry.slots.changed().changed_since(seen));
+        select(entry.timer.sleep(RETRY_INTERVAL), changed).await;
+    }
+}
+
+async fn serve(
+    entry: &Rc<Entry>,
+    config: Rc<Config>,
+    open: OpenConversation,
+    request: ConversationRequest,
+) -> Result<Response<Body>> {
+    let context = CallContext {
+        entry: entry.clone(),
+        config,
+        open,
+        key: request.key,
+        fingerprint: request.fingerprint,
+    };
+    match request.operation {
+        Operation::State => read::state(&context),
+        Operation::History => read::history(&context),
+        Operation::StartRun(body) => run::start(context, body).await,
+        Operation::SubAgent(run_id, body) => run::start_sub_agent(context, run_id, body).await,
+        Operation::End(run_id, body) => run::end(context, run_id, body).await,
+        Operation::Cancel(run_id, body) => run::cancel(context, run_id, body).await,
+        Operation::Turn(run_id, body) => turn::respond(context, run_id, body).await,
+        Operation::ToolCall(run_id, body) => tool_call::respond(context, run_id, body).await,
+    }
+}
+
+/// `None` means that the peer does not hold the slot.
+async fn pass_on(
+    entry: &Rc<Entry>,
+    slot: SlotId,
+    holder: &EntryId,
+    request: &ConversationRequest,
+) -> Result<Option<Response<Body>>> {
+    let Some(row) = entry.membership.get(holder) else {
+        entry.manager.learn_holder(slot, None);
+        return Ok(None);
+    };
+    let message = ForwardRequest {
+        method: request.method.to_string(),
+        path: request.path.clone(),
+        team_id: request.key.team_id.clone(),
+        headers: Vec::new(),
+        body: request.body.clone(),
+    };
+    let seen = entry.membership.subscribe();
+    let forwarding = std::pin::pin!(entry.peers.forward(row.peer_address, holder, message));
+    let lost = std::pin::pin!(holder_lost(entry, &row, seen));
+    let answer = match select(forwarding, lost).await {
+        futures_util::future::Either::Left((answer, _)) => answer,
+        futures_util::future::Either::Right(_) => {
+            Err(PeerError::Interrupted("the entry lost its lease".to_string()))
+        }
+    };
+    match answer {
+        Ok((head, body)) => Ok(accept_answer(entry, slot, head, body)),
+        Err(PeerError::NotSent(reason)) => {
+            log::debug!(entry = &**holder; "the request was not passed on: {reason}");
+            entry.manager.learn_holder(slot, None);
+            Ok(None)
+        }
+        Err(error) => {
+            entry.manager.learn_holder(slot, None);
+            let message = format!(
+                "the entry `{holder}` was lost while it worked on the request; send the same \
+                 request id again"
+            );
+            Err(Error::new(ErrorKind::HolderLost, message).with_cause(error))
+        }
+    }
+}
+
+/// Completes when the incarnation of `row` is fenced or closed, so that a request is not left
+/// waiting for an entry that was cut off.
+async fn holder_lost(
+    entry: &Entry,
+    row: &crate::process::rows::EntryRow,
+    mut changes: crate::process::membership::Changes,
+) {
+    use crate::process::rows::EntryState;
+    loop {
+        let current = entry.membership.get(&row.entry_id);
+        let is_same = current.is_some_and(|current| {
+            current.incarnation == row.incarnation
+                && matches!(current.state, EntryState::Live | EntryState::Leaving)
+        });
+        if !is_same {
+            return;
+        }
+        changes.changed().await;
+    }
+}
+
+fn accept_answer(
+    entry: &Rc<Entry>,
+    slot: SlotId,
+    head: ForwardHead,
+    body: ForwardBody,
+) -> Option<Response<Body>> {
+    let mut headers = headers_to_map(&head.headers);
+    if headers.contains_key(NOT_HELD_HEADER) {
+        let holder = headers.get(HOLDER_HEADER).and_then(|value| value.to_str().ok());
+        entry.manager.learn_holder(slot, holder.map(EntryId::from));
+        return None;
+    }
+    headers.remove(hyper::header::CONTENT_LENGTH);
+    let (sender, body_out) = Body::stream();
+    monoio::spawn(relay(body, sender));
+    let mut response = Response::new(body_out);
+    *response.status_mut() =
+        StatusCode::from_u16(head.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.headers_mut() = headers;
+    Some(response)
+}
+
+/// Copies the holder's answer to the caller; a break on either side breaks off the other one.
+async fn relay(mut body: ForwardBody, mut sender: crate::connection::body::BodySender) {
+    loop {
+        let chunk = {
+            let next = std::pin::pin!(body.next());
+            let closed = std::pin::pin!(sender.closed());
+            match select(next, closed).await {
+                futures_util::future::Either::Left((chunk, _)) => chunk,
+                futures_util::future::Either::Right(_) => return,
+            }
+        };
+        match chunk {
+            Some(Ok(chunk)) => {
+                if sender.send(chunk).await.is_err() {
+                    return;
+                }
+            }
+            Some(Err(error)) => {
+                log::info!("the answer of the holder broke off: {error}");
+                return sender.abort().await;
+            }
+            None => return,
+        }
+    }
+}
+
+fn unavailable(slot: SlotId) -> Error {
+    let message = format!("no entry serves slot {slot} at the moment; come back soon");
+    Error::new(ErrorKind::SlotUnavailable, message)
+}
+
+fn not_held(slot: SlotId, holder: Option<EntryId>) -> Response<Body> {
+    let mut response = crate::connection::http_server::error_response(&unavailable(slot));
+    let headers = response.headers_mut();
+    headers.insert(NOT_HELD_HEADER, HeaderValue::from_static("1"));
+    if let Some(value) = holder.and_then(|holder| HeaderValue::from_str(&holder).ok()) {
+        headers.insert(HOLDER_HEADER, value);
+    }
+    response
+}
--- /dev/null
+++ b/src/request/tool_call.rs
@@ -0,0 +1,338 @@
+//! A tool call: a paid action that runs at most once unless the tool says that it is idempotent.
+//!
+//! The intention is durable before the call leaves the entry, and the outcome before the caller gets
+//! its answer. In between the action is in doubt. An action in doubt is never run again; the tool's
+//! status query resolves it where there is one. The call runs in a task of its own, so that its
+//! outcome is recorded even when its caller goes away.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures_channel::oneshot;
+use hyper::{Response, StatusCode};
+use sha2::{Digest, Sha256};
+
+use crate::connection::body::Body;
+use crate::connection::http_server::json_response;
+use crate::connection::tool::{ActionResult, ActionStatus, ToolError};
+use crate::error::{Error, ErrorKind, Result};
+use crate::ids::{ConversationKey, Micros, RequestId, RunId};
+use crate::process::conversation::{Action, ActionOutcome, Event, Progress};
+use crate::process::slots::lock::ThreadLock;
+use crate::request::api::{ToolAnswer, ToolCall};
+use crate::request::call::{CallContext, Started};
+use crate::version::config::Tool;
+
+/// Times that an idempotent action is sent at most.
+const ATTEMPTS: usize = 3;
+
+/// Runs a tool call, or repeats the answer of an earlier one with the same request id.
+pub async fn respond(
+    context: CallContext,
+    run_id: RunId,
+    body: ToolCall,
+) -> Result<Response<Body>> {
+    let (answer, receiver) = oneshot::channel();
+    monoio::spawn(async move {
+        let _ = answer.send(run(&context, run_id, body).await);
+    });
+    match receiver.await {
+        Ok(answer) => Ok(json_response(StatusCode::OK, &answer?)),
+        Err(_) => Err(Error::new(ErrorKind::Internal, "the tool call ended without an answer")),
+    }
+}
+
+async fn run(context: &CallContext, run_id: RunId, body: ToolCall) -> Result<ToolAnswer> {
+    if let Some(Progress::ActionDone(action_id, result, charge)) = context.earlier(&body.request_id)? {
+        return answer(context, run_id, &body.request_id, &action_id, &result, charge);
+    }
+    let lock = context.lock_in_sequence(run_id, body.sequence).await?;
+    match context.earlier(&body.request_id)? {
+        Some(Progress::ActionDone(action_id, result, charge)) => {
+            answer(context, run_id, &body.request_id, &action_id, &result, charge)
+        }
+        Some(Progress::ActionInDoubt(action)) => {
+            ToolCallInProgress::resume(context, run_id, &body, action, lock)?.resolve().await
+        }
+        None => {
+            context.check_durability()?;
+            context.check_call(run_id, body.sequence)?;
+            let call = ToolCallInProgress::reserve(context, run_id, &body, lock)?;
+            call.start().await?;
+            call.execute().await
+        }
+        Some(_) => {
+            let message = "an earlier attempt of this request is not settled yet; come back soon";
+            Err(Error::new(ErrorKind::QueueTimeout, message))
+        }
+    }
+}
+
+/// An action between its reservation and its outcome.
+struct ToolCallInProgress<'a> {
+    context: &'a CallContext,
+    run_id: RunId,
+    body: &'a ToolCall,
+    tool: Tool,
+    action: Action,
+    /// Held until the outcome is settled.
+    _lock: ThreadLock,
+}
+
+impl<'a> ToolCallInProgress<'a> {
+    fn reserve(
+        context: &'a CallContext,
+        run_id: RunId,
+        body: &'a ToolCall,
+        lock: ThreadLock,
+    ) -> Result<Self> {
+        let program = context.program_of(run_id)?;
+        if !program.tools.contains(&body.tool) {
+            let message = format!("the program may not call the tool `{}`", body.tool);
+            return Err(Error::new(ErrorKind::Forbidden, message));
+        }
+        let tool = find_tool(context, body)?;
+        let action = Action {
+            action_id: action_id(&context.key, run_id, &body.request_id),
+            tool_id: body.tool.clone(),
+            arguments: body.arguments.to_string().into(),
+            reserved_micros: tool.price_limit_micros,
+        };
+        let budget = context.root_budget_micros(run_id);
+        let mut state = context.open.cell().state.borrow_mut();
+        state.reserve_pending(run_id, action.reserved_micros, budget)?;
+        drop(state);
+        Ok(Self { context, run_id, body, tool, action, _lock: lock })
+    }
+
+    fn resume(
+        context: &'a CallContext,
+        run_id: RunId,
+        body: &'a ToolCall,
+        action: Action,
+        lock: ThreadLock,
+    ) -> Result<Self> {
+        let tool = find_tool(context, body)?;
+        Ok(Self { context, run_id, body, tool, action, _lock: lock })
+    }
+
+    /// Makes the intention durable. After an error the action was certainly not sent.
+    async fn start(&self) -> Result<()> {
+        let event = Event::ActionIntended {
+            request_id: self.body.request_id.clone(),
+            fingerprint: self.context.fingerprint,
+            run_id: self.run_id,
+            action: self.action.clone(),
+        };
+        let mut receipt = match self.context.append(event) {
+            Ok(receipt) => receipt,
+            Err(error) => {
+                self.clear_pending();
+                return Err(error);
+            }
+        };
+        match self.context.start_durable(&mut receipt).await {
+            Started::Durable => Ok(()),
+            Started::Refused(error) => {
+                if self.context.entry.journal.withdraw(&receipt) {
+                    self.clear_pending();
+                } else if receipt.durable().await.is_ok() {
+                    self.append(ActionOutcome::NotRun)?;
+                }
+                Err(error)
+            }
+        }
+    }
+
+    fn clear_pending(&self) {
+        let mut state = self.context.open.cell().state.borrow_mut();
+        state.clear_pending(self.run_id, self.action.reserved_micros);
+    }
+
+    async fn execute(&self) -> Result<ToolAnswer> {
+        let mut attempt = 1;
+        loop {
+            self.check_lease()?;
+            let error = match self.send().await {
+                Ok(result) => return self.settle_done(result).await,
+                Err(error) => error,
+            };
+            match error {
+                ToolError::NotSent(reason) if attempt == 1 => return self.not_run(reason).await,
+                ToolError::Refused(status, message) if status < 500 => {
+                    return self.failed(status, message).await;
+                }
+                error if self.may_retry(attempt) => log::info!("the action is sent again: {error}"),
+                error => return self.in_doubt(error).await,
+            }
+            attempt += 1;
+        }
+    }
+
+    /// Resolves an action whose outcome is not known, without running it again unless the tool says
+    /// that this has no second effect.
+    async fn resolve(&self) -> Result<ToolAnswer> {
+        if self.tool.idempotent {
+            return self.execute().await;
+        }
+        match self.query_status().await {
+            Some(result) => self.settle_done(result).await,
+            None => Err(self.doubt()),
+        }
+    }
+
+    /// A holder whose lease may have lapsed does not send: another entry may have taken over and
+    /// told the caller that the action is in doubt.
+    fn check_lease(&self) -> Result<()> {
+        let now = self.context.entry.timer.now();
+        if self.context.open.is_current() && self.context.entry.journal.holds_lease_at(now) {
+            return Ok(());
+        }
+        // The event is refused if the lease is lost; then the recovery marks the action in doubt.
+        let _ = self.append(ActionOutcome::NotRun);
+        let message = "the entry could not renew its lease in time; come back soon";
+        Err(Error::new(ErrorKind::SlotUnavailable, message))
+    }
+
+    async fn send(&self) -> std::result::Result<ActionResult, ToolError> {
+        let tools = &self.context.entry.tools;
+        let action = &self.action;
+        let arguments = &self.body.arguments;
+        let limit = self.tool.time_limit;
+        let address: SocketAddr = self.tool.address;
+        tools.run(address, &action.action_id, &action.tool_id, arguments, limit).await
+    }
+
+    fn may_retry(&self, attempt: usize) -> bool {
+        let percent = self.context.config.limits.retry_percent;
+        self.tool.idempotent
+            && attempt < ATTEMPTS
+            && self.context.entry.retry_budget.try_retry(percent)
+    }
+
+    async fn not_run(&self, reason: String) -> Result<ToolAnswer> {
+        self.append_and_wait(ActionOutcome::NotRun).await?;
+        let message = format!("the tool `{}` cannot be reached: {reason}", self.body.tool);
+        Err(Error::new(ErrorKind::NoBackendServer, message))
+    }
+
+    async fn failed(&self, status: u16, message: String) -> Result<ToolAnswer> {
+        let message = format!("the tool refused the action with status {status}: {message}");
+        let outcome = ActionOutcome::Failed { message: message.as_str().into() };
+        self.append_and_wait(outcome).await?;
+        Err(Error::new(ErrorKind::ToolFailed, message))
+    }
+
+    async fn in_doubt(&self, error: ToolError) -> Result<ToolAnswer> {
+        if let Some(result) = self.query_status().await {
+            return self.settle_done(result).await;
+        }
+        self.append_and_wait(ActionOutcome::InDoubt).await?;
+        Err(self.doubt().with_cause(error))
+    }
+
+    /// The result of the action if the tool says that it ran. That the tool does not know the action
+    /// proves nothing: the request may still be on its way.
+    async fn query_status(&self) -> Option<ActionResult> {
+        if !self.tool.has_status_query {
+            return None;
+        }
+        let deadline = self.context.entry.timer.now() + self.tool.time_limit;
+        loop {
+            let status =
+                self.context.entry.tools.status(self.tool.address, &self.action.action_id).await;
+            match status {
+                Ok(ActionStatus::Done(result)) => return Some(result),
+                Ok(ActionStatus::Unknown) => return None,
+                Ok(ActionStatus::Running) | Err(_) => {}
+            }
+            if self.context.entry.timer.now() >= deadline {
+                return None;
+            }
+            self.context.entry.timer.sleep(STATUS_INTERVAL).await;
+        }
+    }
+
+    fn doubt(&self) -> Error {
+        let message = format!(
+            "it is not known whether action {} of the tool `{}` ran; it is not run again: ask the \
+             tool's owner, or send the same request id later",
+            self.action.action_id, self.body.tool
+        );
+        Error::new(ErrorKind::ActionInDoubt, message)
+    }
+
+    async fn settle_done(&self, result: ActionResult) -> Result<ToolAnswer> {
+        let charge = result.charge_micros;
+        if charge > self.action.reserved_micros {
+            metrics::counter!("invariant_violations_total", "invariant" => "tool_price_limit")
+                .increment(1);
+            log::error!(
+                tool = &*self.action.tool_id, charge, limit = self.action.reserved_micros;
+                "the tool charged more than its price limit"
+            );
+        }
+        let text: Rc<str> = result.result.to_string().into();
+        let outcome = ActionOutcome::Done { result: text.clone(), charge_micros: charge };
+        self.append_and_wait(outcome).await?;
+        crate::process::audit::paid_action(&self.context.key, self.run_id, &self.action, charge);
+        let request_id = &self.body.request_id;
+        answer(self.context, self.run_id, request_id, &self.action.action_id, &text, charge)
+    }
+
+    fn append(&self, outcome: ActionOutcome) -> Result<crate::process::journal::Receipt> {
+        self.context.append(Event::ActionFinished {
+            request_id: self.body.request_id.clone(),
+            run_id: self.run_id,
+            outcome,
+        })
+    }
+
+    async fn append_and_wait(&self, outcome: ActionOutcome) -> Result<()> {
+        let mut receipt = self.append(outcome)?;
+        self.context.finish_durable(&mut receipt).await
+    }
+}
+
+/// Pause between two status queries of an action that is still running.
+const STATUS_INTERVAL: std::time::Duration = std::time::Duration::from_millis(200);
+
+fn find_tool(context: &CallContext, body: &ToolCall) -> Result<Tool> {
+    context.config.tools.get(&body.tool).cloned().ok_or_else(|| {
+        Error::new(ErrorKind::NotFound, format!("there is no tool `{}`; check its name", body.tool))
+    })
+}
+
+/// The same for every holder and every repeat of a request, and different for any other request.
+fn action_id(key: &ConversationKey, run_id: RunId, request_id: &RequestId) -> Rc<str> {
+    let mut digest = Sha256::new();
+    for part in [&*key.team_id, &*key.conversation_id, &run_id.to_string(), &**request_id] {
+        digest.update((part.len() as u64).to_be_bytes());
+        digest.update(part.as_bytes());
+    }
+    let bytes = digest.finalize();
+    let hex: String = bytes[..16].iter().map(|byte| format!("{byte:02x}")).collect();
+    hex.into()
+}
+
+fn answer(
+    context: &CallContext,
+    run_id: RunId,
+    request_id: &RequestId,
+    action_id: &str,
+    result: &str,
+    charge_micros: Micros,
+) -> Result<ToolAnswer> {
+    let (spent_micros, remaining_micros) = context.cost_of(run_id);
+    let result = serde_json::from_str(result).map_err(|error| {
+        Error::new(ErrorKind::Internal, "the stored result is not valid JSON").with_cause(error)
+    })?;
+    Ok(ToolAnswer {
+        request_id: request_id.clone(),
+        action_id: action_id.to_string(),
+        result,
+        charge_micros,
+        spent_micros,
+        remaining_micros,
+    })
+}
--- /dev/null
+++ b/src/request/turn.rs
@@ -0,0 +1,416 @@
+//! A turn: one model call whose tokens are streamed to the caller.
+//!
+//! The start event with the reservation becomes durable while the call waits for an engine; only then
+//! is the call sent. Tokens reach the caller as they come. The finish event is durable before the
+//! final event `done`. The turn runs in a task of its own, so that it is settled even when its caller
+//! goes away; then the engine's stream is cancelled.
+
+mod attempt;
+
+use std::rc::Rc;
+
+use futures_channel::oneshot;
+use futures_util::future::{Either, join, select};
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+
+use crate::connection::body::{Body, BodySender};
+use crate::connection::engine::Usage;
+use crate::connection::sse;
+use crate::error::{Error, ErrorKind, Result};
+use crate::ids::{Micros, RunId};
+use crate::process::conversation::{Event, Progress, TurnOutcome, TurnResult};
+use crate::process::routing::{CallDescription, Permit};
+use crate::process::slots::lock::ThreadLock;
+use crate::request::api::{
+    DoneEvent, EVENT_DONE, EVENT_ERROR, EVENT_START, EVENT_TOKEN, StartEvent, TokenEvent, Turn,
+};
+use crate::request::call::{CallContext, Started, cache_key};
+use crate::version::config::{Model, Program};
+use attempt::Attempt;
+
+/// Runs a turn, or repeats the answer of an earlier one with the same request id.
+pub async fn respond(context: CallContext, run_id: RunId, body: Turn) -> Result<Response<Body>> {
+    check_limits(&context, &body)?;
+    let (head, head_receiver) = oneshot::channel();
+    let (sender, stream) = Body::stream();
+    let output = Output { head: Some(head), sender, index: 0 };
+    monoio::spawn(run(context, run_id, body, output));
+    match head_receiver.await {
+        Ok(Ok(())) => Ok(stream_response(stream)),
+        Ok(Err(error)) => Err(error),
+        Err(_) => Err(Error::new(ErrorKind::Internal, "the turn ended without an answer")),
+    }
+}
+
+fn check_limits(context: &CallContext, body: &Turn) -> Result<()> {
+    let limits = &context.config.limits;
+    if body.input.len() > limits.input_bytes {
+        let message = format!("`input` is longer than {} bytes; shorten it", limits.input_bytes);
+        return Err(Error::new(ErrorKind::BodyTooLarge, message));
+    }
+    if body.max_output_tokens > limits.output_tokens {
+        let message = format!("`max_output_tokens` is above the limit of {}", limits.output_tokens);
+        return Err(Error::new(ErrorKind::BadRequest, message));
+    }
+    Ok(())
+}
+
+/// The answer to the caller: an error status, or a stream that has begun.
+struct Output {
+    /// `None` once the stream has begun.
+    head: Option<oneshot::Sender<Result<()>>>,
+    sender: BodySender,
+    /// Number of token events sent.
+    index: u64,
+}
+
+impl Output {
+    async fn begin(&mut self, start: &StartEvent) {
+        if let Some(head) = self.head.take() {
+            let _ = head.send(Ok(()));
+            let _ = self.sender.send(sse::encode(EVENT_START, start)).await;
+        }
+    }
+
+    async fn token(&mut self, text: &str) {
+        let event = TokenEvent { index: self.index, text: text.to_string() };
+        self.index += 1;
+        // A caller that is gone is noticed by `closed`.
+        let _ = self.sender.send(sse::encode(EVENT_TOKEN, &event)).await;
+    }
+
+    async fn done(&mut self, event: &DoneEvent) {
+        let _ = self.sender.send(sse::encode(EVENT_DONE, event)).await;
+    }
+
+    async fn fail(&mut self, error: Error) {
+        match self.head.take() {
+            Some(head) => {
+                let _ = head.send(Err(error));
+            }
+            None => {
+                let kind = error.kind.answer().name;
+                metrics::counter!("requests_failed_total", "kind" => kind).increment(1);
+                let _ = self.sender.send(sse::encode(EVENT_ERROR, &error.to_body())).await;
+            }
+        }
+    }
+}
+
+async fn run(context: CallContext, run_id: RunId, body: Turn, mut output: Output) {
+    let mut turn = match prepare(&context, run_id, body, &mut output).await {
+        Ok(Prepared::New(turn)) => turn,
+        Ok(Prepared::Repeat(result)) => return repeat(&context, run_id, &result, &mut output).await,
+        Ok(Prepared::CallerGone) => return,
+        Err(error) => return output.fail(error).await,
+    };
+    if let Err(error) = turn.execute(&mut output).await {
+        output.fail(error).await;
+    }
+}
+
+/// Sends the durable result of a turn once more.
+async fn repeat(
+    context: &CallContext,
+    run_id: RunId,
+    (request_id, result): &(crate::ids::RequestId, TurnResult),
+    output: &mut Output,
+) {
+    output
+        .begin(&StartEvent { request_id: request_id.clone(), turn: result.turn.into() })
+        .await;
+    output.token(&result.output).await;
+    output.done(&done_event(context, run_id, request_id, result)).await;
+}
+
+fn done_event(
+    context: &CallContext,
+    run_id: RunId,
+    request_id: &crate::ids::RequestId,
+    result: &TurnResult,
+) -> DoneEvent {
+    let (spent_micros, remaining_micros) = context.cost_of(run_id);
+    DoneEvent {
+        request_id: request_id.clone(),
+        turn: result.turn.into(),
+        prompt_tokens: result.prompt_tokens,
+        cached_tokens: result.cached_tokens,
+        output_tokens: result.output_tokens,
+        cost_micros: result.cost_micros,
+        spent_micros,
+        remaining_micros,
+        finish_reason: result.finish_reason.to_string(),
+    }
+}
+
+enum Prepared<'a> {
+    New(Box<NewTurn<'a>>),
+    Repeat((crate::ids::RequestId, TurnResult)),
+    CallerGone,
+}
+
+/// Waits for the turn's place in the run, and reserves its cost.
+async fn prepare<'a>(
+    context: &'a CallContext,
+    run_id: RunId,
+    body: Turn,
+    output: &mut Output,
+) -> Result<Prepared<'a>> {
+    if let Some(Progress::TurnDone(result)) = context.earlier(&body.request_id)? {
+        return Ok(Prepared::Repeat((body.request_id, result)));
+    }
+    let lock = {
+        let lock = std::pin::pin!(context.lock_in_sequence(run_id, body.sequence));
+        let closed = std::pin::pin!(output.sender.closed());
+        match select(lock, closed).await {
+            Either::Left((lock, _)) => lock?,
+            Either::Right(_) => return Ok(Prepared::CallerGone),
+        }
+    };
+    match context.earlier(&body.request_id)? {
+        Some(Progress::TurnDone(result)) => return Ok(Prepared::Repeat((body.request_id, result))),
+        None | Some(Progress::TurnInterrupted) => {}
+        Some(_) => {
+            let message = "an earlier attempt of this request is not settled yet; come back soon";
+            return Err(Error::new(ErrorKind::QueueTimeout, message));
+        }
+    }
+    context.check_durability()?;
+    context.check_call(run_id, body.sequence)?;
+    let turn = NewTurn::reserve(context, run_id, body, lock)?;
+    Ok(Prepared::New(Box::new(turn)))
+}
+
+/// Prices a number of tokens, rounded up.
+fn price(tokens: u64, micros_per_1k_tokens: Micros) -> Micros {
+    tokens.saturating_mul(micros_per_1k_tokens).div_ceil(1000)
+}
+
+/// A turn whose cost is reserved, but whose start event is not durable yet.
+struct NewTurn<'a> {
+    context: &'a CallContext,
+    run_id: RunId,
+    body: Turn,
+    input: Rc<str>,
+    program: Program,
+    model: Model,
+    prompt_tokens_bound: u64,
+    reserved_micros: Micros,
+    /// Held until the turn is settled.
+    _lock: ThreadLock,
+}
+
+impl<'a> NewTurn<'a> {
+    fn reserve(
+        context: &'a CallContext,
+        run_id: RunId,
+        body: Turn,
+        lock: ThreadLock,
+    ) -> Result<Self> {
+        let program = context.program_of(run_id)?;
+        let model = context.config.models.get(&program.model_id).cloned().ok_or_else(|| {
+            let message = format!("the model `{}` is no longer configured", program.model_id);
+            Error::new(ErrorKind::NotFound, message)
+        })?;
+        let prompt_tokens_bound = prompt_bound(context, run_id, &body, &model)?;
+        let output_tokens = u64::from(body.max_output_tokens);
+        let reserved_micros = price(prompt_tokens_bound, model.prompt_micros_per_1k_tokens)
+            + price(output_tokens, model.output_micros_per_1k_tokens);
+        let budget = context.root_budget_micros(run_id);
+        let mut state = context.open.cell().state.borrow_mut();
+        state.reserve_pending(run_id, reserved_micros, budget)?;
+        drop(state);
+        Ok(Self {
+            context,
+            run_id,
+            input: body.input.as_str().into(),
+            body,
+            program,
+            model,
+            prompt_tokens_bound,
+            reserved_micros,
+            _lock: lock,
+        })
+    }
+
+    async fn execute(&mut self, output: &mut Output) -> Result<()> {
+        let permit = self.start().await?;
+        let mut attempt = Attempt::new(permit);
+        let outcome = attempt.run(self, output).await;
+        self.settle(outcome, output).await
+    }
+
+    /// Makes the start event durable and waits for an engine, both at the same time.
+    async fn start(&mut self) -> Result<Permit> {
+        let event = Event::TurnStarted {
+            request_id: self.body.request_id.clone(),
+            fingerprint: self.context.fingerprint,
+            run_id: self.run_id,
+            reserved_micros: self.reserved_micros,
+        };
+        let mut receipt = match self.context.append(event) {
+            Ok(receipt) => receipt,
+            Err(error) => {
+                self.clear_pending();
+                return Err(error);
+            }
+        };
+        let engine = self.context.entry.router.acquire(self.describe(Vec::new()));
+        let (started, permit) = join(self.context.start_durable(&mut receipt), engine).await;
+        match (started, permit) {
+            (Started::Durable, Ok(permit)) => Ok(permit),
+            (Started::Durable, Err(error)) => {
+                // Nobody waits for this event: the call was not sent whether it is durable or not.
+                self.append_finish(TurnOutcome::NotRun)?;
+                Err(error)
+            }
+            (Started::Refused(error), _) => {
+                if self.context.entry.journal.withdraw(&receipt) {
+                    self.clear_pending();
+                } else if receipt.durable().await.is_ok() {
+                    self.append_finish(TurnOutcome::NotRun)?;
+                }
+                Err(error)
+            }
+        }
+    }
+
+    fn clear_pending(&self) {
+        let mut state = self.context.open.cell().state.borrow_mut();
+        state.clear_pending(self.run_id, self.reserved_micros);
+    }
+
+    fn describe(&self, excluded: Vec<crate::ids::BackendServerId>) -> CallDescription {
+        let context = self.context;
+        let state = context.open.cell().state.borrow();
+        let thread = state.thread_number(self.run_id);
+        let service = state.thread_of(self.run_id).map_or(0, |thread| thread.counted_tokens);
+        CallDescription {
+            config: context.config.clone(),
+            model_id: self.program.model_id.clone(),
+            team_id: context.key.team_id.clone(),
+            cache_key: cache_key(&context.key, thread),
+            priority: self.program.priority,
+            program_service_tokens: service,
+            prompt_tokens: self.prompt_tokens_bound,
+            max_output_tokens: self.body.max_output_tokens.into(),
+            excluded,
+        }
+    }
+
+    fn append_finish(&self, outcome: TurnOutcome) -> Result<crate::process::journal::Receipt> {
+        self.context.append(Event::TurnFinished {
+            request_id: self.body.request_id.clone(),
+            run_id: self.run_id,
+            input: self.input.clone(),
+            outcome,
+        })
+    }
+
+    /// Number of this call in its run, from 1.
+    fn number(&self) -> u32 {
+        self.context.with_run(self.run_id, |run| run.calls + 1).unwrap_or(0)
+    }
+
+    /// The cost of what an engine reports, never above the reservation.
+    fn cost(&self, usage: &Usage) -> Micros {
+        let cost = price(usage.prompt_tokens, self.model.prompt_micros_per_1k_tokens)
+            + price(usage.completion_tokens, self.model.output_micros_per_1k_tokens);
+        if cost > self.reserved_micros {
+            log::warn!(
+                run_id = self.run_id, cost, reserved = self.reserved_micros;
+                "an engine reports more tokens than the request allows"
+            );
+        }
+        cost.min(self.reserved_micros)
+    }
+
+    async fn settle(&mut self, outcome: attempt::Outcome, output: &mut Output) -> Result<()> {
+        let (outcome, error) = match outcome {
+            attempt::Outcome::Finished { text, finish_reason, usage } => {
+                let result = TurnResult {
+                    turn: self.number(),
+                    output: text.into(),
+                    prompt_tokens: usage.prompt_tokens,
+                    cached_tokens: usage.cached_tokens,
+                    output_tokens: usage.completion_tokens,
+                    cost_micros: self.cost(&usage),
+                    finish_reason: finish_reason.into(),
+                };
+                return self.settle_done(result, output).await;
+            }
+            attempt::Outcome::NotRun(error) => (TurnOutcome::NotRun, error),
+            attempt::Outcome::Failed { error, used } => {
+                let message = crate::error::chain(&error).into();
+                let kind = error.kind;
+                let cost_micros = self.cost(&used);
+                (TurnOutcome::Failed { kind, message, cost_micros }, error)
+            }
+            attempt::Outcome::CallerGone { used } => {
+                let cost_micros = self.cost(&used);
+                self.append_and_wait(TurnOutcome::Interrupted { cost_micros }).await?;
+                return Ok(());
+            }
+            attempt::Outcome::LeaseLost => {
+                let message = "the entry lost its lease; send the same request id again";
+                return Err(Error::new(ErrorKind::HolderLost, message));
+            }
+        };
+        self.append_and_wait(outcome).await?;
+        Err(error)
+    }
+
+    async fn append_and_wait(&self, outcome: TurnOutcome) -> Result<()> {
+        let mut receipt = self.append_finish(outcome)?;
+        self.context.finish_durable(&mut receipt).await
+    }
+
+    async fn settle_done(&mut self, result: TurnResult, output: &mut Output) -> Result<()> {
+        let mut receipt = self.append_finish(TurnOutcome::Done(result.clone()))?;
+        match self.context.finish_durable(&mut receipt).await {
+            Ok(()) => {}
+            Err(error) => {
+                output.fail(error).await;
+                // The slot stays open until the event is durable or the lease is lost.
+                let _ = receipt.durable().await;
+                return Ok(());
+            }
+        }
+        let done = done_event(self.context, self.run_id, &self.body.request_id, &result);
+        output.done(&done).await;
+        Ok(())
+    }
+}
+
+fn prompt_bound(
+    context: &CallContext,
+    run_id: RunId,
+    body: &Turn,
+    model: &Model,
+) -> Result<u64> {
+    let state = context.open.cell().state.borrow();
+    let thread = state.thread_of(run_id);
+    let (bound, counted) = thread.map_or((0, 0), |thread| {
+        (thread.prompt_tokens_bound(&body.input), thread.counted_tokens)
+    });
+    let room = u64::from(model.context_tokens).saturating_sub(body.max_output_tokens.into());
+    if counted >= room {
+        let message = format!(
+            "the history has {counted} tokens, and the model takes {} with the output; start a new \
+             conversation",
+            model.context_tokens
+        );
+        return Err(Error::new(ErrorKind::HistoryTooLong, message));
+    }
+    Ok(bound.min(room))
+}
+
+fn stream_response(stream: Body) -> Response<Body> {
+    let mut response = Response::new(stream);
+    *response.status_mut() = StatusCode::OK;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    response
+}
--- /dev/null
+++ b/src/request/turn/attempt.rs
@@ -0,0 +1,231 @@
+//! The attempts to get the answer of one turn from an engine.
+//!
+//! Before its first token an attempt may be repeated on another engine, within the retry budget.
+//! After it, the caller has seen output, so a failure ends the turn.
+
+use std::pin::pin;
+
+use futures_util::future::{Either, select};
+
+use crate::connection::engine::{
+    ChatMessage, CompletionEvent, CompletionLimits, CompletionRequest, CompletionStream,
+    EngineError, Usage,
+};
+use crate::error::{Error, ErrorKind};
+use crate::ids::BackendServerId;
+use crate::process::conversation::Role;
+use crate::process::routing::Permit;
+use crate::request::api::StartEvent;
+use crate::request::call::cache_key;
+use crate::request::turn::{NewTurn, Output};
+
+/// Engines that a turn tries at most.
+const ENGINES_PER_TURN: usize = 3;
+
+/// How the attempts ended.
+pub(super) enum Outcome {
+    /// With the whole answer.
+    Finished { text: String, finish_reason: String, usage: Usage },
+    /// No engine received the call.
+    NotRun(Error),
+    /// An engine failed, or the run was cancelled.
+    Failed { error: Error, used: Usage },
+    /// Nobody reads the answer any more.
+    CallerGone { used: Usage },
+    /// Another entry has taken over.
+    LeaseLost,
+}
+
+/// The attempt in progress.
+pub(super) struct Attempt {
+    permit: Option<Permit>,
+    excluded: Vec<BackendServerId>,
+    /// Whether an engine may have worked on the call.
+    has_run: bool,
+    text: String,
+    tokens: u64,
+}
+
+/// Why reading from the engine stopped.
+enum Step {
+    Event(Result<Option<CompletionEvent>, EngineError>),
+    CallerGone,
+    RunEnded,
+    LeaseLost,
+}
+
+impl Attempt {
+    pub(super) fn new(permit: Permit) -> Self {
+        Self {
+            permit: Some(permit),
+            excluded: Vec::new(),
+            has_run: false,
+            text: String::new(),
+            tokens: 0,
+        }
+    }
+
+    pub(super) async fn run(&mut self, turn: &NewTurn<'_>, output: &mut Output) -> Outcome {
+        let request = completion_request(turn);
+        loop {
+            let error = match self.try_engine(turn, &request, output).await {
+                Ok(outcome) => return outcome,
+                Err(error) => error,
+            };
+            let may_retry = self.tokens == 0
+                && self.excluded.len() < ENGINES_PER_TURN
+                && is_retryable(&error)
+                && turn.context.entry.retry_budget.try_retry(turn.context.config.limits.retry_percent);
+            if !may_retry {
+                return self.failed(turn, error);
+            }
+            let call = turn.describe(self.excluded.clone());
+            match turn.context.entry.router.acquire(call).await {
+                Ok(permit) => self.permit = Some(permit),
+                Err(_) => return self.failed(turn, error),
+            }
+        }
+    }
+
+    async fn try_engine(
+        &mut self,
+        turn: &NewTurn<'_>,
+        request: &CompletionRequest,
+        output: &mut Output,
+    ) -> Result<Outcome, EngineError> {
+        let Some(permit) = self.permit.take() else {
+            return Err(EngineError::NotSent("no engine was chosen".to_string()));
+        };
+        self.excluded.push(permit.backend_server_id.clone());
+        let gap = turn.context.config.limits.token_gap;
+        let limits = CompletionLimits { head_time: gap };
+        let engines = &turn.context.entry.engines;
+        let mut stream = match engines.complete(permit.address, request, limits).await {
+            Ok(stream) => stream,
+            Err(error) => {
+                self.has_run |= !error.is_before_work();
+                permit.failed();
+                return Err(error);
+            }
+        };
+        self.has_run = true;
+        loop {
+            match self.step(turn, &mut stream, output).await {
+                Step::Event(Ok(Some(CompletionEvent::Token(text)))) => {
+                    if self.tokens == 0 {
+                        permit.first_token();
+                    }
+                    if self.tokens >= u64::from(turn.body.max_output_tokens) {
+                        permit.failed();
+                        let reason = "the engine sent more tokens than it was asked for";
+                        return Err(EngineError::Protocol(reason.to_string()));
+                    }
+                    self.take_token(turn, &text, output).await;
+                }
+                Step::Event(Ok(Some(CompletionEvent::Finished { finish_reason, usage }))) => {
+                    permit.finished(usage);
+                    output.begin(&self.start_event(turn)).await;
+                    let text = std::mem::take(&mut self.text);
+                    return Ok(Outcome::Finished { text, finish_reason, usage });
+                }
+                Step::Event(Ok(None)) => {
+                    permit.failed();
+                    return Err(EngineError::Interrupted("the answer has no end".to_string()));
+                }
+                Step::Event(Err(error)) => {
+                    permit.failed();
+                    return Err(error);
+                }
+                Step::CallerGone => return Ok(Outcome::CallerGone { used: self.used(turn) }),
+                Step::RunEnded => {
+                    let error = Error::new(ErrorKind::Cancelled, "the run was cancelled");
+                    return Ok(Outcome::Failed { error, used: self.used(turn) });
+                }
+                Step::LeaseLost => return Ok(Outcome::LeaseLost),
+            }
+        }
+    }
+
+    async fn step(
+        &self,
+        turn: &NewTurn<'_>,
+        stream: &mut CompletionStream,
+        output: &mut Output,
+    ) -> Step {
+        let context = turn.context;
+        if !context.open.is_current() {
+            return Step::LeaseLost;
+        }
+        if !context.is_run_active(turn.run_id) {
+            return Step::RunEnded;
+        }
+        let next = pin!(stream.next(context.config.limits.token_gap));
+        let cell = context.open.cell();
+        let ended = pin!(cell.ended.until(|| !context.is_run_active(turn.run_id)));
+        let closed = pin!(output.sender.closed());
+        let interrupted = select(ended, closed);
+        match select(next, interrupted).await {
+            Either::Left((event, _)) => Step::Event(event),
+            Either::Right((Either::Left(_), _)) => Step::RunEnded,
+            Either::Right((Either::Right(_), _)) => Step::CallerGone,
+        }
+    }
+
+    async fn take_token(&mut self, turn: &NewTurn<'_>, text: &str, output: &mut Output) {
+        output.begin(&self.start_event(turn)).await;
+        self.tokens += 1;
+        self.text.push_str(text);
+        output.token(text).await;
+    }
+
+    fn start_event(&self, turn: &NewTurn<'_>) -> StartEvent {
+        StartEvent { request_id: turn.body.request_id.clone(), turn: turn.number().into() }
+    }
+
+    /// What an engine may have used that did not report it: the whole prompt, and what was seen.
+    fn used(&self, turn: &NewTurn<'_>) -> Usage {
+        Usage {
+            prompt_tokens: turn.prompt_tokens_bound,
+            completion_tokens: self.tokens,
+            cached_tokens: 0,
+        }
+    }
+
+    fn failed(&self, turn: &NewTurn<'_>, error: EngineError) -> Outcome {
+        if !self.has_run {
+            let message = "no engine accepted the call; come back later";
+            let error = Error::new(ErrorKind::NoBackendServer, message).with_cause(error);
+            return Outcome::NotRun(error);
+        }
+        let message = "the engine failed during the call; send it with a new request id";
+        let error = Error::new(ErrorKind::BackendFailed, message).with_cause(error);
+        Outcome::Failed { error, used: self.used(turn) }
+    }
+}
+
+fn is_retryable(error: &EngineError) -> bool {
+    match error {
+        // Other client errors would be the same at every engine.
+        EngineError::Refused(status, _) => *status >= 500 || matches!(status, 408 | 429),
+        EngineError::NotSent(_) | EngineError::Interrupted(_) | EngineError::TimedOut(_) => true,
+        EngineError::Protocol(_) => false,
+    }
+}
+
+fn completion_request(turn: &NewTurn<'_>) -> CompletionRequest {
+    let context = turn.context;
+    let state = context.open.cell().state.borrow();
+    let thread_number = state.thread_number(turn.run_id);
+    let history = state.thread_of(turn.run_id).map(|thread| thread.messages.as_slice());
+    let history = history.unwrap_or_default().iter().map(|message| ChatMessage {
+        role: message.role.name().into(),
+        content: message.text.clone(),
+    });
+    let input = ChatMessage { role: Role::User.name().into(), content: turn.input.clone() };
+    CompletionRequest {
+        model: turn.program.model_id.clone(),
+        messages: history.chain([input]).collect(),
+        max_tokens: turn.body.max_output_tokens,
+        cache_key: cache_key(&context.key, thread_number),
+    }
+}
--- a/src/version.rs
+++ b/src/version.rs
@@ -8,6 +8,7 @@
 pub mod check;
 pub mod config;
 pub mod diff;
+pub mod keys;
 pub mod key;
 pub mod merge;
 pub mod raw;
