--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -10,8 +10,20 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
-/// A decoded request body, or the answer that refuses it.
-pub type Result<T> = std::result::Result<T, Response<Body>>;
+/// A decoded request body.
+pub type Result<T> = std::result::Result<T, InvalidBody>;
+
+/// The body of a request is not what the protocol says.
+#[derive(Debug)]
+pub struct InvalidBody(serde_json::Error);
+
+impl InvalidBody {
+    /// The answer that refuses the request.
+    pub fn response(&self) -> Response<Body> {
+        let message = format!("the body is not valid: {}", self.0);
+        refused(StatusCode::BAD_REQUEST, &message)
+    }
+}
 
 /// Answers 200 with a JSON body.
 pub fn ok(value: &impl Serialize) -> Response<Body> {
@@ -28,12 +40,9 @@
     refused(StatusCode::NOT_FOUND, "no such path")
 }
 
-/// Decodes a JSON body; the error is a 400 answer.
+/// Decodes a JSON body.
 pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
-    serde_json::from_slice(body).map_err(|error| {
-        let message = format!("the body is not valid: {error}");
-        refused(StatusCode::BAD_REQUEST, &message)
-    })
+    serde_json::from_slice(body).map_err(InvalidBody)
 }
 
 /// Breaks the connection without sending any byte of an answer.
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -209,7 +209,7 @@
             (&Method::GET, "/stats") => Ok(state.stats()),
             (&Method::POST, "/v1/chat/completions") => match answer::decode(body) {
                 Ok(body) => Ok(chat::complete(state.clone(), body).await),
-                Err(refusal) => Err(refusal),
+                Err(invalid) => Err(invalid),
             },
             (&Method::GET, "/v1/load") => Ok(answer::ok(&load::current(state))),
             (&Method::GET, "/v1/cache") => Ok(state.cache_entries()),
@@ -222,14 +222,14 @@
             }
             (&Method::POST, "/v1/cache/import") => match answer::decode(body) {
                 Ok(body) => Ok(state.import(body).await),
-                Err(refusal) => Err(refusal),
+                Err(invalid) => Err(invalid),
             },
             (&Method::POST, "/v1/orders") => {
                 answer::decode(body).map(|body| state.orders.borrow_mut().take(body))
             }
             _ => Ok(answer::no_such_path()),
         };
-        answer.unwrap_or_else(|refusal| refusal)
+        answer.unwrap_or_else(|invalid| invalid.response())
     }
 }
 
--- /dev/null
+++ b/crates/standin/src/harness.rs
@@ -0,0 +1,25 @@
+//! What tests need to drive processes from outside: child processes, signals and a blocking client.
+
+mod http;
+mod process;
+
+use std::time::{Duration, Instant};
+
+pub use http::{Answer, EventStream, HttpRequest};
+pub use process::Process;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Polls `condition` until it holds; false if it does not hold within `limit`.
+pub fn wait_until(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let deadline = Instant::now() + limit;
+    loop {
+        if condition() {
+            return true;
+        }
+        if Instant::now() >= deadline {
+            return false;
+        }
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/harness/process.rs
@@ -0,0 +1,161 @@
+//! Child processes of a test.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::{HttpRequest, wait_until};
+
+/// Longest time until a process listens; long enough for a machine under load.
+const START_TIME: Duration = Duration::from_secs(20);
+const READY_PREFIX: &str = "listening on ";
+
+/// A child process that serves HTTP. It is killed when this is dropped.
+pub struct Process {
+    name: String,
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Process {
+    /// Starts a binary of the workspace and waits until it prints `listening on ADDRESS`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the binary has not been built, or ends or stays silent before it listens.
+    pub fn start(name: &str, arguments: &[&str]) -> Self {
+        let path = binary_path(name);
+        let mut child = Command::new(&path)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| {
+                let path = path.display();
+                panic!("could not start `{path}` ({error}); run `cargo build --workspace --bins`")
+            });
+        let address = child.stdout.take().and_then(wait_for_address);
+        let Some(address) = address else {
+            let _ = child.kill();
+            let _ = child.wait();
+            panic!("`{name}` did not print the address that it listens on");
+        };
+        Self {
+            name: name.to_string(),
+            child,
+            address,
+        }
+    }
+
+    /// The address that the process listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Stops the process where it is (SIGSTOP).
+    pub fn pause(&self) {
+        self.signal("STOP");
+    }
+
+    /// Lets a paused process run on (SIGCONT).
+    pub fn resume(&self) {
+        self.signal("CONT");
+    }
+
+    /// Asks the process to shut down (SIGTERM).
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Kills the process (SIGKILL) and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the end of the process; `None` if it still runs after `limit`.
+    pub fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let mut status = None;
+        wait_until(limit, || {
+            status = self.child.try_wait().ok().flatten();
+            status.is_some()
+        });
+        status
+    }
+
+    /// Sets failures of a stand-in by `POST /control`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in does not accept them.
+    pub fn control(&self, body: &Value) {
+        let answer = HttpRequest::post("/control").json(body).send(self.address);
+        match answer {
+            Ok(answer) if answer.status == 200 => {}
+            Ok(answer) => panic!("`{}` refused {body}: {}", self.name, answer.text()),
+            Err(error) => panic!("`{}` did not answer POST /control: {error}", self.name),
+        }
+    }
+
+    /// Reads the counters of a stand-in by `GET /stats`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in does not answer.
+    pub fn stats(&self) -> Value {
+        match HttpRequest::get("/stats").send(self.address) {
+            Ok(answer) => answer.json(),
+            Err(error) => panic!("`{}` did not answer GET /stats: {error}", self.name),
+        }
+    }
+
+    fn signal(&self, signal: &str) {
+        let status = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(self.id().to_string())
+            .status();
+        let sent = status.is_ok_and(|status| status.success());
+        assert!(sent, "could not send SIG{signal} to `{}`", self.name);
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Finds a binary next to the folder of the running test, `target/PROFILE/deps`.
+fn binary_path(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("the path of the running test is known");
+    let folder = test.parent().expect("an executable lies in a folder");
+    let profile = match folder.file_name() {
+        Some(last) if last == "deps" => folder.parent().expect("`deps` lies in a folder"),
+        _ => folder,
+    };
+    profile.join(name)
+}
+
+/// Reads lines until the address comes; later output is discarded, so that the pipe never fills.
+fn wait_for_address(stdout: impl Read + Send + 'static) -> Option<SocketAddr> {
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+            if let Some(address) = line.strip_prefix(READY_PREFIX) {
+                let _ = sender.send(address.trim().parse().ok());
+            }
+        }
+    });
+    receiver.recv_timeout(START_TIME).ok().flatten()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,12 +7,13 @@
 //! - [`tool`] and [`service`]: a tool service and a plain service (section 5.3).
 //!
 //! All of them take failure injection by `POST /control` and report counters by `GET /stats`. Tests
-//! start them as child processes. They are for tests and the local site only.
+//! start them with [`harness`]. They are for tests and the local site only.
 
 pub mod answer;
 pub mod arguments;
 pub mod engine;
 pub mod fault;
+pub mod harness;
 pub mod platform;
 pub mod server;
 pub mod service;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -122,7 +122,7 @@
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/control") => match answer::decode(request.body()) {
                 Ok(control) => state.control(control),
-                Err(refusal) => refusal,
+                Err(invalid) => invalid.response(),
             },
             (&Method::GET, "/stats") => state.stats(),
             // A task of its own: the call takes effect when the caller is gone.
@@ -173,12 +173,12 @@
             (&Method::POST, "/table/scan") => answer::decode(body).map(|body| self.scan(body)),
             (&Method::POST, "/table/commit") => match answer::decode(body) {
                 Ok(body) => Ok(self.commit(body).await),
-                Err(refusal) => Err(refusal),
+                Err(invalid) => Err(invalid),
             },
             (&Method::GET, "/vms") => Ok(answer::ok(&json!({"vms": self.vms.borrow_mut().list()}))),
             _ => Ok(self.route_by_prefix(request)),
         };
-        answer.unwrap_or_else(|refusal| refusal)
+        answer.unwrap_or_else(|invalid| invalid.response())
     }
 
     fn route_by_prefix(&self, request: &Request<Bytes>) -> Response<Body> {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -66,7 +66,7 @@
                     state.faults.apply(control);
                     answer::ok(&json!({}))
                 }
-                Err(refusal) => refusal,
+                Err(invalid) => invalid.response(),
             },
             (&Method::GET, "/stats") => answer::ok(&*state.stats.borrow()),
             // A task of its own: the execution goes on when the caller is gone.
--- a/crates/standin/src/tool.rs
+++ b/crates/standin/src/tool.rs
@@ -112,7 +112,7 @@
                     state.faults.apply(control);
                     answer::ok(&json!({}))
                 }
-                Err(refusal) => refusal,
+                Err(invalid) => invalid.response(),
             },
             (&Method::GET, "/stats") => answer::ok(&*state.stats.borrow()),
             (&Method::POST, ACTIONS_PATH) => {
@@ -136,7 +136,7 @@
     };
     let action: ActionRequest = match answer::decode(request.body()) {
         Ok(action) => action,
-        Err(refusal) => return refusal,
+        Err(invalid) => return invalid.response(),
     };
     let fault = state.faults.take();
     match fault {
