--- a/src/version/check.rs
+++ b/src/version/check.rs
@@ -10,6 +10,7 @@
 
 use indexmap::IndexMap;
 use serde::Serialize;
+use serde_json::Value;
 
 use crate::version::config::{
     BackendServer, Config, Limits, Model, Operator, PlacementKind, Policy, Priority, Program,
@@ -100,7 +101,7 @@
 /// Longest time that a configuration may set. It keeps deadlines far from the end of the clock.
 const MAX_TIME_MS: u64 = 30 * 24 * 3_600 * 1_000;
 
-/// The names that a document defines, faulty items included, so that one faulty item is not
+/// The names that a document defines, faulty items and sections included, so that one fault is not
 /// reported again by everything that refers to it.
 struct Names<'a> {
     merged: &'a Merged,
@@ -112,8 +113,11 @@
     }
 
     fn has(&self, section: &str, name: &str) -> bool {
-        let section = self.merged.document.get(section);
-        section.is_some_and(|section| section.get(name).is_some())
+        match self.merged.document.get(section) {
+            None => false,
+            Some(Value::Object(section)) => section.contains_key(name),
+            Some(_) => true,
+        }
     }
 }
 
--- a/src/version/store.rs
+++ b/src/version/store.rs
@@ -188,7 +188,7 @@
     if current != expected_version {
         return refused(platform, merged).await;
     }
-    let before = load(platform, current).await?;
+    let before = load_or_empty(platform, current).await?;
     let version = current + 1;
     let audit = AuditRow {
         version,
@@ -233,16 +233,24 @@
         Write::put(CONFIG_HEAD_KEY, &head)?,
         Write::put(audit_key.as_str(), audit)?,
     ];
+    let mut may_arrive = false;
     for _ in 0..COMMIT_ATTEMPTS {
+        let mut conflict = false;
         match platform.commit(&checks, &writes).await {
             Ok(CommitOutcome::Committed(_)) => return Ok(true),
-            Ok(CommitOutcome::Conflict(_)) => {}
+            Ok(CommitOutcome::Conflict(_)) => conflict = true,
+            Err(PlatformError::Client(error)) if error.is_not_sent() && !may_arrive => {
+                return Err(PlatformError::Client(error).into());
+            }
             Ok(CommitOutcome::Unknown(error)) | Err(error) => {
+                may_arrive = true;
                 log::warn!("commit of version {}: {error}", audit.version);
             }
         }
         match audit_row(platform, audit.version).await {
             Ok(Some(accepted)) => return Ok(accepted.object_key == audit.object_key),
+            // The head row has changed, so no earlier attempt can take effect any more.
+            Ok(None) if conflict => return Ok(false),
             Ok(None) => {}
             Err(error) => log::warn!("read of version {}: {error}", audit.version),
         }
@@ -253,7 +261,7 @@
 
 async fn refused(platform: &PlatformClient, merged: &Merged) -> Result<ApplyOutcome> {
     let current = head(platform).await?.map_or(0, |head| head.version);
-    let in_force = load(platform, current).await?;
+    let in_force = load_or_empty(platform, current).await?;
     let difference = diff(&in_force.document, &merged.document);
     Ok(ApplyOutcome::Refused {
         current,
@@ -261,6 +269,18 @@
     })
 }
 
+/// Reads an accepted document to compare with. A document that is lost or damaged counts as empty,
+/// because otherwise no corrected version could be applied.
+async fn load_or_empty(platform: &PlatformClient, version: VersionNumber) -> Result<Merged> {
+    match load(platform, version).await {
+        Err(error @ (StoreError::MissingObject(_) | StoreError::Decode(..))) => {
+            log::warn!("version {version} counts as empty: {error}");
+            Ok(Merged::default())
+        }
+        loaded => loaded,
+    }
+}
+
 async fn audit_row(platform: &PlatformClient, version: VersionNumber) -> Result<Option<AuditRow>> {
     let row = platform.read_one(&audit_key(version)).await?;
     match row.version {
