--- /dev/null
+++ b/tests/peers.rs
@@ -0,0 +1,317 @@
+//! Requests between entries.
+
+mod support;
+
+use std::cell::RefCell;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_channel::oneshot;
+use sapphireford::connection::body::{Body, BodySender};
+use sapphireford::connection::peer::messages::{
+    ForwardHead, ForwardRequest, PeerRequest, PeerResponse,
+};
+use sapphireford::connection::peer::{
+    ForwardBody, PeerEndpoint, PeerError, PeerHandler, Peers, serve,
+};
+use sapphireford::ids::EntryId;
+use support::{Site, run};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Answers `ConfigVersion`, and answers a forwarded request with a body that the test produces.
+#[derive(Default)]
+struct Holder {
+    calls: RefCell<Vec<(EntryId, PeerRequest)>>,
+    forwards: RefCell<Vec<(EntryId, ForwardRequest)>>,
+    body: RefCell<Option<Body>>,
+    /// While set, a call waits for it.
+    gate: RefCell<Option<oneshot::Receiver<()>>>,
+}
+
+impl PeerHandler for Holder {
+    async fn call(&self, from: EntryId, request: PeerRequest) -> PeerResponse {
+        self.calls.borrow_mut().push((from, request));
+        let gate = self.gate.take();
+        if let Some(gate) = gate {
+            let _ = gate.await;
+        }
+        PeerResponse::ConfigVersion(7)
+    }
+
+    async fn forward(&self, from: EntryId, request: ForwardRequest) -> (ForwardHead, Body) {
+        self.forwards.borrow_mut().push((from, request));
+        let headers = vec![("content-type".to_string(), "text/event-stream".into())];
+        let head = ForwardHead {
+            status: 200,
+            headers,
+        };
+        (head, self.body.take().unwrap_or_else(|| Body::full("")))
+    }
+}
+
+impl Holder {
+    fn streaming() -> (Rc<Self>, BodySender) {
+        let (sender, body) = Body::stream();
+        let holder = Holder::default();
+        *holder.body.borrow_mut() = Some(body);
+        (Rc::new(holder), sender)
+    }
+}
+
+fn request(body: Bytes) -> ForwardRequest {
+    ForwardRequest {
+        method: "POST".to_string(),
+        path: "/v1/conversations/c/runs".to_string(),
+        team_id: "team".into(),
+        headers: vec![("content-type".to_string(), "application/json".into())],
+        body,
+    }
+}
+
+async fn call(peers: &Peers, address: SocketAddr, id: &str) -> Result<PeerResponse, PeerError> {
+    let request = PeerRequest::ConfigVersion(6);
+    peers.call(address, &id.into(), request, LIMIT).await
+}
+
+async fn forward(
+    peers: &Peers,
+    holder: &PeerEndpoint,
+    request: ForwardRequest,
+) -> (ForwardHead, ForwardBody) {
+    let id = "entry-2".into();
+    peers.forward(address(holder), &id, request).await.unwrap()
+}
+
+fn client(site: &Site, timer: &sapphireford::process::timer::TimerService) -> Peers {
+    Peers::new(site.open("entry-1", timer))
+}
+
+fn address(endpoint: &PeerEndpoint) -> SocketAddr {
+    endpoint.address().unwrap()
+}
+
+/// Guards against chunks that are held back until the answer is complete, against a request that
+/// arrives changed, and against a wrong sender.
+#[test]
+fn forwarded_answer_streams_chunk_by_chunk() {
+    run(async |timer| {
+        let site = Site::new();
+        let (endpoint, peers) = (site.open("entry-2", &timer), client(&site, &timer));
+        let (holder, mut sender) = Holder::streaming();
+        let _server = serve(&endpoint, holder.clone());
+        let sent = request(Bytes::from(vec![b'x'; 4 << 20]));
+        let (head, mut body) = forward(&peers, &endpoint, sent.clone()).await;
+        assert_eq!((head.status, head.headers.len()), (200, 1));
+        assert_eq!(*holder.forwards.borrow(), [("entry-1".into(), sent)]);
+        for chunk in ["one", "two", "three"] {
+            sender.send(chunk.into()).await.unwrap();
+            let received = timer.timeout(LIMIT, body.next()).await.unwrap();
+            assert_eq!(received.unwrap().unwrap(), chunk);
+        }
+        drop(sender);
+        assert!(body.next().await.is_none());
+    });
+}
+
+/// Guards against a holder that keeps an engine busy for a caller that is gone.
+#[test]
+fn dropped_body_is_seen_by_the_holder() {
+    run(async |timer| {
+        let site = Site::new();
+        let (endpoint, peers) = (site.open("entry-2", &timer), client(&site, &timer));
+        let (holder, mut sender) = Holder::streaming();
+        let _server = serve(&endpoint, holder);
+        let (_, body) = forward(&peers, &endpoint, request(Bytes::new())).await;
+        let early = timer.timeout(Duration::from_millis(100), sender.closed());
+        assert!(early.await.is_err(), "closed while the body was read");
+        drop(body);
+        timer.timeout(LIMIT, sender.closed()).await.unwrap();
+    });
+}
+
+/// Guards against an answer that is cut off by a failure of the holder and looks complete.
+#[test]
+fn aborted_body_is_interrupted() {
+    run(async |timer| {
+        let site = Site::new();
+        let (endpoint, peers) = (site.open("entry-2", &timer), client(&site, &timer));
+        let (holder, mut sender) = Holder::streaming();
+        let _server = serve(&endpoint, holder);
+        let (_, mut body) = forward(&peers, &endpoint, request(Bytes::new())).await;
+        sender.send("part".into()).await.unwrap();
+        assert_eq!(body.next().await.unwrap().unwrap(), "part");
+        sender.abort().await;
+        let end = timer.timeout(LIMIT, body.next()).await.unwrap();
+        assert!(matches!(end, Some(Err(PeerError::Interrupted(_)))));
+    });
+}
+
+/// Guards against entries of another site, and against an entry that poses as another one: neither
+/// side may accept them, and the request must be known not to have run.
+#[test]
+fn wrong_authority_and_wrong_name_are_refused() {
+    run(async |timer| {
+        let (site, other_site) = (Site::new(), Site::new());
+        let (endpoint, peers) = (site.open("entry-2", &timer), client(&site, &timer));
+        let stranger = other_site.open("entry-2", &timer);
+        let (holder, strangers_holder) = (Rc::new(Holder::default()), Rc::new(Holder::default()));
+        let _server = serve(&endpoint, holder.clone());
+        let _strangers_server = serve(&stranger, strangers_holder.clone());
+        let results = [
+            call(&Peers::new(stranger.clone()), address(&endpoint), "entry-2").await,
+            call(&peers, address(&stranger), "entry-2").await,
+            call(&peers, address(&endpoint), "entry-3").await,
+        ];
+        for result in results {
+            assert!(
+                result.as_ref().is_err_and(PeerError::is_not_sent),
+                "{result:?}"
+            );
+        }
+        assert!(holder.calls.borrow().is_empty() && strangers_holder.calls.borrow().is_empty());
+        site.sign("entry-4", &["entry-4", "entry-5"]);
+        assert!(site.identity("entry-4").is_err(), "speaks for two entries");
+    });
+}
+
+/// Guards against a server that accepts a client whose certificate comes from another authority,
+/// where the client itself trusts the server.
+#[test]
+fn client_with_a_wrong_authority_is_refused_by_the_server() {
+    run(async |timer| {
+        let (site, other_site) = (Site::new(), Site::new());
+        let endpoint = site.open("entry-2", &timer);
+        let holder = Rc::new(Holder::default());
+        let _server = serve(&endpoint, holder.clone());
+        other_site.trust(&site);
+        let peers = client(&other_site, &timer);
+        let result = call(&peers, address(&endpoint), "entry-2").await;
+        assert!(
+            result.as_ref().is_err_and(PeerError::is_not_sent),
+            "{result:?}"
+        );
+        assert!(holder.calls.borrow().is_empty());
+    });
+}
+
+/// Passes packets between one client and one of two servers, so that a server can vanish without a
+/// word while another process takes over its address.
+struct Relay {
+    address: SocketAddr,
+    uses_second: Arc<AtomicBool>,
+}
+
+impl Relay {
+    fn start(servers: [SocketAddr; 2]) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let address = socket.local_addr().unwrap();
+        let uses_second = Arc::new(AtomicBool::new(false));
+        let second = uses_second.clone();
+        std::thread::spawn(move || {
+            let (mut buffer, mut client) = ([0; 2048], address);
+            while let Ok((length, from)) = socket.recv_from(&mut buffer) {
+                let server = servers[usize::from(second.load(Ordering::Relaxed))];
+                if !servers.contains(&from) {
+                    client = from;
+                    let _ = socket.send_to(&buffer[..length], server);
+                } else if from == server {
+                    let _ = socket.send_to(&buffer[..length], client);
+                }
+            }
+        });
+        Self {
+            address,
+            uses_second,
+        }
+    }
+}
+
+/// Guards against a client that keeps using the connection to the former process of a peer, which
+/// has ended without a word, until the connection times out after 6 s.
+#[test]
+fn client_reconnects_after_the_peer_restarts() {
+    run(async |timer| {
+        let site = Site::new();
+        let peers = client(&site, &timer);
+        let former = site.open("entry-2", &timer);
+        let restarted = site.reopen("entry-2", &timer);
+        let _servers = [&former, &restarted].map(|e| serve(e, Rc::new(Holder::default())));
+        let relay = Relay::start([address(&former), address(&restarted)]);
+        call(&peers, relay.address, "entry-2").await.unwrap();
+        relay.uses_second.store(true, Ordering::Relaxed);
+        let deadline = Instant::now() + LIMIT;
+        let lost = call(&peers, relay.address, "entry-2").await;
+        assert!(matches!(lost, Err(PeerError::Interrupted(_))), "{lost:?}");
+        while let Err(error) = call(&peers, relay.address, "entry-2").await {
+            assert!(Instant::now() < deadline, "still {error}");
+            timer.sleep(Duration::from_millis(20)).await;
+        }
+        assert!(Instant::now() < deadline);
+    });
+}
+
+/// Guards against a shutdown that interrupts a request in progress, and against a request that is
+/// refused during the shutdown and counted as possibly run.
+#[test]
+fn stop_finishes_requests_and_refuses_new_ones() {
+    run(async |timer| {
+        let site = Site::new();
+        let (endpoint, peers) = (site.open("entry-2", &timer), client(&site, &timer));
+        let at = address(&endpoint);
+        let holder = Rc::new(Holder::default());
+        let server = Rc::new(serve(&endpoint, holder.clone()));
+        let (open, gate) = oneshot::channel();
+        *holder.gate.borrow_mut() = Some(gate);
+        let in_progress = monoio::spawn({
+            let peers = peers.clone();
+            async move { call(&peers, at, "entry-2").await }
+        });
+        while holder.calls.borrow().is_empty() {
+            timer.sleep(Duration::from_millis(1)).await;
+        }
+        let stop = monoio::spawn({
+            let server = server.clone();
+            async move { server.stop(LIMIT).await }
+        });
+        timer.sleep(Duration::from_millis(20)).await;
+        let refused = call(&peers, at, "entry-2").await;
+        assert!(
+            refused.as_ref().is_err_and(PeerError::is_not_sent),
+            "{refused:?}"
+        );
+        open.send(()).unwrap();
+        assert_eq!(in_progress.await.unwrap(), PeerResponse::ConfigVersion(7));
+        assert!(stop.await, "the requests ended in time");
+        assert!(
+            call(&peers, at, "entry-2")
+                .await
+                .is_err_and(|error| error.is_not_sent())
+        );
+        assert_eq!(holder.calls.borrow().len(), 1);
+        endpoint.close(LIMIT).await;
+    });
+}
+
+/// Guards against an answer that comes too late and is reported as a request that was not sent.
+#[test]
+fn late_answer_is_interrupted() {
+    run(async |timer| {
+        let site = Site::new();
+        let (endpoint, peers) = (site.open("entry-2", &timer), client(&site, &timer));
+        let holder = Rc::new(Holder::default());
+        let _server = serve(&endpoint, holder.clone());
+        let (_open, gate) = oneshot::channel();
+        *holder.gate.borrow_mut() = Some(gate);
+        let limit = Duration::from_millis(200);
+        let request = PeerRequest::ConfigVersion(6);
+        let id = "entry-2".into();
+        let result = peers.call(address(&endpoint), &id, request, limit).await;
+        assert!(matches!(result, Err(PeerError::Interrupted(_))));
+        assert_eq!(holder.calls.borrow().len(), 1);
+    });
+}
