--- a/src/connection/peer/endpoint.rs
+++ b/src/connection/peer/endpoint.rs
@@ -130,11 +130,6 @@
         let _context = self.inner.runtime.enter();
         incoming.accept().map_err(|error| error.to_string())
     }
-
-    /// Refuses connections from now on.
-    pub(super) fn stop_accepting(&self) {
-        self.inner.endpoint.set_server_config(None);
-    }
 }
 
 fn start_thread(
--- a/src/connection/peer/server.rs
+++ b/src/connection/peer/server.rs
@@ -92,9 +92,7 @@
         self.shared.stopping.set(true);
         let drained = self.shared.wait(|shared| shared.streams.get() == 0);
         let in_time = self.endpoint.timer().timeout(limit, drained).await.is_ok();
-        self.endpoint.stop_accepting();
         self.shared.stopped.set(true);
-        self.shared.notify();
         // The end of a connection may overtake the reset of a request that did run.
         let last_reset = self.shared.last_reset.get();
         let reset_is_known = last_reset.is_none_or(|at| at.elapsed() > CONFIRM_TIME);
@@ -132,13 +130,8 @@
 }
 
 async fn accept_task<H: PeerHandler>(server: Rc<Serving<H>>) {
-    let mut stopped = pin!(server.shared.wait(|shared| shared.stopped.get()));
-    loop {
-        let accept = pin!(server.endpoint.accept());
-        let incoming = match select(accept, stopped.as_mut()).await {
-            Either::Left((Some(incoming), _)) => incoming,
-            Either::Left((None, _)) | Either::Right(_) => return,
-        };
+    // It goes on after a stop, until the endpoint closes: a refusal spares clients their time limit.
+    while let Some(incoming) = server.endpoint.accept().await {
         let shared = &server.shared;
         if shared.stopping.get() || shared.handshakes.get() >= HANDSHAKES_AT_ONCE {
             incoming.refuse();
