--- a/src/caller.rs
+++ b/src/caller.rs
@@ -139,9 +139,9 @@
         body: TurnBody,
     ) -> Result<TurnStream> {
         Turn::try_from(body.clone())?;
+        let attempts = self.attempts(conversation, Repeat::Safe)?;
         let path = paths::run(conversation, run_id, "turns");
         let request = self.request(Method::POST, &path, encode(&body)?)?;
-        let attempts = self.attempts(conversation, Repeat::Safe)?;
         TurnStream::open(attempts, request).await
     }
 
@@ -211,21 +211,22 @@
         path: &str,
         body: &B,
     ) -> Result<T> {
+        let attempts = self.attempts(conversation, Repeat::Safe)?;
         let request = self.request(Method::POST, path, encode(body)?)?;
-        self.fetch_json(conversation, request).await
+        self.fetch_json(attempts, request).await
     }
 
     async fn get<T: DeserializeOwned>(&self, conversation: &str, path: &str) -> Result<T> {
+        let attempts = self.attempts(conversation, Repeat::Safe)?;
         let request = self.request(Method::GET, path, Bytes::new())?;
-        self.fetch_json(conversation, request).await
+        self.fetch_json(attempts, request).await
     }
 
     async fn fetch_json<T: DeserializeOwned>(
         &self,
-        conversation: &str,
+        mut attempts: Attempts,
         request: Request<Bytes>,
     ) -> Result<T> {
-        let mut attempts = self.attempts(conversation, Repeat::Safe)?;
         loop {
             let address = attempts.next_address().await?;
             let fetch = self.http.fetch(
