--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod connection;
 pub mod error;
 pub mod ids;
+pub mod load;
 pub mod process;
 pub mod request;
 pub mod version;
--- /dev/null
+++ b/src/load/runner.rs
@@ -0,0 +1,221 @@
+//! Runs the programs of a plan over a route.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+
+use crate::ids::RequestId;
+use crate::load::checks::Checks;
+use crate::load::measures::Measures;
+use crate::load::route::{Piece, Result, Route, ToolOutcome, TurnOutcome};
+use crate::load::workload::{Class, PlannedProgram, PlannedStep, Workload};
+use crate::process::timer::TimerService;
+
+/// What all programs of one route share.
+pub struct Runner<R> {
+    route: R,
+    workload: Rc<Workload>,
+    /// Starts the name of each conversation; differs between runs and routes.
+    prefix: String,
+    timer: TimerService,
+    in_flight: Cell<usize>,
+    measures: RefCell<Measures>,
+    checks: Rc<RefCell<Checks>>,
+}
+
+impl<R: Route> Runner<R> {
+    /// Makes a runner for one route.
+    pub fn new(
+        route: R,
+        workload: Rc<Workload>,
+        prefix: String,
+        timer: TimerService,
+        checks: Rc<RefCell<Checks>>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            route,
+            workload,
+            prefix,
+            timer,
+            in_flight: Cell::new(0),
+            measures: RefCell::default(),
+            checks,
+        })
+    }
+
+    /// Sends each program at its planned time after `start`, then waits for those in flight until
+    /// `drain` has passed. Returns the number of programs that were still in flight then.
+    pub async fn run(
+        self: &Rc<Self>,
+        plan: &Rc<Vec<PlannedProgram>>,
+        start: Instant,
+        drain: Duration,
+    ) -> usize {
+        let mut tasks = Vec::new();
+        for index in 0..plan.len() {
+            let arrival = start + plan[index].at;
+            self.timer.sleep_until(arrival).await;
+            if self.in_flight.get() >= self.workload.max_in_flight {
+                self.measures.borrow_mut().not_sent += 1;
+                continue;
+            }
+            self.in_flight.set(self.in_flight.get() + 1);
+            self.measures.borrow_mut().sent += 1;
+            let runner = self.clone();
+            let plan = plan.clone();
+            tasks.push(monoio::spawn(async move {
+                runner.program(&plan[index], index, arrival).await;
+                runner.in_flight.set(runner.in_flight.get() - 1);
+            }));
+        }
+        let deadline = start + self.workload.duration + drain;
+        let _ = self.timer.timeout_at(deadline, join_all(tasks)).await;
+        self.in_flight.get()
+    }
+
+    /// Reads the measures.
+    pub fn with_measures<T>(&self, read: impl FnOnce(&Measures) -> T) -> T {
+        read(&self.measures.borrow())
+    }
+
+    async fn program(&self, program: &PlannedProgram, index: usize, arrival: Instant) {
+        let class = &self.workload.classes[program.class];
+        let groups = [
+            String::from("all"),
+            format!("priority {}", class.priority),
+            format!("program {}", class.program),
+        ];
+        let conversation = format!("{}-{index}", self.prefix);
+        let mut session = match self.route.start(class, &conversation).await {
+            Ok(session) => session,
+            Err(failure) => {
+                let mut measures = self.measures.borrow_mut();
+                measures.count_failure(&failure);
+                measures.update(&groups, |group| group.failed += 1);
+                return;
+            }
+        };
+        let mut run = ProgramRun {
+            runner: self,
+            class,
+            conversation: &conversation,
+            groups: &groups,
+            known_tokens: 0,
+            pauses: Duration::ZERO,
+        };
+        let result = run.steps(&mut session, &program.steps).await;
+        let finished = result.is_ok();
+        if let Err(failure) = &result {
+            self.measures.borrow_mut().count_failure(failure);
+        }
+        let pauses = run.pauses;
+        let ended = self.route.end(session, "end".into(), finished).await;
+        let latency = arrival.elapsed();
+        let mut measures = self.measures.borrow_mut();
+        if let Err(failure) = &ended {
+            measures.count_failure(failure);
+        }
+        measures.update(&groups, |group| {
+            if finished && ended.is_ok() {
+                group.finished += 1;
+                group.program.record(latency);
+                let without_pauses = latency.saturating_sub(pauses);
+                group.program_without_pauses.record(without_pauses);
+            } else {
+                group.failed += 1;
+            }
+        });
+    }
+}
+
+struct ProgramRun<'a, R> {
+    runner: &'a Runner<R>,
+    class: &'a Class,
+    conversation: &'a str,
+    groups: &'a [String],
+    /// Tokens of the history after the last turn.
+    known_tokens: u64,
+    pauses: Duration,
+}
+
+impl<R: Route> ProgramRun<'_, R> {
+    async fn steps(&mut self, session: &mut R::Session, steps: &[PlannedStep]) -> Result<()> {
+        for (number, step) in steps.iter().enumerate() {
+            let request_id: RequestId = format!("step-{number}").into();
+            match step {
+                PlannedStep::Pause(pause) => {
+                    self.runner.timer.sleep(*pause).await;
+                    self.pauses += *pause;
+                }
+                PlannedStep::Turn {
+                    input,
+                    max_output_tokens,
+                } => {
+                    self.turn(session, request_id, input, *max_output_tokens)
+                        .await?
+                }
+                PlannedStep::Tool => self.tool(session, request_id).await?,
+            }
+        }
+        Ok(())
+    }
+
+    async fn turn(
+        &mut self,
+        session: &mut R::Session,
+        request_id: RequestId,
+        input: &str,
+        max_output_tokens: u32,
+    ) -> Result<()> {
+        let sent = Instant::now();
+        let mut last: Option<Instant> = None;
+        let measures = &self.runner.measures;
+        let groups = self.groups;
+        let observe = |piece| {
+            if piece == Piece::Restarted {
+                measures.borrow_mut().restarts += 1;
+                return;
+            }
+            let now = Instant::now();
+            measures.borrow_mut().update(groups, |group| match last {
+                None => group.first_token.record(now - sent),
+                Some(last) => group.token_gap.record(now - last),
+            });
+            last = Some(now);
+        };
+        let turn = self
+            .runner
+            .route
+            .turn(session, request_id, input, max_output_tokens, observe);
+        let outcome: TurnOutcome = turn.await?;
+        let mut measures = measures.borrow_mut();
+        measures.update(groups, |group| group.turn.record(sent.elapsed()));
+        measures.count_tokens(&outcome, self.known_tokens);
+        self.known_tokens = outcome.prompt_tokens + outcome.output_tokens;
+        let mut checks = self.runner.checks.borrow_mut();
+        checks.spending(self.conversation, outcome.spending);
+        Ok(())
+    }
+
+    async fn tool(&mut self, session: &mut R::Session, request_id: RequestId) -> Result<()> {
+        let Some(tool) = &self.class.tool else {
+            return Ok(());
+        };
+        let checks = &self.runner.checks;
+        checks.borrow_mut().tool_request();
+        let sent = Instant::now();
+        let outcome: Option<ToolOutcome> =
+            self.runner.route.tool(session, request_id, tool).await?;
+        let Some(outcome) = outcome else {
+            return Ok(());
+        };
+        let mut measures = self.runner.measures.borrow_mut();
+        measures.update(self.groups, |group| group.tool.record(sent.elapsed()));
+        let mut checks = checks.borrow_mut();
+        checks.spending(self.conversation, outcome.spending);
+        checks.action(outcome.action_id);
+        Ok(())
+    }
+}
