--- a/src/process.rs
+++ b/src/process.rs
@@ -1,15 +1,20 @@
 //! What lives as long as the process.
 
+pub mod audit;
+pub mod breaker;
 pub mod config_watch;
 pub mod conversation;
-pub mod audit;
 pub mod entry;
-pub mod shutdown;
 pub mod journal;
+pub mod logging;
 pub mod membership;
+pub mod metrics;
 pub mod notify;
 pub mod recovery;
+pub mod retry_budget;
+pub mod routing;
 pub mod rows;
 pub mod settings;
+pub mod shutdown;
 pub mod slots;
 pub mod timer;
--- a/src/process/conversation.rs
+++ b/src/process/conversation.rs
@@ -51,6 +51,8 @@
 /// One message of a history.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
+    /// The run during which it joined the history.
+    pub run_id: RunId,
     /// Who wrote it.
     pub role: Role,
     /// Its text.
--- a/src/process/conversation/fold.rs
+++ b/src/process/conversation/fold.rs
@@ -156,6 +156,7 @@
             && !system_prompt.is_empty()
         {
             thread.messages.push(Message {
+                run_id: *run_id,
                 role: Role::System,
                 text: system_prompt.clone(),
             });
@@ -210,10 +211,12 @@
             return;
         };
         thread.messages.push(Message {
+            run_id,
             role: Role::User,
             text: input.clone(),
         });
         thread.messages.push(Message {
+            run_id,
             role: Role::Assistant,
             text: result.output.clone(),
         });
@@ -275,6 +278,7 @@
     fn extend_with_tool_result(&mut self, run_id: RunId, result: &Rc<str>) {
         if let Some(thread) = self.thread_of_mut(run_id) {
             thread.messages.push(Message {
+                run_id,
                 role: Role::Tool,
                 text: result.clone(),
             });
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -17,7 +17,8 @@
 use crate::process::journal::Journal;
 use crate::process::membership::Membership;
 use crate::process::retry_budget::RetryBudget;
-use crate::process::routing::{ConfiguredPlacement, Router, RouterOptions};
+use crate::process::routing::placement::ConfiguredPlacement;
+use crate::process::routing::{Router, RouterOptions};
 use crate::process::rows::EntryState;
 use crate::process::settings::Settings;
 use crate::process::slots::Slots;
@@ -183,7 +184,7 @@
         );
         let config = ConfigWatch::start(platform.clone(), timer.clone(), settings.config_interval);
         let options = RouterOptions::default();
-        let router = Router::new(timer.clone(), options, ConfiguredPlacement::default());
+        let router = Router::new(timer.clone(), options, ConfiguredPlacement::new(rand::random()));
         Self {
             engines: EngineClient::new(http.clone(), CONTROL_TIME),
             tools: ToolClient::new(http.clone(), CONTROL_TIME),
--- a/src/request/conversation_request.rs
+++ b/src/request/conversation_request.rs
@@ -31,6 +31,8 @@
     End(RunId, End),
     /// End a run and break off its calls in progress.
     Cancel(RunId, End),
+    /// End all runs and break off their calls in progress.
+    CancelAll(End),
 }
 
 /// A request about a conversation.
@@ -62,11 +64,12 @@
         let operation = match (&head.method, &parts[1..]) {
             (&Method::GET, []) => Operation::State,
             (&Method::GET, ["history"]) => Operation::History,
+            (&Method::POST, ["cancel"]) => Operation::CancelAll(decode::<EndBody, _>(&body)?),
             (&Method::POST, ["runs"]) => Operation::StartRun(decode::<StartRunBody, _>(&body)?),
             (&Method::POST, ["runs", run_id, verb]) => {
                 parse_run_operation(parse_run_id(run_id)?, verb, &body)?.ok_or_else(unknown)?
             }
-            (_, [] | ["history"] | ["runs"] | ["runs", _, _]) => {
+            (_, [] | ["history"] | ["cancel"] | ["runs"] | ["runs", _, _]) => {
                 let message = format!("{} is not offered on `{path}`", head.method);
                 return Err(Error::new(ErrorKind::MethodNotAllowed, message));
             }
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -66,6 +66,7 @@
     ) -> Result<Response<Body>> {
         let limit = config.limits.requests_per_entry;
         let _in_progress = InProgress::enter(&self.entry, limit)?;
+        self.entry.retry_budget.record_request(config.limits.retry_percent);
         let path = request.uri().path();
         if path == "/v1/entries" {
             return Ok(self.entries(&team_id, request.uri().query().unwrap_or("")));
@@ -194,7 +195,6 @@
             return Err(Error::new(ErrorKind::Overloaded, message));
         }
         entry.requests.set(entry.requests.get() + 1);
-        entry.retry_budget.request();
         Ok(Self { entry })
     }
 }
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -106,6 +106,7 @@
         Operation::SubAgent(run_id, body) => run::start_sub_agent(context, run_id, body).await,
         Operation::End(run_id, body) => run::end(context, run_id, body).await,
         Operation::Cancel(run_id, body) => run::cancel(context, run_id, body).await,
+        Operation::CancelAll(body) => run::cancel_all(context, body).await,
         Operation::Turn(run_id, body) => turn::respond(context, run_id, body).await,
         Operation::ToolCall(run_id, body) => tool_call::respond(context, run_id, body).await,
     }
--- a/src/request/operator.rs
+++ b/src/request/operator.rs
@@ -63,23 +63,19 @@
             let path = format!("/v1/conversations/{conversation}");
             on_conversation(entry, config, team_id, Method::GET, path, Bytes::new()).await
         }
-        (&Method::POST, ["programs", team_id, conversation, run_id, "cancel"]) => {
-            audit::operator_action(operator, "cancel", &format!("{team_id}/{conversation}/{run_id}"));
-            let path = format!("/v1/conversations/{conversation}/runs/{run_id}/cancel");
-            let body = cancel_body(run_id, request.into_body());
-            on_conversation(entry, config, team_id, Method::POST, path, body).await
+        (&Method::POST, ["programs", team_id, conversation, "cancel"]) => {
+            audit::operator_action(operator, "cancel", &format!("{team_id}/{conversation}"));
+            let path = format!("/v1/conversations/{conversation}/cancel");
+            on_conversation(entry, config, team_id, Method::POST, path, cancel_body(entry)).await
         }
         _ => Err(Error::new(ErrorKind::NotFound, format!("there is no path `{rest}`"))),
     }
 }
 
-/// An operator may leave the request id out; then repeating the request is the same request.
-fn cancel_body(run_id: &str, body: Bytes) -> Bytes {
-    if !body.is_empty() {
-        return body;
-    }
-    let body = EndBody { request_id: format!("operator-cancel-{run_id}").into() };
-    serde_json::to_vec(&body).unwrap_or_default().into()
+/// Each cancellation is a request of its own; ending a run that has ended changes nothing.
+fn cancel_body(entry: &Entry) -> Bytes {
+    let request_id = format!("operator-cancel-{}", entry.unix_ms()).into();
+    serde_json::to_vec(&EndBody { request_id }).unwrap_or_default().into()
 }
 
 async fn on_conversation(
--- a/src/request/run.rs
+++ b/src/request/run.rs
@@ -8,7 +8,7 @@
 use crate::connection::http_server::json_response;
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::{ProgramId, RequestId, RunId};
-use crate::process::conversation::{EndReason, Event, Progress, RunState};
+use crate::process::conversation::{EndReason, Event, Progress, Run, RunState};
 use crate::process::entry::background;
 use crate::request::api::{End, EndAnswer, RunAnswer, StartRun, SubAgent};
 use crate::request::call::CallContext;
@@ -77,6 +77,22 @@
     finish(&context, run_id, body.request_id, EndReason::Cancelled).await
 }
 
+/// Ends all runs of a conversation at once.
+pub async fn cancel_all(context: CallContext, body: End) -> Result<Response<Body>> {
+    for run_id in active_roots(&context) {
+        let request_id: RequestId = format!("{}.{run_id}", body.request_id).into();
+        finish(&context, run_id, request_id, EndReason::Cancelled).await?;
+    }
+    crate::request::read::state(&context)
+}
+
+fn active_roots(context: &CallContext) -> Vec<RunId> {
+    let state = context.open.cell().state.borrow();
+    let is_active_root = |run: &Run| run.parent_run_id.is_none() && run.state == RunState::Active;
+    let active = state.runs.iter().filter(|(_, run)| is_active_root(run));
+    active.map(|(run_id, _)| *run_id).collect()
+}
+
 /// Number of the lock under which runs are started; no thread has it.
 const RUNS_LOCK: RunId = RunId::MAX;
 
