--- /dev/null
+++ b/crates/standin/tests/platform_client.rs
@@ -0,0 +1,99 @@
+//! The library's platform client against the stand-in.
+
+use std::future::Future;
+use std::time::Duration;
+
+use bytes::Bytes;
+use monoio::{LegacyDriver, RuntimeBuilder};
+use sapphireford::connection::http_client::HttpClient;
+use sapphireford::connection::platform::{
+    Check, CommitOutcome, PlatformClient, PlatformError, VmState, Write,
+};
+use sapphireford::process::timer::TimerService;
+use sapphireford_standin::harness::{Process, wait_until};
+use serde_json::json;
+
+const CALL_TIME: Duration = Duration::from_millis(500);
+
+fn run<F: Future<Output = ()>>(platform: &Process, test: impl FnOnce(PlatformClient) -> F) {
+    let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_all().build();
+    let mut runtime = runtime.expect("a runtime");
+    runtime.block_on(async {
+        let http = HttpClient::new(TimerService::start());
+        test(PlatformClient::new(http, platform.address(), CALL_TIME)).await;
+    });
+}
+
+fn check(key: &str, version: u64) -> Check {
+    Check {
+        key: key.to_string(),
+        version,
+    }
+}
+
+fn write(key: &str, value: u64) -> Write {
+    Write::put(key, &value).expect("a number is JSON")
+}
+
+/// Guards against a difference between the protocol of the client and that of the stand-in.
+#[test]
+fn client_and_stand_in_speak_one_protocol() {
+    let platform = Process::start("standin-platform", &[]);
+    platform.control(&json!({"vms": [{"address": "127.0.0.1:9", "state": "leaving"}]}));
+    run(&platform, async |client| {
+        let outcome = client.commit(&[check("a", 0)], &[write("a", 1)]).await;
+        assert!(matches!(outcome, Ok(CommitOutcome::Committed(versions)) if versions == [1]));
+        let outcome = client.commit(&[check("a", 0)], &[write("a", 2)]).await;
+        assert!(matches!(outcome, Ok(CommitOutcome::Conflict(rows)) if rows[0].version == 1));
+        assert_eq!(client.read_one("b").await.expect("a row").version, 0);
+        assert_eq!(client.scan("").await.expect("rows").len(), 1);
+        let put = client.put_object("x/y", Bytes::from_static(b"0123456789"));
+        put.await.expect("a write");
+        let part = client.get_object("x/y", Some(2..5)).await;
+        assert_eq!(part.expect("a read"), Some(Bytes::from_static(b"234")));
+        client.delete_object("x/y").await.expect("a delete");
+        assert_eq!(client.get_object("x/y", None).await.expect("a read"), None);
+        assert_eq!(
+            client.vms().await.expect("a list")[0].state,
+            VmState::Leaving
+        );
+    });
+}
+
+/// Guards against a lost acknowledgement or an outage that the client takes for something else, on
+/// a new connection or on one that was kept.
+#[test]
+fn failures_reach_the_client_as_what_they_are() {
+    let platform = Process::start("standin-platform", &[]);
+    platform.control(&json!({"lose_acknowledgements": 2}));
+    run(&platform, async |client| {
+        let outcome = client.commit(&[], &[write("a", 1)]).await;
+        assert!(matches!(outcome, Ok(CommitOutcome::Unknown(_))));
+        assert_eq!(client.read_one("a").await.expect("a row").version, 1);
+        let outcome = client.commit(&[], &[write("a", 2)]).await;
+        assert!(matches!(outcome, Ok(CommitOutcome::Unknown(_))));
+        assert_eq!(client.read_one("a").await.expect("a row").version, 2);
+        platform.control(&json!({"outage": "hang"}));
+        let outcome = client.commit(&[], &[write("a", 3)]).await;
+        assert!(matches!(outcome, Ok(CommitOutcome::Unknown(_))));
+        platform.control(&json!({"outage": "refuse"}));
+        let refused = client.read_one("a").await;
+        assert!(matches!(refused, Err(PlatformError::Status(503, _))));
+        platform.control(&json!({"outage": "none"}));
+        assert_eq!(client.read_one("a").await.expect("a row").version, 2);
+    });
+}
+
+/// Guards against a slow commit that is withdrawn when its caller gives up: it must still land.
+#[test]
+fn slow_commit_lands_after_its_caller_gave_up() {
+    let platform = Process::start("standin-platform", &[]);
+    platform.control(&json!({"delay_ms": 1000}));
+    run(&platform, async |client| {
+        let outcome = client.commit(&[], &[write("a", 1)]).await;
+        assert!(matches!(outcome, Ok(CommitOutcome::Unknown(_))));
+    });
+    assert_eq!(platform.stats()["writes"], 0);
+    let landed = || platform.stats()["writes"] == 1;
+    assert!(wait_until(Duration::from_secs(10), landed));
+}
