--- a/src/bin/sapphireford-load/arguments.rs
+++ b/src/bin/sapphireford-load/arguments.rs
@@ -1,7 +1,6 @@
 //! The command line.
 
 use std::fmt;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::str::FromStr;
 use std::time::Duration;
@@ -9,6 +8,7 @@
 use getopts::{Matches, Options};
 use indexmap::IndexMap;
 use sapphireford::caller::Caller;
+use sapphireford::load::experiment::Experiment;
 use sapphireford::load::workload::{Workload, WorkloadError};
 
 /// The result of reading the command line.
@@ -81,26 +81,10 @@
 
 /// A valid command line.
 pub struct Arguments {
-    /// Entries to ask for addresses; empty for a direct run only.
-    pub entries: Vec<SocketAddr>,
-    /// The key of classes without a team, and of teams without a key of their own.
-    pub key: String,
-    /// Keys by team.
-    pub team_keys: IndexMap<String, String>,
-    /// Engines whose counters are read.
-    pub engines: Vec<SocketAddr>,
-    /// Tools whose counters are read.
-    pub tools: Vec<SocketAddr>,
-    /// The engine of the direct route.
-    pub direct: Option<SocketAddr>,
-    /// The workload.
-    pub workload: Rc<Workload>,
-    /// Time for programs in flight after the last arrival.
-    pub drain: Duration,
+    /// What to run.
+    pub experiment: Experiment,
     /// The file for the JSON report.
     pub report: Option<String>,
-    /// Starts the names of all conversations.
-    pub run_name: String,
 }
 
 impl Arguments {
@@ -128,7 +112,7 @@
             let text = "give the team's key with --key-file, --key or --team-keys";
             return Err(ArgumentError::Usage(text));
         }
-        Ok(Parsed::Run(Box::new(Self {
+        let experiment = Experiment {
             entries,
             key,
             team_keys: team_keys(&matches)?,
@@ -137,8 +121,11 @@
             direct,
             workload: Rc::new(workload(&matches)?),
             drain: drain.unwrap_or(DEFAULT_DRAIN),
-            report: matches.opt_str("report"),
             run_name: Caller::new_request_id()[..12].to_string(),
+        };
+        Ok(Parsed::Run(Box::new(Self {
+            experiment,
+            report: matches.opt_str("report"),
         })))
     }
 }
--- a/src/load.rs
+++ b/src/load.rs
@@ -10,6 +10,7 @@
 //! difference between the two is what an entry adds.
 
 pub mod checks;
+pub mod experiment;
 pub mod measures;
 pub mod report;
 pub mod route;
