--- a/src/caller/attempts.rs
+++ b/src/caller/attempts.rs
@@ -163,9 +163,8 @@
                 Ok(_) => CallError::NoEntry(String::from("the list of entries is empty")),
                 Err(error) => error,
             };
-            if matches!(&failure, CallError::Refused(_, detail) if detail.retry_after_ms.is_none())
-            {
-                return Err(failure);
+            if is_final(&failure) {
+                return Err(self.final_error(failure));
             }
             self.made += 1;
             if self.made >= self.caller.options.max_attempts {
@@ -234,7 +233,7 @@
         let may_have_run = failure.may_have_run();
         self.may_have_run |= may_have_run;
         if !failure.is_transient() || (may_have_run && self.repeat == Repeat::Unsafe) {
-            return Err(self.final_error(failure));
+            return Err(self.final_error(failure.into_error()));
         }
         if failure.is_about_the_address() {
             let mut cache = self.caller.addresses.borrow_mut();
@@ -267,8 +266,7 @@
 
     /// A refusal of a repeated request says nothing about the attempts before it, so `ran: no` is
     /// passed on only if no earlier attempt may have run.
-    fn final_error(&self, failure: Failure) -> CallError {
-        let mut error = failure.into_error();
+    fn final_error(&self, mut error: CallError) -> CallError {
         if let CallError::Refused(_, detail) = &mut error
             && detail.ran == Ran::No
             && self.may_have_run
--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -1,6 +1,6 @@
 //! The client library for callers against a fake entry.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -28,7 +28,9 @@
     Fail(ErrorKind),
     /// Takes the request and breaks the connection off.
     Break,
-    /// Sends `start` and two tokens, then breaks the connection off.
+    /// The same, and refuses the key from then on.
+    BreakAndRevoke,
+    /// Sends two tokens, then breaks the connection off.
     BreakStream,
     Stream,
 }
@@ -39,12 +41,16 @@
     replies: RefCell<Vec<Reply>>,
     entries_asked: RefCell<u32>,
     bodies: RefCell<Vec<Value>>,
+    revoked: Cell<bool>,
 }
 
 impl Handler for FakeEntry {
     async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
         if request.uri().path() == "/v1/entries" {
             *self.entries_asked.borrow_mut() += 1;
+            if self.revoked.get() {
+                return error_response(&Error::new(ErrorKind::Unauthorized, "revoked"));
+            }
             return json_response(StatusCode::OK, &self.entries());
         }
         let body = serde_json::from_slice(request.body()).unwrap_or(Value::Null);
@@ -56,6 +62,7 @@
         if self.replies.borrow().len() > 1 {
             self.replies.borrow_mut().remove(0);
         }
+        self.revoked.set(matches!(reply, Reply::BreakAndRevoke));
         respond(reply).await
     }
 }
@@ -76,14 +83,14 @@
 
 async fn respond(reply: Reply) -> Response<Body> {
     let (mut sender, body) = Body::stream();
-    let breaks = matches!(reply, Reply::Break | Reply::BreakStream);
+    let breaks = !matches!(reply, Reply::Stream);
     let tokens = match reply {
         Reply::Run => {
             let answer = json!({"run_id": 7, "budget_micros": 100});
             return json_response(StatusCode::OK, &answer);
         }
         Reply::Fail(kind) => return error_response(&Error::new(kind, "as the test demands")),
-        Reply::Break => 0,
+        Reply::Break | Reply::BreakAndRevoke => 0,
         Reply::BreakStream => 2,
         Reply::Stream => 3,
     };
@@ -295,9 +302,13 @@
 #[test]
 fn a_refusal_after_a_broken_attempt_is_not_certain() {
     block_on(async {
-        let site = site(&[&[Reply::Break], &[Reply::Fail(ErrorKind::NotFound)]]);
-        let error = site.caller.start_run("c", start_body()).await.unwrap_err();
-        assert_eq!(error.ran(), Ran::Unknown);
+        let refused = site(&[&[Reply::Break], &[Reply::Fail(ErrorKind::NotFound)]]);
+        let revoked = site(&[&[Reply::BreakAndRevoke]]);
+        for site in [refused, revoked] {
+            let error = site.caller.start_run("c", start_body()).await.unwrap_err();
+            assert!(matches!(error, CallError::Refused(..)), "{error:?}");
+            assert_eq!(error.ran(), Ran::Unknown);
+        }
     });
 }
 
