--- a/src/load/checks.rs
+++ b/src/load/checks.rs
@@ -53,6 +53,9 @@
     pub tool_requests: u64,
     /// Tools whose executions were read; without any, executions are not checked.
     pub tools_read: usize,
+    /// Tools that were given but whose executions could not be read; the checks fail then, because
+    /// nothing is known about their executions.
+    pub tools_unread: usize,
 }
 
 impl Checks {
@@ -104,14 +107,19 @@
         } else {
             (0, 0)
         };
+        let tools_unread = tools.len() - tools_read;
         CheckReport {
-            passed: self.over_budget.count == 0 && executed_twice.count == 0 && beyond == 0,
+            passed: self.over_budget.count == 0
+                && executed_twice.count == 0
+                && beyond == 0
+                && tools_unread == 0,
             over_budget: self.over_budget.clone(),
             executed_twice,
             executions_beyond_requests: beyond,
             answered_without_execution: without,
             tool_requests: self.tool_requests,
             tools_read,
+            tools_unread,
         }
     }
 }
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -270,7 +270,13 @@
         checks.executions_beyond_requests,
         checks.tool_requests
     );
-    if checks.tools_read == 0 && checks.tool_requests > 0 {
+    if checks.tools_unread > 0 {
+        let _ = writeln!(
+            text,
+            "executions of {} tools could not be read; see their lines above",
+            checks.tools_unread
+        );
+    } else if checks.tools_read == 0 && checks.tool_requests > 0 {
         text.push_str("executions were not checked: no tool was read; give --tool ADDRESS\n");
     }
     let examples = checks.over_budget.examples.iter();
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -10,9 +10,12 @@
 use indexmap::IndexMap;
 use monoio::{LegacyDriver, RuntimeBuilder};
 use sapphireford::connection::body::Body;
+use sapphireford::connection::http_client::ClientError;
 use sapphireford::connection::http_server::{Handler, HttpLimits, json_response, serve};
+use sapphireford::load::checks::Checks;
 use sapphireford::load::experiment::{Experiment, run};
 use sapphireford::load::report::Report;
+use sapphireford::load::stats::ServerStats;
 use sapphireford::load::workload::Workload;
 use sapphireford::process::timer::TimerService;
 use serde_json::{Value, json};
@@ -221,6 +224,16 @@
     );
 }
 
+/// Guards against a report that passes although the executions of a given tool are unknown.
+#[test]
+fn a_tool_that_cannot_be_read_fails_the_checks() {
+    let address = "127.0.0.1:9".parse().unwrap();
+    let error = ClientError::NotSent("closed".to_string());
+    let report = Checks::default().finish(&[ServerStats::unread(address, &error)]);
+    assert!(!report.passed);
+    assert!(Checks::default().finish(&[]).passed);
+}
+
 /// Guards against load beyond the bound, and against arrivals that vanish from the report.
 #[test]
 fn arrivals_beyond_the_bound_are_counted_and_not_sent() {
