--- /dev/null
+++ b/tests/routing.rs
@@ -0,0 +1,399 @@
+//! The choice of an engine for a call, and the order in which calls start.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use sapphireford::connection::engine::{EngineLoad, Usage};
+use sapphireford::error::ErrorKind;
+use sapphireford::process::retry_budget::RetryBudget;
+use sapphireford::process::routing::placement::ConfiguredPlacement;
+use sapphireford::process::routing::{CallDescription, Permit, Router, RouterOptions};
+use sapphireford::process::timer::TimerService;
+use sapphireford::version::config::{
+    BackendServer, Config, Limits, PlacementKind, Policy, Priority, QueueKind, Team,
+};
+
+fn run<F: Future>(test: impl FnOnce(TimerService) -> F) {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_all()
+        .build()
+        .expect("build a runtime");
+    runtime.block_on(async { test(TimerService::start()).await });
+}
+
+fn config(engines: u16, max_concurrent_calls: u32, queue_time_ms: u64) -> Rc<Config> {
+    let server = |number: u16| BackendServer {
+        address: ([127, 0, 0, 1], 10_000 + number).into(),
+        failure_domain: "a".into(),
+        models: vec!["m".into()],
+        max_concurrent_calls,
+        cache_tokens: 100_000,
+        checks_fencing: true,
+    };
+    let team = |weight| Team {
+        key_sha256: [0; 32],
+        weight,
+    };
+    Rc::new(Config {
+        version: 1,
+        teams: IndexMap::from([("light".into(), team(1)), ("heavy".into(), team(3))]),
+        operators: IndexMap::new(),
+        models: IndexMap::new(),
+        backend_servers: (0..engines)
+            .map(|number| (format!("e{number}").into(), server(number)))
+            .collect(),
+        tools: IndexMap::new(),
+        services: IndexMap::new(),
+        programs: IndexMap::new(),
+        limits: Limits {
+            input_bytes: 1,
+            output_tokens: 1,
+            waiting_per_run: 1,
+            requests_per_entry: 1,
+            queue_time: Duration::from_millis(queue_time_ms),
+            token_gap: Duration::from_secs(1),
+            abandon_after: Duration::from_secs(1),
+            retry_percent: 10,
+        },
+        policy: Policy {
+            placement: PlacementKind::PrefixAndLoad,
+            queue: QueueKind::LeastService,
+        },
+    })
+}
+
+fn router(timer: &TimerService, config: &Rc<Config>, waiting_calls: usize) -> Router {
+    let options = RouterOptions {
+        waiting_calls,
+        ..RouterOptions::default()
+    };
+    let router = Router::new(timer.clone(), options, ConfiguredPlacement::new(1));
+    router.set_config(config);
+    router
+}
+
+fn call(config: &Rc<Config>, cache_key: &str, priority: Priority) -> CallDescription {
+    CallDescription {
+        config: config.clone(),
+        model_id: "m".into(),
+        team_id: "light".into(),
+        cache_key: cache_key.into(),
+        priority,
+        program_service_tokens: 0,
+        prompt_tokens: 2_000,
+        max_output_tokens: 100,
+        excluded: Vec::new(),
+    }
+}
+
+fn normal(config: &Rc<Config>, cache_key: &str) -> CallDescription {
+    call(config, cache_key, Priority::Normal)
+}
+
+async fn acquire(router: &Router, call: CallDescription) -> Permit {
+    router.acquire(call).await.expect("acquire a permit")
+}
+
+const USAGE: Usage = Usage {
+    prompt_tokens: 2_000,
+    completion_tokens: 100,
+    cached_tokens: 0,
+};
+
+type Log = Rc<RefCell<Vec<String>>>;
+
+/// Queues a call that logs its name when it starts and ends after `held`.
+fn queue(timer: &TimerService, router: &Router, call: CallDescription, log: &Log, held: Duration) {
+    let (timer, router, log) = (timer.clone(), router.clone(), log.clone());
+    monoio::spawn(async move {
+        let name = call.cache_key.to_string();
+        match router.acquire(call).await {
+            Ok(permit) => {
+                log.borrow_mut().push(name);
+                timer.sleep(held).await;
+                permit.finished(USAGE);
+            }
+            Err(error) => log.borrow_mut().push(format!("{name}: {:?}", error.kind)),
+        }
+    });
+}
+
+/// Guards against wasted cache (a call must return to its prefix) and against a hot engine (it
+/// must go elsewhere when that engine is full for longer than computing the prefix again takes).
+#[test]
+fn a_call_prefers_the_engine_with_its_prefix_until_it_is_full() {
+    run(|timer| async move {
+        let config = config(8, 4, 2_000);
+        let router = router(&timer, &config, 16);
+        let mut long = normal(&config, "c");
+        long.prompt_tokens = 20_000;
+        let first = acquire(&router, long.clone()).await;
+        let home = first.backend_server_id.clone();
+        first.finished(Usage {
+            prompt_tokens: 20_000,
+            ..USAGE
+        });
+        let mut held = Vec::new();
+        for _ in 0..4 {
+            held.push(acquire(&router, long.clone()).await);
+            assert_eq!(held.last().expect("a permit").backend_server_id, home);
+        }
+        let elsewhere = acquire(&router, long.clone()).await;
+        assert_ne!(elsewhere.backend_server_id, home);
+        let waiting = router.acquire(long);
+        let ended = async {
+            timer.sleep(Duration::from_millis(50)).await;
+            held.pop();
+        };
+        let (returned, ()) = futures_util::future::join(waiting, ended).await;
+        let returned = returned.expect("acquire a permit");
+        assert_eq!(returned.backend_server_id, home, "the call did not wait");
+    });
+}
+
+/// Guards against calls to an engine that is about to stop, whichever source tells of it, and
+/// against waiting for engines of which none will take the call.
+#[test]
+fn a_leaving_engine_gets_no_calls() {
+    run(|timer| async move {
+        let config = config(3, 100, 2_000);
+        let router = router(&timer, &config, 16);
+        let report = EngineLoad {
+            leaving: true,
+            ..EngineLoad::default()
+        };
+        router.set_report(&"e0".into(), report);
+        router.set_vms_leaving(|address| address.port() == 10_001);
+        for number in 0..50 {
+            let permit = acquire(&router, normal(&config, &number.to_string())).await;
+            assert_eq!(&*permit.backend_server_id, "e2");
+        }
+        let mut excluding = normal(&config, "c");
+        excluding.excluded = vec!["e2".into()];
+        let error = router
+            .acquire(excluding)
+            .await
+            .expect_err("no engine is left");
+        assert_eq!(error.kind, ErrorKind::NoBackendServer);
+    });
+}
+
+/// Guards against shedding urgent calls while less urgent ones keep their place.
+#[test]
+fn the_least_urgent_calls_are_shed_first() {
+    run(|timer| async move {
+        let config = config(1, 1, 5_000);
+        let router = router(&timer, &config, 2);
+        let running = acquire(&router, normal(&config, "running")).await;
+        let log = Log::default();
+        for (name, priority) in [
+            ("background", Priority::Background),
+            ("normal", Priority::Normal),
+            ("urgent", Priority::Urgent),
+            ("late", Priority::Background),
+        ] {
+            let call = call(&config, name, priority);
+            queue(&timer, &router, call, &log, Duration::ZERO);
+            timer.sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(
+            *log.borrow(),
+            ["background: Overloaded", "late: Overloaded"]
+        );
+        drop(running);
+        timer.sleep(Duration::from_millis(50)).await;
+        assert_eq!(log.borrow()[2..], ["urgent", "normal"]);
+    });
+}
+
+/// Guards against a background call that waits until its time limit while urgent calls keep
+/// arriving faster than they are served.
+#[test]
+fn a_stream_of_urgent_calls_does_not_starve_a_background_call() {
+    run(|timer| async move {
+        let config = config(1, 1, 400);
+        let router = router(&timer, &config, 1_000);
+        let log = Log::default();
+        let held = Duration::from_millis(10);
+        for number in 0..10 {
+            let urgent = call(&config, &format!("early-{number}"), Priority::Urgent);
+            queue(&timer, &router, urgent, &log, held);
+        }
+        let background = call(&config, "background", Priority::Background);
+        queue(&timer, &router, background, &log, held);
+        for number in 0..100 {
+            let urgent = call(&config, &number.to_string(), Priority::Urgent);
+            queue(&timer, &router, urgent, &log, held);
+            timer.sleep(Duration::from_millis(5)).await;
+        }
+        assert!(log.borrow().iter().any(|name| name == "background"));
+    });
+}
+
+/// Guards against a team that takes more than its share by sending more calls, and against a
+/// program with much service passing one with little.
+#[test]
+fn teams_share_by_weight_and_programs_by_least_service() {
+    run(|timer| async move {
+        let config = config(1, 1, 5_000);
+        let router = router(&timer, &config, 1_000);
+        let running = acquire(&router, normal(&config, "running")).await;
+        let log = Log::default();
+        for number in 0..40_u64 {
+            for team in ["light", "heavy"] {
+                let mut call = normal(&config, team);
+                call.team_id = team.into();
+                call.program_service_tokens = number;
+                if number == 0 {
+                    call.cache_key = format!("{team}-served").into();
+                    call.program_service_tokens = 1_000;
+                }
+                queue(&timer, &router, call, &log, Duration::ZERO);
+            }
+        }
+        timer.sleep(Duration::from_millis(5)).await;
+        drop(running);
+        timer.sleep(Duration::from_millis(500)).await;
+        let log = log.borrow();
+        assert_eq!(log.len(), 80);
+        let heavy = log[..40].iter().filter(|name| *name == "heavy").count();
+        assert!((28..=32).contains(&heavy), "{heavy} of 40 starts, not 30");
+        assert_eq!(
+            log.last().map(String::as_str),
+            Some("light-served"),
+            "the program with the most service did not start last"
+        );
+    });
+}
+
+/// Guards against capacity that is lost when a caller disconnects, while its call runs or waits.
+#[test]
+fn a_dropped_permit_and_a_dropped_wait_are_released() {
+    run(|timer| async move {
+        let config = config(1, 1, 5_000);
+        let router = router(&timer, &config, 16);
+        let running = acquire(&router, normal(&config, "a")).await;
+        let waiting = router.acquire(normal(&config, "b"));
+        let gave_up = timer.timeout(Duration::from_millis(20), waiting).await;
+        assert!(gave_up.is_err());
+        assert_eq!(router.waiting_calls(), 0);
+        drop(running);
+        drop(acquire(&router, normal(&config, "c")).await);
+        assert_eq!(router.engine_status()[0].in_flight_calls, 0);
+    });
+}
+
+/// Guards against more calls, or more tokens, on an engine than it can hold, under any order of
+/// starts, ends and cancellations, and against permits that are lost on the way.
+#[test]
+fn the_bounds_of_an_engine_hold_under_random_load() {
+    const SEED: u64 = 7;
+    run(|timer| async move {
+        let config = config(4, 3, 300);
+        let router = router(&timer, &config, 64);
+        let random = Rc::new(RefCell::new(SmallRng::seed_from_u64(SEED)));
+        let tokens: Rc<RefCell<IndexMap<Rc<str>, u64>>> = Rc::default();
+        for number in 0..600 {
+            let mut call = normal(&config, &(number % 20).to_string());
+            call.prompt_tokens = random.borrow_mut().random_range(1..60_000);
+            call.priority = [Priority::Background, Priority::Urgent][number % 2];
+            let (held, gives_up) = {
+                let mut random = random.borrow_mut();
+                (random.random_range(0..20), random.random_range(1..200))
+            };
+            let (caller, clock, tokens) = (router.clone(), timer.clone(), tokens.clone());
+            monoio::spawn(async move {
+                let size = call.tokens();
+                let acquired = caller.acquire(call);
+                let limit = Duration::from_millis(gives_up);
+                let Ok(Ok(permit)) = clock.timeout(limit, acquired).await else {
+                    return;
+                };
+                let id = permit.backend_server_id.clone();
+                *tokens.borrow_mut().entry(id.clone()).or_default() += size;
+                assert!(tokens.borrow()[&id] <= 100_000, "too many tokens on {id}");
+                clock.sleep(Duration::from_millis(held)).await;
+                tokens.borrow_mut()[&id] -= size;
+                match held % 3 {
+                    0 => drop(permit),
+                    1 => permit.finished(USAGE),
+                    _ => permit.first_token(),
+                }
+            });
+            for engine in router.engine_status() {
+                assert!(engine.in_flight_calls <= 3, "too many calls: {engine:?}");
+            }
+            if number % 5 == 0 {
+                timer.sleep(Duration::from_millis(1)).await;
+            }
+        }
+        timer.sleep(Duration::from_millis(600)).await;
+        assert_eq!(router.waiting_calls(), 0);
+        for engine in router.engine_status() {
+            assert_eq!(engine.in_flight_calls, 0, "a permit was lost: {engine:?}");
+        }
+    });
+}
+
+/// Guards against a herd: all calls between two reports going to the engine that reported least.
+#[test]
+fn the_load_is_corrected_by_what_was_sent_since_the_report() {
+    run(|timer| async move {
+        let config = config(2, 20, 2_000);
+        let router = router(&timer, &config, 16);
+        let report = |running| EngineLoad {
+            running,
+            ..EngineLoad::default()
+        };
+        router.set_report(&"e0".into(), report(4));
+        router.set_report(&"e1".into(), report(0));
+        let mut held = Vec::new();
+        for number in 0..12 {
+            held.push(acquire(&router, normal(&config, &number.to_string())).await);
+        }
+        let on = |id: &str| {
+            held.iter()
+                .filter(|permit| &*permit.backend_server_id == id)
+                .count()
+        };
+        assert_eq!((on("e0"), on("e1")), (4, 8));
+    });
+}
+
+/// Guards against calls that keep going to an engine that fails all of them.
+#[test]
+fn an_engine_that_fails_is_left_alone() {
+    run(|timer| async move {
+        let config = config(2, 100, 2_000);
+        let router = router(&timer, &config, 16);
+        let mut failures = 0;
+        for number in 0..100 {
+            let permit = acquire(&router, normal(&config, &number.to_string())).await;
+            if &*permit.backend_server_id == "e0" {
+                failures += 1;
+                permit.failed();
+            } else {
+                permit.finished(USAGE);
+            }
+        }
+        assert_eq!(failures, 3, "calls that failed before the breaker opened");
+    });
+}
+
+/// Guards against retries that multiply the load when many requests fail together.
+#[test]
+fn retries_are_a_share_of_the_requests() {
+    let budget = RetryBudget::default();
+    assert!(!budget.try_retry(0), "no retries are allowed");
+    while budget.try_retry(10) {}
+    for _ in 0..200 {
+        budget.record_request(10);
+    }
+    let retries = (0..200).filter(|_| budget.try_retry(10)).count();
+    assert_eq!(retries, 20);
+}
