--- a/crates/standin/src/harness.rs
+++ b/crates/standin/src/harness.rs
@@ -2,11 +2,13 @@
 
 mod http;
 mod process;
+mod site;
 
 use std::time::{Duration, Instant};
 
 pub use http::{Answer, EventStream, HttpRequest};
 pub use process::Process;
+pub use site::{OPERATOR_KEY, Site, SiteOptions, TEAM_ONE_KEY, TEAM_TWO_KEY};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
--- a/crates/standin/src/harness/process.rs
+++ b/crates/standin/src/harness/process.rs
@@ -137,7 +137,7 @@
 }
 
 /// Finds a binary next to the folder of the running test, `target/PROFILE/deps`.
-fn binary_path(name: &str) -> PathBuf {
+pub(super) fn binary_path(name: &str) -> PathBuf {
     let test = std::env::current_exe().expect("the path of the running test is known");
     let folder = test.parent().expect("an executable lies in a folder");
     let profile = match folder.file_name() {
--- a/src/bin/sapphireford-entry/main.rs
+++ b/src/bin/sapphireford-entry/main.rs
@@ -6,8 +6,9 @@
 use getopts::Options;
 use sapphireford::error::chain;
 use sapphireford::process::entry::RunningEntry;
+use sapphireford::process::metrics::Metrics;
 use sapphireford::process::settings::Settings;
-use sapphireford::process::{logging, metrics, shutdown};
+use sapphireford::process::{invariant, logging, shutdown};
 
 /// Exit code for wrong usage.
 const EXIT_USAGE: u8 = 2;
@@ -36,20 +37,38 @@
 
 fn parse(arguments: &[String]) -> Result<Command, String> {
     let mut options = Options::new();
-    options.optopt("s", "settings", "JSON file with the settings of this entry", "FILE");
-    options.optopt("l", "log-level", "error, warn, info (default), debug or trace", "LEVEL");
+    options.optopt(
+        "s",
+        "settings",
+        "JSON file with the settings of this entry",
+        "FILE",
+    );
+    options.optopt(
+        "l",
+        "log-level",
+        "error, warn, info (default), debug or trace",
+        "LEVEL",
+    );
     options.optflag("", "check", "check the settings and exit");
     options.optflag("h", "help", "print this help");
-    let matches = options.parse(arguments).map_err(|error| format!("{error}; see --help"))?;
+    let matches = options
+        .parse(arguments)
+        .map_err(|error| format!("{error}; see --help"))?;
     if matches.opt_present("help") {
-        return Ok(Command::Help(options.usage("usage: sapphireford-entry --settings FILE")));
+        return Ok(Command::Help(
+            options.usage("usage: sapphireford-entry --settings FILE"),
+        ));
     }
-    let settings = matches.opt_str("settings").ok_or("`--settings FILE` is missing; see --help")?;
+    let settings = matches
+        .opt_str("settings")
+        .ok_or("`--settings FILE` is missing; see --help")?;
     let settings = PathBuf::from(settings);
     if matches.opt_present("check") {
         return Ok(Command::Check { settings });
     }
-    let level = matches.opt_str("log-level").unwrap_or_else(|| "info".to_string());
+    let level = matches
+        .opt_str("log-level")
+        .unwrap_or_else(|| "info".to_string());
     Ok(Command::Run { settings, level })
 }
 
@@ -78,14 +97,19 @@
 
 fn start(path: &std::path::Path, level: &str) -> Result<(), Box<dyn std::error::Error>> {
     let settings = Settings::load(path)?;
-    logging::init(level.parse()?)?;
-    metrics::install()?;
+    logging::install(logging::parse_level(level)?)?;
+    let metrics = Metrics::install()?;
     shutdown::install()?;
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_all().build()?;
+    if settings.abort_on_violation {
+        invariant::abort_on_violation();
+    }
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_all()
+        .build()?;
     runtime.block_on(async {
         let timer = sapphireford::process::timer::TimerService::start();
         let entry_id = settings.entry_id.clone();
-        let entry = RunningEntry::start(settings)?;
+        let entry = RunningEntry::start(settings, metrics)?;
         println!("listening on {}", entry.address());
         log::info!(entry = &*entry_id; "entry started");
         shutdown::requested(&timer).await;
--- a/src/process/conversation.rs
+++ b/src/process/conversation.rs
@@ -259,8 +259,13 @@
     /// When a run or one of its sub-agents had its last event.
     pub fn last_event_ms(&self, run_id: RunId) -> u64 {
         let own = self.runs.get(&run_id).map_or(0, |run| run.last_event_ms);
-        let children = self.runs.iter().filter(|(_, run)| run.parent_run_id == Some(run_id));
-        children.map(|(child, _)| self.last_event_ms(*child)).fold(own, u64::max)
+        let children = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.parent_run_id == Some(run_id));
+        children
+            .map(|(child, _)| self.last_event_ms(*child))
+            .fold(own, u64::max)
     }
 
     /// The id that the next run gets.
--- a/src/process/conversation/fold.rs
+++ b/src/process/conversation/fold.rs
@@ -7,10 +7,38 @@
     Action, ActionOutcome, Conversation, EndReason, Event, Message, Progress, RequestRecord, Role,
     Run, RunState, Thread, TurnOutcome, TurnResult,
 };
+use crate::process::invariant;
 
 impl Conversation {
-    /// Applies an event that has become durable.
+    /// Applies an event that has become durable, and checks that the budgets still hold.
     pub fn apply(&mut self, event: &Event, at_ms: u64) {
+        self.apply_event(event, at_ms);
+        for (run_id, run) in &self.runs {
+            let used = run.spent_micros + run.reserved_micros;
+            invariant::check("budget", used <= run.budget_micros, || {
+                format!("run {run_id} of {} uses {used} micros", self.key)
+            });
+        }
+        let is_root = |run: &&Run| run.parent_run_id.is_none();
+        let reserved: Micros = self
+            .runs
+            .values()
+            .filter(is_root)
+            .map(|run| run.reserved_micros)
+            .sum();
+        invariant::check(
+            "reservations",
+            reserved == self.open_reservations_micros(),
+            || {
+                format!(
+                    "{} has {reserved} micros reserved for other calls than its open ones",
+                    self.key
+                )
+            },
+        );
+    }
+
+    fn apply_event(&mut self, event: &Event, at_ms: u64) {
         match event {
             Event::RunStarted {
                 request_id,
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -16,6 +16,7 @@
 use crate::process::config_watch::ConfigWatch;
 use crate::process::journal::Journal;
 use crate::process::membership::Membership;
+use crate::process::metrics::Metrics;
 use crate::process::retry_budget::RetryBudget;
 use crate::process::routing::placement::ConfiguredPlacement;
 use crate::process::routing::{Router, RouterOptions};
@@ -43,7 +44,10 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             StartError::Listen(address, _) => {
-                write!(formatter, "could not listen on {address}; check `http_address`")
+                write!(
+                    formatter,
+                    "could not listen on {address}; check `http_address`"
+                )
             }
             StartError::Peers(_) => formatter.write_str("could not open the peer endpoint"),
         }
@@ -98,6 +102,8 @@
     pub retry_budget: RetryBudget,
     /// Requests in progress.
     pub requests: Cell<usize>,
+    /// The metrics of the process.
+    pub metrics: Metrics,
 }
 
 /// A running entry.
@@ -110,13 +116,18 @@
 
 impl RunningEntry {
     /// Starts all parts on the current runtime.
-    pub fn start(settings: Settings) -> Result<Self> {
+    pub fn start(settings: Settings, metrics: Metrics) -> Result<Self> {
         let settings = Rc::new(settings);
         let timer = TimerService::start();
         let identity = PeerIdentity::load(&settings).map_err(StartError::Peers)?;
         let endpoint = PeerEndpoint::open(settings.peer_address, &identity, timer.clone())
             .map_err(StartError::Peers)?;
-        let entry = Rc::new(Entry::new(settings.clone(), timer.clone(), endpoint.clone()));
+        let entry = Rc::new(Entry::new(
+            settings.clone(),
+            timer.clone(),
+            endpoint.clone(),
+            metrics,
+        ));
         let dispatcher = Rc::new(Dispatcher::new(entry.clone()));
         let address = settings.http_address;
         let server = http_server::serve(address, HttpLimits::default(), timer, dispatcher.clone())
@@ -125,7 +136,12 @@
         entry.journal.start(entry.slots.clone());
         entry.manager.start();
         background::start(&entry);
-        Ok(Self { entry, server, peer_server, endpoint })
+        Ok(Self {
+            entry,
+            server,
+            peer_server,
+            endpoint,
+        })
     }
 
     /// The address that callers connect to.
@@ -149,7 +165,12 @@
         if entry.timer.timeout(limit, release).await.is_err() {
             log::warn!("not all slots were released within the shutdown limit");
         }
-        if entry.timer.timeout(limit, self.server.stop()).await.is_err() {
+        if entry
+            .timer
+            .timeout(limit, self.server.stop())
+            .await
+            .is_err()
+        {
             log::warn!("some requests were still in progress at the shutdown limit");
         }
         self.peer_server.stop(limit).await;
@@ -162,10 +183,18 @@
 }
 
 impl Entry {
-    fn new(settings: Rc<Settings>, timer: TimerService, endpoint: PeerEndpoint) -> Self {
+    fn new(
+        settings: Rc<Settings>,
+        timer: TimerService,
+        endpoint: PeerEndpoint,
+        metrics: Metrics,
+    ) -> Self {
         let http = HttpClient::new(timer.clone());
-        let platform =
-            PlatformClient::new(http.clone(), settings.platform_address, settings.platform_call);
+        let platform = PlatformClient::new(
+            http.clone(),
+            settings.platform_address,
+            settings.platform_call,
+        );
         let journal = Journal::new(platform.clone(), timer.clone(), settings.clone());
         let slots = Rc::new(Slots::new(settings.slot_count));
         let membership = Membership::start(
@@ -184,7 +213,11 @@
         );
         let config = ConfigWatch::start(platform.clone(), timer.clone(), settings.config_interval);
         let options = RouterOptions::default();
-        let router = Router::new(timer.clone(), options, ConfiguredPlacement::new(rand::random()));
+        let router = Router::new(
+            timer.clone(),
+            options,
+            ConfiguredPlacement::new(rand::random()),
+        );
         Self {
             engines: EngineClient::new(http.clone(), CONTROL_TIME),
             tools: ToolClient::new(http.clone(), CONTROL_TIME),
@@ -192,6 +225,7 @@
             keys: KeyIndexCache::default(),
             retry_budget: RetryBudget::default(),
             requests: Cell::new(0),
+            metrics,
             settings,
             timer,
             platform,
--- a/src/process/entry/background.rs
+++ b/src/process/entry/background.rs
@@ -7,11 +7,14 @@
 use crate::ids::{ConversationKey, RunId};
 use crate::process::conversation::{EndReason, Event, Record, RunState};
 use crate::process::entry::Entry;
+use crate::process::metrics as names;
 use crate::process::slots::ConversationCell;
 use crate::request::call::cache_key;
 
 /// Pause between two searches for abandoned runs.
 const ABANDON_INTERVAL: Duration = Duration::from_secs(5);
+/// Pause between two readings of the gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(5);
 /// Longest call that tells a peer the configuration version.
 const PEER_CALL_TIME: Duration = Duration::from_secs(1);
 /// Times that an engine is asked to release a prefix before it is left to the reconciliation.
@@ -25,6 +28,7 @@
     monoio::spawn(follow_config(entry.clone()));
     monoio::spawn(follow_vm_list(entry.clone()));
     monoio::spawn(end_abandoned_runs(entry.clone()));
+    monoio::spawn(record_gauges(entry.clone()));
 }
 
 /// Puts each new configuration in force and tells the peers about it.
@@ -49,12 +53,29 @@
     version: crate::ids::VersionNumber,
 ) {
     let request = PeerRequest::ConfigVersion(version);
-    let told = entry.peers.call(row.peer_address, &row.entry_id, request, PEER_CALL_TIME).await;
+    let told = entry
+        .peers
+        .call(row.peer_address, &row.entry_id, request, PEER_CALL_TIME)
+        .await;
     if let Err(error) = told {
         log::debug!(peer = &*row.entry_id; "the peer was not told the version: {error}");
     }
 }
 
+/// Records what is read from state rather than counted, and bounds the memory of the metrics.
+async fn record_gauges(entry: Rc<Entry>) {
+    let mut ticks = entry.timer.subscribe(GAUGE_INTERVAL);
+    loop {
+        ticks.tick().await;
+        metrics::gauge!(names::SLOTS_HELD).set(entry.slots.held().len() as f64);
+        metrics::gauge!(names::ENTRIES_LIVE).set(entry.membership.live().len() as f64);
+        metrics::gauge!(names::JOURNAL_QUEUE_BYTES).set(entry.journal.queued_bytes() as f64);
+        metrics::gauge!(names::REQUESTS_IN_PROGRESS).set(entry.requests.get() as f64);
+        metrics::gauge!(names::CONFIG_VERSION).set(entry.config.version() as f64);
+        entry.metrics.run_upkeep();
+    }
+}
+
 /// Keeps new work from engines that the platform lists as leaving.
 async fn follow_vm_list(entry: Rc<Entry>) {
     let mut changes = entry.membership.subscribe();
@@ -63,7 +84,8 @@
         let vms = entry.membership.vms();
         let is_leaving = |address| {
             use crate::connection::platform::VmState;
-            vms.iter().any(|vm| vm.address == address && vm.state == VmState::Leaving)
+            vms.iter()
+                .any(|vm| vm.address == address && vm.state == VmState::Leaving)
         };
         entry.router.set_vms_leaving(is_leaving);
     }
@@ -74,12 +96,19 @@
     let mut ticks = entry.timer.subscribe(ABANDON_INTERVAL);
     loop {
         ticks.tick().await;
-        let Some(config) = entry.config.current() else { continue };
+        let Some(config) = entry.config.current() else {
+            continue;
+        };
         let limit_ms = config.limits.abandon_after.as_millis() as u64;
         let before_ms = entry.unix_ms().saturating_sub(limit_ms);
         for cell in entry.slots.conversations() {
             for run_id in abandoned_runs(&cell, before_ms) {
-                monoio::spawn(end_abandoned_run(entry.clone(), cell.clone(), run_id, before_ms));
+                monoio::spawn(end_abandoned_run(
+                    entry.clone(),
+                    cell.clone(),
+                    run_id,
+                    before_ms,
+                ));
             }
         }
     }
@@ -101,10 +130,14 @@
     before_ms: u64,
 ) {
     let key = cell.state.borrow().key.clone();
-    let Ok(open) = entry.slots.open(&key) else { return };
+    let Ok(open) = entry.slots.open(&key) else {
+        return;
+    };
     let thread_number = cell.state.borrow().thread_number(run_id);
     // A run with a call in progress is not abandoned.
-    let Some(_lock) = cell.locks.try_lock(thread_number) else { return };
+    let Some(_lock) = cell.locks.try_lock(thread_number) else {
+        return;
+    };
     if !abandoned_runs(&cell, before_ms).contains(&run_id) {
         return;
     }
@@ -114,9 +147,15 @@
         run_id,
         reason: EndReason::Abandoned,
     };
-    let record =
-        Record { slot: open.slot(), key: key.clone(), at_ms: entry.unix_ms(), event };
-    let Ok(mut receipt) = entry.journal.append(open.incarnation(), record) else { return };
+    let record = Record {
+        slot: open.slot(),
+        key: key.clone(),
+        at_ms: entry.unix_ms(),
+        event,
+    };
+    let Ok(mut receipt) = entry.journal.append(open.incarnation(), record) else {
+        return;
+    };
     if receipt.durable().await.is_ok() {
         log::info!(team = &*key.team_id, conversation = &*key.conversation_id, run_id; "run abandoned");
         release_ended(&entry, &cell, &key);
--- a/src/process/rows.rs
+++ b/src/process/rows.rs
@@ -57,7 +57,10 @@
 impl EntryRow {
     /// The start of the entry that the row is about.
     pub fn holder(&self) -> Holder {
-        Holder { entry_id: self.entry_id.clone(), incarnation: self.incarnation }
+        Holder {
+            entry_id: self.entry_id.clone(),
+            incarnation: self.incarnation,
+        }
     }
 }
 
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -100,6 +100,8 @@
     body_cache_bytes: usize,
     #[serde(default = "defaults::journal_queue_bytes")]
     journal_queue_bytes: usize,
+    #[serde(default)]
+    abort_on_violation: bool,
 }
 
 mod defaults {
@@ -194,6 +196,8 @@
     pub body_cache_bytes: usize,
     /// Memory for events that wait to become durable.
     pub journal_queue_bytes: usize,
+    /// Ends the process when it finds an invariant violated; for tests.
+    pub abort_on_violation: bool,
 }
 
 impl Settings {
@@ -242,6 +246,7 @@
             shutdown_limit: positive("shutdown_limit_ms", raw.shutdown_limit_ms)?,
             body_cache_bytes: raw.body_cache_bytes,
             journal_queue_bytes: raw.journal_queue_bytes,
+            abort_on_violation: raw.abort_on_violation,
         })
     }
 }
--- a/src/process/shutdown.rs
+++ b/src/process/shutdown.rs
@@ -21,11 +21,14 @@
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
         signal_hook::flag::register(signal, flag.clone())?;
     }
-    *SIGNALLED.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = Some(flag);
+    *SIGNALLED
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner()) = Some(flag);
     Ok(())
 }
 
-static SIGNALLED: std::sync::Mutex<Option<std::sync::Arc<AtomicBool>>> = std::sync::Mutex::new(None);
+static SIGNALLED: std::sync::Mutex<Option<std::sync::Arc<AtomicBool>>> =
+    std::sync::Mutex::new(None);
 
 /// Requests a graceful stop.
 pub fn request() {
@@ -33,8 +36,12 @@
 }
 
 fn is_requested() -> bool {
-    let signalled = SIGNALLED.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-    let signalled = signalled.as_ref().is_some_and(|flag| flag.load(Ordering::Relaxed));
+    let signalled = SIGNALLED
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
+    let signalled = signalled
+        .as_ref()
+        .is_some_and(|flag| flag.load(Ordering::Relaxed));
     signalled || REQUESTED.load(Ordering::Relaxed)
 }
 
--- a/src/process/slots.rs
+++ b/src/process/slots.rs
@@ -17,6 +17,7 @@
 
 use crate::ids::{ConversationKey, Incarnation, Micros, RunId, SlotId};
 use crate::process::conversation::{Conversation, Event, Record};
+use crate::process::invariant;
 use crate::process::journal::JournalSink;
 use crate::process::journal::segment::Checkpoint;
 use crate::process::notify::Notify;
@@ -103,7 +104,10 @@
 
     /// Whether the slot is held and takes requests.
     pub fn is_open(&self, slot: SlotId) -> bool {
-        self.held.borrow().get(&slot).is_some_and(|held| !held.releasing)
+        self.held
+            .borrow()
+            .get(&slot)
+            .is_some_and(|held| !held.releasing)
     }
 
     /// Whether the slot is held, also while it is being released.
@@ -118,13 +122,19 @@
 
     /// Number of conversations in memory.
     pub fn conversation_count(&self) -> usize {
-        self.held.borrow().values().map(|held| held.conversations.len()).sum()
+        self.held
+            .borrow()
+            .values()
+            .map(|held| held.conversations.len())
+            .sum()
     }
 
     /// All conversations in memory.
     pub fn conversations(&self) -> Vec<Rc<ConversationCell>> {
         let held = self.held.borrow();
-        held.values().flat_map(|slot| slot.conversations.values().cloned()).collect()
+        held.values()
+            .flat_map(|slot| slot.conversations.values().cloned())
+            .collect()
     }
 
     /// Looks up a conversation of a held slot; `None` if it does not exist.
@@ -139,7 +149,10 @@
     pub fn open(self: &Rc<Self>, key: &ConversationKey) -> Result<OpenConversation> {
         let slot = self.slot_of(key);
         let mut held = self.held.borrow_mut();
-        let held_slot = held.get_mut(&slot).filter(|held| !held.releasing).ok_or(NotHeld { slot })?;
+        let held_slot = held
+            .get_mut(&slot)
+            .filter(|held| !held.releasing)
+            .ok_or(NotHeld { slot })?;
         let cell = held_slot
             .conversations
             .entry(key.clone())
@@ -147,7 +160,12 @@
             .clone();
         held_slot.open += 1;
         let incarnation = self.incarnation.get();
-        Ok(OpenConversation { slots: self.clone(), slot, incarnation, cell })
+        Ok(OpenConversation {
+            slots: self.clone(),
+            slot,
+            incarnation,
+            cell,
+        })
     }
 
     /// Starts to serve a slot whose row now names this incarnation.
@@ -164,15 +182,25 @@
             .map(|(key, state)| (key, Rc::new(ConversationCell::new(state))))
             .collect();
         let slot = row.slot;
-        let held =
-            HeldSlot { row, version, conversations, dirty_from: None, last_dirty: None, open: 0, releasing: false };
+        let held = HeldSlot {
+            row,
+            version,
+            conversations,
+            dirty_from: None,
+            last_dirty: None,
+            open: 0,
+            releasing: false,
+        };
         self.held.borrow_mut().insert(slot, held);
         self.changed.notify();
     }
 
     /// Whether nothing of the slot is open.
     fn is_idle(&self, slot: SlotId) -> bool {
-        self.held.borrow().get(&slot).is_none_or(|held| held.open == 0)
+        self.held
+            .borrow()
+            .get(&slot)
+            .is_none_or(|held| held.open == 0)
     }
 
     fn set_releasing(&self, slot: SlotId) {
@@ -191,7 +219,10 @@
         let held = self.held.borrow();
         let held = held.get(&slot)?;
         held.dirty_from?;
-        let states = held.conversations.values().map(|cell| cell.state.borrow().clone());
+        let states = held
+            .conversations
+            .values()
+            .map(|cell| cell.state.borrow().clone());
         // A conversation that was opened and never got an event is not kept.
         let conversations = states.filter(|state| !state.runs.is_empty()).collect();
         Some((held.row.clone(), held.version, Checkpoint { conversations }))
@@ -217,7 +248,10 @@
 
     fn dirty_slots(&self) -> Vec<SlotId> {
         let held = self.held.borrow();
-        held.iter().filter(|(_, slot)| slot.dirty_from.is_some()).map(|(slot, _)| *slot).collect()
+        held.iter()
+            .filter(|(_, slot)| slot.dirty_from.is_some())
+            .map(|(slot, _)| *slot)
+            .collect()
     }
 
     /// The first segment that a recovery would have to read, if the last one is `last_segment`.
@@ -243,10 +277,8 @@
         let mut held = self.held.borrow_mut();
         for record in records {
             let Some(slot) = held.get_mut(&record.slot) else {
-                metrics::counter!("invariant_violations_total", "invariant" => "slot_held")
-                    .increment(1);
-                log::error!(slot = record.slot; "an event was committed for a slot that is not held");
-                debug_assert!(false, "slot {} is not held", record.slot);
+                let detail = format!("an event was committed for slot {}, not held", record.slot);
+                invariant::violated("slot_held", &detail);
                 continue;
             };
             slot.dirty_from.get_or_insert(segment);
@@ -254,7 +286,9 @@
             let cell = slot
                 .conversations
                 .entry(record.key.clone())
-                .or_insert_with(|| Rc::new(ConversationCell::new(Conversation::new(record.key.clone()))));
+                .or_insert_with(|| {
+                    Rc::new(ConversationCell::new(Conversation::new(record.key.clone())))
+                });
             apply(cell, record);
         }
     }
@@ -280,7 +314,11 @@
 /// The pending reservation that becomes durable with an event.
 fn pending_of(event: &Event) -> Option<(RunId, Micros)> {
     match event {
-        Event::TurnStarted { run_id, reserved_micros, .. } => Some((*run_id, *reserved_micros)),
+        Event::TurnStarted {
+            run_id,
+            reserved_micros,
+            ..
+        } => Some((*run_id, *reserved_micros)),
         Event::ActionIntended { run_id, action, .. } => Some((*run_id, action.reserved_micros)),
         _ => None,
     }
--- a/src/process/slots/lock.rs
+++ b/src/process/slots/lock.rs
@@ -42,10 +42,21 @@
         };
         let queues = self.queues.clone();
         match granted {
-            Some(granted) => Ok(Waiting { queues, thread_number, granted }.wait().await),
+            Some(granted) => Ok(Waiting {
+                queues,
+                thread_number,
+                granted,
+            }
+            .wait()
+            .await),
             None => {
-                self.queues.borrow_mut().insert(thread_number, VecDeque::new());
-                Ok(ThreadLock { queues, thread_number })
+                self.queues
+                    .borrow_mut()
+                    .insert(thread_number, VecDeque::new());
+                Ok(ThreadLock {
+                    queues,
+                    thread_number,
+                })
             }
         }
     }
@@ -59,7 +70,10 @@
             return None;
         }
         queues.insert(thread_number, VecDeque::new());
-        Some(ThreadLock { queues: self.queues.clone(), thread_number })
+        Some(ThreadLock {
+            queues: self.queues.clone(),
+            thread_number,
+        })
     }
 }
 
@@ -74,14 +88,20 @@
     async fn wait(mut self) -> ThreadLock {
         // A sender is never dropped unused: the holder of the lock passes it on.
         let _ = (&mut self.granted).await;
-        ThreadLock { queues: self.queues.clone(), thread_number: self.thread_number }
+        ThreadLock {
+            queues: self.queues.clone(),
+            thread_number: self.thread_number,
+        }
     }
 }
 
 impl Drop for Waiting {
     fn drop(&mut self) {
         if let Ok(Some(())) = self.granted.try_recv() {
-            drop(ThreadLock { queues: self.queues.clone(), thread_number: self.thread_number });
+            drop(ThreadLock {
+                queues: self.queues.clone(),
+                thread_number: self.thread_number,
+            });
         }
     }
 }
@@ -95,7 +115,9 @@
 impl Drop for ThreadLock {
     fn drop(&mut self) {
         let mut queues = self.queues.borrow_mut();
-        let Some(queue) = queues.get_mut(&self.thread_number) else { return };
+        let Some(queue) = queues.get_mut(&self.thread_number) else {
+            return;
+        };
         while let Some(waiting) = queue.pop_front() {
             if waiting.send(()).is_ok() {
                 return;
--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -17,6 +17,7 @@
 use crate::error::chain;
 use crate::ids::{ConversationKey, EntryId, SlotId};
 use crate::process::conversation::Conversation;
+use crate::process::invariant;
 use crate::process::journal::{Journal, SlotChange, SlotChangeOutcome, segment};
 use crate::process::membership::Membership;
 use crate::process::recovery;
@@ -121,8 +122,12 @@
 
     /// Entries that may hold slots.
     fn candidates(&self) -> IndexSet<EntryId> {
-        let mut candidates: IndexSet<EntryId> =
-            self.membership.live().into_iter().map(|row| row.entry_id).collect();
+        let mut candidates: IndexSet<EntryId> = self
+            .membership
+            .live()
+            .into_iter()
+            .map(|row| row.entry_id)
+            .collect();
         if self.leaving.get() {
             candidates.shift_remove(&self.settings.entry_id);
         } else if self.journal.holder().is_some() {
@@ -138,23 +143,40 @@
         let wanted = (0..self.slots.slot_count())
             .filter(|slot| !self.slots.is_held(*slot) && prefers_own(slot))
             .collect();
-        let unwanted =
-            self.slots.held().into_iter().filter(|slot| !prefers_own(slot)).collect();
+        let unwanted = self
+            .slots
+            .held()
+            .into_iter()
+            .filter(|slot| !prefers_own(slot))
+            .collect();
         (wanted, unwanted)
     }
 
     /// Takes the free ones among the slots that prefer this entry.
     async fn take(&self, wanted: &[SlotId]) -> crate::connection::platform::Result<()> {
-        let Some(holder) = self.journal.holder() else { return Ok(()) };
+        let Some(holder) = self.journal.holder() else {
+            return Ok(());
+        };
         let mut rows: IndexMap<SlotId, (SlotRow, u64)> = IndexMap::new();
         for row in self.platform.scan(SLOT_PREFIX).await? {
             let slot_row: SlotRow = row.decode()?;
-            let seen = slot_row.holder.as_ref().map(|holder| holder.entry_id.clone());
+            let seen = slot_row
+                .holder
+                .as_ref()
+                .map(|holder| holder.entry_id.clone());
             self.learn_holder(slot_row.slot, seen);
             rows.insert(slot_row.slot, (slot_row, row.version));
         }
         let free = wanted.iter().filter_map(|slot| match rows.get(slot) {
-            None => Some((SlotRow { slot: *slot, holder: None, checkpoint: None, first_segment: 0 }, 0)),
+            None => Some((
+                SlotRow {
+                    slot: *slot,
+                    holder: None,
+                    checkpoint: None,
+                    first_segment: 0,
+                },
+                0,
+            )),
             Some((row, version)) if row.holder.is_none() => Some((row.clone(), *version)),
             Some(_) => None,
         });
@@ -170,8 +192,13 @@
         holder: &Holder,
         free: &[(SlotRow, u64)],
     ) -> crate::connection::platform::Result<()> {
-        let loads = free.iter().map(|(row, _)| recovery::load_checkpoint(&self.platform, row));
-        let loaded: Vec<_> = stream::iter(loads).buffered(PARALLEL_OBJECTS).collect().await;
+        let loads = free
+            .iter()
+            .map(|(row, _)| recovery::load_checkpoint(&self.platform, row));
+        let loaded: Vec<_> = stream::iter(loads)
+            .buffered(PARALLEL_OBJECTS)
+            .collect()
+            .await;
         let mut changes = Vec::new();
         let mut states: Vec<IndexMap<ConversationKey, Conversation>> = Vec::new();
         for ((row, version), loaded) in free.iter().zip(loaded) {
@@ -181,10 +208,15 @@
                 first_segment: self.journal.segment() + 1,
                 ..row.clone()
             };
-            changes.push(SlotChange { version: *version, row });
+            changes.push(SlotChange {
+                version: *version,
+                row,
+            });
         }
         let rows: Vec<SlotRow> = changes.iter().map(|change| change.row.clone()).collect();
-        let Ok(outcomes) = self.journal.change_slots(changes).await else { return Ok(()) };
+        let Ok(outcomes) = self.journal.change_slots(changes).await else {
+            return Ok(());
+        };
         if self.journal.holder().as_ref() != Some(holder) {
             return Ok(());
         }
@@ -208,7 +240,12 @@
         }
         let mut idle = Vec::new();
         for slot in unwanted {
-            let since = self.unwanted_since.borrow().get(slot).copied().unwrap_or(now);
+            let since = self
+                .unwanted_since
+                .borrow()
+                .get(slot)
+                .copied()
+                .unwrap_or(now);
             if self.slots.is_idle(*slot) {
                 self.slots.set_releasing(*slot);
                 idle.push(*slot);
@@ -228,13 +265,17 @@
         slots: &[SlotId],
         release: bool,
     ) -> crate::connection::platform::Result<()> {
-        let Some(holder) = self.journal.holder() else { return Ok(()) };
+        let Some(holder) = self.journal.holder() else {
+            return Ok(());
+        };
         let first_segment = self.journal.segment() + 1;
         let mut changes = Vec::new();
         let mut objects = Vec::new();
         let mut replaced = Vec::new();
         for slot in slots {
-            let Some((mut row, version)) = self.slots.row(*slot) else { continue };
+            let Some((mut row, version)) = self.slots.row(*slot) else {
+                continue;
+            };
             if let Some((_, _, checkpoint)) = self.slots.snapshot_if_dirty(*slot) {
                 let key = checkpoint_key(*slot, &holder, self.next_checkpoint.get());
                 self.next_checkpoint.set(self.next_checkpoint.get() + 1);
@@ -248,15 +289,20 @@
             row.holder = (!release).then(|| holder.clone());
             changes.push(SlotChange { version, row });
         }
-        let puts = objects.into_iter().map(|(key, bytes)| async move {
-            self.platform.put_object(&key, bytes.into()).await
-        });
-        let written: Vec<_> = stream::iter(puts).buffered(PARALLEL_OBJECTS).collect().await;
+        let puts = objects
+            .into_iter()
+            .map(|(key, bytes)| async move { self.platform.put_object(&key, bytes.into()).await });
+        let written: Vec<_> = stream::iter(puts)
+            .buffered(PARALLEL_OBJECTS)
+            .collect()
+            .await;
         for result in written {
             result?;
         }
         let rows: Vec<SlotRow> = changes.iter().map(|change| change.row.clone()).collect();
-        let Ok(outcomes) = self.journal.change_slots(changes).await else { return Ok(()) };
+        let Ok(outcomes) = self.journal.change_slots(changes).await else {
+            return Ok(());
+        };
         for (row, outcome) in rows.into_iter().zip(outcomes) {
             match outcome {
                 SlotChangeOutcome::Written(_) if release => {
@@ -265,15 +311,17 @@
                 }
                 SlotChangeOutcome::Written(version) => self.slots.checkpointed(row, version),
                 SlotChangeOutcome::Conflict => {
-                    metrics::counter!("invariant_violations_total", "invariant" => "slot_row")
-                        .increment(1);
-                    log::error!(slot = row.slot; "the row of a held slot was changed by another entry");
+                    let detail = format!("the row of held slot {} was changed", row.slot);
+                    invariant::violated("slot_row", &detail);
                 }
             }
         }
         for key in replaced {
             if let Err(error) = self.platform.delete_object(&key).await {
-                log::debug!("the old checkpoint `{key}` was not deleted: {}", chain(&error));
+                log::debug!(
+                    "the old checkpoint `{key}` was not deleted: {}",
+                    chain(&error)
+                );
             }
         }
         Ok(())
@@ -281,7 +329,9 @@
 
     /// Deletes segments that all checkpoints include, after the entry row says so.
     async fn trim_journal(&self, deleted_below: &mut u64) {
-        let Some(holder) = self.journal.holder() else { return };
+        let Some(holder) = self.journal.holder() else {
+            return;
+        };
         let first = self.slots.first_needed_segment(self.journal.segment());
         self.journal.set_first_segment(first);
         let committed = self.journal.committed_first_segment();
@@ -319,19 +369,26 @@
 }
 
 async fn write_checkpoints(manager: Rc<SlotManager>) {
-    let mut ticks = manager.timer.subscribe(manager.settings.checkpoint_interval);
+    let mut ticks = manager
+        .timer
+        .subscribe(manager.settings.checkpoint_interval);
     let mut incarnation = 0;
     let mut deleted_below = 1;
     loop {
         ticks.tick().await;
-        let Some(holder) = manager.journal.holder() else { continue };
+        let Some(holder) = manager.journal.holder() else {
+            continue;
+        };
         if holder.incarnation != incarnation {
             incarnation = holder.incarnation;
             deleted_below = 1;
         }
         for chunk in manager.slots.dirty_slots().chunks(CHANGES_PER_COMMIT) {
-            let held: Vec<_> =
-                chunk.iter().copied().filter(|slot| manager.slots.is_open(*slot)).collect();
+            let held: Vec<_> = chunk
+                .iter()
+                .copied()
+                .filter(|slot| manager.slots.is_open(*slot))
+                .collect();
             if let Err(error) = manager.checkpoint(&held, false).await {
                 log::warn!("checkpoints were not written: {}", chain(&error));
             }
@@ -341,7 +398,9 @@
 }
 
 async fn recover_entries(manager: Rc<SlotManager>) {
-    let mut ticks = manager.timer.subscribe(manager.settings.membership_interval);
+    let mut ticks = manager
+        .timer
+        .subscribe(manager.settings.membership_interval);
     let mut first_seen: IndexMap<Holder, Instant> = IndexMap::new();
     loop {
         ticks.tick().await;
@@ -396,7 +455,10 @@
 
     /// Waits until all slots are released.
     pub async fn released(&self) {
-        self.slots.changed().until(|| self.slots.held().is_empty()).await;
+        self.slots
+            .changed()
+            .until(|| self.slots.held().is_empty())
+            .await;
     }
 
     /// Whether the entry is on its way out.
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -56,7 +56,10 @@
     /// Reads from a run that must exist.
     pub fn with_run<T>(&self, run_id: RunId, read: impl FnOnce(&Run) -> T) -> Result<T> {
         let state = self.open.cell().state.borrow();
-        state.run(run_id).map(read).ok_or_else(|| unknown_run(run_id))
+        state
+            .run(run_id)
+            .map(read)
+            .ok_or_else(|| unknown_run(run_id))
     }
 
     /// Reads from a run that must exist and take calls.
@@ -73,10 +76,14 @@
     /// The program of a run in the configuration that the request started with.
     pub fn program_of(&self, run_id: RunId) -> Result<Program> {
         let program_id = self.with_run(run_id, |run| run.program_id.clone())?;
-        self.config.programs.get(&program_id).cloned().ok_or_else(|| {
-            let message = format!("the program `{program_id}` is no longer configured");
-            Error::new(ErrorKind::NotFound, message)
-        })
+        self.config
+            .programs
+            .get(&program_id)
+            .cloned()
+            .ok_or_else(|| {
+                let message = format!("the program `{program_id}` is no longer configured");
+                Error::new(ErrorKind::NotFound, message)
+            })
     }
 
     /// The budget that the configuration gives to the root of a run.
@@ -124,7 +131,9 @@
         let deadline = self.entry.timer.now() + self.config.limits.queue_time;
         loop {
             let lock = self.lock(run_id).await?;
-            let Some(sequence) = sequence else { return Ok(lock) };
+            let Some(sequence) = sequence else {
+                return Ok(lock);
+            };
             let next = self.with_run(run_id, |run| u64::from(run.calls) + 1)?;
             if sequence <= next {
                 return Ok(lock);
@@ -179,7 +188,10 @@
             at_ms: self.entry.unix_ms(),
             event,
         };
-        self.entry.journal.append(self.open.incarnation(), record).map_err(journal_error)
+        self.entry
+            .journal
+            .append(self.open.incarnation(), record)
+            .map_err(journal_error)
     }
 
     /// Waits for a start event to become durable, at most the grace time.
@@ -221,13 +233,18 @@
     pub fn cost_of(&self, run_id: RunId) -> (Micros, Micros) {
         let state = self.open.cell().state.borrow();
         let spent = state.run(run_id).map_or(0, |run| run.spent_micros);
-        (spent, state.available_micros(run_id, self.root_budget_micros(run_id)))
+        (
+            spent,
+            state.available_micros(run_id, self.root_budget_micros(run_id)),
+        )
     }
 
     /// Whether the run still takes calls and the slot is still held.
     pub fn is_run_active(&self, run_id: RunId) -> bool {
         let state = self.open.cell().state.borrow();
-        state.run(run_id).is_some_and(|run| run.state == RunState::Active)
+        state
+            .run(run_id)
+            .is_some_and(|run| run.state == RunState::Active)
     }
 }
 
@@ -248,9 +265,13 @@
     else {
         return true;
     };
-    let Ok(thread_number) = thread.parse::<RunId>() else { return true };
-    let key =
-        ConversationKey { team_id: team_id.into(), conversation_id: conversation_id.into() };
+    let Ok(thread_number) = thread.parse::<RunId>() else {
+        return true;
+    };
+    let key = ConversationKey {
+        team_id: team_id.into(),
+        conversation_id: conversation_id.into(),
+    };
     match entry.slots.find(&key) {
         Ok(Some(cell)) => cell.state.borrow().is_thread_active(thread_number),
         Ok(None) => false,
@@ -276,12 +297,14 @@
 
 fn journal_error(error: JournalError) -> Error {
     let (kind, message) = match error {
-        JournalError::Full => {
-            (ErrorKind::Overloaded, "too many results wait for the platform; come back later")
-        }
-        JournalError::Fenced | JournalError::NotRunning => {
-            (ErrorKind::SlotUnavailable, "the entry lost its lease; another one takes over")
-        }
+        JournalError::Full => (
+            ErrorKind::Overloaded,
+            "too many results wait for the platform; come back later",
+        ),
+        JournalError::Fenced | JournalError::NotRunning => (
+            ErrorKind::SlotUnavailable,
+            "the entry lost its lease; another one takes over",
+        ),
     };
     Error::new(kind, message).with_cause(error)
 }
--- a/src/request/conversation_request.rs
+++ b/src/request/conversation_request.rs
@@ -58,7 +58,9 @@
         let (head, body) = request.into_parts();
         let path = head.uri.path().to_string();
         let unknown = || Error::new(ErrorKind::NotFound, format!("there is no path `{path}`"));
-        let rest = path.strip_prefix("/v1/conversations/").ok_or_else(unknown)?;
+        let rest = path
+            .strip_prefix("/v1/conversations/")
+            .ok_or_else(unknown)?;
         let parts: Vec<&str> = rest.split('/').collect();
         let conversation_id = check_conversation_id(parts[0]).map_err(invalid)?;
         let operation = match (&head.method, &parts[1..]) {
@@ -76,8 +78,18 @@
             _ => return Err(unknown()),
         };
         let fingerprint = hash_bytes(path.as_bytes()).rotate_left(17) ^ hash_bytes(&body);
-        let key = ConversationKey { team_id, conversation_id };
-        Ok(Self { key, operation, fingerprint, method: head.method, path, body })
+        let key = ConversationKey {
+            team_id,
+            conversation_id,
+        };
+        Ok(Self {
+            key,
+            operation,
+            fingerprint,
+            method: head.method,
+            path,
+            body,
+        })
     }
 
     /// Whether repeating the request has no further effect.
@@ -99,7 +111,10 @@
 
 fn parse_run_id(text: &str) -> Result<RunId> {
     text.parse().map_err(|_| {
-        Error::new(ErrorKind::BadRequest, format!("`{text}` is not a run id; use the one you got"))
+        Error::new(
+            ErrorKind::BadRequest,
+            format!("`{text}` is not a run id; use the one you got"),
+        )
     })
 }
 
@@ -109,7 +124,11 @@
     Checked: TryFrom<Raw, Error = InvalidBody>,
 {
     let raw: Raw = serde_json::from_slice(body).map_err(|error| {
-        Error::new(ErrorKind::BadRequest, "the body is not what this path takes").with_cause(error)
+        Error::new(
+            ErrorKind::BadRequest,
+            "the body is not what this path takes",
+        )
+        .with_cause(error)
     })?;
     Checked::try_from(raw).map_err(invalid)
 }
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::{ConversationKey, EntryId, TeamId};
 use crate::process::entry::Entry;
+use crate::process::metrics::{REQUEST_SECONDS, REQUESTS};
 use crate::request::api::{EntriesAnswer, EntryAddress};
 use crate::request::conversation_request::ConversationRequest;
 use crate::request::{forward, operator, service_call};
@@ -40,7 +41,7 @@
         match path {
             "/healthz" => return Ok(text_response(StatusCode::OK, "ok")),
             "/readyz" => return Ok(self.readiness()),
-            "/metrics" => return Ok(text_response(StatusCode::OK, crate::process::metrics::render())),
+            "/metrics" => return Ok(text_response(StatusCode::OK, self.entry.metrics.render())),
             _ => {}
         }
         let config = self.entry.config.current().ok_or_else(not_ready)?;
@@ -66,7 +67,9 @@
     ) -> Result<Response<Body>> {
         let limit = config.limits.requests_per_entry;
         let _in_progress = InProgress::enter(&self.entry, limit)?;
-        self.entry.retry_budget.record_request(config.limits.retry_percent);
+        self.entry
+            .retry_budget
+            .record_request(config.limits.retry_percent);
         let path = request.uri().path();
         if path == "/v1/entries" {
             return Ok(self.entries(&team_id, request.uri().query().unwrap_or("")));
@@ -80,7 +83,10 @@
     }
 
     fn authenticate(&self, config: &Config, request: &Request<Bytes>) -> Result<Principal> {
-        let value = request.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let value = request
+            .headers()
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok());
         let key = value.and_then(|value| value.strip_prefix("Bearer "));
         let unauthorized = |message: &str| Error::new(ErrorKind::Unauthorized, message);
         let key = key.ok_or_else(|| unauthorized("send the header `authorization: Bearer KEY`"))?;
@@ -104,7 +110,9 @@
     }
 
     fn entries(&self, team_id: &TeamId, query: &str) -> Response<Body> {
-        let conversation = query.split('&').find_map(|pair| pair.strip_prefix("conversation="));
+        let conversation = query
+            .split('&')
+            .find_map(|pair| pair.strip_prefix("conversation="));
         let key = ConversationKey {
             team_id: team_id.clone(),
             conversation_id: conversation.unwrap_or_default().into(),
@@ -117,19 +125,27 @@
             address: row.http_address,
             failure_domain: row.failure_domain,
         });
-        let answer = EntriesAnswer { entries: entries.collect(), ttl_ms: ENTRIES_TTL_MS };
+        let answer = EntriesAnswer {
+            entries: entries.collect(),
+            ttl_ms: ENTRIES_TTL_MS,
+        };
         json_response(StatusCode::OK, &answer)
     }
 }
 
 impl Handler for Dispatcher {
     async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
-        let method = request.method().clone();
-        let path = request.uri().path().to_string();
-        match self.dispatch(request).await {
-            Ok(response) => response,
+        let route = route_name(request.uri().path());
+        let started = self.entry.timer.now();
+        let result = self.dispatch(request).await;
+        metrics::histogram!(REQUEST_SECONDS, "route" => route).record(started.elapsed());
+        match result {
+            Ok(response) => {
+                metrics::counter!(REQUESTS, "route" => route, "outcome" => "ok").increment(1);
+                response
+            }
             Err(error) => {
-                note_error(&method, &path, &error);
+                note_error(route, &error);
                 error_response(&error)
             }
         }
@@ -148,7 +164,8 @@
             }
             PeerRequest::RunsActive(cache_keys) => {
                 let keys = cache_keys.iter();
-                let active = keys.map(|key| crate::request::call::is_cache_key_active(&self.entry, key));
+                let active =
+                    keys.map(|key| crate::request::call::is_cache_key_active(&self.entry, key));
                 PeerResponse::RunsActive(active.collect())
             }
             PeerRequest::Forward(_) => {
@@ -164,7 +181,13 @@
         };
         let (head, body) = response.into_parts();
         let headers = headers_from_map(&head.headers);
-        (ForwardHead { status: head.status.as_u16(), headers }, body)
+        (
+            ForwardHead {
+                status: head.status.as_u16(),
+                headers,
+            },
+            body,
+        )
     }
 }
 
@@ -175,8 +198,10 @@
         let mut request = Request::new(forwarded.body);
         *request.method_mut() = Method::from_bytes(forwarded.method.as_bytes())
             .map_err(|_| bad("the forwarded method is not valid"))?;
-        *request.uri_mut() =
-            forwarded.path.parse().map_err(|_| bad("the forwarded path is not valid"))?;
+        *request.uri_mut() = forwarded
+            .path
+            .parse()
+            .map_err(|_| bad("the forwarded path is not valid"))?;
         *request.headers_mut() = headers_to_map(&forwarded.headers);
         let request = ConversationRequest::parse(forwarded.team_id, request)?;
         forward::respond_for_peer(&self.entry, config, request).await
@@ -191,7 +216,8 @@
 impl<'a> InProgress<'a> {
     fn enter(entry: &'a Entry, limit: usize) -> Result<Self> {
         if entry.requests.get() >= limit {
-            let message = format!("{limit} requests are in progress on this entry; come back later");
+            let message =
+                format!("{limit} requests are in progress on this entry; come back later");
             return Err(Error::new(ErrorKind::Overloaded, message));
         }
         entry.requests.set(entry.requests.get() + 1);
@@ -205,11 +231,34 @@
     }
 }
 
-fn note_error(method: &Method, path: &str, error: &Error) {
+fn note_error(route: &'static str, error: &Error) {
     let kind = error.kind.answer().name;
-    metrics::counter!("requests_failed_total", "kind" => kind).increment(1);
+    metrics::counter!(REQUESTS, "route" => route, "outcome" => kind).increment(1);
     let message = crate::error::chain(error);
-    log::info!(method = method.as_str(), path, kind; "request failed: {message}");
+    log::info!(route, kind; "request failed: {message}");
+}
+
+/// A name for the metrics; paths themselves have too many values.
+fn route_name(path: &str) -> &'static str {
+    const SUFFIXES: &[(&str, &str)] = &[
+        ("/turns", "turn"),
+        ("/tool-calls", "tool_call"),
+        ("/sub-agents", "sub_agent"),
+        ("/runs", "run"),
+        ("/end", "end"),
+        ("/cancel", "cancel"),
+        ("/history", "history"),
+    ];
+    match path {
+        "/healthz" | "/readyz" | "/metrics" => "probe",
+        "/v1/entries" => "entries",
+        _ if path.starts_with("/v1/services/") => "service",
+        _ if path.starts_with("/v1/operator/") => "operator",
+        _ => SUFFIXES
+            .iter()
+            .find(|(end, _)| path.ends_with(end))
+            .map_or("state", |(_, name)| name),
+    }
 }
 
 fn not_ready() -> Error {
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -77,7 +77,9 @@
             return serve(entry, config, open, request).await;
         }
         let holder = entry.manager.probable_holder(slot);
-        let is_other = holder.as_ref().is_some_and(|holder| *holder != entry.settings.entry_id);
+        let is_other = holder
+            .as_ref()
+            .is_some_and(|holder| *holder != entry.settings.entry_id);
         if is_other || Instant::now() >= deadline {
             return Ok(not_held(slot, holder.filter(|_| is_other)));
         }
@@ -135,9 +137,9 @@
     let lost = std::pin::pin!(holder_lost(entry, &row, seen));
     let answer = match select(forwarding, lost).await {
         futures_util::future::Either::Left((answer, _)) => answer,
-        futures_util::future::Either::Right(_) => {
-            Err(PeerError::Interrupted("the entry lost its lease".to_string()))
-        }
+        futures_util::future::Either::Right(_) => Err(PeerError::Interrupted(
+            "the entry lost its lease".to_string(),
+        )),
     };
     match answer {
         Ok((head, body)) => Ok(accept_answer(entry, slot, head, body)),
@@ -186,7 +188,9 @@
 ) -> Option<Response<Body>> {
     let mut headers = headers_to_map(&head.headers);
     if headers.contains_key(NOT_HELD_HEADER) {
-        let holder = headers.get(HOLDER_HEADER).and_then(|value| value.to_str().ok());
+        let holder = headers
+            .get(HOLDER_HEADER)
+            .and_then(|value| value.to_str().ok());
         entry.manager.learn_holder(slot, holder.map(EntryId::from));
         return None;
     }
--- a/src/request/operator.rs
+++ b/src/request/operator.rs
@@ -66,16 +66,29 @@
         (&Method::POST, ["programs", team_id, conversation, "cancel"]) => {
             audit::operator_action(operator, "cancel", &format!("{team_id}/{conversation}"));
             let path = format!("/v1/conversations/{conversation}/cancel");
-            on_conversation(entry, config, team_id, Method::POST, path, cancel_body(entry)).await
+            on_conversation(
+                entry,
+                config,
+                team_id,
+                Method::POST,
+                path,
+                cancel_body(entry),
+            )
+            .await
         }
-        _ => Err(Error::new(ErrorKind::NotFound, format!("there is no path `{rest}`"))),
+        _ => Err(Error::new(
+            ErrorKind::NotFound,
+            format!("there is no path `{rest}`"),
+        )),
     }
 }
 
 /// Each cancellation is a request of its own; ending a run that has ended changes nothing.
 fn cancel_body(entry: &Entry) -> Bytes {
     let request_id = format!("operator-cancel-{}", entry.unix_ms()).into();
-    serde_json::to_vec(&EndBody { request_id }).unwrap_or_default().into()
+    serde_json::to_vec(&EndBody { request_id })
+        .unwrap_or_default()
+        .into()
 }
 
 async fn on_conversation(
@@ -88,21 +101,28 @@
 ) -> Result<Response<Body>> {
     let mut request = Request::new(body);
     *request.method_mut() = method;
-    *request.uri_mut() = path
-        .parse()
-        .map_err(|_| Error::new(ErrorKind::BadRequest, format!("`{path}` is not a valid path")))?;
+    *request.uri_mut() = path.parse().map_err(|_| {
+        Error::new(
+            ErrorKind::BadRequest,
+            format!("`{path}` is not a valid path"),
+        )
+    })?;
     let request = ConversationRequest::parse(team_id.into(), request)?;
     forward::respond(entry, config.clone(), request).await
 }
 
 fn status(entry: &Entry) -> Status {
     let millis = |duration: std::time::Duration| duration.as_millis() as u64;
-    let engines = entry.router.engine_status().into_iter().map(|engine| EngineLine {
-        backend_server_id: engine.backend_server_id,
-        in_service: engine.is_in_service,
-        in_flight_calls: engine.in_flight_calls,
-        load_permille: engine.load_permille,
-    });
+    let engines = entry
+        .router
+        .engine_status()
+        .into_iter()
+        .map(|engine| EngineLine {
+            backend_server_id: engine.backend_server_id,
+            in_service: engine.is_in_service,
+            in_flight_calls: engine.in_flight_calls,
+            load_permille: engine.load_permille,
+        });
     Status {
         entry_id: entry.settings.entry_id.clone(),
         incarnation: entry.journal.holder().map(|holder| holder.incarnation),
--- a/src/request/read.rs
+++ b/src/request/read.rs
@@ -35,11 +35,15 @@
 pub fn history(context: &CallContext) -> Result<Response<Body>> {
     let conversation = context.open.cell().state.borrow();
     check_exists(&conversation)?;
-    let messages = conversation.thread.messages.iter().map(|message| HistoryMessage {
-        run_id: message.run_id,
-        role: message.role.name().to_string(),
-        content: message.text.to_string(),
-    });
+    let messages = conversation
+        .thread
+        .messages
+        .iter()
+        .map(|message| HistoryMessage {
+            run_id: message.run_id,
+            role: message.role.name().to_string(),
+            content: message.text.to_string(),
+        });
     let answer = HistoryAnswer {
         conversation_id: context.key.conversation_id.clone(),
         confirmed: is_confirmed(context),
--- a/src/request/run.rs
+++ b/src/request/run.rs
@@ -134,11 +134,17 @@
     let parent = context.with_active_run(parent_run_id, Clone::clone)?;
     let limits = context.program_of(parent_run_id)?;
     if parent.sub_agents >= limits.max_sub_agents {
-        let message = format!("run {parent_run_id} has spawned {} sub-agents", parent.sub_agents);
+        let message = format!(
+            "run {parent_run_id} has spawned {} sub-agents",
+            parent.sub_agents
+        );
         return Err(Error::new(ErrorKind::TooManySubAgents, message));
     }
     if parent.depth >= limits.max_depth {
-        let message = format!("run {parent_run_id} is at depth {}, the deepest", parent.depth);
+        let message = format!(
+            "run {parent_run_id} is at depth {}, the deepest",
+            parent.depth
+        );
         return Err(Error::new(ErrorKind::TooDeep, message));
     }
     let (_, available) = context.cost_of(parent_run_id);
--- a/src/request/service_call.rs
+++ b/src/request/service_call.rs
@@ -35,14 +35,20 @@
 ) -> Result<Response<Body>> {
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let service = config.services.get(name).ok_or_else(|| {
-        Error::new(ErrorKind::NotFound, format!("there is no service `{name}`; check its name"))
+        Error::new(
+            ErrorKind::NotFound,
+            format!("there is no service `{name}`; check its name"),
+        )
     })?;
     let path = match request.uri().query() {
         Some(query) => format!("/{path}?{query}"),
         None => format!("/{path}"),
     };
     let route = find_route(service, request.method().as_str(), &path).ok_or_else(|| {
-        let message = format!("the service `{name}` has no route for {} {path}", request.method());
+        let message = format!(
+            "the service `{name}` has no route for {} {path}",
+            request.method()
+        );
         Error::new(ErrorKind::NotFound, message)
     })?;
     let request = strip(request, &path, team_id)?;
@@ -50,7 +56,8 @@
 }
 
 fn find_route<'a>(service: &'a Service, method: &str, path: &str) -> Option<&'a ServiceRoute> {
-    let matches = |route: &&ServiceRoute| route.method == method && path.starts_with(&route.path_prefix);
+    let matches =
+        |route: &&ServiceRoute| route.method == method && path.starts_with(&route.path_prefix);
     service.routes.iter().find(matches)
 }
 
@@ -58,7 +65,10 @@
 fn strip(request: Request<Bytes>, path: &str, team_id: &TeamId) -> Result<Request<Bytes>> {
     let (mut head, body) = request.into_parts();
     head.uri = path.parse().map_err(|_| {
-        Error::new(ErrorKind::BadRequest, format!("the path `{path}` is not valid"))
+        Error::new(
+            ErrorKind::BadRequest,
+            format!("the path `{path}` is not valid"),
+        )
     })?;
     for name in [AUTHORIZATION, HOST, CONNECTION, TRANSFER_ENCODING] {
         head.headers.remove(name);
@@ -83,7 +93,12 @@
     let mut last_error = None;
     for index in 0..count {
         let address = service.addresses[(first + index) % count];
-        let sent = entry.http.fetch(address, request.clone(), service.time_limit, ANSWER_LIMIT_BYTES);
+        let sent = entry.http.fetch(
+            address,
+            request.clone(),
+            service.time_limit,
+            ANSWER_LIMIT_BYTES,
+        );
         let error = match sent.await {
             Ok(response) => return Ok(pass_answer(response)),
             Err(error) => error,
--- a/src/request/tool_call.rs
+++ b/src/request/tool_call.rs
@@ -38,21 +38,40 @@
     });
     match receiver.await {
         Ok(answer) => Ok(json_response(StatusCode::OK, &answer?)),
-        Err(_) => Err(Error::new(ErrorKind::Internal, "the tool call ended without an answer")),
+        Err(_) => Err(Error::new(
+            ErrorKind::Internal,
+            "the tool call ended without an answer",
+        )),
     }
 }
 
 async fn run(context: &CallContext, run_id: RunId, body: ToolCall) -> Result<ToolAnswer> {
-    if let Some(Progress::ActionDone(action_id, result, charge)) = context.earlier(&body.request_id)? {
-        return answer(context, run_id, &body.request_id, &action_id, &result, charge);
+    if let Some(Progress::ActionDone(action_id, result, charge)) =
+        context.earlier(&body.request_id)?
+    {
+        return answer(
+            context,
+            run_id,
+            &body.request_id,
+            &action_id,
+            &result,
+            charge,
+        );
     }
     let lock = context.lock_in_sequence(run_id, body.sequence).await?;
     match context.earlier(&body.request_id)? {
-        Some(Progress::ActionDone(action_id, result, charge)) => {
-            answer(context, run_id, &body.request_id, &action_id, &result, charge)
-        }
+        Some(Progress::ActionDone(action_id, result, charge)) => answer(
+            context,
+            run_id,
+            &body.request_id,
+            &action_id,
+            &result,
+            charge,
+        ),
         Some(Progress::ActionInDoubt(action)) => {
-            ToolCallInProgress::resume(context, run_id, &body, action, lock)?.resolve().await
+            ToolCallInProgress::resume(context, run_id, &body, action, lock)?
+                .resolve()
+                .await
         }
         None => {
             context.check_durability()?;
@@ -102,7 +121,14 @@
         let mut state = context.open.cell().state.borrow_mut();
         state.reserve_pending(run_id, action.reserved_micros, budget)?;
         drop(state);
-        Ok(Self { context, run_id, body, tool, action, _lock: lock })
+        Ok(Self {
+            context,
+            run_id,
+            body,
+            tool,
+            action,
+            _lock: lock,
+        })
     }
 
     fn resume(
@@ -113,7 +139,14 @@
         lock: ThreadLock,
     ) -> Result<Self> {
         let tool = find_tool(context, body)?;
-        Ok(Self { context, run_id, body, tool, action, _lock: lock })
+        Ok(Self {
+            context,
+            run_id,
+            body,
+            tool,
+            action,
+            _lock: lock,
+        })
     }
 
     /// Makes the intention durable. After an error the action was certainly not sent.
@@ -200,7 +233,15 @@
         let arguments = &self.body.arguments;
         let limit = self.tool.time_limit;
         let address: SocketAddr = self.tool.address;
-        tools.run(address, &action.action_id, &action.tool_id, arguments, limit).await
+        tools
+            .run(
+                address,
+                &action.action_id,
+                &action.tool_id,
+                arguments,
+                limit,
+            )
+            .await
     }
 
     fn may_retry(&self, attempt: usize) -> bool {
@@ -218,7 +259,9 @@
 
     async fn failed(&self, status: u16, message: String) -> Result<ToolAnswer> {
         let message = format!("the tool refused the action with status {status}: {message}");
-        let outcome = ActionOutcome::Failed { message: message.as_str().into() };
+        let outcome = ActionOutcome::Failed {
+            message: message.as_str().into(),
+        };
         self.append_and_wait(outcome).await?;
         Err(Error::new(ErrorKind::ToolFailed, message))
     }
@@ -239,8 +282,12 @@
         }
         let deadline = self.context.entry.timer.now() + self.tool.time_limit;
         loop {
-            let status =
-                self.context.entry.tools.status(self.tool.address, &self.action.action_id).await;
+            let status = self
+                .context
+                .entry
+                .tools
+                .status(self.tool.address, &self.action.action_id)
+                .await;
             match status {
                 Ok(ActionStatus::Done(result)) => return Some(result),
                 Ok(ActionStatus::Unknown) => return None,
@@ -263,21 +310,30 @@
     }
 
     async fn settle_done(&self, result: ActionResult) -> Result<ToolAnswer> {
-        let charge = result.charge_micros;
-        if charge > self.action.reserved_micros {
-            metrics::counter!("invariant_violations_total", "invariant" => "tool_price_limit")
-                .increment(1);
+        let limit = self.action.reserved_micros;
+        if result.charge_micros > limit {
             log::error!(
-                tool = &*self.action.tool_id, charge, limit = self.action.reserved_micros;
-                "the tool charged more than its price limit"
+                tool = &*self.action.tool_id, charge_micros = result.charge_micros, limit;
+                "the tool charged more than its price limit; the run is charged the limit"
             );
         }
+        let charge = result.charge_micros.min(limit);
         let text: Rc<str> = result.result.to_string().into();
-        let outcome = ActionOutcome::Done { result: text.clone(), charge_micros: charge };
+        let outcome = ActionOutcome::Done {
+            result: text.clone(),
+            charge_micros: charge,
+        };
         self.append_and_wait(outcome).await?;
         crate::process::audit::paid_action(&self.context.key, self.run_id, &self.action, charge);
         let request_id = &self.body.request_id;
-        answer(self.context, self.run_id, request_id, &self.action.action_id, &text, charge)
+        answer(
+            self.context,
+            self.run_id,
+            request_id,
+            &self.action.action_id,
+            &text,
+            charge,
+        )
     }
 
     fn append(&self, outcome: ActionOutcome) -> Result<crate::process::journal::Receipt> {
@@ -298,20 +354,36 @@
 const STATUS_INTERVAL: std::time::Duration = std::time::Duration::from_millis(200);
 
 fn find_tool(context: &CallContext, body: &ToolCall) -> Result<Tool> {
-    context.config.tools.get(&body.tool).cloned().ok_or_else(|| {
-        Error::new(ErrorKind::NotFound, format!("there is no tool `{}`; check its name", body.tool))
-    })
+    context
+        .config
+        .tools
+        .get(&body.tool)
+        .cloned()
+        .ok_or_else(|| {
+            Error::new(
+                ErrorKind::NotFound,
+                format!("there is no tool `{}`; check its name", body.tool),
+            )
+        })
 }
 
 /// The same for every holder and every repeat of a request, and different for any other request.
 fn action_id(key: &ConversationKey, run_id: RunId, request_id: &RequestId) -> Rc<str> {
     let mut digest = Sha256::new();
-    for part in [&*key.team_id, &*key.conversation_id, &run_id.to_string(), &**request_id] {
+    for part in [
+        &*key.team_id,
+        &*key.conversation_id,
+        &run_id.to_string(),
+        &**request_id,
+    ] {
         digest.update((part.len() as u64).to_be_bytes());
         digest.update(part.as_bytes());
     }
     let bytes = digest.finalize();
-    let hex: String = bytes[..16].iter().map(|byte| format!("{byte:02x}")).collect();
+    let hex: String = bytes[..16]
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
     hex.into()
 }
 
--- a/src/request/turn.rs
+++ b/src/request/turn.rs
@@ -20,6 +20,7 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::{Micros, RunId};
 use crate::process::conversation::{Event, Progress, TurnOutcome, TurnResult};
+use crate::process::metrics::REQUESTS;
 use crate::process::routing::{CallDescription, Permit};
 use crate::process::slots::lock::ThreadLock;
 use crate::request::api::{
@@ -34,23 +35,36 @@
     check_limits(&context, &body)?;
     let (head, head_receiver) = oneshot::channel();
     let (sender, stream) = Body::stream();
-    let output = Output { head: Some(head), sender, index: 0 };
+    let output = Output {
+        head: Some(head),
+        sender,
+        index: 0,
+    };
     monoio::spawn(run(context, run_id, body, output));
     match head_receiver.await {
         Ok(Ok(())) => Ok(stream_response(stream)),
         Ok(Err(error)) => Err(error),
-        Err(_) => Err(Error::new(ErrorKind::Internal, "the turn ended without an answer")),
+        Err(_) => Err(Error::new(
+            ErrorKind::Internal,
+            "the turn ended without an answer",
+        )),
     }
 }
 
 fn check_limits(context: &CallContext, body: &Turn) -> Result<()> {
     let limits = &context.config.limits;
     if body.input.len() > limits.input_bytes {
-        let message = format!("`input` is longer than {} bytes; shorten it", limits.input_bytes);
+        let message = format!(
+            "`input` is longer than {} bytes; shorten it",
+            limits.input_bytes
+        );
         return Err(Error::new(ErrorKind::BodyTooLarge, message));
     }
     if body.max_output_tokens > limits.output_tokens {
-        let message = format!("`max_output_tokens` is above the limit of {}", limits.output_tokens);
+        let message = format!(
+            "`max_output_tokens` is above the limit of {}",
+            limits.output_tokens
+        );
         return Err(Error::new(ErrorKind::BadRequest, message));
     }
     Ok(())
@@ -74,7 +88,10 @@
     }
 
     async fn token(&mut self, text: &str) {
-        let event = TokenEvent { index: self.index, text: text.to_string() };
+        let event = TokenEvent {
+            index: self.index,
+            text: text.to_string(),
+        };
         self.index += 1;
         // A caller that is gone is noticed by `closed`.
         let _ = self.sender.send(sse::encode(EVENT_TOKEN, &event)).await;
@@ -91,8 +108,12 @@
             }
             None => {
                 let kind = error.kind.answer().name;
-                metrics::counter!("requests_failed_total", "kind" => kind).increment(1);
-                let _ = self.sender.send(sse::encode(EVENT_ERROR, &error.to_body())).await;
+                metrics::counter!(REQUESTS, "route" => "turn_stream", "outcome" => kind)
+                    .increment(1);
+                let _ = self
+                    .sender
+                    .send(sse::encode(EVENT_ERROR, &error.to_body()))
+                    .await;
             }
         }
     }
@@ -101,7 +122,9 @@
 async fn run(context: CallContext, run_id: RunId, body: Turn, mut output: Output) {
     let mut turn = match prepare(&context, run_id, body, &mut output).await {
         Ok(Prepared::New(turn)) => turn,
-        Ok(Prepared::Repeat(result)) => return repeat(&context, run_id, &result, &mut output).await,
+        Ok(Prepared::Repeat(result)) => {
+            return repeat(&context, run_id, &result, &mut output).await;
+        }
         Ok(Prepared::CallerGone) => return,
         Err(error) => return output.fail(error).await,
     };
@@ -118,10 +141,15 @@
     output: &mut Output,
 ) {
     output
-        .begin(&StartEvent { request_id: request_id.clone(), turn: result.turn.into() })
+        .begin(&StartEvent {
+            request_id: request_id.clone(),
+            turn: result.turn.into(),
+        })
         .await;
     output.token(&result.output).await;
-    output.done(&done_event(context, run_id, request_id, result)).await;
+    output
+        .done(&done_event(context, run_id, request_id, result))
+        .await;
 }
 
 fn done_event(
@@ -209,10 +237,15 @@
         lock: ThreadLock,
     ) -> Result<Self> {
         let program = context.program_of(run_id)?;
-        let model = context.config.models.get(&program.model_id).cloned().ok_or_else(|| {
-            let message = format!("the model `{}` is no longer configured", program.model_id);
-            Error::new(ErrorKind::NotFound, message)
-        })?;
+        let model = context
+            .config
+            .models
+            .get(&program.model_id)
+            .cloned()
+            .ok_or_else(|| {
+                let message = format!("the model `{}` is no longer configured", program.model_id);
+                Error::new(ErrorKind::NotFound, message)
+            })?;
         let prompt_tokens_bound = prompt_bound(context, run_id, &body, &model)?;
         let output_tokens = u64::from(body.max_output_tokens);
         let reserved_micros = price(prompt_tokens_bound, model.prompt_micros_per_1k_tokens)
@@ -285,7 +318,9 @@
         let context = self.context;
         let state = context.open.cell().state.borrow();
         let thread = state.thread_number(self.run_id);
-        let service = state.thread_of(self.run_id).map_or(0, |thread| thread.counted_tokens);
+        let service = state
+            .thread_of(self.run_id)
+            .map_or(0, |thread| thread.counted_tokens);
         CallDescription {
             config: context.config.clone(),
             model_id: self.program.model_id.clone(),
@@ -310,13 +345,18 @@
 
     /// Number of this call in its run, from 1.
     fn number(&self) -> u32 {
-        self.context.with_run(self.run_id, |run| run.calls + 1).unwrap_or(0)
+        self.context
+            .with_run(self.run_id, |run| run.calls + 1)
+            .unwrap_or(0)
     }
 
     /// The cost of what an engine reports, never above the reservation.
     fn cost(&self, usage: &Usage) -> Micros {
         let cost = price(usage.prompt_tokens, self.model.prompt_micros_per_1k_tokens)
-            + price(usage.completion_tokens, self.model.output_micros_per_1k_tokens);
+            + price(
+                usage.completion_tokens,
+                self.model.output_micros_per_1k_tokens,
+            );
         if cost > self.reserved_micros {
             log::warn!(
                 run_id = self.run_id, cost, reserved = self.reserved_micros;
@@ -328,7 +368,11 @@
 
     async fn settle(&mut self, outcome: attempt::Outcome, output: &mut Output) -> Result<()> {
         let (outcome, error) = match outcome {
-            attempt::Outcome::Finished { text, finish_reason, usage } => {
+            attempt::Outcome::Finished {
+                text,
+                finish_reason,
+                usage,
+            } => {
                 let result = TurnResult {
                     turn: self.number(),
                     output: text.into(),
@@ -345,11 +389,19 @@
                 let message = crate::error::chain(&error).into();
                 let kind = error.kind;
                 let cost_micros = self.cost(&used);
-                (TurnOutcome::Failed { kind, message, cost_micros }, error)
+                (
+                    TurnOutcome::Failed {
+                        kind,
+                        message,
+                        cost_micros,
+                    },
+                    error,
+                )
             }
             attempt::Outcome::CallerGone { used } => {
                 let cost_micros = self.cost(&used);
-                self.append_and_wait(TurnOutcome::Interrupted { cost_micros }).await?;
+                self.append_and_wait(TurnOutcome::Interrupted { cost_micros })
+                    .await?;
                 return Ok(());
             }
             attempt::Outcome::LeaseLost => {
@@ -383,16 +435,14 @@
     }
 }
 
-fn prompt_bound(
-    context: &CallContext,
-    run_id: RunId,
-    body: &Turn,
-    model: &Model,
-) -> Result<u64> {
+fn prompt_bound(context: &CallContext, run_id: RunId, body: &Turn, model: &Model) -> Result<u64> {
     let state = context.open.cell().state.borrow();
     let thread = state.thread_of(run_id);
     let (bound, counted) = thread.map_or((0, 0), |thread| {
-        (thread.prompt_tokens_bound(&body.input), thread.counted_tokens)
+        (
+            thread.prompt_tokens_bound(&body.input),
+            thread.counted_tokens,
+        )
     });
     let room = u64::from(model.context_tokens).saturating_sub(body.max_output_tokens.into());
     if counted >= room {
--- a/src/request/turn/attempt.rs
+++ b/src/request/turn/attempt.rs
@@ -25,7 +25,11 @@
 /// How the attempts ended.
 pub(super) enum Outcome {
     /// With the whole answer.
-    Finished { text: String, finish_reason: String, usage: Usage },
+    Finished {
+        text: String,
+        finish_reason: String,
+        usage: Usage,
+    },
     /// No engine received the call.
     NotRun(Error),
     /// An engine failed, or the run was cancelled.
@@ -75,7 +79,11 @@
             let may_retry = self.tokens == 0
                 && self.excluded.len() < ENGINES_PER_TURN
                 && is_retryable(&error)
-                && turn.context.entry.retry_budget.try_retry(turn.context.config.limits.retry_percent);
+                && turn
+                    .context
+                    .entry
+                    .retry_budget
+                    .try_retry(turn.context.config.limits.retry_percent);
             if !may_retry {
                 return self.failed(turn, error);
             }
@@ -122,24 +130,40 @@
                     }
                     self.take_token(turn, &text, output).await;
                 }
-                Step::Event(Ok(Some(CompletionEvent::Finished { finish_reason, usage }))) => {
+                Step::Event(Ok(Some(CompletionEvent::Finished {
+                    finish_reason,
+                    usage,
+                }))) => {
                     permit.finished(usage);
                     output.begin(&self.start_event(turn)).await;
                     let text = std::mem::take(&mut self.text);
-                    return Ok(Outcome::Finished { text, finish_reason, usage });
+                    return Ok(Outcome::Finished {
+                        text,
+                        finish_reason,
+                        usage,
+                    });
                 }
                 Step::Event(Ok(None)) => {
                     permit.failed();
-                    return Err(EngineError::Interrupted("the answer has no end".to_string()));
+                    return Err(EngineError::Interrupted(
+                        "the answer has no end".to_string(),
+                    ));
                 }
                 Step::Event(Err(error)) => {
                     permit.failed();
                     return Err(error);
                 }
-                Step::CallerGone => return Ok(Outcome::CallerGone { used: self.used(turn) }),
+                Step::CallerGone => {
+                    return Ok(Outcome::CallerGone {
+                        used: self.used(turn),
+                    });
+                }
                 Step::RunEnded => {
                     let error = Error::new(ErrorKind::Cancelled, "the run was cancelled");
-                    return Ok(Outcome::Failed { error, used: self.used(turn) });
+                    return Ok(Outcome::Failed {
+                        error,
+                        used: self.used(turn),
+                    });
                 }
                 Step::LeaseLost => return Ok(Outcome::LeaseLost),
             }
@@ -179,7 +203,10 @@
     }
 
     fn start_event(&self, turn: &NewTurn<'_>) -> StartEvent {
-        StartEvent { request_id: turn.body.request_id.clone(), turn: turn.number().into() }
+        StartEvent {
+            request_id: turn.body.request_id.clone(),
+            turn: turn.number().into(),
+        }
     }
 
     /// What an engine may have used that did not report it: the whole prompt, and what was seen.
@@ -199,7 +226,10 @@
         }
         let message = "the engine failed during the call; send it with a new request id";
         let error = Error::new(ErrorKind::BackendFailed, message).with_cause(error);
-        Outcome::Failed { error, used: self.used(turn) }
+        Outcome::Failed {
+            error,
+            used: self.used(turn),
+        }
     }
 }
 
@@ -216,12 +246,20 @@
     let context = turn.context;
     let state = context.open.cell().state.borrow();
     let thread_number = state.thread_number(turn.run_id);
-    let history = state.thread_of(turn.run_id).map(|thread| thread.messages.as_slice());
-    let history = history.unwrap_or_default().iter().map(|message| ChatMessage {
-        role: message.role.name().into(),
-        content: message.text.clone(),
-    });
-    let input = ChatMessage { role: Role::User.name().into(), content: turn.input.clone() };
+    let history = state
+        .thread_of(turn.run_id)
+        .map(|thread| thread.messages.as_slice());
+    let history = history
+        .unwrap_or_default()
+        .iter()
+        .map(|message| ChatMessage {
+            role: message.role.name().into(),
+            content: message.text.clone(),
+        });
+    let input = ChatMessage {
+        role: Role::User.name().into(),
+        content: turn.input.clone(),
+    };
     CompletionRequest {
         model: turn.program.model_id.clone(),
         messages: history.chain([input]).collect(),
--- a/src/version.rs
+++ b/src/version.rs
@@ -8,8 +8,8 @@
 pub mod check;
 pub mod config;
 pub mod diff;
-pub mod keys;
 pub mod key;
+pub mod keys;
 pub mod merge;
 pub mod raw;
 pub mod store;
--- a/src/version/keys.rs
+++ b/src/version/keys.rs
@@ -35,7 +35,9 @@
             .operators
             .iter()
             .map(|(name, operator)| (operator.key_sha256, Principal::Operator(name.clone())));
-        Self { principals: teams.chain(operators).collect() }
+        Self {
+            principals: teams.chain(operators).collect(),
+        }
     }
 
     /// Looks up the owner of a key.
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -82,6 +82,7 @@
         state,
         renewal: 1,
         segment: 0,
+        first_segment: 1,
         config_version,
     }
 }
--- /dev/null
+++ b/tests/failover.rs
@@ -0,0 +1,144 @@
+//! What callers see when the entry that holds their conversation is lost.
+
+use std::time::{Duration, Instant};
+
+use sapphireford_standin::harness::{Site, SiteOptions};
+use serde_json::{Value, json};
+
+/// Lease time of the sites here, shorter than in production so that the tests are quick.
+const LEASE_TTL_MS: u64 = 1_200;
+
+fn site() -> Site {
+    Site::with(SiteOptions {
+        settings: json!({
+            "lease_ttl_ms": LEASE_TTL_MS, "lease_renew_ms": 300, "membership_interval_ms": 200,
+        }),
+        ..SiteOptions::default()
+    })
+}
+
+fn start_run(site: &Site, entry: usize, conversation: &str) -> u64 {
+    let body = json!({ "request_id": "start", "program": "assistant" });
+    let answer = site
+        .post(entry, &format!("{conversation}/runs"), &body)
+        .expect("an answer");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    answer.json()["run_id"].as_u64().expect("a run id")
+}
+
+fn turn_body(request_id: &str, conversation: &str, tokens: u32) -> Value {
+    let input = format!("{conversation} says {request_id}");
+    json!({ "request_id": request_id, "input": input, "max_output_tokens": tokens })
+}
+
+/// Runs a turn to its end and returns the data of its last event.
+fn turn(site: &Site, entry: usize, conversation: &str, request_id: &str) -> Value {
+    let path = format!("{conversation}/runs/1/turns");
+    let body = turn_body(request_id, conversation, 8);
+    let mut stream = site.open(entry, &path, &body).expect("a stream");
+    let events = stream.rest().expect("a whole stream");
+    let last = events.last().expect("an event");
+    assert_eq!(last.name, "done", "{last:?}");
+    serde_json::from_str(&last.data).expect("JSON")
+}
+
+fn history(site: &Site, entry: usize, conversation: &str) -> Vec<(String, String)> {
+    let answer = site
+        .get(entry, &format!("{conversation}/history"))
+        .expect("an answer");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let text = |value: &Value| value.as_str().unwrap_or_default().to_string();
+    let messages = answer.json()["messages"]
+        .as_array()
+        .cloned()
+        .unwrap_or_default();
+    messages
+        .iter()
+        .map(|message| (text(&message["role"]), text(&message["content"])))
+        .collect()
+}
+
+/// Guards against a history that is lost when its holder dies between two turns.
+#[test]
+fn history_survives_a_killed_holder() {
+    let mut site = site();
+    start_run(&site, 0, "c1");
+    turn(&site, 1, "c1", "t1");
+    turn(&site, 2, "c1", "t2");
+    let before = history(&site, 0, "c1");
+    let holder = site.holder_of("team-one", "c1").expect("a holder");
+    site.kill_entry(holder);
+    let other = (holder + 1) % 3;
+    let killed = Instant::now();
+    turn(&site, other, "c1", "t3");
+    assert!(
+        killed.elapsed() < Duration::from_secs(8),
+        "the slot was not taken over in time"
+    );
+    let after = history(&site, other, "c1");
+    assert_eq!(after[..before.len()], before[..]);
+    assert_eq!(after.len(), before.len() + 2);
+}
+
+/// Guards against a second execution of a paid action when its request is repeated after the holder
+/// was killed.
+#[test]
+fn paid_action_is_not_repeated_after_a_kill() {
+    let mut site = site();
+    start_run(&site, 0, "c1");
+    let body = json!({ "request_id": "pay", "tool": "charge", "arguments": {} });
+    let first = site
+        .post(0, "c1/runs/1/tool-calls", &body)
+        .expect("an answer");
+    assert_eq!(first.status, 200, "{}", first.text());
+    let holder = site.holder_of("team-one", "c1").expect("a holder");
+    site.kill_entry(holder);
+    let second = site
+        .post((holder + 1) % 3, "c1/runs/1/tool-calls", &body)
+        .expect("an answer");
+    assert_eq!(second.json()["result"], first.json()["result"]);
+    let executions = site.mute_tool.stats()["executions_by_key"].clone();
+    assert_eq!(executions.as_object().map(|keys| keys.len()), Some(1));
+    assert!(
+        executions
+            .as_object()
+            .expect("an object")
+            .values()
+            .all(|count| *count == json!(1))
+    );
+}
+
+/// Guards against a turn that cannot be continued when its holder dies in mid-stream.
+#[test]
+fn turn_runs_again_after_a_kill_in_its_stream() {
+    let mut site = site();
+    start_run(&site, 0, "c1");
+    let holder = site.holder_of("team-one", "c1").expect("a holder");
+    let body = turn_body("t1", "c1", 400);
+    let mut stream = site
+        .open(holder, "c1/runs/1/turns", &body)
+        .expect("a stream");
+    for _ in 0..5 {
+        stream.next_event().expect("an event");
+    }
+    site.kill_entry(holder);
+    assert!(
+        stream.rest().is_err(),
+        "the stream of a killed holder must break"
+    );
+    let other = (holder + 1) % 3;
+    let mut stream = site
+        .open(other, "c1/runs/1/turns", &body)
+        .expect("a stream");
+    let events = stream.rest().expect("a whole stream");
+    assert_eq!(events.last().map(|event| event.name.as_str()), Some("done"));
+    assert_eq!(history(&site, other, "c1").len(), 3);
+    let state = site.get(other, "c1").expect("an answer").json();
+    let spent = state["runs"][0]["spent_micros"]
+        .as_u64()
+        .unwrap_or_default();
+    assert!(
+        spent > 400 * 4,
+        "the reservation of the lost turn must stay spent: {state}"
+    );
+}
