--- a/src/connection/peer/client.rs
+++ b/src/connection/peer/client.rs
@@ -18,6 +18,7 @@
 use super::messages::{ForwardHead, ForwardRequest, PeerRequest, PeerResponse};
 use super::{CODE_ABORTED, CODE_DONE, CODE_REFUSED, PeerError, Result};
 use crate::ids::EntryId;
+use crate::process::metrics::PEER_REQUESTS;
 
 /// Longest time to open a connection. Entries are a few milliseconds from each other.
 const CONNECT_TIME: Duration = Duration::from_secs(2);
@@ -103,6 +104,21 @@
     ) -> Result<PeerResponse> {
         let timer = self.inner.endpoint.timer();
         let deadline = timer.now() + limit;
+        let kind = request.kind();
+        let answer = self.exchange(address, id, request, deadline, limit).await;
+        count(kind, &answer);
+        answer
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        id: &EntryId,
+        request: PeerRequest,
+        deadline: Instant,
+        limit: Duration,
+    ) -> Result<PeerResponse> {
+        let timer = self.inner.endpoint.timer();
         let exchange = timer.timeout_at(deadline, self.start(address, id, &request));
         let (mut reader, _in_progress) = exchange
             .await
@@ -122,7 +138,18 @@
         request: ForwardRequest,
     ) -> Result<(ForwardHead, ForwardBody)> {
         let request = PeerRequest::Forward(request);
-        let (mut reader, in_progress) = self.start(address, id, &request).await?;
+        let answer = self.open(address, id, &request).await;
+        count(request.kind(), &answer);
+        answer
+    }
+
+    async fn open(
+        &self,
+        address: SocketAddr,
+        id: &EntryId,
+        request: &PeerRequest,
+    ) -> Result<(ForwardHead, ForwardBody)> {
+        let (mut reader, in_progress) = self.start(address, id, request).await?;
         let head = read_answer(&mut reader).await?;
         let body = ForwardBody {
             reader,
@@ -315,6 +342,15 @@
     })
 }
 
+fn count<T>(kind: &'static str, answer: &Result<T>) {
+    let outcome = match answer {
+        Ok(_) => "ok",
+        Err(PeerError::NotSent(_)) => "not_sent",
+        Err(PeerError::Interrupted(_)) => "interrupted",
+    };
+    metrics::counter!(PEER_REQUESTS, "kind" => kind, "outcome" => outcome).increment(1);
+}
+
 fn not_sent(reason: impl std::fmt::Display) -> PeerError {
     PeerError::NotSent(reason.to_string())
 }
--- a/src/connection/peer/messages.rs
+++ b/src/connection/peer/messages.rs
@@ -23,6 +23,18 @@
     RunsActive(Vec<String>),
 }
 
+impl PeerRequest {
+    /// The name of the kind of request, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            PeerRequest::Forward(_) => "forward",
+            PeerRequest::ConfigVersion(_) => "config_version",
+            PeerRequest::ReleaseSlot(_) => "release_slot",
+            PeerRequest::RunsActive(_) => "runs_active",
+        }
+    }
+}
+
 /// The answer to a [`PeerRequest`] other than `Forward`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerResponse {
--- a/src/process.rs
+++ b/src/process.rs
@@ -1,6 +1,8 @@
 //! What lives as long as the process.
 
+pub mod logging;
 pub mod membership;
+pub mod metrics;
 pub mod rows;
 pub mod settings;
 pub mod slots;
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,241 @@
+//! The observation of entries, and the placement of slots on them.
+
+mod support;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::{Request, Response, StatusCode};
+use sapphireford::connection::body::Body;
+use sapphireford::connection::http_client::HttpClient;
+use sapphireford::connection::http_server::{self, Handler, HttpLimits, json_response};
+use sapphireford::connection::platform::PlatformClient;
+use sapphireford::ids::ConversationKey;
+use sapphireford::process::membership::{Membership, Observations};
+use sapphireford::process::rows::{EntryRow, EntryState};
+use sapphireford::process::slots::placement::{preferred, rank, slot_of};
+use serde_json::json;
+use support::run;
+
+const TTL: Duration = Duration::from_secs(4);
+
+fn row(entry_id: &str, renewal: u64) -> EntryRow {
+    EntryRow {
+        entry_id: entry_id.into(),
+        incarnation: 1,
+        http_address: "127.0.0.1:8001".parse().unwrap(),
+        peer_address: "127.0.0.1:9001".parse().unwrap(),
+        failure_domain: "brasov-a".into(),
+        state: EntryState::Live,
+        renewal,
+        segment: 0,
+        config_version: 0,
+    }
+}
+
+/// Scans at given times, in milliseconds, with `a` renewing and `b` not.
+struct Script {
+    start: Instant,
+    observations: Observations,
+}
+
+impl Script {
+    fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            observations: Observations::new(Duration::from_secs(1)),
+        }
+    }
+
+    fn scan(&mut self, started_ms: u64, ended_ms: u64) {
+        let at = |ms| self.start + Duration::from_millis(ms);
+        let rows = vec![row("a", started_ms), row("b", 1)];
+        self.observations
+            .record_scan(at(started_ms), at(ended_ms), rows);
+    }
+
+    fn expired(&self) -> Vec<String> {
+        let expired = self.observations.expired(TTL);
+        expired.map(|row| row.entry_id.to_string()).collect()
+    }
+}
+
+/// Guards against a dead entry that is never noticed, and against one that is noticed before its
+/// lease has been seen unchanged for the whole time.
+#[test]
+fn unchanged_row_expires_after_the_lease() {
+    let mut script = Script::new();
+    for second in 0..=4 {
+        script.scan(second * 1000, second * 1000 + 10);
+        assert!(script.expired().is_empty(), "at {second} s");
+    }
+    // The first scan ended at 10 ms, so the scan at 4,000 ms does not prove it, one at 4,010 ms does.
+    let next = script.observations.next_scan(TTL).unwrap() - script.start;
+    assert!(next <= Duration::from_millis(4_100), "{next:?}");
+    script.scan(4_030, 4_040);
+    assert_eq!(script.expired(), ["b"]);
+}
+
+/// Guards against healthy entries that look dead because the platform was down.
+#[test]
+fn failed_scans_restart_the_observation() {
+    let mut script = Script::new();
+    for second in 0..=5 {
+        script.scan(second * 1000, second * 1000 + 10);
+    }
+    assert_eq!(script.expired(), ["b"]);
+    script.observations.record_failure();
+    assert!(script.expired().is_empty());
+    for second in 6..=10 {
+        script.scan(second * 1000, second * 1000 + 10);
+        assert!(script.expired().is_empty(), "at {second} s");
+    }
+    script.scan(11_000, 11_010);
+    assert_eq!(script.expired(), ["b"]);
+}
+
+/// Guards against a process that was paused and takes the others for dead when it resumes.
+#[test]
+fn pause_restarts_the_observation() {
+    let mut script = Script::new();
+    script.scan(0, 10);
+    script.scan(1_000, 1_010);
+    script.scan(60_000, 60_010);
+    assert!(script.expired().is_empty());
+    // A pause within a scan counts as well.
+    script.scan(61_000, 90_000);
+    script.scan(90_020, 90_030);
+    assert!(script.expired().is_empty());
+}
+
+/// Guards against the recovery of entries that have ended, and of those already fenced.
+#[test]
+fn only_entries_that_renew_expire() {
+    let mut observations = Observations::new(Duration::from_secs(1));
+    let start = Instant::now();
+    let states = [
+        ("live", EntryState::Live),
+        ("leaving", EntryState::Leaving),
+        ("fenced", EntryState::Fenced),
+        ("closed", EntryState::Closed),
+    ];
+    for second in 0..6 {
+        let at = start + Duration::from_secs(second);
+        let rows = states.map(|(id, state)| EntryRow {
+            state,
+            ..row(id, 1)
+        });
+        observations.record_scan(at, at, rows.to_vec());
+    }
+    let expired: Vec<_> = observations
+        .expired(TTL)
+        .map(|row| &*row.entry_id)
+        .collect();
+    assert_eq!(expired, ["live", "leaving"]);
+}
+
+/// A platform with entry rows and a list of VMs.
+#[derive(Default)]
+struct Platform {
+    rows: RefCell<Vec<EntryRow>>,
+    leaving: RefCell<Vec<&'static str>>,
+    down: Cell<bool>,
+}
+
+impl Handler for Platform {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
+        if self.down.get() {
+            return json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+        }
+        let body = match request.uri().path() {
+            "/vms" => {
+                let vm = |address: &&str| json!({"address": address, "state": "leaving"});
+                json!({ "vms": self.leaving.borrow().iter().map(vm).collect::<Vec<_>>() })
+            }
+            _ => {
+                let row = |row: &EntryRow| json!({"key": "k", "version": 1, "value": row});
+                let mut rows: Vec<_> = self.rows.borrow().iter().map(row).collect();
+                rows.push(json!({"key": "entries/bad", "version": 1, "value": 5}));
+                json!({ "rows": rows })
+            }
+        };
+        json_response(StatusCode::OK, &body)
+    }
+}
+
+/// Guards against subscribers that miss a new entry, a leaving VM or an expiry, and against an
+/// undecodable row or an outage that hides the known entries.
+#[test]
+fn membership_follows_the_platform() {
+    run(async |timer| {
+        let platform = Rc::new(Platform::default());
+        let free = "127.0.0.1:0".parse().unwrap();
+        let limits = HttpLimits::default();
+        let server = http_server::serve(free, limits, timer.clone(), platform.clone()).unwrap();
+        let address = server.address();
+        let limit = Duration::from_secs(5);
+        let client = PlatformClient::new(HttpClient::new(timer.clone()), address, limit);
+        let interval = Duration::from_millis(100);
+        let ttl = Duration::from_secs(1);
+        let membership = Membership::start(client, timer.clone(), interval, ttl);
+        let mut changes = membership.subscribe();
+        *platform.rows.borrow_mut() = vec![row("a", 1)];
+        timer.timeout(limit, changes.changed()).await.unwrap();
+        assert_eq!(membership.live(), [row("a", 1)]);
+        platform.leaving.borrow_mut().push("127.0.0.1:8001");
+        timer.timeout(limit, changes.changed()).await.unwrap();
+        assert!(membership.live().is_empty() && membership.get("a").is_some());
+        assert!(membership.expired(ttl).is_empty());
+        timer.timeout(limit, changes.changed()).await.unwrap();
+        assert_eq!(membership.expired(ttl), [row("a", 1)]);
+        platform.down.set(true);
+        timer.timeout(limit, changes.changed()).await.unwrap();
+        assert!(membership.expired(ttl).is_empty());
+        assert_eq!(membership.entries(), [row("a", 1)]);
+        let age = membership.age().unwrap();
+        timer.sleep(interval * 3).await;
+        assert!(membership.age().unwrap() > age);
+    });
+}
+
+/// Guards against a change of one entry that moves slots of the others, and against slots that
+/// crowd on few entries.
+#[test]
+fn removing_an_entry_moves_only_its_slots() {
+    let entries: Vec<_> = (0..10).map(|number| format!("entry-{number}")).collect();
+    let all = || entries.iter().map(String::as_str);
+    let mut held = HashMap::<_, u32>::new();
+    for slot in 0..16_384 {
+        let ranked = rank(slot, all());
+        assert_eq!(rank(slot, all().rev()), ranked);
+        assert_eq!(preferred(slot, all()), Some(ranked[0]));
+        *held.entry(ranked[0].to_string()).or_default() += 1;
+        for removed in &ranked {
+            let rest = rank(slot, all().filter(|id| id != removed));
+            let expected: Vec<_> = ranked.iter().filter(|id| *id != removed).collect();
+            assert!(rest.iter().eq(expected));
+        }
+    }
+    // The mean is 1,638; a sound hash stays within six standard deviations (38 each).
+    assert!(held.len() == 10 && held.values().all(|count| (1_410..=1_866).contains(count)));
+}
+
+/// Guards against a build that places slots or conversations otherwise than the builds before it.
+/// The expected values come from a separate implementation of the same functions.
+#[test]
+fn placement_is_the_same_in_all_builds() {
+    let key = |team: &str, conversation: &str| ConversationKey {
+        team_id: team.into(),
+        conversation_id: conversation.into(),
+    };
+    assert_eq!(slot_of(&key("team", "conversation"), 256), 214);
+    assert_ne!(
+        slot_of(&key("a", "bc"), u32::MAX),
+        slot_of(&key("ab", "c"), u32::MAX)
+    );
+    let ranked = rank(5, ["entry-1", "entry-2", "entry-3"]);
+    assert_eq!(ranked, ["entry-2", "entry-3", "entry-1"]);
+}
