--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -35,8 +35,8 @@
         params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
         let issuer = CertifiedIssuer::self_signed(params, KeyPair::generate().unwrap()).unwrap();
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
-            .join(format!("site-{}-{number}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("sapphireford-site-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         std::fs::write(folder.join("authority.pem"), issuer.pem()).unwrap();
         Self { issuer, folder }
