--- a/src/connection/peer/client.rs
+++ b/src/connection/peer/client.rs
@@ -158,6 +158,16 @@
         Ok((head, body))
     }
 
+    /// Closes the connection to a peer at once. Requests in progress end as interrupted, which is
+    /// right for an entry that was fenced: it can acknowledge nothing any more.
+    pub fn disconnect(&self, id: &str) {
+        let peer = self.inner.peers.borrow().get(id).cloned();
+        let connection = peer.and_then(|peer| peer.connection.take());
+        if let Some((_, connection)) = connection {
+            connection.close(CODE_DONE, b"disconnected");
+        }
+    }
+
     /// Sends a whole request on a new stream. The peer reads a request in full before it starts to
     /// work on it, so every failure up to the last byte means that the request was not sent.
     async fn start(
@@ -362,6 +372,7 @@
 /// The body of a forwarded answer. Dropping it before its end tells the peer that the caller is
 /// gone.
 pub struct ForwardBody {
+    /// Its stream tells the peer to stop when it is dropped before the end.
     reader: FrameReader,
     _in_progress: InProgress,
 }
@@ -375,9 +386,3 @@
             .transpose()
     }
 }
-
-impl Drop for ForwardBody {
-    fn drop(&mut self) {
-        self.reader.stop(CODE_DONE);
-    }
-}
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -315,3 +315,20 @@
         assert_eq!(holder.calls.borrow().len(), 1);
     });
 }
+
+/// Guards against requests that wait for a fenced holder until its connection times out.
+#[test]
+fn disconnect_interrupts_requests_in_progress() {
+    run(async |timer| {
+        let site = Site::new();
+        let (endpoint, peers) = (site.open("entry-2", &timer), client(&site, &timer));
+        let (holder, mut sender) = Holder::streaming();
+        let _server = serve(&endpoint, holder);
+        let (_, mut body) = forward(&peers, &endpoint, request(Bytes::new())).await;
+        peers.disconnect("entry-2");
+        let end = timer.timeout(LIMIT, body.next()).await.unwrap();
+        assert!(matches!(end, Some(Err(PeerError::Interrupted(_)))));
+        timer.timeout(LIMIT, sender.closed()).await.unwrap();
+        call(&peers, address(&endpoint), "entry-2").await.unwrap();
+    });
+}
