--- a/src/connection/peer/client.rs
+++ b/src/connection/peer/client.rs
@@ -18,6 +18,7 @@
 use super::messages::{ForwardHead, ForwardRequest, PeerRequest, PeerResponse};
 use super::{CODE_ABORTED, CODE_DONE, CODE_REFUSED, PeerError, Result};
 use crate::ids::EntryId;
+use crate::process::metrics::PEER_REQUESTS;
 
 /// Longest time to open a connection. Entries are a few milliseconds from each other.
 const CONNECT_TIME: Duration = Duration::from_secs(2);
@@ -103,6 +104,21 @@
     ) -> Result<PeerResponse> {
         let timer = self.inner.endpoint.timer();
         let deadline = timer.now() + limit;
+        let kind = request.kind();
+        let answer = self.exchange(address, id, request, deadline, limit).await;
+        count(kind, &answer);
+        answer
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        id: &EntryId,
+        request: PeerRequest,
+        deadline: Instant,
+        limit: Duration,
+    ) -> Result<PeerResponse> {
+        let timer = self.inner.endpoint.timer();
         let exchange = timer.timeout_at(deadline, self.start(address, id, &request));
         let (mut reader, _in_progress) = exchange
             .await
@@ -122,7 +138,18 @@
         request: ForwardRequest,
     ) -> Result<(ForwardHead, ForwardBody)> {
         let request = PeerRequest::Forward(request);
-        let (mut reader, in_progress) = self.start(address, id, &request).await?;
+        let answer = self.open(address, id, &request).await;
+        count(request.kind(), &answer);
+        answer
+    }
+
+    async fn open(
+        &self,
+        address: SocketAddr,
+        id: &EntryId,
+        request: &PeerRequest,
+    ) -> Result<(ForwardHead, ForwardBody)> {
+        let (mut reader, in_progress) = self.start(address, id, request).await?;
         let head = read_answer(&mut reader).await?;
         let body = ForwardBody {
             reader,
@@ -131,6 +158,16 @@
         Ok((head, body))
     }
 
+    /// Closes the connection to a peer at once. Requests in progress end as interrupted, which is
+    /// right for an entry that was fenced: it can acknowledge nothing any more.
+    pub fn disconnect(&self, id: &str) {
+        let peer = self.inner.peers.borrow().get(id).cloned();
+        let connection = peer.and_then(|peer| peer.connection.take());
+        if let Some((_, connection)) = connection {
+            connection.close(CODE_DONE, b"disconnected");
+        }
+    }
+
     /// Sends a whole request on a new stream. The peer reads a request in full before it starts to
     /// work on it, so every failure up to the last byte means that the request was not sent.
     async fn start(
@@ -315,6 +352,15 @@
     })
 }
 
+fn count<T>(kind: &'static str, answer: &Result<T>) {
+    let outcome = match answer {
+        Ok(_) => "ok",
+        Err(PeerError::NotSent(_)) => "not_sent",
+        Err(PeerError::Interrupted(_)) => "interrupted",
+    };
+    metrics::counter!(PEER_REQUESTS, "kind" => kind, "outcome" => outcome).increment(1);
+}
+
 fn not_sent(reason: impl std::fmt::Display) -> PeerError {
     PeerError::NotSent(reason.to_string())
 }
@@ -326,6 +372,7 @@
 /// The body of a forwarded answer. Dropping it before its end tells the peer that the caller is
 /// gone.
 pub struct ForwardBody {
+    /// Its stream tells the peer to stop when it is dropped before the end.
     reader: FrameReader,
     _in_progress: InProgress,
 }
@@ -339,9 +386,3 @@
             .transpose()
     }
 }
-
-impl Drop for ForwardBody {
-    fn drop(&mut self) {
-        self.reader.stop(CODE_DONE);
-    }
-}
