--- a/src/connection/engine.rs
+++ b/src/connection/engine.rs
@@ -18,7 +18,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::connection::http_client::{Abort, ClientError, HttpClient, read_all};
+use crate::connection::http_client::{ClientError, HttpClient, read_all};
 use crate::connection::sse;
 use crate::ids::{FenceNumber, ModelId};
 use crate::process::timer::TimerService;
@@ -237,17 +237,13 @@
             cache_key: &request.cache_key,
         })?;
         let request = post("/v1/chat/completions", body);
-        let (response, abort) = self
-            .http
-            .send_abortable(address, request, limits.head_time)
-            .await?;
+        let response = self.http.send(address, request, limits.head_time).await?;
         if !response.status().is_success() {
             return Err(self.refusal(response).await);
         }
         Ok(CompletionStream {
             timer: self.http.timer().clone(),
             body: Some(response.into_body()),
-            abort,
             parser: sse::Parser::default(),
             ready: VecDeque::new(),
             finish_reason: None,
@@ -362,7 +358,6 @@
     timer: TimerService,
     /// `None` after the last event.
     body: Option<Incoming>,
-    abort: Abort,
     parser: sse::Parser,
     ready: VecDeque<CompletionEvent>,
     finish_reason: Option<String>,
@@ -402,8 +397,6 @@
                     return Err(EngineError::Interrupted(crate::error::chain(&error)));
                 }
                 None => {
-                    // The connection may already serve another request, so it is not aborted.
-                    self.body = None;
                     let reason = "the stream ended without its last event";
                     return Err(EngineError::Interrupted(reason.to_string()));
                 }
@@ -458,15 +451,8 @@
 
     fn cancel(&mut self) {
         self.ready.clear();
-        if self.body.take().is_some() {
-            self.abort.abort();
-        }
-    }
-}
-
-impl Drop for CompletionStream {
-    fn drop(&mut self) {
-        self.cancel();
+        // The HTTP connection notices at once that its body is dropped, and closes.
+        self.body = None;
     }
 }
 
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -6,13 +6,10 @@
 use std::cell::RefCell;
 use std::fmt;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use futures_channel::oneshot;
-use futures_util::future::{Either, select};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -65,30 +62,9 @@
 
 impl std::error::Error for ClientError {}
 
+type Sender = SendRequest<Full<Bytes>>;
 type Pool = Rc<RefCell<IndexMap<SocketAddr, Vec<Sender>>>>;
 
-/// The sending half of a connection, and the handle that closes it.
-struct Sender {
-    requests: SendRequest<Full<Bytes>>,
-    abort: Abort,
-}
-
-/// Closes a connection while an answer is in progress.
-///
-/// Dropping the body of an answer closes the connection only once further bytes arrive, which is too
-/// late to cancel work that a server has queued.
-#[derive(Clone)]
-pub struct Abort(Rc<RefCell<Option<oneshot::Sender<()>>>>);
-
-impl Abort {
-    /// Closes the connection.
-    pub fn abort(&self) {
-        if let Some(signal) = self.0.borrow_mut().take() {
-            let _ = signal.send(());
-        }
-    }
-}
-
 /// Idle connections kept for one address.
 const IDLE_CONNECTIONS_PER_ADDRESS: usize = 64;
 /// Longest time to open a connection.
@@ -122,19 +98,6 @@
         request: Request<Bytes>,
         limit: Duration,
     ) -> Result<Response<Incoming>> {
-        let (response, _) = self.send_abortable(address, request, limit).await?;
-        Ok(response)
-    }
-
-    /// Like [`send`](Self::send), with a handle that closes the connection of the answer. It must
-    /// not be used after the body was read to its end, because the connection may serve another
-    /// request by then.
-    pub async fn send_abortable(
-        &self,
-        address: SocketAddr,
-        request: Request<Bytes>,
-        limit: Duration,
-    ) -> Result<(Response<Incoming>, Abort)> {
         let deadline = Instant::now() + limit;
         let mut request = prepare(address, request);
         while let Some(sender) = self.take_idle(address) {
@@ -177,7 +140,7 @@
         let mut pool = self.pool.borrow_mut();
         let idle = pool.get_mut(&address)?;
         while let Some(sender) = idle.pop() {
-            if sender.requests.is_ready() {
+            if sender.is_ready() {
                 return Some(sender);
             }
         }
@@ -200,25 +163,15 @@
         let io = stream
             .into_poll_io()
             .map_err(|error| not_sent(error.to_string()))?;
-        let (requests, connection) = hyper::client::conn::http1::handshake(MonoioIo::new(io))
+        let (sender, connection) = hyper::client::conn::http1::handshake(MonoioIo::new(io))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
-        let (signal, aborted) = oneshot::channel();
         monoio::spawn(async move {
-            let connection = pin!(connection);
-            let ended = match select(connection, aborted).await {
-                Either::Left((ended, _)) => ended,
-                Either::Right((Ok(()), _)) => return,
-                Either::Right((Err(_), connection)) => connection.await,
-            };
-            if let Err(error) = ended {
+            if let Err(error) = connection.await {
                 log::debug!("connection to {address} ended: {error}");
             }
         });
-        Ok(Sender {
-            requests,
-            abort: Abort(Rc::new(RefCell::new(Some(signal)))),
-        })
+        Ok(sender)
     }
 
     async fn send_on(
@@ -228,9 +181,8 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
         limit: Duration,
-    ) -> std::result::Result<(Response<Incoming>, Abort), (ClientError, Option<Request<Full<Bytes>>>)>
-    {
-        let sending = sender.requests.try_send_request(request);
+    ) -> std::result::Result<Response<Incoming>, (ClientError, Option<Request<Full<Bytes>>>)> {
+        let sending = sender.try_send_request(request);
         let response = match self.timer.timeout_at(deadline, sending).await {
             Err(_) => return Err((ClientError::TimedOut(limit), None)),
             Ok(Ok(response)) => response,
@@ -244,15 +196,14 @@
                 return Err((error, unsent));
             }
         };
-        let abort = sender.abort.clone();
         self.return_when_idle(address, sender);
-        Ok((response, abort))
+        Ok(response)
     }
 
     fn return_when_idle(&self, address: SocketAddr, mut sender: Sender) {
         let pool = self.pool.clone();
         monoio::spawn(async move {
-            if sender.requests.ready().await.is_err() {
+            if sender.ready().await.is_err() {
                 return;
             }
             let mut pool = pool.borrow_mut();
--- a/tests/engine_client.rs
+++ b/tests/engine_client.rs
@@ -38,8 +38,8 @@
     Break(usize),
     /// Ends the stream properly, but before this byte.
     End(usize),
-    /// Sends the head and then nothing.
-    Hang,
+    /// Sends the stream up to this byte and then nothing.
+    Hang(usize),
     /// Answers with this status.
     Status(u16),
 }
@@ -61,8 +61,9 @@
                 *response.status_mut() = StatusCode::from_u16(status).expect("a status");
                 return response;
             }
-            Script::Hang => {
+            Script::Hang(at) => {
                 monoio::spawn(async move {
+                    let _ = sender.send(stream.slice(..at)).await;
                     sender.closed().await;
                     closed.set(true);
                 });
@@ -183,7 +184,7 @@
 /// and passes for a complete answer.
 #[test]
 fn an_incomplete_stream_is_an_error() {
-    run(Script::Hang, |site| async move {
+    run(Script::Hang(0), |site| async move {
         for at in 1..STREAM.len() - 1 {
             for script in [Script::Break(at), Script::End(at)] {
                 site.fake.script.set(script);
@@ -217,7 +218,7 @@
 /// goes on computing although nobody reads it.
 #[test]
 fn a_hanging_stream_times_out_and_is_cancelled() {
-    run(Script::Hang, |site| async move {
+    run(Script::Hang(0), |site| async move {
         let mut stream = site.complete().await.expect("start a completion");
         let started = Instant::now();
         let result = stream.next(SHORT).await;
@@ -231,10 +232,17 @@
 /// Guards against an engine that goes on computing after the caller has disconnected.
 #[test]
 fn dropping_a_stream_closes_its_connection() {
-    run(Script::Hang, |site| async move {
-        drop(site.complete().await.expect("start a completion"));
-        site.timer.sleep(SHORT).await;
-        assert!(site.fake.closed.get(), "the engine was not told");
+    run(Script::Hang(0), |site| async move {
+        for at in [0, 1, STREAM.len() - 3] {
+            site.fake.script.set(Script::Hang(at));
+            site.fake.closed.set(false);
+            let mut stream = site.complete().await.expect("start a completion");
+            let _ = site.timer.timeout(SHORT, read(&mut stream)).await;
+            assert!(!site.fake.closed.get(), "the connection closed early");
+            drop(stream);
+            site.timer.sleep(SHORT).await;
+            assert!(site.fake.closed.get(), "the engine was not told at {at}");
+        }
     });
 }
 
@@ -251,7 +259,7 @@
         assert!(matches!(refused, Err(ToolError::Refused(422, _))));
         let not_sent = tool.run(nobody, "a-1", "book", &arguments, LONG).await;
         assert!(matches!(not_sent, Err(ToolError::NotSent(_))));
-        for script in [Script::Hang, Script::Break(10), Script::Split(10)] {
+        for script in [Script::Hang(0), Script::Break(10), Script::Split(10)] {
             site.fake.script.set(script);
             let unknown = tool.run(address, "a-1", "book", &arguments, SHORT).await;
             assert!(matches!(unknown, Err(ToolError::Unknown(_))));
