--- a/examples/routing_bench.rs
+++ b/examples/routing_bench.rs
@@ -3,6 +3,7 @@
 //! Run it with `cargo run --release --example routing_bench`. Half of the engines' calls are in
 //! progress all the time; each step ends a random one and starts a call of a random conversation.
 //! A call that waits for the engine with its prefix is given up, and counted in the last column.
+//! The simulated engines never evict a prefix, so the cached shares only compare the policies.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
--- a/src/process/breaker.rs
+++ b/src/process/breaker.rs
@@ -93,6 +93,15 @@
         }
     }
 
+    /// Ends the pause, because the server is known to be up again.
+    pub fn end_pause(&mut self, now: Instant) {
+        if let State::Open { until } = self.state {
+            self.state = State::Open {
+                until: until.min(now),
+            };
+        }
+    }
+
     /// Opens the breaker at once.
     pub fn open(&mut self, now: Instant) {
         self.state = State::Open {
--- a/src/process/routing.rs
+++ b/src/process/routing.rs
@@ -187,7 +187,8 @@
         }
     }
 
-    /// Starts the task that asks the engines for their load. It ends when the router is dropped.
+    /// Starts the task that asks the engines for their load, and that returns to engines which had
+    /// failed. It ends when the router is dropped.
     pub fn start_polling(&self, client: EngineClient) {
         let interval = self.state.borrow().options.load_interval;
         let mut ticks = self.timer.subscribe(interval);
@@ -380,6 +381,14 @@
         queue.policy.started(queued, call.tokens());
     }
 
+    /// Corrects the service of a team once it is known what a call used.
+    fn settle(&mut self, call: &CallDescription, used: u64) {
+        let queue = self.queue_for(&call.model_id);
+        let weight = call.team_weight();
+        let counted = call.tokens();
+        queue.policy.settled(&call.team_id, weight, counted, used);
+    }
+
     /// Takes the next call from a queue that can start now.
     fn start_next(
         &mut self,
@@ -596,13 +605,12 @@
         Outcome::Finished(usage) => {
             state.engines.succeeded(index, now);
             state.engines.used(index, call, &usage);
-            let used = usage.prompt_tokens + usage.completion_tokens;
-            let queue = state.queue_for(&call.model_id);
-            let weight = call.team_weight();
-            let counted = call.tokens();
-            queue.policy.settled(&call.team_id, weight, counted, used);
+            state.settle(call, usage.prompt_tokens + usage.completion_tokens);
+        }
+        Outcome::Failed => {
+            state.engines.failed(index, now);
+            state.settle(call, 0);
         }
-        Outcome::Failed => state.engines.failed(index, now),
     }
     state.engines.end(index, call.tokens(), now);
 }
--- a/src/process/routing/engines.rs
+++ b/src/process/routing/engines.rs
@@ -275,8 +275,9 @@
         if !engine.is_in_service() || call.excluded.contains(&engine.backend_server_id) {
             return false;
         }
-        let limit = engine.breaker.call_limit(now, engine.max_calls);
-        if engine.in_flight_calls >= limit || engine.corrected_calls() >= engine.max_calls {
+        let own = engine.in_flight_calls;
+        let breaker_allows = engine.breaker.allows(now, engine.max_calls, own);
+        if !breaker_allows || engine.corrected_calls() >= engine.max_calls {
             return false;
         }
         // A call that is larger than the whole cache runs alone.
@@ -361,7 +362,9 @@
         let calls = report.running.saturating_add(report.waiting);
         engine.others = calls.saturating_sub(engine.in_flight_at(made));
         engine.report = report;
-        engine.missed_reports = 0;
+        if std::mem::take(&mut engine.missed_reports) >= MISSED_REPORTS {
+            engine.breaker.end_pause(now);
+        }
         let was_in_service = engine.is_in_service();
         engine.reports_leaving = report.leaving;
         self.service_changed(index, was_in_service);
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -5,10 +5,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::{Request, Response, StatusCode};
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use sapphireford::connection::engine::{EngineLoad, Usage};
+use sapphireford::connection::body::Body;
+use sapphireford::connection::engine::{EngineClient, EngineLoad, Usage};
+use sapphireford::connection::http_client::HttpClient;
+use sapphireford::connection::http_server::{Handler, HttpLimits, json_response, serve};
 use sapphireford::error::ErrorKind;
 use sapphireford::process::retry_budget::RetryBudget;
 use sapphireford::process::routing::placement::ConfiguredPlacement;
@@ -385,6 +390,51 @@
     });
 }
 
+struct Reporter(EngineLoad);
+
+impl Handler for Reporter {
+    async fn handle(&self, _request: Request<Bytes>) -> Response<Body> {
+        json_response(StatusCode::OK, &self.0)
+    }
+}
+
+/// Guards against calls to engines of which only their load reports, or their missing ones, tell
+/// that they take none.
+#[test]
+fn load_reports_are_polled() {
+    run(|timer| async move {
+        let mut polled = Config::clone(&config(4, 100, 2_000));
+        let reports = [(false, 0), (true, 0), (false, 100)];
+        for (number, (leaving, running)) in reports.into_iter().enumerate() {
+            let report = EngineLoad {
+                leaving,
+                running,
+                ..EngineLoad::default()
+            };
+            let any = ([127, 0, 0, 1], 0).into();
+            let limits = HttpLimits::default();
+            let reporter = Rc::new(Reporter(report));
+            let server = serve(any, limits, timer.clone(), reporter).expect("listen");
+            polled.backend_servers[number].address = server.address();
+        }
+        polled.backend_servers[3].address = ([127, 0, 0, 1], 1).into();
+        let config = Rc::new(polled);
+        let options = RouterOptions {
+            load_interval: Duration::from_millis(20),
+            ..RouterOptions::default()
+        };
+        let router: Router = Router::new(timer.clone(), options, ConfiguredPlacement::new(1));
+        router.set_config(&config);
+        let http = HttpClient::new(timer.clone());
+        router.start_polling(EngineClient::new(http, Duration::from_secs(1)));
+        timer.sleep(Duration::from_millis(300)).await;
+        for number in 0..50 {
+            let permit = acquire(&router, normal(&config, &number.to_string())).await;
+            assert_eq!(&*permit.backend_server_id, "e0");
+        }
+    });
+}
+
 /// Guards against retries that multiply the load when many requests fail together.
 #[test]
 fn retries_are_a_share_of_the_requests() {
