--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -34,6 +34,7 @@
         state: EntryState::Live,
         renewal,
         segment: 0,
+        first_segment: 1,
         config_version: 0,
     }
 }
