Use plain enums for causes and one notifier for all waiting

The server's list grew by one entry with every poll of a connection until the next change, so a long stream took memory for each of its chunks.

Change: the causes are a closed enum; one Notify keeps one waker for each waiting future and drops it with the future.

Ruled out: comparing wakers before adding one, which costs a scan of all connections at each poll.

--- a/src/connection/http_server.rs
+++ b/src/connection/http_server.rs
@@ -4,13 +4,12 @@
 //! graceful stop closes the listener, lets each connection finish the request in progress, and
 //! completes when the last connection is closed.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::{Future, poll_fn};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Poll, Waker};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -27,6 +26,7 @@
 
 use crate::connection::body::Body;
 use crate::error::{Error, ErrorKind};
+use crate::process::notify::Notify;
 use crate::process::timer::TimerService;
 
 /// The result of opening a listener.
@@ -69,25 +69,17 @@
 struct Shared {
     stopping: Cell<bool>,
     connections: Cell<usize>,
-    wakers: RefCell<Vec<Waker>>,
+    /// Notified when the server starts to stop, and when a connection ends after that.
+    changed: Notify,
 }
 
 impl Shared {
-    fn notify(&self) {
-        for waker in self.wakers.borrow_mut().drain(..) {
-            waker.wake();
-        }
+    async fn stopping(&self) {
+        self.changed.until(|| self.stopping.get()).await;
     }
 
-    async fn wait(&self, condition: impl Fn(&Shared) -> bool) {
-        poll_fn(|context| {
-            if condition(self) {
-                return Poll::Ready(());
-            }
-            self.wakers.borrow_mut().push(context.waker().clone());
-            Poll::Pending
-        })
-        .await;
+    async fn drained(&self) {
+        self.changed.until(|| self.connections.get() == 0).await;
     }
 }
 
@@ -112,10 +104,8 @@
     /// Stops accepting, lets requests in progress finish, and waits until all connections are closed.
     pub async fn stop(&self) {
         self.shared.stopping.set(true);
-        self.shared.notify();
-        self.shared
-            .wait(|shared| shared.connections.get() == 0)
-            .await;
+        self.shared.changed.notify();
+        self.shared.drained().await;
     }
 }
 
@@ -151,7 +141,7 @@
     /// Pause after a failed accept, so that running out of descriptors does not spin.
     const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
     loop {
-        let stop = pin!(shared.wait(|shared| shared.stopping.get()));
+        let stop = pin!(shared.stopping());
         let accepted = match select(pin!(listener.accept()), stop).await {
             Either::Left((accepted, _)) => accepted,
             Either::Right(_) => return,
@@ -190,7 +180,7 @@
     }
     shared.connections.set(shared.connections.get() - 1);
     if shared.stopping.get() {
-        shared.notify();
+        shared.changed.notify();
     }
 }
 
@@ -214,7 +204,7 @@
         .max_buf_size(limits.header_bytes.max(8 << 10))
         .serve_connection(io, service);
     let mut connection = pin!(connection);
-    let stop = pin!(shared.wait(|shared| shared.stopping.get()));
+    let stop = pin!(shared.stopping());
     match select(connection.as_mut(), stop).await {
         Either::Left((result, _)) => result?,
         Either::Right(_) => {
--- a/src/error.rs
+++ b/src/error.rs
@@ -10,6 +10,12 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::connection::engine::EngineError;
+use crate::connection::http_client::ClientError;
+use crate::connection::peer::PeerError;
+use crate::connection::tool::ToolError;
+use crate::process::journal::JournalError;
+
 /// The result of work on a request.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -134,6 +140,45 @@
     Internal => 500, "internal", Unknown, NEVER;
 }
 
+macro_rules! causes {
+    ($($variant:ident($error:ty);)*) => {
+        /// The error below an [`Error`].
+        #[derive(Debug)]
+        pub enum Cause {
+            $(
+                #[doc = concat!("A `", stringify!($error), "`.")]
+                $variant($error),
+            )*
+        }
+
+        impl Cause {
+            fn as_error(&self) -> &(dyn StdError + 'static) {
+                match self {
+                    $(Cause::$variant(error) => error,)*
+                }
+            }
+        }
+
+        $(
+            impl From<$error> for Cause {
+                fn from(error: $error) -> Self {
+                    Cause::$variant(error)
+                }
+            }
+        )*
+    };
+}
+
+causes! {
+    Client(ClientError);
+    Engine(EngineError);
+    Http(hyper::Error);
+    Journal(JournalError);
+    Json(serde_json::Error);
+    Peer(PeerError);
+    Tool(ToolError);
+}
+
 /// The final answer to a request that failed.
 #[derive(Debug)]
 pub struct Error {
@@ -142,7 +187,7 @@
     /// Lowercase; says what went wrong and what to do.
     pub message: String,
     /// The error below this one, if any.
-    pub cause: Option<Box<dyn StdError + 'static>>,
+    pub cause: Option<Cause>,
 }
 
 impl Error {
@@ -156,8 +201,8 @@
     }
 
     /// Adds the error that led to this one.
-    pub fn with_cause(mut self, cause: impl StdError + 'static) -> Self {
-        self.cause = Some(Box::new(cause));
+    pub fn with_cause(mut self, cause: impl Into<Cause>) -> Self {
+        self.cause = Some(cause.into());
         self
     }
 
@@ -183,7 +228,7 @@
 
 impl StdError for Error {
     fn source(&self) -> Option<&(dyn StdError + 'static)> {
-        self.cause.as_deref()
+        self.cause.as_ref().map(Cause::as_error)
     }
 }
 
--- a/src/process/config_watch.rs
+++ b/src/process/config_watch.rs
@@ -6,20 +6,17 @@
 
 use std::cell::{Cell, RefCell};
 use std::fmt;
-use std::future::Future;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
-use indexmap::IndexMap;
 
 use crate::connection::platform::PlatformClient;
 use crate::error::chain;
 use crate::ids::VersionNumber;
+use crate::process::notify::Notify;
 use crate::process::timer::TimerService;
 use crate::version::check::CheckError;
 use crate::version::config::Config;
@@ -88,8 +85,8 @@
     refused: Cell<VersionNumber>,
     /// The highest version that a peer named.
     hinted: Cell<VersionNumber>,
-    wakers: RefCell<IndexMap<u64, Waker>>,
-    next_waker: Cell<u64>,
+    /// Notified when a newer version is in force.
+    changed: Notify,
 }
 
 /// A handle to the configuration in force; clones share it.
@@ -111,8 +108,7 @@
             confirmed: Cell::default(),
             refused: Cell::default(),
             hinted: Cell::default(),
-            wakers: RefCell::default(),
-            next_waker: Cell::default(),
+            changed: Notify::default(),
         });
         let watch = Self {
             state: state.clone(),
@@ -146,11 +142,15 @@
     }
 
     /// Waits until a version above `after` is in force, and returns it.
-    pub fn newer_than(&self, after: VersionNumber) -> NewerThan {
-        NewerThan {
-            state: self.state.clone(),
-            after,
-            id: None,
+    pub async fn newer_than(&self, after: VersionNumber) -> Rc<Config> {
+        loop {
+            let seen = self.state.changed.changes();
+            if let Some(config) = self.current()
+                && config.version > after
+            {
+                return config;
+            }
+            self.state.changed.changed_since(seen).await;
         }
     }
 
@@ -170,42 +170,7 @@
     fn put_in_force(&self, config: Config) {
         log::info!("configuration version {} is in force", config.version);
         *self.current.borrow_mut() = Some(Rc::new(config));
-        for (_, waker) in self.wakers.take() {
-            waker.wake();
-        }
-    }
-}
-
-/// A future that completes when a newer version is in force.
-pub struct NewerThan {
-    state: Rc<State>,
-    after: VersionNumber,
-    id: Option<u64>,
-}
-
-impl Future for NewerThan {
-    type Output = Rc<Config>;
-
-    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Rc<Config>> {
-        if let Some(config) = self.state.current.borrow().clone()
-            && config.version > self.after
-        {
-            return Poll::Ready(config);
-        }
-        let next = &self.state.next_waker;
-        let id = self.id.unwrap_or_else(|| next.replace(next.get() + 1));
-        let waker = context.waker().clone();
-        self.state.wakers.borrow_mut().insert(id, waker);
-        self.id = Some(id);
-        Poll::Pending
-    }
-}
-
-impl Drop for NewerThan {
-    fn drop(&mut self) {
-        if let Some(id) = self.id {
-            self.state.wakers.borrow_mut().swap_remove(&id);
-        }
+        self.changed.notify();
     }
 }
 
--- a/src/process/notify.rs
+++ b/src/process/notify.rs
@@ -1,14 +1,20 @@
 //! Wakes tasks of the same thread when something has changed.
 
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
-use std::task::{Poll, Waker};
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+
+use indexmap::IndexMap;
 
 /// A counter of changes that tasks can wait on.
 #[derive(Default)]
 pub struct Notify {
     changes: Cell<u64>,
-    wakers: RefCell<Vec<Waker>>,
+    next_waiter: Cell<u64>,
+    /// One waker for each future that waits, however often it is polled: a connection polls its
+    /// futures with each chunk that it sends.
+    wakers: RefCell<IndexMap<u64, Waker>>,
 }
 
 impl Notify {
@@ -20,24 +26,18 @@
     /// Counts a change and wakes all waiting tasks.
     pub fn notify(&self) {
         self.changes.set(self.changes.get() + 1);
-        for waker in self.wakers.take() {
+        for (_, waker) in self.wakers.take() {
             waker.wake();
         }
     }
 
     /// Completes when there were more changes than `seen`.
-    pub async fn changed_since(&self, seen: u64) {
-        poll_fn(|context| {
-            if self.changes.get() > seen {
-                return Poll::Ready(());
-            }
-            let mut wakers = self.wakers.borrow_mut();
-            if !wakers.iter().any(|waker| waker.will_wake(context.waker())) {
-                wakers.push(context.waker().clone());
-            }
-            Poll::Pending
-        })
-        .await;
+    pub fn changed_since(&self, seen: u64) -> Changed<'_> {
+        Changed {
+            notify: self,
+            seen,
+            waiter: None,
+        }
     }
 
     /// Completes when `condition` holds; it is checked now and after each change.
@@ -51,3 +51,36 @@
         }
     }
 }
+
+/// A future that completes with the next change.
+pub struct Changed<'a> {
+    notify: &'a Notify,
+    seen: u64,
+    waiter: Option<u64>,
+}
+
+impl Future for Changed<'_> {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let notify = self.notify;
+        if notify.changes.get() > self.seen {
+            return Poll::Ready(());
+        }
+        let waiter = *self.waiter.get_or_insert_with(|| {
+            let next = &notify.next_waiter;
+            next.replace(next.get() + 1)
+        });
+        let waker = context.waker().clone();
+        notify.wakers.borrow_mut().insert(waiter, waker);
+        Poll::Pending
+    }
+}
+
+impl Drop for Changed<'_> {
+    fn drop(&mut self) {
+        if let Some(waiter) = self.waiter {
+            self.notify.wakers.borrow_mut().swap_remove(&waiter);
+        }
+    }
+}
