Answer refused calls at once, and keep actions in doubt in doubt

Cause, found by reading: - A call whose start event could not be made durable within the grace time was answered only after the event had become durable, which in an outage is after the outage. - An action in doubt of an idempotent tool that could not be reached on its repeat was recorded as not run, although the first attempt may have run. - An action that became in doubt by a recovery did not count as a call, so the caller's next sequence number waited for a call that had been made; resolving an action in doubt counted it twice. - Reading a conversation that does not exist left an empty one in memory. - Connections to a fenced entry stayed open until they timed out.

Change: a refusal carries the error and what is left to settle; the error is sent first. A repeat is never recorded as not run. A call is counted when it leaves the open state. Empty conversations are dropped when they are closed. Peers that were fenced are disconnected.

--- a/src/process/conversation/fold.rs
+++ b/src/process/conversation/fold.rs
@@ -2,10 +2,11 @@
 
 use std::rc::Rc;
 
+use crate::error::ErrorKind;
 use crate::ids::{Micros, RequestId, RunId};
 use crate::process::conversation::{
-    Action, ActionOutcome, Conversation, EndReason, Event, Message, Progress, RequestRecord, Role,
-    Run, RunState, Thread, TurnOutcome, TurnResult,
+    ActionOutcome, Conversation, EndReason, Event, Message, Progress, RequestRecord, Role, Run,
+    RunState, Thread, TurnOutcome, TurnResult,
 };
 use crate::process::invariant;
 
@@ -139,6 +140,7 @@
             }
             Progress::ActionOpen(action) => {
                 request.progress = Progress::ActionInDoubt(action.clone());
+                self.count_call(run_id);
             }
             _ => {}
         }
@@ -258,47 +260,39 @@
         run_id: RunId,
         outcome: &ActionOutcome,
     ) {
-        let action = match self
-            .requests
-            .get(request_id)
-            .map(|request| &request.progress)
-        {
-            Some(Progress::ActionOpen(action) | Progress::ActionInDoubt(action)) => action.clone(),
+        // An action in doubt has its place among the calls of the run already.
+        let (action, is_open) = match self.requests.get(request_id).map(|entry| &entry.progress) {
+            Some(Progress::ActionOpen(action)) => (action.clone(), true),
+            Some(Progress::ActionInDoubt(action)) => (action.clone(), false),
             _ => return,
         };
+        let reserved = action.reserved_micros;
         match outcome {
             ActionOutcome::Done {
                 result,
                 charge_micros,
             } => {
-                self.settle(run_id, action.reserved_micros, *charge_micros);
+                self.settle(run_id, reserved, *charge_micros);
                 self.extend_with_tool_result(run_id, result);
                 let progress =
                     Progress::ActionDone(action.action_id, result.clone(), *charge_micros);
                 self.set_progress(request_id, progress);
-                self.count_call(run_id);
             }
             ActionOutcome::Failed { message } => {
-                self.settle(run_id, action.reserved_micros, 0);
-                let kind = crate::error::ErrorKind::ToolFailed;
-                self.set_progress(request_id, Progress::Failed(kind, message.clone()));
-                self.count_call(run_id);
+                self.settle(run_id, reserved, 0);
+                let progress = Progress::Failed(ErrorKind::ToolFailed, message.clone());
+                self.set_progress(request_id, progress);
+            }
+            ActionOutcome::InDoubt => {
+                self.set_progress(request_id, Progress::ActionInDoubt(action));
             }
-            ActionOutcome::InDoubt => self.mark_in_doubt(request_id, run_id, action),
             ActionOutcome::NotRun => {
-                self.settle(run_id, action.reserved_micros, 0);
+                self.settle(run_id, reserved, 0);
                 self.requests.shift_remove(request_id);
+                return;
             }
         }
-    }
-
-    fn mark_in_doubt(&mut self, request_id: &RequestId, run_id: RunId, action: Action) {
-        let was_open = self
-            .requests
-            .get(request_id)
-            .is_some_and(|request| matches!(request.progress, Progress::ActionOpen(_)));
-        self.set_progress(request_id, Progress::ActionInDoubt(action));
-        if was_open {
+        if is_open {
             self.count_call(run_id);
         }
     }
--- a/src/process/entry/background.rs
+++ b/src/process/entry/background.rs
@@ -8,6 +8,7 @@
 use crate::process::conversation::{EndReason, Event, Record, RunState};
 use crate::process::entry::Entry;
 use crate::process::metrics as names;
+use crate::process::rows::EntryState;
 use crate::process::slots::ConversationCell;
 use crate::request::call::cache_key;
 
@@ -27,6 +28,7 @@
     entry.router.start_polling(entry.engines.clone());
     monoio::spawn(follow_config(entry.clone()));
     monoio::spawn(follow_vm_list(entry.clone()));
+    monoio::spawn(drop_lost_peers(entry.clone()));
     monoio::spawn(end_abandoned_runs(entry.clone()));
     monoio::spawn(record_gauges(entry.clone()));
 }
@@ -91,6 +93,20 @@
     }
 }
 
+/// Closes the connections to entries that were fenced. Without that, a request to an entry that was
+/// cut off would wait until the connection itself times out.
+async fn drop_lost_peers(entry: Rc<Entry>) {
+    let mut changes = entry.membership.subscribe();
+    loop {
+        changes.changed().await;
+        for row in entry.membership.entries() {
+            if row.state == EntryState::Fenced {
+                entry.peers.disconnect(&row.entry_id);
+            }
+        }
+    }
+}
+
 /// Ends root runs that had no event for longer than the limit.
 async fn end_abandoned_runs(entry: Rc<Entry>) {
     let mut ticks = entry.timer.subscribe(ABANDON_INTERVAL);
--- a/src/process/slots.rs
+++ b/src/process/slots.rs
@@ -261,12 +261,18 @@
         dirty.min().unwrap_or(last_segment + 1)
     }
 
-    fn close(&self, slot: SlotId, incarnation: Incarnation) {
+    fn close(&self, slot: SlotId, incarnation: Incarnation, cell: &Rc<ConversationCell>) {
         if self.incarnation.get() != incarnation {
             return;
         }
         if let Some(held) = self.held.borrow_mut().get_mut(&slot) {
             held.open -= 1;
+            // Reading a conversation that does not exist must not take memory for good. Two
+            // references are left: the one in the slot and the one that is being closed.
+            let state = cell.state.borrow();
+            if state.runs.is_empty() && Rc::strong_count(cell) == 2 {
+                held.conversations.swap_remove(&state.key);
+            }
         }
         self.changed.notify();
     }
@@ -356,6 +362,6 @@
 
 impl Drop for OpenConversation {
     fn drop(&mut self) {
-        self.slots.close(self.slot, self.incarnation);
+        self.slots.close(self.slot, self.incarnation, &self.cell);
     }
 }
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -27,12 +27,23 @@
     pub fingerprint: u64,
 }
 
-/// How a start event ended.
-pub enum Started {
-    /// It is durable: the call may be sent.
+/// A call that was not sent, because its start event did not become durable in time or because
+/// nothing could take the call.
+pub struct Refusal {
+    /// The final answer, which the caller gets at once.
+    pub error: Error,
+    /// What is left to do after that.
+    pub start: StartEvent,
+}
+
+/// How far the start event of a refused call has come.
+pub enum StartEvent {
+    /// It never reached the journal, or was taken back.
+    Withdrawn,
+    /// It is durable, so a finish event has to say that the call was not sent.
     Durable,
-    /// It is not durable in time; the call must not be sent.
-    Refused(Error),
+    /// It may become durable; then a finish event has to follow.
+    OnItsWay(Receipt),
 }
 
 impl CallContext {
@@ -194,16 +205,49 @@
             .map_err(journal_error)
     }
 
-    /// Waits for a start event to become durable, at most the grace time.
-    ///
-    /// If the event was on its way when the time was up, it may still become durable later. The call
-    /// is not sent then, and the caller of this function has to append a finish event that says so.
-    pub async fn start_durable(&self, receipt: &mut Receipt) -> Started {
+    /// Waits for a start event to become durable, at most the grace time. The call must not be sent
+    /// after a refusal.
+    pub async fn start_durable(&self, mut receipt: Receipt) -> std::result::Result<(), Refusal> {
         let grace = self.entry.settings.commit_grace;
-        match self.entry.timer.timeout(grace, receipt.durable()).await {
-            Ok(Ok(())) => Started::Durable,
-            Ok(Err(error)) => Started::Refused(journal_error(error)),
-            Err(_) => Started::Refused(platform_unavailable()),
+        let error = match self.entry.timer.timeout(grace, receipt.durable()).await {
+            Ok(Ok(())) => return Ok(()),
+            // A lost lease or a closed journal: the event was certainly not committed.
+            Ok(Err(error)) => {
+                return Err(Refusal {
+                    error: journal_error(error),
+                    start: StartEvent::Withdrawn,
+                });
+            }
+            Err(_) => platform_unavailable(),
+        };
+        let start = match self.entry.journal.withdraw(&receipt) {
+            true => StartEvent::Withdrawn,
+            false => StartEvent::OnItsWay(receipt),
+        };
+        Err(Refusal { error, start })
+    }
+
+    /// Gives a reservation back whose start event was taken back, or makes the event durable that
+    /// says that the call was not sent.
+    pub async fn settle_refused(
+        &self,
+        run_id: RunId,
+        reserved_micros: Micros,
+        start: StartEvent,
+        not_run: Event,
+    ) {
+        let is_durable = match start {
+            StartEvent::Withdrawn => false,
+            StartEvent::Durable => true,
+            StartEvent::OnItsWay(mut receipt) => receipt.durable().await.is_ok(),
+        };
+        if is_durable {
+            if let Ok(mut receipt) = self.append(not_run) {
+                let _ = receipt.durable().await;
+            }
+        } else {
+            let mut state = self.open.cell().state.borrow_mut();
+            state.clear_pending(run_id, reserved_micros);
         }
     }
 
@@ -220,12 +264,15 @@
     /// Appends an event and waits until it is durable.
     pub async fn commit(&self, event: Event) -> Result<()> {
         self.check_durability()?;
-        let mut receipt = self.append(event)?;
-        match self.start_durable(&mut receipt).await {
-            Started::Durable => Ok(()),
-            Started::Refused(error) if self.entry.journal.withdraw(&receipt) => Err(error),
+        let receipt = self.append(event)?;
+        match self.start_durable(receipt).await {
+            Ok(()) => Ok(()),
             // The event may have been committed; a repeat of the request finds out.
-            Started::Refused(_) => Err(not_durable()),
+            Err(Refusal {
+                start: StartEvent::OnItsWay(_),
+                ..
+            }) => Err(not_durable()),
+            Err(refusal) => Err(refusal.error),
         }
     }
 
--- a/src/request/tool_call.rs
+++ b/src/request/tool_call.rs
@@ -20,7 +20,7 @@
 use crate::process::conversation::{Action, ActionOutcome, Event, Progress};
 use crate::process::slots::lock::ThreadLock;
 use crate::request::api::{ToolAnswer, ToolCall};
-use crate::request::call::{CallContext, Started};
+use crate::request::call::{CallContext, Refusal, StartEvent};
 use crate::version::config::Tool;
 
 /// Times that an idempotent action is sent at most.
@@ -33,9 +33,7 @@
     body: ToolCall,
 ) -> Result<Response<Body>> {
     let (answer, receiver) = oneshot::channel();
-    monoio::spawn(async move {
-        let _ = answer.send(run(&context, run_id, body).await);
-    });
+    monoio::spawn(run(context, run_id, body, answer));
     match receiver.await {
         Ok(answer) => Ok(json_response(StatusCode::OK, &answer?)),
         Err(_) => Err(Error::new(
@@ -45,40 +43,74 @@
     }
 }
 
-async fn run(context: &CallContext, run_id: RunId, body: ToolCall) -> Result<ToolAnswer> {
+async fn run(
+    context: CallContext,
+    run_id: RunId,
+    body: ToolCall,
+    answer: oneshot::Sender<Result<ToolAnswer>>,
+) {
+    let call = match prepare(&context, run_id, &body).await {
+        Ok(Prepared::New(call)) => call,
+        Ok(Prepared::InDoubt(call)) => {
+            let _ = answer.send(call.resolve().await);
+            return;
+        }
+        Ok(Prepared::Repeat(first)) => {
+            let _ = answer.send(Ok(first));
+            return;
+        }
+        Err(error) => {
+            let _ = answer.send(Err(error));
+            return;
+        }
+    };
+    match call.start().await {
+        Ok(()) => {
+            let _ = answer.send(call.execute(IsRepeat::No).await);
+        }
+        Err(refusal) => {
+            // The caller gets its final answer before the journal is settled.
+            let _ = answer.send(Err(refusal.error));
+            call.settle_refused(refusal.start).await;
+        }
+    }
+}
+
+enum Prepared<'a> {
+    New(ToolCallInProgress<'a>),
+    InDoubt(ToolCallInProgress<'a>),
+    Repeat(ToolAnswer),
+}
+
+/// Waits for the call's place in the run, and reserves its cost.
+async fn prepare<'a>(
+    context: &'a CallContext,
+    run_id: RunId,
+    body: &'a ToolCall,
+) -> Result<Prepared<'a>> {
+    let repeat = |(action_id, result, charge): (Rc<str>, Rc<str>, Micros)| {
+        let request_id = &body.request_id;
+        answer(context, run_id, request_id, &action_id, &result, charge).map(Prepared::Repeat)
+    };
     if let Some(Progress::ActionDone(action_id, result, charge)) =
         context.earlier(&body.request_id)?
     {
-        return answer(
-            context,
-            run_id,
-            &body.request_id,
-            &action_id,
-            &result,
-            charge,
-        );
+        return repeat((action_id, result, charge));
     }
     let lock = context.lock_in_sequence(run_id, body.sequence).await?;
     match context.earlier(&body.request_id)? {
-        Some(Progress::ActionDone(action_id, result, charge)) => answer(
-            context,
-            run_id,
-            &body.request_id,
-            &action_id,
-            &result,
-            charge,
-        ),
+        Some(Progress::ActionDone(action_id, result, charge)) => {
+            repeat((action_id, result, charge))
+        }
         Some(Progress::ActionInDoubt(action)) => {
-            ToolCallInProgress::resume(context, run_id, &body, action, lock)?
-                .resolve()
-                .await
+            let call = ToolCallInProgress::resume(context, run_id, body, action, lock)?;
+            Ok(Prepared::InDoubt(call))
         }
         None => {
             context.check_durability()?;
             context.check_call(run_id, body.sequence)?;
-            let call = ToolCallInProgress::reserve(context, run_id, &body, lock)?;
-            call.start().await?;
-            call.execute().await
+            let call = ToolCallInProgress::reserve(context, run_id, body, lock)?;
+            Ok(Prepared::New(call))
         }
         Some(_) => {
             let message = "an earlier attempt of this request is not settled yet; come back soon";
@@ -87,6 +119,13 @@
     }
 }
 
+/// Whether an action may have been sent before, by this entry or an earlier holder.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum IsRepeat {
+    No,
+    Yes,
+}
+
 /// An action between its reservation and its outcome.
 struct ToolCallInProgress<'a> {
     context: &'a CallContext,
@@ -149,56 +188,57 @@
         })
     }
 
-    /// Makes the intention durable. After an error the action was certainly not sent.
-    async fn start(&self) -> Result<()> {
+    /// Makes the intention durable. After a refusal the action is never sent.
+    async fn start(&self) -> std::result::Result<(), Refusal> {
         let event = Event::ActionIntended {
             request_id: self.body.request_id.clone(),
             fingerprint: self.context.fingerprint,
             run_id: self.run_id,
             action: self.action.clone(),
         };
-        let mut receipt = match self.context.append(event) {
-            Ok(receipt) => receipt,
-            Err(error) => {
-                self.clear_pending();
-                return Err(error);
-            }
-        };
-        match self.context.start_durable(&mut receipt).await {
-            Started::Durable => Ok(()),
-            Started::Refused(error) => {
-                if self.context.entry.journal.withdraw(&receipt) {
-                    self.clear_pending();
-                } else if receipt.durable().await.is_ok() {
-                    self.append(ActionOutcome::NotRun)?;
-                }
-                Err(error)
-            }
-        }
+        let receipt = self.context.append(event).map_err(|error| Refusal {
+            error,
+            start: StartEvent::Withdrawn,
+        })?;
+        self.context.start_durable(receipt).await?;
+        self.check_lease().map_err(|error| Refusal {
+            error,
+            start: StartEvent::Durable,
+        })
     }
 
-    fn clear_pending(&self) {
-        let mut state = self.context.open.cell().state.borrow_mut();
-        state.clear_pending(self.run_id, self.action.reserved_micros);
+    async fn settle_refused(&self, start: StartEvent) {
+        let not_run = self.finish_event(ActionOutcome::NotRun);
+        let reserved = self.action.reserved_micros;
+        self.context
+            .settle_refused(self.run_id, reserved, start, not_run)
+            .await;
     }
 
-    async fn execute(&self) -> Result<ToolAnswer> {
+    /// Sends the action. A repeat, which only an idempotent tool gets, is never reported as not run,
+    /// because the first attempt may have taken effect.
+    async fn execute(&self, mut is_repeat: IsRepeat) -> Result<ToolAnswer> {
         let mut attempt = 1;
         loop {
-            self.check_lease()?;
             let error = match self.send().await {
                 Ok(result) => return self.settle_done(result).await,
                 Err(error) => error,
             };
             match error {
-                ToolError::NotSent(reason) if attempt == 1 => return self.not_run(reason).await,
+                ToolError::NotSent(reason) if is_repeat == IsRepeat::No => {
+                    return self.not_run(reason).await;
+                }
                 ToolError::Refused(status, message) if status < 500 => {
                     return self.failed(status, message).await;
                 }
-                error if self.may_retry(attempt) => log::info!("the action is sent again: {error}"),
+                error if self.may_retry(attempt) => {
+                    log::info!("the action is sent again: {error}")
+                }
                 error => return self.in_doubt(error).await,
             }
             attempt += 1;
+            is_repeat = IsRepeat::Yes;
+            self.check_lease()?;
         }
     }
 
@@ -206,7 +246,8 @@
     /// that this has no second effect.
     async fn resolve(&self) -> Result<ToolAnswer> {
         if self.tool.idempotent {
-            return self.execute().await;
+            self.check_lease()?;
+            return self.execute(IsRepeat::Yes).await;
         }
         match self.query_status().await {
             Some(result) => self.settle_done(result).await,
@@ -221,8 +262,6 @@
         if self.context.open.is_current() && self.context.entry.journal.holds_lease_at(now) {
             return Ok(());
         }
-        // The event is refused if the lease is lost; then the recovery marks the action in doubt.
-        let _ = self.append(ActionOutcome::NotRun);
         let message = "the entry could not renew its lease in time; come back soon";
         Err(Error::new(ErrorKind::SlotUnavailable, message))
     }
@@ -336,16 +375,16 @@
         )
     }
 
-    fn append(&self, outcome: ActionOutcome) -> Result<crate::process::journal::Receipt> {
-        self.context.append(Event::ActionFinished {
+    fn finish_event(&self, outcome: ActionOutcome) -> Event {
+        Event::ActionFinished {
             request_id: self.body.request_id.clone(),
             run_id: self.run_id,
             outcome,
-        })
+        }
     }
 
     async fn append_and_wait(&self, outcome: ActionOutcome) -> Result<()> {
-        let mut receipt = self.append(outcome)?;
+        let mut receipt = self.context.append(self.finish_event(outcome))?;
         self.context.finish_durable(&mut receipt).await
     }
 }
--- a/src/request/turn.rs
+++ b/src/request/turn.rs
@@ -24,9 +24,9 @@
 use crate::process::routing::{CallDescription, Permit};
 use crate::process::slots::lock::ThreadLock;
 use crate::request::api::{
-    DoneEvent, EVENT_DONE, EVENT_ERROR, EVENT_START, EVENT_TOKEN, StartEvent, TokenEvent, Turn,
+    self, DoneEvent, EVENT_DONE, EVENT_ERROR, EVENT_START, EVENT_TOKEN, TokenEvent, Turn,
 };
-use crate::request::call::{CallContext, Started, cache_key};
+use crate::request::call::{CallContext, Refusal, StartEvent, cache_key};
 use crate::version::config::{Model, Program};
 use attempt::Attempt;
 
@@ -80,7 +80,7 @@
 }
 
 impl Output {
-    async fn begin(&mut self, start: &StartEvent) {
+    async fn begin(&mut self, start: &api::StartEvent) {
         if let Some(head) = self.head.take() {
             let _ = head.send(Ok(()));
             let _ = self.sender.send(sse::encode(EVENT_START, start)).await;
@@ -141,7 +141,7 @@
     output: &mut Output,
 ) {
     output
-        .begin(&StartEvent {
+        .begin(&api::StartEvent {
             request_id: request_id.clone(),
             turn: result.turn.into(),
         })
@@ -268,50 +268,44 @@
     }
 
     async fn execute(&mut self, output: &mut Output) -> Result<()> {
-        let permit = self.start().await?;
+        let permit = match self.start().await {
+            Ok(permit) => permit,
+            Err(refusal) => {
+                // The caller gets its final answer before the journal is settled.
+                output.fail(refusal.error).await;
+                let not_run = self.finish_event(TurnOutcome::NotRun);
+                let reserved = self.reserved_micros;
+                self.context
+                    .settle_refused(self.run_id, reserved, refusal.start, not_run)
+                    .await;
+                return Ok(());
+            }
+        };
         let mut attempt = Attempt::new(permit);
         let outcome = attempt.run(self, output).await;
         self.settle(outcome, output).await
     }
 
     /// Makes the start event durable and waits for an engine, both at the same time.
-    async fn start(&mut self) -> Result<Permit> {
+    async fn start(&mut self) -> std::result::Result<Permit, Refusal> {
         let event = Event::TurnStarted {
             request_id: self.body.request_id.clone(),
             fingerprint: self.context.fingerprint,
             run_id: self.run_id,
             reserved_micros: self.reserved_micros,
         };
-        let mut receipt = match self.context.append(event) {
-            Ok(receipt) => receipt,
-            Err(error) => {
-                self.clear_pending();
-                return Err(error);
-            }
-        };
-        let engine = self.context.entry.router.acquire(self.describe(Vec::new()));
-        let (started, permit) = join(self.context.start_durable(&mut receipt), engine).await;
-        match (started, permit) {
-            (Started::Durable, Ok(permit)) => Ok(permit),
-            (Started::Durable, Err(error)) => {
-                // Nobody waits for this event: the call was not sent whether it is durable or not.
-                self.append_finish(TurnOutcome::NotRun)?;
-                Err(error)
-            }
-            (Started::Refused(error), _) => {
-                if self.context.entry.journal.withdraw(&receipt) {
-                    self.clear_pending();
-                } else if receipt.durable().await.is_ok() {
-                    self.append_finish(TurnOutcome::NotRun)?;
-                }
-                Err(error)
-            }
-        }
-    }
-
-    fn clear_pending(&self) {
-        let mut state = self.context.open.cell().state.borrow_mut();
-        state.clear_pending(self.run_id, self.reserved_micros);
+        let receipt = self.context.append(event).map_err(|error| Refusal {
+            error,
+            start: StartEvent::Withdrawn,
+        })?;
+        let call = self.describe(Vec::new());
+        let engine = self.context.entry.router.acquire(call);
+        let (started, permit) = join(self.context.start_durable(receipt), engine).await;
+        started?;
+        permit.map_err(|error| Refusal {
+            error,
+            start: StartEvent::Durable,
+        })
     }
 
     fn describe(&self, excluded: Vec<crate::ids::BackendServerId>) -> CallDescription {
@@ -334,13 +328,13 @@
         }
     }
 
-    fn append_finish(&self, outcome: TurnOutcome) -> Result<crate::process::journal::Receipt> {
-        self.context.append(Event::TurnFinished {
+    fn finish_event(&self, outcome: TurnOutcome) -> Event {
+        Event::TurnFinished {
             request_id: self.body.request_id.clone(),
             run_id: self.run_id,
             input: self.input.clone(),
             outcome,
-        })
+        }
     }
 
     /// Number of this call in its run, from 1.
@@ -414,12 +408,14 @@
     }
 
     async fn append_and_wait(&self, outcome: TurnOutcome) -> Result<()> {
-        let mut receipt = self.append_finish(outcome)?;
+        let mut receipt = self.context.append(self.finish_event(outcome))?;
         self.context.finish_durable(&mut receipt).await
     }
 
     async fn settle_done(&mut self, result: TurnResult, output: &mut Output) -> Result<()> {
-        let mut receipt = self.append_finish(TurnOutcome::Done(result.clone()))?;
+        let mut receipt = self
+            .context
+            .append(self.finish_event(TurnOutcome::Done(result.clone())))?;
         match self.context.finish_durable(&mut receipt).await {
             Ok(()) => {}
             Err(error) => {
