Move idle conversations from memory to objects of their own

Cause: a slot kept every conversation it had ever met in memory and wrote all of them with each checkpoint, so memory and checkpoints grew without bound.

Change: a conversation without an active run leaves memory after evict_idle_ms. An eviction waits until no event of the slot is on its way.

Ruled out: leaving the conversation in the checkpoint and only dropping it from memory; each checkpoint would have to read the old one first.

Conclusion: memory holds active and recently used conversations; what stays for each idle one is its name and object key.

--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -238,10 +238,4 @@
             router,
         }
     }
-
-    /// Milliseconds since the Unix epoch.
-    pub fn unix_ms(&self) -> u64 {
-        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        now.map_or(0, |since| since.as_millis() as u64)
-    }
 }
--- a/src/process/entry/background.rs
+++ b/src/process/entry/background.rs
@@ -10,6 +10,7 @@
 use crate::process::metrics as names;
 use crate::process::rows::EntryState;
 use crate::process::slots::ConversationCell;
+use crate::process::timer::unix_ms;
 use crate::request::call::cache_key;
 
 /// Pause between two searches for abandoned runs.
@@ -116,7 +117,7 @@
             continue;
         };
         let limit_ms = config.limits.abandon_after.as_millis() as u64;
-        let before_ms = entry.unix_ms().saturating_sub(limit_ms);
+        let before_ms = unix_ms().saturating_sub(limit_ms);
         for cell in entry.slots.conversations() {
             for run_id in abandoned_runs(&cell, before_ms) {
                 monoio::spawn(end_abandoned_run(
@@ -166,7 +167,7 @@
     let record = Record {
         slot: open.slot(),
         key: key.clone(),
-        at_ms: entry.unix_ms(),
+        at_ms: unix_ms(),
         event,
     };
     let Ok(mut receipt) = entry.journal.append(open.incarnation(), record) else {
--- a/src/process/journal.rs
+++ b/src/process/journal.rs
@@ -16,9 +16,10 @@
 use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
+use indexmap::IndexMap;
 
 use crate::connection::platform::PlatformClient;
-use crate::ids::{EntryId, Incarnation, VersionNumber};
+use crate::ids::{EntryId, Incarnation, SlotId, VersionNumber};
 use crate::process::conversation::Record;
 use crate::process::notify::Notify;
 use crate::process::rows::{EntryRow, EntryState, Holder, SlotRow};
@@ -99,6 +100,8 @@
     settings: Rc<Settings>,
     records: RefCell<VecDeque<QueuedRecord>>,
     changes: RefCell<VecDeque<QueuedChanges>>,
+    /// Number of events of each slot that are queued or on their way; none is 0.
+    pending: RefCell<IndexMap<SlotId, usize>>,
     /// Sum of the encoded sizes of `records`.
     queued_bytes: Cell<usize>,
     next_append: Cell<AppendId>,
@@ -117,6 +120,20 @@
     progress: Notify,
 }
 
+impl Shared {
+    /// Counts an event of a slot as no longer pending.
+    fn settle(&self, slot: SlotId) {
+        let mut pending = self.pending.borrow_mut();
+        let Some(count) = pending.get_mut(&slot) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            pending.swap_remove(&slot);
+        }
+    }
+}
+
 /// A handle to the journal; clones share it.
 #[derive(Clone)]
 pub struct Journal {
@@ -132,6 +149,7 @@
             settings,
             records: RefCell::default(),
             changes: RefCell::default(),
+            pending: RefCell::default(),
             queued_bytes: Cell::new(0),
             next_append: Cell::new(1),
             row: RefCell::new(None),
@@ -170,6 +188,12 @@
         self.shared.queued_bytes.set(queued);
         let id = self.shared.next_append.get();
         self.shared.next_append.set(id + 1);
+        *self
+            .shared
+            .pending
+            .borrow_mut()
+            .entry(record.slot)
+            .or_insert(0) += 1;
         let (done, receiver) = oneshot::channel();
         self.shared.records.borrow_mut().push_back(QueuedRecord {
             id,
@@ -191,10 +215,16 @@
             self.shared
                 .queued_bytes
                 .set(self.shared.queued_bytes.get() - queued.bytes);
+            self.shared.settle(queued.record.slot);
         }
         true
     }
 
+    /// Whether events of a slot are queued or on their way.
+    pub fn has_pending(&self, slot: SlotId) -> bool {
+        self.shared.pending.borrow().contains_key(&slot)
+    }
+
     /// Changes slot rows under the lease of this entry.
     pub async fn change_slots(&self, changes: Vec<SlotChange>) -> Result<Vec<SlotChangeOutcome>> {
         if self.holder().is_none() {
--- a/src/process/journal/segment.rs
+++ b/src/process/journal/segment.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ids::ConversationKey;
 use crate::process::conversation::{Conversation, Record};
 
 /// The result of decoding.
@@ -47,8 +48,11 @@
 /// State of all conversations of a slot.
 #[derive(Serialize, Deserialize)]
 pub struct Checkpoint {
-    /// In the order in which the slot's holder met them.
+    /// Those that were in memory.
     pub conversations: Vec<Conversation>,
+    /// Those that are idle and have an object of their own: conversation and object key. None of
+    /// them is among `conversations`.
+    pub stored: Vec<(ConversationKey, String)>,
 }
 
 /// Size of a record in a segment.
@@ -71,6 +75,11 @@
     decode(bytes)
 }
 
+/// Decodes a conversation that has an object of its own.
+pub fn decode_conversation(bytes: &[u8]) -> Result<Conversation> {
+    decode(bytes)
+}
+
 fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T> {
     match bytes.split_first() {
         Some((&FORMAT_VERSION, content)) => {
--- a/src/process/journal/writer.rs
+++ b/src/process/journal/writer.rs
@@ -393,6 +393,9 @@
     if !batch.records.is_empty() {
         sink.committed(&batch.records, batch.next.segment);
     }
+    for record in &batch.records {
+        shared.settle(record.slot);
+    }
     for done in batch.record_receipts {
         let _ = done.send(Ok(()));
     }
@@ -428,6 +431,7 @@
         let _ = queued.done.send(Err(JournalError::Fenced));
     }
     shared.queued_bytes.set(0);
+    shared.pending.borrow_mut().clear();
     shared.progress.notify();
 }
 
--- a/src/process/recovery.rs
+++ b/src/process/recovery.rs
@@ -169,37 +169,60 @@
     holder: &Holder,
     records: &[NumberedRecord],
 ) -> Result<Option<String>> {
-    let mut conversations = load_checkpoint(platform, slot_row).await?;
+    let mut state = load_checkpoint(platform, slot_row).await?;
     for (number, record) in records {
         if record.slot == slot_row.slot && *number >= slot_row.first_segment {
-            conversations
-                .entry(record.key.clone())
-                .or_insert_with(|| Conversation::new(record.key.clone()))
-                .apply(&record.event, record.at_ms);
+            let conversation = state.conversation_mut(platform, &record.key).await?;
+            conversation.apply(&record.event, record.at_ms);
         }
     }
-    for conversation in conversations.values_mut() {
+    for conversation in state.conversations.values_mut() {
         conversation.interrupt_open_calls();
     }
-    if conversations.is_empty() {
+    if state.conversations.is_empty() {
         return Ok(slot_row.checkpoint.clone());
     }
     let key = recovery_checkpoint_key(slot_row.slot, holder);
-    let checkpoint = Checkpoint {
-        conversations: conversations.into_values().collect(),
-    };
-    let bytes = segment::encode(&checkpoint).map_err(|error| damaged(&key, &error))?;
+    let bytes = segment::encode(&state.into_checkpoint()).map_err(|error| damaged(&key, &error))?;
     platform.put_object(&key, bytes.into()).await?;
     Ok(Some(key))
 }
 
+/// The conversations of a slot.
+#[derive(Debug, Default)]
+pub struct SlotState {
+    /// Those that are in memory.
+    pub conversations: IndexMap<ConversationKey, Conversation>,
+    /// Keys of the objects of those that are not.
+    pub stored: IndexMap<ConversationKey, String>,
+}
+
+impl SlotState {
+    /// A conversation that an event changes; loaded if it is stored, made if there is none.
+    async fn conversation_mut(
+        &mut self,
+        platform: &PlatformClient,
+        key: &ConversationKey,
+    ) -> Result<&mut Conversation> {
+        let loaded = match self.stored.swap_remove(key) {
+            Some(object) => load_conversation(platform, &object).await?,
+            None => Conversation::new(key.clone()),
+        };
+        Ok(self.conversations.entry(key.clone()).or_insert(loaded))
+    }
+
+    fn into_checkpoint(self) -> Checkpoint {
+        Checkpoint {
+            conversations: self.conversations.into_values().collect(),
+            stored: self.stored.into_iter().collect(),
+        }
+    }
+}
+
 /// Reads the conversations of a slot's checkpoint; empty if there is none.
-pub async fn load_checkpoint(
-    platform: &PlatformClient,
-    slot_row: &SlotRow,
-) -> Result<IndexMap<ConversationKey, Conversation>> {
+pub async fn load_checkpoint(platform: &PlatformClient, slot_row: &SlotRow) -> Result<SlotState> {
     let Some(key) = &slot_row.checkpoint else {
-        return Ok(IndexMap::new());
+        return Ok(SlotState::default());
     };
     let bytes = platform
         .get_object(key, None)
@@ -210,7 +233,19 @@
         .conversations
         .into_iter()
         .map(|state| (state.key.clone(), state));
-    Ok(by_key.collect())
+    Ok(SlotState {
+        conversations: by_key.collect(),
+        stored: checkpoint.stored.into_iter().collect(),
+    })
+}
+
+/// Reads a conversation that has an object of its own.
+pub async fn load_conversation(platform: &PlatformClient, key: &str) -> Result<Conversation> {
+    let bytes = platform
+        .get_object(key, None)
+        .await?
+        .ok_or_else(|| missing(key))?;
+    segment::decode_conversation(&bytes).map_err(|error| damaged(key, &error))
 }
 
 fn missing(key: &str) -> PlatformError {
--- a/src/process/rows.rs
+++ b/src/process/rows.rs
@@ -96,6 +96,15 @@
     format!("{SLOT_PREFIX}{slot:06}")
 }
 
+/// Key of the object with an idle conversation. The number makes the key unique among those that
+/// the same incarnation writes.
+pub fn conversation_object_key(slot: SlotId, holder: &Holder, number: u64) -> String {
+    format!(
+        "conversations/{slot:06}/{}-{}-{number:012}",
+        holder.entry_id, holder.incarnation
+    )
+}
+
 /// Key of the object with a segment of a journal.
 pub fn segment_key(holder: &Holder, number: u64) -> String {
     format!(
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -92,6 +92,8 @@
     slot_wait_ms: u64,
     #[serde(default = "defaults::checkpoint_interval_ms")]
     checkpoint_interval_ms: u64,
+    #[serde(default = "defaults::evict_idle_ms")]
+    evict_idle_ms: u64,
     #[serde(default = "defaults::platform_call_ms")]
     platform_call_ms: u64,
     #[serde(default = "defaults::shutdown_limit_ms")]
@@ -135,6 +137,9 @@
     pub(super) fn checkpoint_interval_ms() -> u64 {
         60_000
     }
+    pub(super) fn evict_idle_ms() -> u64 {
+        600_000
+    }
     pub(super) fn platform_call_ms() -> u64 {
         2_000
     }
@@ -188,6 +193,8 @@
     pub slot_wait: Duration,
     /// Longest time between two checkpoints of a slot that changes.
     pub checkpoint_interval: Duration,
+    /// A conversation without an active run leaves memory after this time.
+    pub evict_idle: Duration,
     /// Time limit of one call to the platform.
     pub platform_call: Duration,
     /// Longest graceful shutdown.
@@ -242,6 +249,7 @@
             durable_wait: positive("durable_wait_ms", raw.durable_wait_ms)?,
             slot_wait: positive("slot_wait_ms", raw.slot_wait_ms)?,
             checkpoint_interval: positive("checkpoint_interval_ms", raw.checkpoint_interval_ms)?,
+            evict_idle: positive("evict_idle_ms", raw.evict_idle_ms)?,
             platform_call: positive("platform_call_ms", raw.platform_call_ms)?,
             shutdown_limit: positive("shutdown_limit_ms", raw.shutdown_limit_ms)?,
             body_cache_bytes: raw.body_cache_bytes,
--- a/src/process/slots.rs
+++ b/src/process/slots.rs
@@ -2,7 +2,8 @@
 //!
 //! A slot is held from the moment its row names this entry until the row is released or the entry is
 //! fenced. A request opens a conversation through [`Slots::open`]; while it is open, the slot is not
-//! released. The journal applies durable events through [`JournalSink`], so that at any moment the
+//! released. A conversation that is idle for long is stored as an object of its own and leaves memory
+//! until it is opened again. The journal applies durable events through [`JournalSink`], so that at any moment the
 //! state in memory is exactly the fold of all committed segments, and a checkpoint taken then is
 //! complete.
 
@@ -16,22 +17,25 @@
 use indexmap::IndexMap;
 
 use crate::ids::{ConversationKey, Incarnation, Micros, RunId, SlotId};
-use crate::process::conversation::{Conversation, Event, Record};
+use crate::process::conversation::{Conversation, Event, Record, RunState};
 use crate::process::invariant;
 use crate::process::journal::JournalSink;
 use crate::process::journal::segment::Checkpoint;
 use crate::process::notify::Notify;
+use crate::process::recovery::SlotState;
 use crate::process::rows::SlotRow;
 use crate::process::slots::lock::ThreadLocks;
 
 /// The result of opening a conversation.
-pub type Result<T> = std::result::Result<T, NotHeld>;
-
-/// This entry does not hold the slot at the moment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NotHeld {
-    /// The slot.
-    pub slot: SlotId,
+pub type Result<T> = std::result::Result<T, OpenError>;
+
+/// Why a conversation cannot be opened at once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OpenError {
+    /// This entry does not hold the slot at the moment.
+    NotHeld,
+    /// The conversation is not in memory; load this object and restore it first.
+    Stored(String),
 }
 
 /// A conversation in memory, with what is not durable about it.
@@ -52,12 +56,24 @@
             ended: Notify::default(),
         }
     }
+
+    fn is_idle(&self, before_ms: u64) -> bool {
+        let state = self.state.borrow();
+        let mut runs = state.runs.values();
+        runs.all(|run| run.state != RunState::Active && run.last_event_ms < before_ms)
+    }
 }
 
 struct HeldSlot {
     row: SlotRow,
     version: u64,
     conversations: IndexMap<ConversationKey, Rc<ConversationCell>>,
+    /// Object keys of conversations that are not in memory, or are there as unchanged copies.
+    stored: IndexMap<ConversationKey, String>,
+    /// Whether `stored` has changed since the last checkpoint.
+    stored_changed: bool,
+    /// Objects that the next checkpoint no longer needs.
+    obsolete: Vec<String>,
     /// The first segment with an event that no checkpoint includes.
     dirty_from: Option<u64>,
     /// The last segment with an event of the slot.
@@ -137,11 +153,11 @@
             .collect()
     }
 
-    /// Looks up a conversation of a held slot; `None` if it does not exist.
+    /// Looks up a conversation of a held slot; `None` if it does not exist or is stored.
     pub fn find(&self, key: &ConversationKey) -> Result<Option<Rc<ConversationCell>>> {
         let slot = self.slot_of(key);
         let held = self.held.borrow();
-        let held_slot = held.get(&slot).ok_or(NotHeld { slot })?;
+        let held_slot = held.get(&slot).ok_or(OpenError::NotHeld)?;
         Ok(held_slot.conversations.get(key).cloned())
     }
 
@@ -152,7 +168,12 @@
         let held_slot = held
             .get_mut(&slot)
             .filter(|held| !held.releasing)
-            .ok_or(NotHeld { slot })?;
+            .ok_or(OpenError::NotHeld)?;
+        if !held_slot.conversations.contains_key(key)
+            && let Some(object) = held_slot.stored.get(key)
+        {
+            return Err(OpenError::Stored(object.clone()));
+        }
         let cell = held_slot
             .conversations
             .entry(key.clone())
@@ -168,16 +189,66 @@
         })
     }
 
+    /// Puts a stored conversation back into memory, unless it has changed since it was loaded from
+    /// `object`.
+    pub fn restore(&self, object: &str, state: Conversation) {
+        let slot = self.slot_of(&state.key);
+        let mut held = self.held.borrow_mut();
+        let Some(held_slot) = held.get_mut(&slot) else {
+            return;
+        };
+        if held_slot.stored.get(&state.key).map(String::as_str) == Some(object) {
+            held_slot
+                .conversations
+                .entry(state.key.clone())
+                .or_insert_with(|| Rc::new(ConversationCell::new(state)));
+        }
+    }
+
+    /// Conversations of a slot that may leave memory: none of their runs is active, nobody works on
+    /// them, and their last event is older than `before_ms`.
+    fn idle_conversations(&self, slot: SlotId, before_ms: u64) -> Vec<Rc<ConversationCell>> {
+        let held = self.held.borrow();
+        let Some(held_slot) = held.get(&slot) else {
+            return Vec::new();
+        };
+        let cells = held_slot.conversations.values();
+        let idle = cells.filter(|cell| Rc::strong_count(cell) == 1 && cell.is_idle(before_ms));
+        idle.cloned().collect()
+    }
+
+    /// The object of a conversation that is in memory as an unchanged copy.
+    fn is_stored(&self, slot: SlotId, key: &ConversationKey) -> bool {
+        let held = self.held.borrow();
+        held.get(&slot)
+            .is_some_and(|slot| slot.stored.contains_key(key))
+    }
+
+    /// Drops a conversation from memory whose state is in `object`, or in the object that `stored`
+    /// names already. Does nothing if somebody has opened it meanwhile: `cell` and the slot have the
+    /// only references otherwise.
+    fn evict(&self, slot: SlotId, cell: Rc<ConversationCell>, object: Option<String>) -> bool {
+        let mut held = self.held.borrow_mut();
+        let Some(held_slot) = held.get_mut(&slot) else {
+            return false;
+        };
+        if Rc::strong_count(&cell) != 2 {
+            return false;
+        }
+        let key = cell.state.borrow().key.clone();
+        if let Some(object) = object {
+            held_slot.stored.insert(key.clone(), object);
+            held_slot.stored_changed = true;
+        }
+        held_slot.conversations.swap_remove(&key);
+        true
+    }
+
     /// Starts to serve a slot whose row now names this incarnation.
-    fn insert(
-        &self,
-        incarnation: Incarnation,
-        row: SlotRow,
-        version: u64,
-        conversations: IndexMap<ConversationKey, Conversation>,
-    ) {
+    fn insert(&self, incarnation: Incarnation, row: SlotRow, version: u64, state: SlotState) {
         self.incarnation.set(incarnation);
-        let conversations = conversations
+        let conversations = state
+            .conversations
             .into_iter()
             .map(|(key, state)| (key, Rc::new(ConversationCell::new(state))))
             .collect();
@@ -186,6 +257,9 @@
             row,
             version,
             conversations,
+            stored: state.stored,
+            stored_changed: false,
+            obsolete: Vec::new(),
             dirty_from: None,
             last_dirty: None,
             open: 0,
@@ -214,18 +288,26 @@
         self.changed.notify();
     }
 
-    /// Row, version and state of a slot that has changed since its last checkpoint.
-    fn snapshot_if_dirty(&self, slot: SlotId) -> Option<(SlotRow, u64, Checkpoint)> {
-        let held = self.held.borrow();
-        let held = held.get(&slot)?;
-        held.dirty_from?;
-        let states = held
-            .conversations
-            .values()
-            .map(|cell| cell.state.borrow().clone());
+    /// The state of a slot that has changed since its last checkpoint, and the objects that the new
+    /// checkpoint makes obsolete.
+    fn snapshot_if_changed(&self, slot: SlotId) -> Option<(Checkpoint, Vec<String>)> {
+        let mut held = self.held.borrow_mut();
+        let held = held.get_mut(&slot)?;
+        if held.dirty_from.is_none() && !held.stored_changed {
+            return None;
+        }
+        held.stored_changed = false;
+        let cells = held.conversations.iter();
+        let cells = cells.filter(|(key, _)| !held.stored.contains_key(*key));
+        let states = cells.map(|(_, cell)| cell.state.borrow().clone());
         // A conversation that was opened and never got an event is not kept.
         let conversations = states.filter(|state| !state.runs.is_empty()).collect();
-        Some((held.row.clone(), held.version, Checkpoint { conversations }))
+        let stored = held.stored.clone().into_iter().collect();
+        let checkpoint = Checkpoint {
+            conversations,
+            stored,
+        };
+        Some((checkpoint, std::mem::take(&mut held.obsolete)))
     }
 
     fn row(&self, slot: SlotId) -> Option<(SlotRow, u64)> {
@@ -246,10 +328,10 @@
         }
     }
 
-    fn dirty_slots(&self) -> Vec<SlotId> {
+    fn changed_slots(&self) -> Vec<SlotId> {
         let held = self.held.borrow();
         held.iter()
-            .filter(|(_, slot)| slot.dirty_from.is_some())
+            .filter(|(_, slot)| slot.dirty_from.is_some() || slot.stored_changed)
             .map(|(slot, _)| *slot)
             .collect()
     }
@@ -289,6 +371,10 @@
             };
             slot.dirty_from.get_or_insert(segment);
             slot.last_dirty = Some(segment);
+            // The copy in memory changes, so the stored object is no longer its state.
+            if let Some(object) = slot.stored.swap_remove(&record.key) {
+                slot.obsolete.push(object);
+            }
             let cell = slot
                 .conversations
                 .entry(record.key.clone())
--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -15,18 +15,18 @@
 
 use crate::connection::platform::PlatformClient;
 use crate::error::chain;
-use crate::ids::{ConversationKey, EntryId, SlotId};
-use crate::process::conversation::Conversation;
+use crate::ids::{EntryId, SlotId};
 use crate::process::invariant;
 use crate::process::journal::{Journal, SlotChange, SlotChangeOutcome, segment};
 use crate::process::membership::Membership;
 use crate::process::recovery;
 use crate::process::rows::{
-    EntryRow, EntryState, Holder, SLOT_PREFIX, SlotRow, checkpoint_key, entry_key, segment_key,
+    EntryRow, EntryState, Holder, SLOT_PREFIX, SlotRow, checkpoint_key, conversation_object_key,
+    entry_key, segment_key,
 };
 use crate::process::settings::Settings;
-use crate::process::slots::{Slots, placement};
-use crate::process::timer::TimerService;
+use crate::process::slots::{ConversationCell, Slots, placement};
+use crate::process::timer::{TimerService, unix_ms};
 
 /// Pause between two looks at the slot rows while slots that prefer this entry are missing.
 const MOVE_INTERVAL: Duration = Duration::from_millis(200);
@@ -200,7 +200,7 @@
             .collect()
             .await;
         let mut changes = Vec::new();
-        let mut states: Vec<IndexMap<ConversationKey, Conversation>> = Vec::new();
+        let mut states = Vec::new();
         for ((row, version), loaded) in free.iter().zip(loaded) {
             states.push(loaded?);
             let row = SlotRow {
@@ -276,9 +276,9 @@
             let Some((mut row, version)) = self.slots.row(*slot) else {
                 continue;
             };
-            if let Some((_, _, checkpoint)) = self.slots.snapshot_if_dirty(*slot) {
-                let key = checkpoint_key(*slot, &holder, self.next_checkpoint.get());
-                self.next_checkpoint.set(self.next_checkpoint.get() + 1);
+            if let Some((checkpoint, obsolete)) = self.slots.snapshot_if_changed(*slot) {
+                replaced.extend(obsolete);
+                let key = checkpoint_key(*slot, &holder, self.next_object_number());
                 match segment::encode(&checkpoint) {
                     Ok(bytes) => objects.push((key.clone(), bytes)),
                     Err(error) => unreachable!("a state in memory always encodes: {error}"),
@@ -327,6 +327,62 @@
         Ok(())
     }
 
+    /// Stores conversations that are idle for long, and drops them from memory. Until the next
+    /// checkpoint names their objects, they are also part of the last one, so no order of failures
+    /// loses them.
+    async fn evict_idle(&self) {
+        let idle_ms = self.settings.evict_idle.as_millis() as u64;
+        let before_ms = unix_ms().saturating_sub(idle_ms);
+        for slot in self.slots.held() {
+            for cell in self.slots.idle_conversations(slot, before_ms) {
+                if let Err(error) = self.evict(slot, cell).await {
+                    log::debug!("an idle conversation was not stored: {}", chain(&error));
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn evict(
+        &self,
+        slot: SlotId,
+        cell: Rc<ConversationCell>,
+    ) -> crate::connection::platform::Result<()> {
+        let Some(holder) = self.journal.holder() else {
+            return Ok(());
+        };
+        // An event on its way would be applied to a conversation that is not there.
+        if self.journal.has_pending(slot) || !self.slots.is_open(slot) {
+            return Ok(());
+        }
+        let key = cell.state.borrow().key.clone();
+        if self.slots.is_stored(slot, &key) {
+            self.slots.evict(slot, cell, None);
+            return Ok(());
+        }
+        let object = conversation_object_key(slot, &holder, self.next_object_number());
+        let bytes = match segment::encode(&*cell.state.borrow()) {
+            Ok(bytes) => bytes,
+            Err(error) => unreachable!("a state in memory always encodes: {error}"),
+        };
+        let written = cell.state.borrow().clone();
+        self.platform.put_object(&object, bytes.into()).await?;
+        let is_current = self.journal.holder().as_ref() == Some(&holder);
+        let is_settled = !self.journal.has_pending(slot) && self.slots.is_open(slot);
+        // While the object was written, the conversation may have been opened and changed.
+        let is_unchanged = *cell.state.borrow() == written;
+        if is_current && is_settled && is_unchanged {
+            self.slots.evict(slot, cell, Some(object));
+        }
+        Ok(())
+    }
+
+    fn next_object_number(&self) -> u64 {
+        let number = self.next_checkpoint.get();
+        self.next_checkpoint.set(number + 1);
+        number
+    }
+
     /// Deletes segments that all checkpoints include, after the entry row says so.
     async fn trim_journal(&self, deleted_below: &mut u64) {
         let Some(holder) = self.journal.holder() else {
@@ -383,7 +439,8 @@
             incarnation = holder.incarnation;
             deleted_below = 1;
         }
-        for chunk in manager.slots.dirty_slots().chunks(CHANGES_PER_COMMIT) {
+        manager.evict_idle().await;
+        for chunk in manager.slots.changed_slots().chunks(CHANGES_PER_COMMIT) {
             let held: Vec<_> = chunk
                 .iter()
                 .copied()
--- a/src/process/timer.rs
+++ b/src/process/timer.rs
@@ -32,6 +32,12 @@
 
 impl std::error::Error for Elapsed {}
 
+/// Milliseconds since the Unix epoch by the wall clock, for records that outlive the process.
+pub fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 type TimerId = u64;
 
 #[derive(Default)]
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -11,6 +11,7 @@
 use crate::process::journal::{JournalError, Receipt};
 use crate::process::slots::OpenConversation;
 use crate::process::slots::lock::ThreadLock;
+use crate::process::timer::unix_ms;
 use crate::version::config::{Config, Program};
 
 /// What a request about a conversation works with.
@@ -196,7 +197,7 @@
         let record = Record {
             slot: self.open.slot(),
             key: self.key.clone(),
-            at_ms: self.entry.unix_ms(),
+            at_ms: unix_ms(),
             event,
         };
         self.entry
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -15,10 +15,11 @@
 use crate::connection::body::Body;
 use crate::connection::peer::messages::{ForwardHead, ForwardRequest, headers_to_map};
 use crate::connection::peer::{ForwardBody, PeerError};
-use crate::error::{Error, ErrorKind, Result};
-use crate::ids::{EntryId, SlotId};
+use crate::error::{Error, ErrorKind, Result, chain};
+use crate::ids::{ConversationKey, EntryId, SlotId};
 use crate::process::entry::Entry;
-use crate::process::slots::OpenConversation;
+use crate::process::recovery;
+use crate::process::slots::{OpenConversation, OpenError};
 use crate::request::call::CallContext;
 use crate::request::conversation_request::{ConversationRequest, Operation};
 use crate::request::{read, run, tool_call, turn};
@@ -44,7 +45,7 @@
     let mut last_error = None;
     loop {
         let seen = entry.slots.changed().changes();
-        if let Ok(open) = entry.slots.open(&request.key) {
+        if let Some(open) = open(entry, &request.key).await? {
             return serve(entry, config, open, request).await;
         }
         let holder = entry.manager.probable_holder(slot);
@@ -73,7 +74,7 @@
     let deadline = Instant::now() + PEER_WAIT;
     loop {
         let seen = entry.slots.changed().changes();
-        if let Ok(open) = entry.slots.open(&request.key) {
+        if let Some(open) = open(entry, &request.key).await? {
             return serve(entry, config, open, request).await;
         }
         let holder = entry.manager.probable_holder(slot);
@@ -88,6 +89,25 @@
     }
 }
 
+/// Opens a conversation of a slot that this entry holds, and loads it first if it is stored. `None`
+/// means that the entry does not hold the slot.
+async fn open(entry: &Rc<Entry>, key: &ConversationKey) -> Result<Option<OpenConversation>> {
+    loop {
+        let object = match entry.slots.open(key) {
+            Ok(open) => return Ok(Some(open)),
+            Err(OpenError::NotHeld) => return Ok(None),
+            Err(OpenError::Stored(object)) => object,
+        };
+        let loaded = recovery::load_conversation(&entry.platform, &object).await;
+        let state = loaded.map_err(|error| {
+            log::warn!("a stored conversation was not loaded: {}", chain(&error));
+            let message = "the platform does not return the conversation; come back later";
+            Error::new(ErrorKind::PlatformUnavailable, message)
+        })?;
+        entry.slots.restore(&object, state);
+    }
+}
+
 async fn serve(
     entry: &Rc<Entry>,
     config: Rc<Config>,
--- a/src/request/operator.rs
+++ b/src/request/operator.rs
@@ -12,6 +12,7 @@
 use crate::ids::{EntryId, Incarnation, VersionNumber};
 use crate::process::audit;
 use crate::process::entry::Entry;
+use crate::process::timer::unix_ms;
 use crate::request::api::EndBody;
 use crate::request::conversation_request::ConversationRequest;
 use crate::request::forward;
@@ -66,15 +67,7 @@
         (&Method::POST, ["programs", team_id, conversation, "cancel"]) => {
             audit::operator_action(operator, "cancel", &format!("{team_id}/{conversation}"));
             let path = format!("/v1/conversations/{conversation}/cancel");
-            on_conversation(
-                entry,
-                config,
-                team_id,
-                Method::POST,
-                path,
-                cancel_body(entry),
-            )
-            .await
+            on_conversation(entry, config, team_id, Method::POST, path, cancel_body()).await
         }
         _ => Err(Error::new(
             ErrorKind::NotFound,
@@ -84,8 +77,8 @@
 }
 
 /// Each cancellation is a request of its own; ending a run that has ended changes nothing.
-fn cancel_body(entry: &Entry) -> Bytes {
-    let request_id = format!("operator-cancel-{}", entry.unix_ms()).into();
+fn cancel_body() -> Bytes {
+    let request_id = format!("operator-cancel-{}", unix_ms()).into();
     serde_json::to_vec(&EndBody { request_id })
         .unwrap_or_default()
         .into()
