--- a/tests/idle_conversations.rs
+++ b/tests/idle_conversations.rs
@@ -32,12 +32,22 @@
         "request_id": format!("turn-{visit}"), "max_output_tokens": 4,
         "input": format!("{conversation} visit {visit}"),
     });
-    let stream = post(site, entry, &format!("{conversation}/runs/{visit}/turns"), &turn);
+    let stream = post(
+        site,
+        entry,
+        &format!("{conversation}/runs/{visit}/turns"),
+        &turn,
+    );
     assert!(stream.contains("event: done"), "{stream}");
     let path = format!("{conversation}/runs/{visit}/tool-calls");
     post(site, entry, &path, &pay(visit));
     let end = json!({ "request_id": format!("end-{visit}") });
-    post(site, entry, &format!("{conversation}/runs/{visit}/end"), &end);
+    post(
+        site,
+        entry,
+        &format!("{conversation}/runs/{visit}/end"),
+        &end,
+    );
 }
 
 fn pay(visit: u64) -> Value {
@@ -45,14 +55,21 @@
 }
 
 fn in_memory(site: &Site) -> u64 {
-    let statuses = site.running().filter_map(|entry| site.status(entry.address()));
-    statuses.map(|status| status["conversations"].as_u64().unwrap_or(0)).sum()
+    let statuses = site
+        .running()
+        .filter_map(|entry| site.status(entry.address()));
+    statuses
+        .map(|status| status["conversations"].as_u64().unwrap_or(0))
+        .sum()
 }
 
 fn history(site: &Site, entry: usize) -> Vec<Value> {
     let answer = site.get(entry, "c1/history").expect("an answer");
     assert_eq!(answer.status, 200, "{}", answer.text());
-    answer.json()["messages"].as_array().cloned().unwrap_or_default()
+    answer.json()["messages"]
+        .as_array()
+        .cloned()
+        .unwrap_or_default()
 }
 
 /// Guards against memory that grows with all conversations there ever were, and against a history,
@@ -62,12 +79,18 @@
     let mut site = site();
     visit(&site, 0, "c1", 1);
     let first = history(&site, 1);
-    assert!(wait_until(PATIENCE, || in_memory(&site) == 0), "the conversation stays in memory");
+    assert!(
+        wait_until(PATIENCE, || in_memory(&site) == 0),
+        "the conversation stays in memory"
+    );
     assert_eq!(history(&site, 2), first);
 
     // The copy that was read leaves memory again. Then the holder dies right after it has changed the
     // conversation, so that the recovery has to load the stored object and apply events to it.
-    assert!(wait_until(PATIENCE, || in_memory(&site) == 0), "the copy stays in memory");
+    assert!(
+        wait_until(PATIENCE, || in_memory(&site) == 0),
+        "the copy stays in memory"
+    );
     let holder = site.holder_of("team-one", "c1").expect("a holder");
     visit(&site, holder, "c1", 2);
     let second = history(&site, holder);
@@ -87,7 +110,11 @@
         post(&site, other, &path, &pay(visit));
     }
     let executions = site.mute_tool.stats()["executions_by_key"].clone();
-    let counts: Vec<&Value> = executions.as_object().expect("an object").values().collect();
+    let counts: Vec<&Value> = executions
+        .as_object()
+        .expect("an object")
+        .values()
+        .collect();
     assert_eq!(counts, vec![&json!(1); 3]);
 }
 
@@ -96,7 +123,9 @@
 fn reads_of_unknown_conversations_take_no_memory() {
     let site = site();
     for number in 0..50 {
-        let answer = site.get(0, &format!("unknown-{number}")).expect("an answer");
+        let answer = site
+            .get(0, &format!("unknown-{number}"))
+            .expect("an answer");
         assert_eq!(answer.status, 404);
     }
     assert_eq!(in_memory(&site), 0);
