Accept a service path that begins with a slash

Cause: the caller's client joined the service and the path with a slash, so `service orders /x` asked for `/v1/services/orders//x`, which no route matches.

--- a/src/caller/service.rs
+++ b/src/caller/service.rs
@@ -40,7 +40,11 @@
 
 pub(super) async fn call(caller: &Caller, call: ServiceCall) -> Result<ServiceAnswer> {
     check_id("service", &call.service)?;
-    let path = format!("/v1/services/{}/{}", call.service, call.path);
+    let path = format!(
+        "/v1/services/{}/{}",
+        call.service,
+        call.path.trim_start_matches('/')
+    );
     let mut request = caller.request(call.method, &path, call.body)?;
     let content_type = HeaderValue::from_str(&call.content_type)
         .map_err(|_| CallError::InvalidPath(call.content_type.clone()))?;
--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -41,6 +41,7 @@
     replies: RefCell<Vec<Reply>>,
     entries_asked: RefCell<u32>,
     bodies: RefCell<Vec<Value>>,
+    paths: RefCell<Vec<String>>,
     revoked: Cell<bool>,
 }
 
@@ -55,6 +56,8 @@
         }
         let body = serde_json::from_slice(request.body()).unwrap_or(Value::Null);
         self.bodies.borrow_mut().push(body);
+        let path = request.uri().path().to_string();
+        self.paths.borrow_mut().push(path);
         let reply = match self.replies.borrow_mut().as_mut_slice() {
             [] => Reply::Run,
             replies => replies[0],
@@ -298,6 +301,19 @@
     });
 }
 
+/// Guards against a path with two slashes, which no route of a service matches.
+#[test]
+fn a_service_path_may_begin_with_a_slash() {
+    block_on(async {
+        let site = site(&[&[Reply::Run]]);
+        let mut call = service_call(false);
+        call.path.insert(0, '/');
+        site.caller.service(call).await.unwrap();
+        let paths = site.entries[0].0.paths.borrow().clone();
+        assert_eq!(paths, ["/v1/services/s/orders"]);
+    });
+}
+
 /// Guards against `ran: no` about a request that an earlier attempt may have executed.
 #[test]
 fn a_refusal_after_a_broken_attempt_is_not_certain() {
