--- a/crates/standin/src/harness.rs
+++ b/crates/standin/src/harness.rs
@@ -1,11 +1,13 @@
 //! What tests need to drive processes from outside: child processes, signals and a blocking client.
 
+mod caller;
 mod http;
 mod process;
 mod site;
 
 use std::time::{Duration, Instant};
 
+pub use caller::{Call, Caller, Reply, check_history};
 pub use http::{Answer, EventStream, HttpRequest};
 pub use process::Process;
 pub use site::{OPERATOR_KEY, Site, SiteOptions, TEAM_ONE_KEY, TEAM_TWO_KEY};
--- a/crates/standin/src/harness/site.rs
+++ b/crates/standin/src/harness/site.rs
@@ -137,6 +137,11 @@
         SocketAddr::from((self.ip, FIRST_ENTRY_PORT + index as u16))
     }
 
+    /// Number of entries, whether they run or not.
+    pub fn entry_count(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Starts an entry (again), without waiting until it is ready.
     pub fn start_entry(&mut self, index: usize) {
         let path = self.folder.join(format!("entry-{index}.json"));
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -203,6 +203,10 @@
     }
 
     async fn commit(&self, body: CommitBody) -> Response<Body> {
+        if self.faults.borrow().hangs_commit(&body.writes) {
+            return answer::hang().await;
+        }
+        let writes = body.writes.clone();
         let committed = self.table.borrow_mut().commit(&body.checks, body.writes);
         let versions = match committed {
             Ok(versions) => versions,
@@ -216,7 +220,7 @@
             }
         };
         self.stats.borrow_mut().writes += 1;
-        if self.faults.borrow_mut().loses_acknowledgement() {
+        if self.faults.borrow_mut().loses_acknowledgement(&writes) {
             self.stats.borrow_mut().lost_acknowledgements += 1;
             return answer::broken().await;
         }
--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use sapphireford::connection::platform::Vm;
+use sapphireford::connection::platform::{Vm, Write};
 use serde::Deserialize;
 
 /// How calls fail while the platform is out.
@@ -32,6 +32,11 @@
     pub lose_acknowledgements: Option<u64>,
     /// Share of commits whose acknowledgement is lost, from 0 to 1.
     pub lose_acknowledgement_rate: Option<f64>,
+    /// Commits take no effect and are never answered.
+    pub hang_commits: Option<bool>,
+    /// `hang_commits` and lost acknowledgements concern only commits whose first write has a key with
+    /// this prefix; empty for all.
+    pub commit_filter: Option<String>,
     /// Seed of the choice by rate.
     pub seed: Option<u64>,
     /// The list of VMs.
@@ -44,6 +49,8 @@
 pub struct Faults {
     pub delay: Duration,
     pub outage: Outage,
+    hang_commits: bool,
+    commit_filter: String,
     lose_next: u64,
     /// From 0 to 1.
     lose_rate: f64,
@@ -55,6 +62,8 @@
         Self {
             delay: Duration::ZERO,
             outage: Outage::None,
+            hang_commits: false,
+            commit_filter: String::new(),
             lose_next: 0,
             lose_rate: 0.0,
             random: StdRng::seed_from_u64(0),
@@ -71,6 +80,12 @@
         if let Some(outage) = control.outage {
             self.outage = outage;
         }
+        if let Some(hang) = control.hang_commits {
+            self.hang_commits = hang;
+        }
+        if let Some(filter) = control.commit_filter {
+            self.commit_filter = filter;
+        }
         if let Some(count) = control.lose_acknowledgements {
             self.lose_next = count;
         }
@@ -82,8 +97,21 @@
         }
     }
 
+    /// Whether the commit that has arrived hangs without an effect.
+    pub fn hangs_commit(&self, writes: &[Write]) -> bool {
+        self.hang_commits && self.concerns(writes)
+    }
+
+    fn concerns(&self, writes: &[Write]) -> bool {
+        let first = writes.first().map_or("", |write| write.key.as_str());
+        first.starts_with(&self.commit_filter)
+    }
+
     /// Decides whether the commit that just took effect loses its acknowledgement.
-    pub fn loses_acknowledgement(&mut self) -> bool {
+    pub fn loses_acknowledgement(&mut self, writes: &[Write]) -> bool {
+        if !self.concerns(writes) {
+            return false;
+        }
         if self.lose_next > 0 {
             self.lose_next -= 1;
             return true;
