Settle calls that outlive their answer, and count actions in doubt once

An action in doubt was not counted as a call when its holder was recovered, so the next numbered call waited for it (`sequence_gap`), and it was counted twice when a status query resolved it later (`bad_request`). An idempotent action whose second attempt could not be sent was answered `no_backend_server`, `ran: no`, although the first attempt had run. A repeat of a request whose result waited for the platform was answered `queue_timeout`, `ran: no`. A caller whose intention was part of a failing commit waited for the end of the outage. The start of a run that was still on its way released its lock, so that a second one could get the same number.

By reading: an event that nobody waited for did not keep its slot from being released with a checkpoint without it; a slot whose release was begun and not carried out stayed closed; a finish event was refused while the queue was full, which left its call open; the lease was counted from the last attempt of a commit although an earlier one without acknowledgement may be the one that took effect.

Ruled out: taking the next run number from the queue as well, which leaves gaps when an event is withdrawn.

Change: a queued record holds its conversation open; locks are held until the event behind an early answer is settled; requests that wait are refused when commits have failed for the grace time; `not_durable` (`ran: unknown`) replaces `queue_timeout` for requests whose earlier attempt is not settled.

--- a/crates/standin/src/harness/site.rs
+++ b/crates/standin/src/harness/site.rs
@@ -319,7 +319,8 @@
             .json(body)
     }
 
-    fn slot_count(&self) -> u64 {
+    /// Number of slots of the site.
+    pub fn slot_count(&self) -> u64 {
         self.settings["slot_count"]
             .as_u64()
             .unwrap_or(DEFAULT_SLOT_COUNT)
--- a/src/process/conversation/event.rs
+++ b/src/process/conversation/event.rs
@@ -139,6 +139,16 @@
     },
 }
 
+impl Event {
+    /// Whether the event must be durable before something new starts.
+    pub const fn begins_work(&self) -> bool {
+        matches!(
+            self,
+            Event::RunStarted { .. } | Event::TurnStarted { .. } | Event::ActionIntended { .. }
+        )
+    }
+}
+
 /// An event as it stands in a segment.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
--- a/src/process/conversation/fold.rs
+++ b/src/process/conversation/fold.rs
@@ -4,8 +4,8 @@
 
 use crate::ids::{Micros, RequestId, RunId};
 use crate::process::conversation::{
-    Action, ActionOutcome, Conversation, EndReason, Event, Message, Progress, RequestRecord, Role,
-    Run, RunState, Thread, TurnOutcome, TurnResult,
+    ActionOutcome, Conversation, EndReason, Event, Message, Progress, RequestRecord, Role, Run,
+    RunState, Thread, TurnOutcome, TurnResult,
 };
 use crate::process::invariant;
 
@@ -108,7 +108,8 @@
     /// Settles the calls that were in progress when their holder was lost.
     ///
     /// The reservation of an open turn counts as spent, because the engine may have run all of it.
-    /// An open action is in doubt, and its reservation stays until its outcome is known.
+    /// An open action is in doubt, and its reservation stays until its outcome is known. It counts as
+    /// a call, because the caller goes on with the next one.
     pub fn interrupt_open_calls(&mut self) {
         let open: Vec<RequestId> = self
             .requests
@@ -139,6 +140,7 @@
             }
             Progress::ActionOpen(action) => {
                 request.progress = Progress::ActionInDoubt(action.clone());
+                self.count_call(run_id);
             }
             _ => {}
         }
@@ -258,14 +260,19 @@
         run_id: RunId,
         outcome: &ActionOutcome,
     ) {
-        let action = match self
+        // An action in doubt was counted as a call when its doubt began.
+        let (action, is_open) = match self
             .requests
             .get(request_id)
             .map(|request| &request.progress)
         {
-            Some(Progress::ActionOpen(action) | Progress::ActionInDoubt(action)) => action.clone(),
+            Some(Progress::ActionOpen(action)) => (action.clone(), true),
+            Some(Progress::ActionInDoubt(action)) => (action.clone(), false),
             _ => return,
         };
+        if is_open && !matches!(outcome, ActionOutcome::NotRun) {
+            self.count_call(run_id);
+        }
         match outcome {
             ActionOutcome::Done {
                 result,
@@ -276,15 +283,15 @@
                 let progress =
                     Progress::ActionDone(action.action_id, result.clone(), *charge_micros);
                 self.set_progress(request_id, progress);
-                self.count_call(run_id);
             }
             ActionOutcome::Failed { message } => {
                 self.settle(run_id, action.reserved_micros, 0);
                 let kind = crate::error::ErrorKind::ToolFailed;
                 self.set_progress(request_id, Progress::Failed(kind, message.clone()));
-                self.count_call(run_id);
             }
-            ActionOutcome::InDoubt => self.mark_in_doubt(request_id, run_id, action),
+            ActionOutcome::InDoubt => {
+                self.set_progress(request_id, Progress::ActionInDoubt(action));
+            }
             ActionOutcome::NotRun => {
                 self.settle(run_id, action.reserved_micros, 0);
                 self.requests.shift_remove(request_id);
@@ -292,17 +299,6 @@
         }
     }
 
-    fn mark_in_doubt(&mut self, request_id: &RequestId, run_id: RunId, action: Action) {
-        let was_open = self
-            .requests
-            .get(request_id)
-            .is_some_and(|request| matches!(request.progress, Progress::ActionOpen(_)));
-        self.set_progress(request_id, Progress::ActionInDoubt(action));
-        if was_open {
-            self.count_call(run_id);
-        }
-    }
-
     fn extend_with_tool_result(&mut self, run_id: RunId, result: &Rc<str>) {
         if let Some(thread) = self.thread_of_mut(run_id) {
             thread.messages.push(Message {
--- a/src/process/entry/background.rs
+++ b/src/process/entry/background.rs
@@ -153,7 +153,7 @@
         at_ms: entry.unix_ms(),
         event,
     };
-    let Ok(mut receipt) = entry.journal.append(open.incarnation(), record) else {
+    let Ok(mut receipt) = entry.journal.append(&open, record) else {
         return;
     };
     if receipt.durable().await.is_ok() {
--- a/src/process/journal.rs
+++ b/src/process/journal.rs
@@ -18,11 +18,12 @@
 use futures_channel::oneshot;
 
 use crate::connection::platform::PlatformClient;
-use crate::ids::{EntryId, Incarnation, VersionNumber};
+use crate::ids::{EntryId, VersionNumber};
 use crate::process::conversation::Record;
 use crate::process::notify::Notify;
 use crate::process::rows::{EntryRow, EntryState, Holder, SlotRow};
 use crate::process::settings::Settings;
+use crate::process::slots::OpenConversation;
 use crate::process::timer::TimerService;
 
 /// The result of waiting for durability.
@@ -85,6 +86,8 @@
     record: Record,
     bytes: usize,
     done: oneshot::Sender<Result<()>>,
+    /// Keeps the slot from being released with a checkpoint that does not include the event.
+    open: OpenConversation,
 }
 
 struct QueuedChanges {
@@ -156,15 +159,19 @@
         monoio::spawn(async move { writer::run(&shared, &*sink).await });
     }
 
-    /// Queues an event of `incarnation`; the receipt resolves when it is durable.
-    pub fn append(&self, incarnation: Incarnation, record: Record) -> Result<Receipt> {
+    /// Queues an event of a conversation; the receipt resolves when it is durable. Until then the
+    /// conversation stays open.
+    ///
+    /// Events that begin work are refused while the queue is full. Those that end it are not: there
+    /// are at most as many of them as calls in progress, and without them a call would stay open.
+    pub fn append(&self, open: &OpenConversation, record: Record) -> Result<Receipt> {
         let current = self.holder().ok_or(JournalError::NotRunning)?.incarnation;
-        if current != incarnation {
+        if current != open.incarnation() {
             return Err(JournalError::Fenced);
         }
         let bytes = segment::encoded_len(&record);
         let queued = self.shared.queued_bytes.get() + bytes;
-        if queued > self.shared.settings.journal_queue_bytes {
+        if queued > self.shared.settings.journal_queue_bytes && record.event.begins_work() {
             return Err(JournalError::Full);
         }
         self.shared.queued_bytes.set(queued);
@@ -176,6 +183,7 @@
             record,
             bytes,
             done,
+            open: open.clone(),
         });
         self.shared.work.notify();
         Ok(Receipt { id, receiver })
--- a/src/process/journal/writer.rs
+++ b/src/process/journal/writer.rs
@@ -13,6 +13,7 @@
 use crate::process::conversation::Record;
 use crate::process::recovery;
 use crate::process::rows::{EntryRow, EntryState, Holder, entry_key, segment_key, slot_key};
+use crate::process::slots::OpenConversation;
 
 /// Pause after a failed call to the platform.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -22,12 +23,18 @@
 /// What one commit carries.
 struct Batch {
     records: Vec<Record>,
-    record_receipts: Vec<oneshot::Sender<Result<()>>>,
+    record_receipts: Vec<RecordReceipt>,
     changes: Vec<ChangeInBatch>,
     change_receipts: Vec<ChangeReceipt>,
     next: EntryRow,
 }
 
+struct RecordReceipt {
+    done: oneshot::Sender<Result<()>>,
+    /// Dropped when the record is part of the state, or void.
+    _open: OpenConversation,
+}
+
 struct ChangeInBatch {
     change: SlotChange,
     outcome: Option<SlotChangeOutcome>,
@@ -207,7 +214,7 @@
     })
 }
 
-fn take_records(shared: &Shared) -> (Vec<Record>, Vec<oneshot::Sender<Result<()>>>) {
+fn take_records(shared: &Shared) -> (Vec<Record>, Vec<RecordReceipt>) {
     let mut records = Vec::new();
     let mut receipts = Vec::new();
     let mut bytes = 0;
@@ -221,11 +228,12 @@
             record,
             bytes: size,
             done,
+            open,
             ..
         } = queued;
         bytes += size;
         records.push(record);
-        receipts.push(done);
+        receipts.push(RecordReceipt { done, _open: open });
     }
     shared.queued_bytes.set(shared.queued_bytes.get() - bytes);
     (records, receipts)
@@ -236,22 +244,27 @@
     let started = Instant::now();
     shared.last_start.set(Some(started));
     put_segment(shared, batch).await;
+    let mut first_unknown = None;
     loop {
         let started = Instant::now();
+        // An attempt without an acknowledgement may be the one that took effect, so the lease
+        // counts from the first of them.
+        let earliest = first_unknown.unwrap_or(started);
         match try_commit(shared, batch).await {
             Ok(CommitOutcome::Committed(versions)) => {
                 accept(shared, batch, &versions, started);
                 return Outcome::Committed;
             }
             Ok(CommitOutcome::Conflict(rows)) => {
-                if let Some(outcome) = resolve_conflict(shared, batch, rows, started) {
+                if let Some(outcome) = resolve_conflict(shared, batch, rows, earliest) {
                     return outcome;
                 }
             }
             Ok(CommitOutcome::Unknown(error)) | Err(error) => {
+                first_unknown = Some(earliest);
                 note_failure(shared, &error);
                 shared.timer.sleep(RETRY_DELAY).await;
-                if let Some(outcome) = resolve_unknown(shared, batch, started).await {
+                if let Some(outcome) = resolve_unknown(shared, batch, earliest).await {
                     return outcome;
                 }
             }
@@ -393,8 +406,8 @@
     if !batch.records.is_empty() {
         sink.committed(&batch.records, batch.next.segment);
     }
-    for done in batch.record_receipts {
-        let _ = done.send(Ok(()));
+    for receipt in batch.record_receipts {
+        let _ = receipt.done.send(Ok(()));
     }
     let mut outcomes = batch.changes.into_iter().map(|entry| entry.outcome);
     for receipt in batch.change_receipts {
@@ -415,8 +428,8 @@
     *shared.row.borrow_mut() = None;
     shared.lease_deadline.set(None);
     sink.fenced();
-    for done in batch.record_receipts {
-        let _ = done.send(Err(JournalError::Fenced));
+    for receipt in batch.record_receipts {
+        let _ = receipt.done.send(Err(JournalError::Fenced));
     }
     for receipt in batch.change_receipts {
         let _ = receipt.done.send(Err(JournalError::Fenced));
--- a/src/process/slots.rs
+++ b/src/process/slots.rs
@@ -13,9 +13,9 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
-use crate::ids::{ConversationKey, Incarnation, Micros, RunId, SlotId};
+use crate::ids::{ConversationKey, Incarnation, Micros, RequestId, RunId, SlotId};
 use crate::process::conversation::{Conversation, Event, Record};
 use crate::process::invariant;
 use crate::process::journal::JournalSink;
@@ -42,6 +42,8 @@
     pub locks: ThreadLocks,
     /// Notified when a run ends or is cancelled.
     pub ended: Notify,
+    /// Requests whose caller was answered while their event was still on its way into the journal.
+    pub unsettled: RefCell<IndexSet<RequestId>>,
 }
 
 impl ConversationCell {
@@ -50,6 +52,7 @@
             state: RefCell::new(state),
             locks: ThreadLocks::default(),
             ended: Notify::default(),
+            unsettled: RefCell::default(),
         }
     }
 }
@@ -209,6 +212,13 @@
         }
     }
 
+    /// Serves a slot again whose release was not carried out.
+    fn keep(&self, slot: SlotId) {
+        if let Some(held) = self.held.borrow_mut().get_mut(&slot) {
+            held.releasing = false;
+        }
+    }
+
     fn remove(&self, slot: SlotId) {
         self.held.borrow_mut().swap_remove(&slot);
         self.changed.notify();
@@ -261,6 +271,15 @@
         dirty.min().unwrap_or(last_segment + 1)
     }
 
+    fn open_again(&self, slot: SlotId, incarnation: Incarnation) {
+        if self.incarnation.get() != incarnation {
+            return;
+        }
+        if let Some(held) = self.held.borrow_mut().get_mut(&slot) {
+            held.open += 1;
+        }
+    }
+
     fn close(&self, slot: SlotId, incarnation: Incarnation) {
         if self.incarnation.get() != incarnation {
             return;
@@ -354,6 +373,18 @@
     }
 }
 
+impl Clone for OpenConversation {
+    fn clone(&self) -> Self {
+        self.slots.open_again(self.slot, self.incarnation);
+        Self {
+            slots: self.slots.clone(),
+            slot: self.slot,
+            incarnation: self.incarnation,
+            cell: self.cell.clone(),
+        }
+    }
+}
+
 impl Drop for OpenConversation {
     fn drop(&mut self) {
         self.slots.close(self.slot, self.incarnation);
--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -228,6 +228,16 @@
         Ok(())
     }
 
+    /// Serves slots again that prefer this entry after all, when their release was begun but the
+    /// platform or calls in progress kept it from being carried out.
+    fn keep_preferred(&self, unwanted: &[SlotId]) {
+        for slot in self.slots.held() {
+            if !unwanted.contains(&slot) {
+                self.slots.keep(slot);
+            }
+        }
+    }
+
     /// Releases slots that prefer another entry: idle ones at once, others when their time is up.
     async fn release(&self, unwanted: &[SlotId]) -> crate::connection::platform::Result<()> {
         let now = Instant::now();
@@ -354,6 +364,7 @@
     loop {
         manager.journal.registered().await;
         let (wanted, unwanted) = manager.partition();
+        manager.keep_preferred(&unwanted);
         if !wanted.is_empty()
             && let Err(error) = manager.take(&wanted).await
         {
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -1,9 +1,12 @@
 //! What turns and tool calls have in common: their place in the order of the run, the checks before
 //! they start, and the way of their events into the journal.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
+
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::{ConversationKey, Micros, RequestId, RunId};
 use crate::process::conversation::{Event, Progress, Record, Run, RunState};
@@ -14,6 +17,7 @@
 use crate::version::config::{Config, Program};
 
 /// What a request about a conversation works with.
+#[derive(Clone)]
 pub struct CallContext {
     /// The entry.
     pub entry: Rc<Entry>,
@@ -97,17 +101,36 @@
         program.map_or(0, |program| program.budget_micros)
     }
 
-    /// Waits until all earlier calls of the run's thread have ended.
+    /// Waits until all earlier calls of the run's thread have ended, but not for the end of an outage.
     pub async fn lock(&self, run_id: RunId) -> Result<ThreadLock> {
         let thread_number = self.open.cell().state.borrow().thread_number(run_id);
+        self.lock_thread(thread_number).await
+    }
+
+    /// Waits for the lock under which runs are started, so that no two get the same number.
+    pub async fn lock_runs(&self, request_id: &RequestId) -> Result<ThreadLock> {
+        let lock = self.lock_thread(RUNS_LOCK).await;
+        let is_unsettled = || self.open.cell().unsettled.borrow().contains(request_id);
+        match lock {
+            Err(_) if is_unsettled() => Err(unsettled()),
+            lock => lock,
+        }
+    }
+
+    async fn lock_thread(&self, thread_number: RunId) -> Result<ThreadLock> {
         let limits = &self.config.limits;
         let locks = &self.open.cell().locks;
         let lock = locks.lock(thread_number, limits.waiting_per_run);
-        match self.entry.timer.timeout(limits.queue_time, lock).await {
+        let lock = pin!(self.entry.timer.timeout(limits.queue_time, lock));
+        let lock = match select(lock, pin!(self.durability_lost())).await {
+            Either::Left((lock, _)) => lock,
+            Either::Right((error, _)) => return Err(error),
+        };
+        match lock {
             Ok(Ok(lock)) => Ok(lock),
             Ok(Err(_)) => {
                 let message = format!(
-                    "{} requests wait for run {run_id} already; wait for their answers",
+                    "{} requests wait for the same run already; wait for their answers",
                     limits.waiting_per_run
                 );
                 Err(Error::new(ErrorKind::Overloaded, message))
@@ -122,12 +145,22 @@
         }
     }
 
-    /// Waits for the calls with lower sequence numbers, then for the lock of the thread.
-    pub async fn lock_in_sequence(
+    /// Waits for the place of a call in its run, see [`Self::lock_in_sequence`]. A request that got no
+    /// place while an earlier attempt of it is in progress may well have run.
+    pub async fn lock_call(
         &self,
         run_id: RunId,
+        request_id: &RequestId,
         sequence: Option<u64>,
     ) -> Result<ThreadLock> {
+        match self.lock_in_sequence(run_id, sequence).await {
+            Err(_) if self.earlier(request_id)?.is_some() => Err(unsettled()),
+            result => result,
+        }
+    }
+
+    /// Waits for the calls with lower sequence numbers, then for the lock of the thread.
+    async fn lock_in_sequence(&self, run_id: RunId, sequence: Option<u64>) -> Result<ThreadLock> {
         let deadline = self.entry.timer.now() + self.config.limits.queue_time;
         loop {
             let lock = self.lock(run_id).await?;
@@ -180,6 +213,16 @@
         }
     }
 
+    /// Completes when [`Self::check_durability`] fails.
+    async fn durability_lost(&self) -> Error {
+        loop {
+            if let Err(error) = self.check_durability() {
+                return error;
+            }
+            self.entry.timer.sleep(DURABILITY_POLL).await;
+        }
+    }
+
     /// Queues an event for the journal.
     pub fn append(&self, event: Event) -> Result<Receipt> {
         let record = Record {
@@ -190,14 +233,14 @@
         };
         self.entry
             .journal
-            .append(self.open.incarnation(), record)
+            .append(&self.open, record)
             .map_err(journal_error)
     }
 
     /// Waits for a start event to become durable, at most the grace time.
     ///
     /// If the event was on its way when the time was up, it may still become durable later. The call
-    /// is not sent then, and the caller of this function has to append a finish event that says so.
+    /// is not sent then, and the caller of this function has to say so by [`Self::settle_refused`].
     pub async fn start_durable(&self, receipt: &mut Receipt) -> Started {
         let grace = self.entry.settings.commit_grace;
         match self.entry.timer.timeout(grace, receipt.durable()).await {
@@ -217,15 +260,52 @@
         }
     }
 
-    /// Appends an event and waits until it is durable.
-    pub async fn commit(&self, event: Event) -> Result<()> {
-        self.check_durability()?;
-        let mut receipt = self.append(event)?;
+    /// Lets a start event that was refused while it was on its way be followed by `finish` if it
+    /// becomes durable. The next call of the thread waits for that, the refused caller does not.
+    pub fn settle_refused(&self, mut receipt: Receipt, lock: Option<ThreadLock>, finish: Event) {
+        let context = self.clone();
+        monoio::spawn(async move {
+            if receipt.durable().await.is_ok()
+                && let Ok(finished) = context.append(finish)
+            {
+                hold_until_settled(finished, lock).await;
+            }
+        });
+    }
+
+    /// Appends an event that starts a run and waits until it is durable. If it is still on its way when
+    /// the caller gets its answer, `lock` is held on, so that a repeat sees how it ended.
+    pub async fn commit_run(
+        &self,
+        request_id: RequestId,
+        event: Event,
+        lock: ThreadLock,
+    ) -> Result<()> {
+        let result = self.commit(event).await;
+        let Err((error, Some(receipt))) = result else {
+            return result.map_err(|(error, _)| error);
+        };
+        let context = self.clone();
+        monoio::spawn(async move {
+            let unsettled = &context.open.cell().unsettled;
+            unsettled.borrow_mut().insert(request_id.clone());
+            hold_until_settled(receipt, Some(lock)).await;
+            unsettled.borrow_mut().swap_remove(&request_id);
+        });
+        Err(error)
+    }
+
+    /// Appends an event and waits until it is durable. The receipt comes with the error if the event
+    /// is still on its way.
+    pub async fn commit(&self, event: Event) -> std::result::Result<(), (Error, Option<Receipt>)> {
+        let refused = |error| (error, None);
+        self.check_durability().map_err(refused)?;
+        let mut receipt = self.append(event).map_err(refused)?;
         match self.start_durable(&mut receipt).await {
             Started::Durable => Ok(()),
-            Started::Refused(error) if self.entry.journal.withdraw(&receipt) => Err(error),
+            Started::Refused(error) if self.entry.journal.withdraw(&receipt) => Err(refused(error)),
             // The event may have been committed; a repeat of the request finds out.
-            Started::Refused(_) => Err(not_durable()),
+            Started::Refused(_) => Err((not_durable(), Some(receipt))),
         }
     }
 
@@ -248,6 +328,17 @@
     }
 }
 
+/// Number of the lock under which runs are started; no thread has it.
+const RUNS_LOCK: RunId = RunId::MAX;
+
+/// Keeps the next call of a thread waiting until an event is durable or void.
+pub async fn hold_until_settled(mut receipt: Receipt, lock: Option<ThreadLock>) {
+    let _ = receipt.durable().await;
+    drop(lock);
+}
+
+/// Pause between two looks at the journal while a request waits.
+const DURABILITY_POLL: Duration = Duration::from_millis(100);
 /// Pause between two looks at the sequence of a run.
 const SEQUENCE_POLL: Duration = Duration::from_millis(20);
 
@@ -295,6 +386,13 @@
     Error::new(ErrorKind::NotDurable, message)
 }
 
+/// An earlier attempt of the same request has started and has no durable result yet.
+pub fn unsettled() -> Error {
+    let message = "an earlier attempt of this request is not settled yet; send the same request id \
+                   again later";
+    Error::new(ErrorKind::NotDurable, message)
+}
+
 fn journal_error(error: JournalError) -> Error {
     let (kind, message) = match error {
         JournalError::Full => (
--- a/src/request/run.rs
+++ b/src/request/run.rs
@@ -21,14 +21,14 @@
     let budget = body.budget_micros.map_or(program.budget_micros, |asked| {
         asked.min(program.budget_micros)
     });
-    // Held over the commit, so that two requests do not get the same run id.
-    let _lock = context.open.cell().locks.lock(RUNS_LOCK, usize::MAX).await;
+    // Held until the event is settled, so that two requests do not get the same run id.
+    let lock = context.lock_runs(&body.request_id).await?;
     if let Some(run_id) = earlier_run(&context, &body.request_id)? {
         return run_answer(&context, run_id);
     }
     let run_id = context.open.cell().state.borrow().next_run_id();
     let event = Event::RunStarted {
-        request_id: body.request_id,
+        request_id: body.request_id.clone(),
         fingerprint: context.fingerprint,
         run_id,
         program_id: body.program,
@@ -36,7 +36,7 @@
         budget_micros: budget,
         system_prompt: program.system_prompt.clone(),
     };
-    context.commit(event).await?;
+    context.commit_run(body.request_id, event, lock).await?;
     run_answer(&context, run_id)
 }
 
@@ -47,14 +47,14 @@
     body: SubAgent,
 ) -> Result<Response<Body>> {
     let program = find_program(&context, &body.program)?;
-    let _lock = context.open.cell().locks.lock(RUNS_LOCK, usize::MAX).await;
+    let lock = context.lock_runs(&body.request_id).await?;
     if let Some(run_id) = earlier_run(&context, &body.request_id)? {
         return run_answer(&context, run_id);
     }
     check_sub_agent(&context, parent_run_id, &body)?;
     let run_id = context.open.cell().state.borrow().next_run_id();
     let event = Event::RunStarted {
-        request_id: body.request_id,
+        request_id: body.request_id.clone(),
         fingerprint: context.fingerprint,
         run_id,
         program_id: body.program,
@@ -62,7 +62,7 @@
         budget_micros: body.budget_micros,
         system_prompt: program.system_prompt.clone(),
     };
-    context.commit(event).await?;
+    context.commit_run(body.request_id, event, lock).await?;
     run_answer(&context, run_id)
 }
 
@@ -93,9 +93,6 @@
     active.map(|(run_id, _)| *run_id).collect()
 }
 
-/// Number of the lock under which runs are started; no thread has it.
-const RUNS_LOCK: RunId = RunId::MAX;
-
 async fn finish(
     context: &CallContext,
     run_id: RunId,
@@ -110,7 +107,7 @@
             run_id,
             reason,
         };
-        context.commit(event).await?;
+        context.commit(event).await.map_err(|(error, _)| error)?;
         background::release_ended(&context.entry, context.open.cell(), &context.key);
     }
     let answer = context.with_run(run_id, |run| EndAnswer {
--- a/src/request/tool_call.rs
+++ b/src/request/tool_call.rs
@@ -5,6 +5,7 @@
 //! status query resolves it where there is one. The call runs in a task of its own, so that its
 //! outcome is recorded even when its caller goes away.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -20,7 +21,7 @@
 use crate::process::conversation::{Action, ActionOutcome, Event, Progress};
 use crate::process::slots::lock::ThreadLock;
 use crate::request::api::{ToolAnswer, ToolCall};
-use crate::request::call::{CallContext, Started};
+use crate::request::call::{CallContext, Started, hold_until_settled, unsettled};
 use crate::version::config::Tool;
 
 /// Times that an idempotent action is sent at most.
@@ -58,7 +59,9 @@
             charge,
         );
     }
-    let lock = context.lock_in_sequence(run_id, body.sequence).await?;
+    let lock = context
+        .lock_call(run_id, &body.request_id, body.sequence)
+        .await?;
     match context.earlier(&body.request_id)? {
         Some(Progress::ActionDone(action_id, result, charge)) => answer(
             context,
@@ -80,10 +83,7 @@
             call.start().await?;
             call.execute().await
         }
-        Some(_) => {
-            let message = "an earlier attempt of this request is not settled yet; come back soon";
-            Err(Error::new(ErrorKind::QueueTimeout, message))
-        }
+        Some(_) => Err(unsettled()),
     }
 }
 
@@ -94,8 +94,10 @@
     body: &'a ToolCall,
     tool: Tool,
     action: Action,
+    /// Whether the tool may have received the action, in this call or an earlier one.
+    may_have_run: Cell<bool>,
     /// Held until the outcome is settled.
-    _lock: ThreadLock,
+    lock: Cell<Option<ThreadLock>>,
 }
 
 impl<'a> ToolCallInProgress<'a> {
@@ -127,7 +129,8 @@
             body,
             tool,
             action,
-            _lock: lock,
+            may_have_run: Cell::new(false),
+            lock: Cell::new(Some(lock)),
         })
     }
 
@@ -145,7 +148,8 @@
             body,
             tool,
             action,
-            _lock: lock,
+            may_have_run: Cell::new(true),
+            lock: Cell::new(Some(lock)),
         })
     }
 
@@ -169,8 +173,10 @@
             Started::Refused(error) => {
                 if self.context.entry.journal.withdraw(&receipt) {
                     self.clear_pending();
-                } else if receipt.durable().await.is_ok() {
-                    self.append(ActionOutcome::NotRun)?;
+                } else {
+                    let finish = self.finish_event(ActionOutcome::NotRun);
+                    self.context
+                        .settle_refused(receipt, self.lock.take(), finish);
                 }
                 Err(error)
             }
@@ -191,13 +197,16 @@
                 Err(error) => error,
             };
             match error {
-                ToolError::NotSent(reason) if attempt == 1 => return self.not_run(reason).await,
+                ToolError::NotSent(reason) if !self.may_have_run.get() => {
+                    return self.not_run(reason).await;
+                }
                 ToolError::Refused(status, message) if status < 500 => {
                     return self.failed(status, message).await;
                 }
                 error if self.may_retry(attempt) => log::info!("the action is sent again: {error}"),
                 error => return self.in_doubt(error).await,
             }
+            self.may_have_run.set(true);
             attempt += 1;
         }
     }
@@ -221,8 +230,15 @@
         if self.context.open.is_current() && self.context.entry.journal.holds_lease_at(now) {
             return Ok(());
         }
+        if self.may_have_run.get() {
+            let message =
+                "the entry could not renew its lease in time; send the same request id again";
+            return Err(Error::new(ErrorKind::HolderLost, message));
+        }
         // The event is refused if the lease is lost; then the recovery marks the action in doubt.
-        let _ = self.append(ActionOutcome::NotRun);
+        if let Ok(receipt) = self.append(ActionOutcome::NotRun) {
+            monoio::spawn(hold_until_settled(receipt, self.lock.take()));
+        }
         let message = "the entry could not renew its lease in time; come back soon";
         Err(Error::new(ErrorKind::SlotUnavailable, message))
     }
@@ -337,16 +353,24 @@
     }
 
     fn append(&self, outcome: ActionOutcome) -> Result<crate::process::journal::Receipt> {
-        self.context.append(Event::ActionFinished {
+        self.context.append(self.finish_event(outcome))
+    }
+
+    fn finish_event(&self, outcome: ActionOutcome) -> Event {
+        Event::ActionFinished {
             request_id: self.body.request_id.clone(),
             run_id: self.run_id,
             outcome,
-        })
+        }
     }
 
     async fn append_and_wait(&self, outcome: ActionOutcome) -> Result<()> {
         let mut receipt = self.append(outcome)?;
-        self.context.finish_durable(&mut receipt).await
+        let result = self.context.finish_durable(&mut receipt).await;
+        if result.is_err() {
+            monoio::spawn(hold_until_settled(receipt, self.lock.take()));
+        }
+        result
     }
 }
 
--- a/src/request/turn.rs
+++ b/src/request/turn.rs
@@ -26,7 +26,7 @@
 use crate::request::api::{
     DoneEvent, EVENT_DONE, EVENT_ERROR, EVENT_START, EVENT_TOKEN, StartEvent, TokenEvent, Turn,
 };
-use crate::request::call::{CallContext, Started, cache_key};
+use crate::request::call::{CallContext, Started, cache_key, hold_until_settled, unsettled};
 use crate::version::config::{Model, Program};
 use attempt::Attempt;
 
@@ -189,7 +189,7 @@
         return Ok(Prepared::Repeat((body.request_id, result)));
     }
     let lock = {
-        let lock = std::pin::pin!(context.lock_in_sequence(run_id, body.sequence));
+        let lock = std::pin::pin!(context.lock_call(run_id, &body.request_id, body.sequence));
         let closed = std::pin::pin!(output.sender.closed());
         match select(lock, closed).await {
             Either::Left((lock, _)) => lock?,
@@ -199,10 +199,7 @@
     match context.earlier(&body.request_id)? {
         Some(Progress::TurnDone(result)) => return Ok(Prepared::Repeat((body.request_id, result))),
         None | Some(Progress::TurnInterrupted) => {}
-        Some(_) => {
-            let message = "an earlier attempt of this request is not settled yet; come back soon";
-            return Err(Error::new(ErrorKind::QueueTimeout, message));
-        }
+        Some(_) => return Err(unsettled()),
     }
     context.check_durability()?;
     context.check_call(run_id, body.sequence)?;
@@ -226,7 +223,7 @@
     prompt_tokens_bound: u64,
     reserved_micros: Micros,
     /// Held until the turn is settled.
-    _lock: ThreadLock,
+    lock: Option<ThreadLock>,
 }
 
 impl<'a> NewTurn<'a> {
@@ -263,7 +260,7 @@
             model,
             prompt_tokens_bound,
             reserved_micros,
-            _lock: lock,
+            lock: Some(lock),
         })
     }
 
@@ -294,15 +291,18 @@
         match (started, permit) {
             (Started::Durable, Ok(permit)) => Ok(permit),
             (Started::Durable, Err(error)) => {
-                // Nobody waits for this event: the call was not sent whether it is durable or not.
-                self.append_finish(TurnOutcome::NotRun)?;
+                // The caller does not wait: the call was not sent whether the event is durable or not.
+                let receipt = self.append_finish(TurnOutcome::NotRun)?;
+                monoio::spawn(hold_until_settled(receipt, self.lock.take()));
                 Err(error)
             }
             (Started::Refused(error), _) => {
                 if self.context.entry.journal.withdraw(&receipt) {
                     self.clear_pending();
-                } else if receipt.durable().await.is_ok() {
-                    self.append_finish(TurnOutcome::NotRun)?;
+                } else {
+                    let finish = self.finish_event(TurnOutcome::NotRun);
+                    self.context
+                        .settle_refused(receipt, self.lock.take(), finish);
                 }
                 Err(error)
             }
@@ -335,12 +335,16 @@
     }
 
     fn append_finish(&self, outcome: TurnOutcome) -> Result<crate::process::journal::Receipt> {
-        self.context.append(Event::TurnFinished {
+        self.context.append(self.finish_event(outcome))
+    }
+
+    fn finish_event(&self, outcome: TurnOutcome) -> Event {
+        Event::TurnFinished {
             request_id: self.body.request_id.clone(),
             run_id: self.run_id,
             input: self.input.clone(),
             outcome,
-        })
+        }
     }
 
     /// Number of this call in its run, from 1.
@@ -413,9 +417,13 @@
         Err(error)
     }
 
-    async fn append_and_wait(&self, outcome: TurnOutcome) -> Result<()> {
+    async fn append_and_wait(&mut self, outcome: TurnOutcome) -> Result<()> {
         let mut receipt = self.append_finish(outcome)?;
-        self.context.finish_durable(&mut receipt).await
+        let result = self.context.finish_durable(&mut receipt).await;
+        if result.is_err() {
+            monoio::spawn(hold_until_settled(receipt, self.lock.take()));
+        }
+        result
     }
 
     async fn settle_done(&mut self, result: TurnResult, output: &mut Output) -> Result<()> {
--- a/tests/actions.rs
+++ b/tests/actions.rs
@@ -135,20 +135,19 @@
     let (caller, holder) = start(&site, "pay");
     let lost = |site: &Site| site.platform.stats()["lost_acknowledgements"].as_u64();
     let writes = |site: &Site| site.platform.stats()["object_writes"].as_u64();
-    let before = writes(&site);
     let call = Call::tool("pay", "a1", "charge");
     let filter = format!("entries/entry-{holder}");
     thread::scope(|scope| {
         // The holder does not learn the outcome before it is paused.
         site.platform
             .control(&json!({ "commit_filter": filter, "lose_acknowledgements": 1_000 }));
+        let (lost_before, before) = (lost(&site), writes(&site));
         let first = scope.spawn(|| caller.send(holder, &call));
         assert!(wait_until(LIMIT, || writes(&site) > before));
-        let lost_before = lost(&site);
         assert!(wait_until(LIMIT, || lost(&site) > lost_before || executions(&site) > 0));
         site.entry(holder).pause();
-        let sent = executions(&site);
         let reply = caller.settle(holder + 1, &call, LIMIT);
+        let sent = executions(&site);
         site.platform
             .control(&json!({ "lose_acknowledgements": 0 }));
         site.entry(holder).resume();
@@ -219,7 +218,7 @@
 #[test]
 fn intention_in_a_failing_commit_is_refused_in_time() {
     let site = site_with(json!({
-        "lease_ttl_ms": 20_000, "lease_renew_ms": 1_000, "commit_grace_ms": 500,
+        "lease_ttl_ms": 30_000, "lease_renew_ms": 9_000, "commit_grace_ms": 500,
         "platform_call_ms": 500,
     }));
     let (caller, holder) = start(&site, "pay");
--- a/tests/history.rs
+++ b/tests/history.rs
@@ -3,6 +3,8 @@
 use std::thread;
 use std::time::Duration;
 
+use sapphireford::ids::ConversationKey;
+use sapphireford::process::slots::placement;
 use sapphireford_standin::harness::{
     Call, Caller, Reply, Site, SiteOptions, TEAM_TWO_KEY, check_history, wait_until,
 };
@@ -34,7 +36,7 @@
     site_with(
         entries,
         json!({
-            "lease_ttl_ms": 30_000, "lease_renew_ms": 1_000, "commit_grace_ms": 500,
+            "lease_ttl_ms": 30_000, "lease_renew_ms": 9_000, "commit_grace_ms": 500,
             "durable_wait_ms": 500, "platform_call_ms": 2_000,
         }),
     )
@@ -215,11 +217,16 @@
 #[test]
 fn slot_released_while_a_result_waits_for_the_platform() {
     let mut site = site_with_long_lease(2);
-    let name = (0..100).map(|number| format!("moved{number}x"));
-    let conversation = name
-        .into_iter()
-        .find(|name| site.holder_of("team-one", name) == Some(0))
-        .expect("entry 0 holds a slot");
+    let names = (0..100).map(|number| format!("moved{number}x"));
+    let prefers_first = |name: &String| {
+        let key = ConversationKey {
+            team_id: "team-one".into(),
+            conversation_id: name.as_str().into(),
+        };
+        let slot = placement::slot_of(&key, site.slot_count() as u32);
+        placement::preferred(slot, ["entry-0", "entry-1"]) == Some("entry-0")
+    };
+    let conversation = names.into_iter().find(prefers_first).expect("a name");
     site.entry(0).terminate();
     assert!(site.entry(0).wait(LIMIT).is_some());
     site.kill_entry(0);
@@ -267,9 +274,15 @@
     let caller = Caller::new(&site);
     let runs = [1, 2].map(|number| Call::run("twice", &format!("start{number}"), "assistant"));
     site.platform.control(&json!({ "hang_commits": true }));
-    for run in &runs {
+    for run in [&runs[0], &runs[0], &runs[1]] {
         let reply = caller.send(0, run);
         assert!(!reply.is_final(), "{reply:?}");
+        let expected = if std::ptr::eq(run, &runs[0]) {
+            "unknown"
+        } else {
+            "no"
+        };
+        assert_eq!(reply.ran(), expected, "{reply:?}");
     }
     site.platform.control(&json!({ "hang_commits": false }));
     let numbers = runs.map(|run| caller.settle(0, &run, LIMIT).done()["run_id"].clone());
