--- a/crates/standin/src/harness/caller.rs
+++ b/crates/standin/src/harness/caller.rs
@@ -119,6 +119,18 @@
         }
     }
 
+    /// Limits what a run may spend.
+    pub fn budget_micros(mut self, budget_micros: u64) -> Self {
+        self.body["budget_micros"] = json!(budget_micros);
+        self
+    }
+
+    /// The most that a tool call is charged.
+    pub fn charge_micros(mut self, charge_micros: u64) -> Self {
+        self.body["arguments"]["charge_micros"] = json!(charge_micros);
+        self
+    }
+
     /// States the number of the call in its run.
     pub fn sequence(mut self, sequence: u64) -> Self {
         self.body["sequence"] = json!(sequence);
