--- a/tests/randomised.rs
+++ b/tests/randomised.rs
@@ -399,10 +399,7 @@
                 self.ends.push((end, End::Resume(entry)));
                 return;
             }
-            5 => (
-                &site.platform,
-                json!({ "outage": if seed % 2 == 0 { "refuse" } else { "hang" } }),
-            ),
+            5 => (&site.platform, outage(seed)),
             6 => (
                 &site.platform,
                 json!({ "lose_acknowledgement_rate": 0.4, "seed": seed }),
@@ -428,12 +425,26 @@
                 End::Resume(entry) => site.entry(entry).resume(),
                 End::Platform => site.platform.control(&json!({
                     "outage": "none", "lose_acknowledgement_rate": 0.0, "delay_ms": 0,
+                    "hang_commits": false, "commit_filter": "",
                 })),
             }
         }
     }
 }
 
+/// Of the whole platform, of all commits, or of the commits of one entry.
+fn outage(seed: u64) -> Value {
+    match seed % 5 {
+        0 => json!({ "outage": "refuse" }),
+        1 => json!({ "outage": "hang" }),
+        2 => json!({ "hang_commits": true, "commit_filter": "" }),
+        _ => {
+            let filter = format!("entries/entry-{}", seed / 5 % 3);
+            json!({ "hang_commits": true, "commit_filter": filter })
+        }
+    }
+}
+
 fn tool_fault(seed: u64) -> Value {
     let faults = [
         "hang_next",
