Change the row of a slot by one task at a time

Cause: a periodic checkpoint and a release of the same slot derived their change from the same version of the row. The second one met a conflict, which is reported as `the row of held slot N was changed`, and deleted the checkpoint that it had not replaced.

Ruled out: another entry as the one that changed the row; the holder was not fenced in either run.

Change: a slot whose row is being changed is left for the next time, and only checkpoints that were replaced are deleted.

--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -50,6 +50,9 @@
     holders: RefCell<IndexMap<SlotId, EntryId>>,
     unwanted_since: RefCell<IndexMap<SlotId, Instant>>,
     next_checkpoint: Cell<u64>,
+    /// Slots whose row is being changed: a periodic checkpoint and a release of the same slot derive
+    /// their change from the same version of the row, so only one of them may be on its way.
+    changing: RefCell<IndexSet<SlotId>>,
 }
 
 impl SlotManager {
@@ -73,6 +76,7 @@
             holders: RefCell::default(),
             unwanted_since: RefCell::default(),
             next_checkpoint: Cell::new(1),
+            changing: RefCell::default(),
         })
     }
 
@@ -269,11 +273,28 @@
         Ok(())
     }
 
-    /// Writes checkpoints of slots, and gives the slots up if `release` is set.
+    /// Writes checkpoints of slots, and gives the slots up if `release` is set. Slots whose row is
+    /// being changed already are left for the next time.
     async fn checkpoint(
         &self,
         slots: &[SlotId],
         release: bool,
+    ) -> crate::connection::platform::Result<()> {
+        let slots: Vec<SlotId> = {
+            let mut changing = self.changing.borrow_mut();
+            let free = slots.iter().copied();
+            free.filter(|slot| changing.insert(*slot)).collect()
+        };
+        let result = self.change_rows(&slots, release).await;
+        let mut changing = self.changing.borrow_mut();
+        changing.retain(|slot| !slots.contains(slot));
+        result
+    }
+
+    async fn change_rows(
+        &self,
+        slots: &[SlotId],
+        release: bool,
     ) -> crate::connection::platform::Result<()> {
         let Some(holder) = self.journal.holder() else {
             return Ok(());
@@ -281,7 +302,7 @@
         let first_segment = self.journal.segment() + 1;
         let mut changes = Vec::new();
         let mut objects = Vec::new();
-        let mut replaced = Vec::new();
+        let mut replaced = IndexMap::new();
         for slot in slots {
             let Some((mut row, version)) = self.slots.row(*slot) else {
                 continue;
@@ -293,7 +314,7 @@
                     Ok(bytes) => objects.push((key.clone(), bytes)),
                     Err(error) => unreachable!("a state in memory always encodes: {error}"),
                 }
-                replaced.extend(row.checkpoint.replace(key));
+                replaced.extend(row.checkpoint.replace(key).map(|old| (*slot, old)));
             }
             row.first_segment = first_segment;
             row.holder = (!release).then(|| holder.clone());
@@ -321,12 +342,14 @@
                 }
                 SlotChangeOutcome::Written(version) => self.slots.checkpointed(row, version),
                 SlotChangeOutcome::Conflict => {
+                    // The row still names the old checkpoint.
+                    replaced.swap_remove(&row.slot);
                     let detail = format!("the row of held slot {} was changed", row.slot);
                     invariant::violated("slot_row", &detail);
                 }
             }
         }
-        for key in replaced {
+        for key in replaced.into_values() {
             if let Err(error) = self.platform.delete_object(&key).await {
                 log::debug!(
                     "the old checkpoint `{key}` was not deleted: {}",
