--- a/crates/standin/src/harness/site.rs
+++ b/crates/standin/src/harness/site.rs
@@ -137,6 +137,11 @@
         SocketAddr::from((self.ip, FIRST_ENTRY_PORT + index as u16))
     }
 
+    /// Number of entries, whether they run or not.
+    pub fn entry_count(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Starts an entry (again), without waiting until it is ready.
     pub fn start_entry(&mut self, index: usize) {
         let path = self.folder.join(format!("entry-{index}.json"));
@@ -314,7 +319,8 @@
             .json(body)
     }
 
-    fn slot_count(&self) -> u64 {
+    /// Number of slots of the site.
+    pub fn slot_count(&self) -> u64 {
         self.settings["slot_count"]
             .as_u64()
             .unwrap_or(DEFAULT_SLOT_COUNT)
--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -50,6 +50,9 @@
     holders: RefCell<IndexMap<SlotId, EntryId>>,
     unwanted_since: RefCell<IndexMap<SlotId, Instant>>,
     next_checkpoint: Cell<u64>,
+    /// Slots whose row is being changed: a periodic checkpoint and a release of the same slot derive
+    /// their change from the same version of the row, so only one of them may be on its way.
+    changing: RefCell<IndexSet<SlotId>>,
 }
 
 impl SlotManager {
@@ -73,6 +76,7 @@
             holders: RefCell::default(),
             unwanted_since: RefCell::default(),
             next_checkpoint: Cell::new(1),
+            changing: RefCell::default(),
         })
     }
 
@@ -228,6 +232,16 @@
         Ok(())
     }
 
+    /// Serves slots again that prefer this entry after all, when their release was begun but the
+    /// platform or calls in progress kept it from being carried out.
+    fn keep_preferred(&self, unwanted: &[SlotId]) {
+        for slot in self.slots.held() {
+            if !unwanted.contains(&slot) {
+                self.slots.keep(slot);
+            }
+        }
+    }
+
     /// Releases slots that prefer another entry: idle ones at once, others when their time is up.
     async fn release(&self, unwanted: &[SlotId]) -> crate::connection::platform::Result<()> {
         let now = Instant::now();
@@ -259,11 +273,28 @@
         Ok(())
     }
 
-    /// Writes checkpoints of slots, and gives the slots up if `release` is set.
+    /// Writes checkpoints of slots, and gives the slots up if `release` is set. Slots whose row is
+    /// being changed already are left for the next time.
     async fn checkpoint(
         &self,
         slots: &[SlotId],
         release: bool,
+    ) -> crate::connection::platform::Result<()> {
+        let slots: Vec<SlotId> = {
+            let mut changing = self.changing.borrow_mut();
+            let free = slots.iter().copied();
+            free.filter(|slot| changing.insert(*slot)).collect()
+        };
+        let result = self.change_rows(&slots, release).await;
+        let mut changing = self.changing.borrow_mut();
+        changing.retain(|slot| !slots.contains(slot));
+        result
+    }
+
+    async fn change_rows(
+        &self,
+        slots: &[SlotId],
+        release: bool,
     ) -> crate::connection::platform::Result<()> {
         let Some(holder) = self.journal.holder() else {
             return Ok(());
@@ -271,13 +302,14 @@
         let first_segment = self.journal.segment() + 1;
         let mut changes = Vec::new();
         let mut objects = Vec::new();
-        let mut replaced = Vec::new();
+        // Objects that a slot no longer needs once its new row is written.
+        let mut replaced: IndexMap<SlotId, Vec<String>> = IndexMap::new();
         for slot in slots {
             let Some((mut row, version)) = self.slots.row(*slot) else {
                 continue;
             };
             if let Some((checkpoint, obsolete)) = self.slots.snapshot_if_changed(*slot) {
-                replaced.extend(obsolete);
+                let replaced = replaced.entry(*slot).or_insert(obsolete);
                 let key = checkpoint_key(*slot, &holder, self.next_object_number());
                 match segment::encode(&checkpoint) {
                     Ok(bytes) => objects.push((key.clone(), bytes)),
@@ -311,12 +343,14 @@
                 }
                 SlotChangeOutcome::Written(version) => self.slots.checkpointed(row, version),
                 SlotChangeOutcome::Conflict => {
+                    // The row still names the old checkpoint.
+                    replaced.swap_remove(&row.slot);
                     let detail = format!("the row of held slot {} was changed", row.slot);
                     invariant::violated("slot_row", &detail);
                 }
             }
         }
-        for key in replaced {
+        for key in replaced.into_values().flatten() {
             if let Err(error) = self.platform.delete_object(&key).await {
                 log::debug!(
                     "the old checkpoint `{key}` was not deleted: {}",
@@ -351,8 +385,7 @@
         let Some(holder) = self.journal.holder() else {
             return Ok(());
         };
-        // An event on its way would be applied to a conversation that is not there.
-        if self.journal.has_pending(slot) || !self.slots.is_open(slot) {
+        if !self.slots.is_open(slot) {
             return Ok(());
         }
         let key = cell.state.borrow().key.clone();
@@ -368,10 +401,9 @@
         let written = cell.state.borrow().clone();
         self.platform.put_object(&object, bytes.into()).await?;
         let is_current = self.journal.holder().as_ref() == Some(&holder);
-        let is_settled = !self.journal.has_pending(slot) && self.slots.is_open(slot);
         // While the object was written, the conversation may have been opened and changed.
-        let is_unchanged = *cell.state.borrow() == written;
-        if is_current && is_settled && is_unchanged {
+        let is_unchanged = self.slots.is_open(slot) && *cell.state.borrow() == written;
+        if is_current && is_unchanged {
             self.slots.evict(slot, cell, Some(object));
         }
         Ok(())
@@ -410,6 +442,7 @@
     loop {
         manager.journal.registered().await;
         let (wanted, unwanted) = manager.partition();
+        manager.keep_preferred(&unwanted);
         if !wanted.is_empty()
             && let Err(error) = manager.take(&wanted).await
         {
