Check the caches of engines for prefixes of ended programs

Cause: a release was sent only by the holder at the end of a run, to the engines in its own estimate. Prefixes of an earlier holder, of broken-off calls and of releases that an engine missed stayed on the engine for ever. Besides, a run was abandoned while a sub-agent of it was generating, because only the lock of the root's thread was looked at. Ruled out: a durable list of the engines of each conversation, because it adds writes to every turn and still misses a release that the engine ignored. Change: one responsible entry for each engine lists its cache, asks the preferred holders which keys are active and releases the others. An abandoned run needs the locks of all threads below it. Conclusion: engine memory of an ended program is freed at the latest one check after the end became visible.

--- a/examples/routing_bench.rs
+++ b/examples/routing_bench.rs
@@ -151,6 +151,7 @@
             queue_time: Duration::from_secs(10),
             token_gap: Duration::from_secs(1),
             abandon_after: Duration::from_secs(1),
+            cache_check: Duration::from_secs(60),
             retry_percent: 10,
         },
         policy: Policy {
--- a/src/process/conversation.rs
+++ b/src/process/conversation.rs
@@ -256,6 +256,18 @@
         })
     }
 
+    /// The threads of a run and of all sub-agents below it.
+    pub fn threads_of(&self, run_id: RunId) -> Vec<RunId> {
+        let children = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.parent_run_id == Some(run_id));
+        let below = children.flat_map(|(child, _)| self.threads_of(*child));
+        std::iter::once(self.thread_number(run_id))
+            .chain(below)
+            .collect()
+    }
+
     /// When a run or one of its sub-agents had its last event.
     pub fn last_event_ms(&self, run_id: RunId) -> u64 {
         let own = self.runs.get(&run_id).map_or(0, |run| run.last_event_ms);
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -1,6 +1,7 @@
 //! An entry process: its parts, how they start, and how they stop.
 
 pub mod background;
+mod reconciliation;
 
 use std::cell::Cell;
 use std::fmt;
--- a/src/process/entry/background.rs
+++ b/src/process/entry/background.rs
@@ -6,7 +6,7 @@
 use crate::connection::peer::messages::PeerRequest;
 use crate::ids::{ConversationKey, RunId};
 use crate::process::conversation::{EndReason, Event, Record, RunState};
-use crate::process::entry::Entry;
+use crate::process::entry::{Entry, reconciliation};
 use crate::process::metrics as names;
 use crate::process::slots::ConversationCell;
 use crate::request::call::cache_key;
@@ -29,6 +29,7 @@
     monoio::spawn(follow_vm_list(entry.clone()));
     monoio::spawn(end_abandoned_runs(entry.clone()));
     monoio::spawn(record_gauges(entry.clone()));
+    monoio::spawn(reconciliation::run(entry.clone()));
 }
 
 /// Puts each new configuration in force and tells the peers about it.
@@ -133,9 +134,10 @@
     let Ok(open) = entry.slots.open(&key) else {
         return;
     };
-    let thread_number = cell.state.borrow().thread_number(run_id);
-    // A run with a call in progress is not abandoned.
-    let Some(_lock) = cell.locks.try_lock(thread_number) else {
+    // A run with a call in progress is not abandoned, also if the call is a sub-agent's.
+    let threads = cell.state.borrow().threads_of(run_id);
+    let locks = threads.iter().map(|thread| cell.locks.try_lock(*thread));
+    let Some(_locks) = locks.collect::<Option<Vec<_>>>() else {
         return;
     };
     if !abandoned_runs(&cell, before_ms).contains(&run_id) {
--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -121,7 +121,7 @@
     }
 
     /// Entries that may hold slots.
-    fn candidates(&self) -> IndexSet<EntryId> {
+    pub fn candidates(&self) -> IndexSet<EntryId> {
         let mut candidates: IndexSet<EntryId> = self
             .membership
             .live()
--- a/src/process/slots/placement.rs
+++ b/src/process/slots/placement.rs
@@ -45,8 +45,23 @@
         .min_by_key(|id| (Reverse(weight(slot, id)), *id))
 }
 
+/// The candidate that looks after a backend server, by rendezvous hashing over its id.
+pub fn responsible<'a>(
+    backend_server_id: &str,
+    candidates: impl IntoIterator<Item = &'a str>,
+) -> Option<&'a str> {
+    let number = hash_bytes(backend_server_id.as_bytes());
+    candidates
+        .into_iter()
+        .min_by_key(|id| (Reverse(weight_of(number, id)), *id))
+}
+
 fn weight(slot: SlotId, entry_id: &str) -> u64 {
-    mix(hash_bytes(entry_id.as_bytes()) ^ mix(u64::from(slot)))
+    weight_of(u64::from(slot), entry_id)
+}
+
+fn weight_of(number: u64, entry_id: &str) -> u64 {
+    mix(hash_bytes(entry_id.as_bytes()) ^ mix(number))
 }
 
 /// FNV-1a with 64 bits.
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -256,22 +256,26 @@
     format!("{}/{}/{thread_number}", key.team_id, key.conversation_id).into()
 }
 
+/// The conversation and the thread that a cache key names; `None` for a key of another form, which
+/// some other client of the engine has made.
+pub fn parse_cache_key(text: &str) -> Option<(ConversationKey, RunId)> {
+    let mut parts = text.split('/');
+    let (team_id, conversation_id) = (parts.next()?, parts.next()?);
+    let thread_number = parts.next()?.parse().ok()?;
+    let key = ConversationKey {
+        team_id: team_id.into(),
+        conversation_id: conversation_id.into(),
+    };
+    // The comparison also refuses further parts and other spellings of the number.
+    (*cache_key(&key, thread_number) == *text).then_some((key, thread_number))
+}
+
 /// Whether a run that this entry holds uses the prefix; a conversation that it does not hold counts
 /// as active, because another entry may serve it.
 pub fn is_cache_key_active(entry: &Entry, cache_key: &str) -> bool {
-    let mut parts = cache_key.split('/');
-    let (Some(team_id), Some(conversation_id), Some(thread), None) =
-        (parts.next(), parts.next(), parts.next(), parts.next())
-    else {
+    let Some((key, thread_number)) = parse_cache_key(cache_key) else {
         return true;
     };
-    let Ok(thread_number) = thread.parse::<RunId>() else {
-        return true;
-    };
-    let key = ConversationKey {
-        team_id: team_id.into(),
-        conversation_id: conversation_id.into(),
-    };
     match entry.slots.find(&key) {
         Ok(Some(cell)) => cell.state.borrow().is_thread_active(thread_number),
         Ok(None) => false,
--- a/src/version/check.rs
+++ b/src/version/check.rs
@@ -284,6 +284,7 @@
             queue_time: self.time(path, "queue_time_ms", raw.queue_time_ms),
             token_gap: self.time(path, "token_gap_ms", raw.token_gap_ms),
             abandon_after: self.time(path, "abandon_ms", raw.abandon_ms),
+            cache_check: self.time(path, "cache_check_ms", raw.cache_check_ms),
             retry_percent: raw.retry_percent,
         }
     }
--- a/src/version/config.rs
+++ b/src/version/config.rs
@@ -170,6 +170,9 @@
     pub token_gap: Duration,
     /// A run without requests for this time is abandoned; longer than zero.
     pub abandon_after: Duration,
+    /// Pause between two checks of an engine's cache for prefixes of ended programs; longer than
+    /// zero.
+    pub cache_check: Duration,
     /// Retries for every 100 requests.
     pub retry_percent: u32,
 }
--- a/src/version/raw.rs
+++ b/src/version/raw.rs
@@ -190,6 +190,8 @@
     pub token_gap_ms: u64,
     /// A run without requests for this time is abandoned.
     pub abandon_ms: u64,
+    /// Pause between two checks of an engine's cache for prefixes of ended programs.
+    pub cache_check_ms: u64,
     /// Retries for every 100 requests.
     pub retry_percent: u32,
 }
@@ -204,6 +206,7 @@
             queue_time_ms: 30_000,
             token_gap_ms: 10_000,
             abandon_ms: 600_000,
+            cache_check_ms: 60_000,
             retry_percent: 10,
         }
     }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -63,6 +63,7 @@
             queue_time: Duration::from_millis(queue_time_ms),
             token_gap: Duration::from_secs(1),
             abandon_after: Duration::from_secs(1),
+            cache_check: Duration::from_secs(60),
             retry_percent: 10,
         },
         policy: Policy {
