End a sub-agent whose parent has ended before its start is durable

Cause: the start of a sub-agent and the cancelling of its parent are not ordered by a lock. If the end of the parent became durable first, the sub-agent stayed active under an ended parent: only root runs are abandoned, so nothing ended it, and its engine memory stayed held. Ruled out: a lock around both, because cancelling must not wait for the commit of a start. Change: the fold gives a new sub-agent the state of its parent. Conclusion: the end of a run ends every sub-agent below it, whatever the order of commits.

--- a/src/process/conversation/fold.rs
+++ b/src/process/conversation/fold.rs
@@ -157,12 +157,14 @@
             return;
         };
         let parent = parent_run_id.and_then(|parent| self.runs.get_mut(&parent));
-        let depth = match parent {
+        // The end of the parent may have become durable before the start of the sub-agent. The
+        // sub-agent has ended with it then; nothing else would ever end it.
+        let (depth, state) = match parent {
             Some(parent) => {
                 parent.sub_agents += 1;
-                parent.depth + 1
+                (parent.depth + 1, parent.state)
             }
-            None => 0,
+            None => (0, RunState::Active),
         };
         let run = Run {
             program_id: program_id.clone(),
@@ -174,7 +176,7 @@
             pending_micros: 0,
             calls: 0,
             sub_agents: 0,
-            state: RunState::Active,
+            state,
             thread: Thread::default(),
             last_event_ms: at_ms,
         };
