Bound the reported usage of engines, and check waiting calls against the budget in force

Cause: the history's length was taken from the engine's report as it came, so a report of too many tokens made the conversation too long for every further turn (the cost was cut off already). And a call that waited behind another one was checked against the budget of the configuration that its request started with, although a lower budget was in force. Ruled out: failing a turn whose report is too high, because the caller has the whole answer.

--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -191,7 +191,8 @@
             return (End::Cancelled, text);
         }
         let words = Words::new(&self.messages);
-        let count = self.max_tokens.min(state.settings.stop_after);
+        let extra = state.faults.borrow().extra_tokens;
+        let count = self.max_tokens.min(state.settings.stop_after) + extra;
         for index in 0..count {
             if self.breaks_at(index).await {
                 return (End::Broken, text);
@@ -211,7 +212,7 @@
         }
         let usage = Usage {
             prompt_tokens,
-            completion_tokens: count,
+            completion_tokens: count + state.faults.borrow().extra_usage,
             cached_tokens: prefill.cached_tokens,
         };
         let reason = if count < self.max_tokens {
--- a/crates/standin/src/engine/control.rs
+++ b/crates/standin/src/engine/control.rs
@@ -16,6 +16,10 @@
     pub break_after_tokens: Option<u64>,
     /// Whether releases are answered and not carried out.
     pub ignore_releases: Option<bool>,
+    /// Tokens that each answer has beyond those asked for.
+    pub extra_tokens: Option<u64>,
+    /// Tokens that the usage of each answer reports beyond those generated.
+    pub extra_usage: Option<u64>,
 }
 
 /// The failures in force.
@@ -23,6 +27,8 @@
 pub struct Faults {
     pub leaving: bool,
     pub ignore_releases: bool,
+    pub extra_tokens: u64,
+    pub extra_usage: u64,
     fail_next: u64,
     hang_next: u64,
     break_after_tokens: Option<u64>,
@@ -45,6 +51,8 @@
     pub fn apply(&mut self, control: Control) {
         self.leaving = control.leaving.unwrap_or(self.leaving);
         self.ignore_releases = control.ignore_releases.unwrap_or(self.ignore_releases);
+        self.extra_tokens = control.extra_tokens.unwrap_or(self.extra_tokens);
+        self.extra_usage = control.extra_usage.unwrap_or(self.extra_usage);
         self.fail_next = control.fail_next.unwrap_or(self.fail_next);
         self.hang_next = control.hang_next.unwrap_or(self.hang_next);
         self.break_after_tokens = control.break_after_tokens.or(self.break_after_tokens);
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -87,13 +87,22 @@
     }
 
     /// The budget that the configuration gives to the root of a run.
+    ///
+    /// It is the configuration in force, not the one that the request started with, so that a lowered
+    /// budget also holds for calls that were waiting. A program that was removed keeps its budget for
+    /// the requests that started before.
     pub fn root_budget_micros(&self, run_id: RunId) -> Micros {
+        let current = self.entry.config.current();
         let state = self.open.cell().state.borrow();
         let mut run = state.run(run_id);
         while let Some(parent) = run.and_then(|run| run.parent_run_id) {
             run = state.run(parent);
         }
-        let program = run.and_then(|run| self.config.programs.get(&run.program_id));
+        let program = run.and_then(|run| {
+            let current = current.as_ref();
+            let current = current.and_then(|config| config.programs.get(&run.program_id));
+            current.or_else(|| self.config.programs.get(&run.program_id))
+        });
         program.map_or(0, |program| program.budget_micros)
     }
 
--- a/src/request/turn.rs
+++ b/src/request/turn.rs
@@ -350,20 +350,32 @@
             .unwrap_or(0)
     }
 
-    /// The cost of what an engine reports, never above the reservation.
-    fn cost(&self, usage: &Usage) -> Micros {
-        let cost = price(usage.prompt_tokens, self.model.prompt_micros_per_1k_tokens)
-            + price(
-                usage.completion_tokens,
-                self.model.output_micros_per_1k_tokens,
-            );
-        if cost > self.reserved_micros {
+    /// What an engine reports, at most what the request allows. The history's length is counted
+    /// from it, so a wrong report would also make the conversation too long for further turns.
+    fn bounded(&self, usage: Usage) -> Usage {
+        let bounded = Usage {
+            prompt_tokens: usage.prompt_tokens.min(self.prompt_tokens_bound),
+            completion_tokens: usage
+                .completion_tokens
+                .min(self.body.max_output_tokens.into()),
+            cached_tokens: usage.cached_tokens.min(self.prompt_tokens_bound),
+        };
+        if bounded != usage {
             log::warn!(
-                run_id = self.run_id, cost, reserved = self.reserved_micros;
+                run_id = self.run_id, usage:? = usage;
                 "an engine reports more tokens than the request allows"
             );
         }
-        cost.min(self.reserved_micros)
+        bounded
+    }
+
+    /// The cost of bounded usage, which is never above the reservation.
+    fn cost(&self, usage: &Usage) -> Micros {
+        price(usage.prompt_tokens, self.model.prompt_micros_per_1k_tokens)
+            + price(
+                usage.completion_tokens,
+                self.model.output_micros_per_1k_tokens,
+            )
     }
 
     async fn settle(&mut self, outcome: attempt::Outcome, output: &mut Output) -> Result<()> {
--- a/src/request/turn/attempt.rs
+++ b/src/request/turn/attempt.rs
@@ -134,6 +134,7 @@
                     finish_reason,
                     usage,
                 }))) => {
+                    let usage = turn.bounded(usage);
                     permit.finished(usage);
                     output.begin(&self.start_event(turn)).await;
                     let text = std::mem::take(&mut self.text);
