Order engines to load the models of the configuration, one entry at a time

Cause: nothing brought about the models that `backend_servers.NAME.models` names. Ruled out: a lease of its own for each engine, because 12,000 renewals every few seconds exceed the table's several hundred writes a second. The right is tied to the holder's entry lease instead and costs no renewals. Change: the responsible entry takes `orders/{backend_server_id}` by compare-and-set, writes each order to the row before it sends it, and gives the right back. A new holder waits 2 s before it orders an engine that ignores fencing numbers. Loads wait for the weight store. Test sites wait until their engines have their models, so that the commits of orders do not meet failures that tests inject for other commits; their weight store has no limit unless a test sets one. Conclusion: two entries give orders to one engine only one after the other, except for a holder paused between its last look at the lease and the send (docs/proofs.md).

--- a/crates/standin/src/harness/site.rs
+++ b/crates/standin/src/harness/site.rs
@@ -38,6 +38,8 @@
     pub engines: usize,
     /// Further arguments of each engine.
     pub engine_arguments: Vec<String>,
+    /// Further arguments of the platform.
+    pub platform_arguments: Vec<String>,
     /// Further arguments of the tool service.
     pub tool_arguments: Vec<String>,
     /// Merged over the settings of each entry, so that tests can shorten its times.
@@ -52,6 +54,7 @@
             entries: 3,
             engines: 2,
             engine_arguments: ["--decode-ms", "2"].map(String::from).to_vec(),
+            platform_arguments: ["--weights-per-second", "0"].map(String::from).to_vec(),
             tool_arguments: Vec::new(),
             settings: json!({}),
             config: json!({}),
@@ -90,7 +93,9 @@
         std::fs::create_dir_all(&folder).expect("a temporary folder can be made");
         let listen = format!("{ip}:0");
         let listen = ["--listen", listen.as_str()];
-        let platform = Process::start("standin-platform", &listen);
+        let platform_arguments = options.platform_arguments.iter().map(String::as_str);
+        let platform_arguments: Vec<&str> = listen.into_iter().chain(platform_arguments).collect();
+        let platform = Process::start("standin-platform", &platform_arguments);
         let engine_arguments = options.engine_arguments.iter().map(String::as_str);
         let engine_arguments: Vec<&str> = listen.into_iter().chain(engine_arguments).collect();
         let engines = (0..options.engines)
@@ -162,11 +167,22 @@
                 .running()
                 .map(|entry| slots_held(entry.address()))
                 .sum();
-            held == Some(self.slot_count())
+            held == Some(self.slot_count()) && self.engines_have_models()
         });
         assert!(ready, "the site was not ready within {READY_TIME:?}");
     }
 
+    /// Whether all engines have been ordered to load their models, so that no commit of an order
+    /// meets a failure that a test injects for other commits.
+    fn engines_have_models(&self) -> bool {
+        let rows = HttpRequest::post("/table/scan")
+            .json(&json!({ "prefix": "orders/" }))
+            .send(self.platform.address());
+        let rows = rows.map(|answer| answer.json()["rows"].as_array().cloned());
+        let rows = rows.ok().flatten().unwrap_or_default();
+        rows.len() >= self.engines.len() && rows.iter().all(|row| row["value"]["holder"].is_null())
+    }
+
     /// What an entry tells operators about itself; `None` if it does not answer.
     pub fn status(&self, address: SocketAddr) -> Option<Value> {
         operator_status(address)
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -251,6 +251,10 @@
 
     fn weight(&self) -> Response<Body> {
         let mut stats = self.stats.borrow_mut();
+        if self.faults.borrow().refuse_weights {
+            stats.weight_refusals += 1;
+            return weights::refusal(std::time::Duration::ZERO);
+        }
         match self.weights.borrow_mut().take(self.timer.now()) {
             Ok(bytes) => {
                 stats.weight_reads += 1;
--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -38,12 +38,15 @@
     pub vms: Option<Vec<Vm>>,
     /// Time from setting the list until it is served.
     pub vm_list_lag_ms: Option<u64>,
+    /// Whether every read of weights is refused with 429.
+    pub refuse_weights: Option<bool>,
 }
 
 /// The failures in force.
 pub struct Faults {
     pub delay: Duration,
     pub outage: Outage,
+    pub refuse_weights: bool,
     lose_next: u64,
     /// From 0 to 1.
     lose_rate: f64,
@@ -55,6 +58,7 @@
         Self {
             delay: Duration::ZERO,
             outage: Outage::None,
+            refuse_weights: false,
             lose_next: 0,
             lose_rate: 0.0,
             random: StdRng::seed_from_u64(0),
@@ -71,6 +75,7 @@
         if let Some(outage) = control.outage {
             self.outage = outage;
         }
+        self.refuse_weights = control.refuse_weights.unwrap_or(self.refuse_weights);
         if let Some(count) = control.lose_acknowledgements {
             self.lose_next = count;
         }
--- a/src/connection/platform.rs
+++ b/src/connection/platform.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::header::RANGE;
+use hyper::header::{RANGE, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -271,6 +271,28 @@
         Ok(decode::<Vms>(&response)?.vms)
     }
 
+    /// Asks the weight store whether it admits a read of a model's weights now; the answer is the time
+    /// to wait. The weights themselves are not read.
+    pub async fn weights_wait(&self, model_id: &str) -> Result<Option<Duration>> {
+        let mut request = Request::new(Bytes::new());
+        *request.uri_mut() = format!("/weights/{model_id}")
+            .parse()
+            .map_err(invalid_uri)?;
+        let send = self.http.send(self.address, request, self.call_time);
+        let response = send.await.map_err(PlatformError::Client)?;
+        let status = response.status();
+        if status == StatusCode::TOO_MANY_REQUESTS {
+            let seconds = response.headers().get(RETRY_AFTER);
+            let seconds = seconds.and_then(|value| value.to_str().ok()?.parse().ok());
+            return Ok(Some(Duration::from_secs(seconds.unwrap_or(1))));
+        }
+        if !status.is_success() {
+            let reason = format!("no weights of `{model_id}`");
+            return Err(PlatformError::Status(status.as_u16(), reason));
+        }
+        Ok(None)
+    }
+
     async fn post<B: Serialize, T: DeserializeOwned>(&self, path: &str, body: &B) -> Result<T> {
         let body = serde_json::to_vec(body).map_err(PlatformError::Decode)?;
         let response = self.call(Method::POST, path, body.into(), None).await?;
@@ -287,11 +309,7 @@
     ) -> Result<Response<Bytes>> {
         let mut request = Request::new(body);
         *request.method_mut() = method;
-        *request.uri_mut() = path
-            .parse()
-            .map_err(|error: hyper::http::uri::InvalidUri| {
-                PlatformError::Client(ClientError::NotSent(error.to_string()))
-            })?;
+        *request.uri_mut() = path.parse().map_err(invalid_uri)?;
         if let Some(range) = range {
             let text = format!("bytes={}-{}", range.start, range.end.saturating_sub(1));
             if let Ok(value) = text.parse() {
@@ -305,6 +323,10 @@
     }
 }
 
+fn invalid_uri(error: hyper::http::uri::InvalidUri) -> PlatformError {
+    PlatformError::Client(ClientError::NotSent(error.to_string()))
+}
+
 fn success(response: &Response<Bytes>) -> Result<()> {
     if response.status().is_success() {
         Ok(())
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -1,6 +1,7 @@
 //! An entry process: its parts, how they start, and how they stop.
 
 pub mod background;
+pub mod orders;
 mod reconciliation;
 
 use std::cell::Cell;
@@ -8,12 +9,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
+
 use crate::connection::engine::EngineClient;
 use crate::connection::http_client::HttpClient;
 use crate::connection::http_server::{self, HttpLimits, Server};
 use crate::connection::peer::{self, EndpointError, PeerEndpoint, PeerIdentity, PeerServer, Peers};
 use crate::connection::platform::PlatformClient;
 use crate::connection::tool::ToolClient;
+use crate::ids::BackendServerId;
 use crate::process::config_watch::ConfigWatch;
 use crate::process::journal::Journal;
 use crate::process::membership::Membership;
@@ -23,10 +27,11 @@
 use crate::process::routing::{Router, RouterOptions};
 use crate::process::rows::EntryState;
 use crate::process::settings::Settings;
-use crate::process::slots::Slots;
 use crate::process::slots::manager::SlotManager;
+use crate::process::slots::{Slots, placement};
 use crate::process::timer::TimerService;
 use crate::request::dispatch::Dispatcher;
+use crate::version::config::Config;
 use crate::version::keys::KeyIndexCache;
 
 /// The result of starting an entry.
@@ -239,4 +244,15 @@
             router,
         }
     }
+
+    /// The engines that this entry looks after, by rendezvous hashing over the live entries.
+    fn responsible_for(&self, config: &Config) -> IndexSet<BackendServerId> {
+        let candidates = self.manager.candidates();
+        let is_own = |id: &&BackendServerId| {
+            let ids = candidates.iter().map(|id| &**id);
+            placement::responsible(id, ids) == Some(&*self.settings.entry_id)
+        };
+        let engines = config.backend_servers.keys();
+        engines.filter(is_own).cloned().collect()
+    }
 }
--- a/src/process/entry/background.rs
+++ b/src/process/entry/background.rs
@@ -6,7 +6,7 @@
 use crate::connection::peer::messages::PeerRequest;
 use crate::ids::{ConversationKey, RunId};
 use crate::process::conversation::{EndReason, Event, Record, RunState};
-use crate::process::entry::{Entry, reconciliation};
+use crate::process::entry::{Entry, orders, reconciliation};
 use crate::process::metrics as names;
 use crate::process::rows::EntryState;
 use crate::process::slots::ConversationCell;
@@ -33,6 +33,7 @@
     monoio::spawn(end_abandoned_runs(entry.clone()));
     monoio::spawn(record_gauges(entry.clone()));
     monoio::spawn(reconciliation::run(entry.clone()));
+    monoio::spawn(orders::run(entry.clone()));
 }
 
 /// Puts each new configuration in force and tells the peers about it.
--- a/src/process/entry/reconciliation.rs
+++ b/src/process/entry/reconciliation.rs
@@ -57,13 +57,8 @@
         return;
     };
     let candidates = entry.manager.candidates();
-    let own = &*entry.settings.entry_id;
-    let is_responsible = |id: &str| {
-        let ids = candidates.iter().map(|id| &**id);
-        placement::responsible(id, ids) == Some(own)
-    };
-    let engines = config.backend_servers.iter();
-    let engines = engines.filter(|(id, _)| is_responsible(id));
+    let own = entry.responsible_for(&config);
+    let engines = own.iter().map(|id| (id, &config.backend_servers[id]));
     let lists = engines.map(|(id, server)| list(entry, id, server.address));
     let lists: Vec<Vec<CachedPrefix>> = stream::iter(lists)
         .buffer_unordered(PARALLEL_CALLS)
--- a/src/process/rows.rs
+++ b/src/process/rows.rs
@@ -86,6 +86,11 @@
     pub first_segment: u64,
 }
 
+/// Key of the row with the orders of an engine.
+pub fn orders_key(backend_server_id: &str) -> String {
+    format!("orders/{backend_server_id}")
+}
+
 /// Key of the row of an entry.
 pub fn entry_key(entry_id: &str) -> String {
     format!("{ENTRY_PREFIX}{entry_id}")
