--- /dev/null
+++ b/crates/standin/src/bin/standin-measure/latency.rs
@@ -0,0 +1,96 @@
+//! What an entry adds to the latency of a call.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::client::{Connection, Timed};
+use crate::process::{conditions, percentiles};
+use crate::site;
+
+const CALLS: usize = 120;
+const TOKENS: u32 = 40;
+const DECODE_MS: f64 = 2.0;
+/// Longer than the interval between commits, so that a call does not wait for the one before.
+const PAUSE: Duration = Duration::from_millis(120);
+
+/// Alternates direct calls, calls to the holder and forwarded calls.
+pub fn measure() {
+    let site = site::start(3, 1, DECODE_MS, json!({}));
+    let mut direct = Series::new("direct", site.engines[0].address());
+    let mut entries: Vec<Connection> = (0..3)
+        .map(|entry| Connection::open(site.entry_address(entry)).expect("connect"))
+        .collect();
+    let mut local = Series::new("holder", site.entry_address(0));
+    let mut forwarded = Series::new("forwarded", site.entry_address(0));
+    for number in 0..CALLS {
+        direct.call("/v1/chat/completions", &direct_body(number));
+        for (series, is_forwarded) in [(&mut local, false), (&mut forwarded, true)] {
+            let conversation = format!("{}-{number}", series.name);
+            let run = entries[0].post(&site::runs_path(&conversation), &site::run_body());
+            run.expect("a run");
+            let holder = site.holder_of("team-one", &conversation).expect("a holder");
+            let entry = (holder + usize::from(is_forwarded)) % entries.len();
+            thread::sleep(PAUSE);
+            let body = site::turn_body("t1", "one turn", TOKENS);
+            let timed = entries[entry].post(&site::turns_path(&conversation), &body);
+            series.push(timed.expect("a turn"));
+        }
+    }
+    for series in [direct, local, forwarded] {
+        series.print();
+    }
+}
+
+fn direct_body(number: usize) -> Value {
+    json!({
+        "model": "small", "max_tokens": TOKENS, "stream": true,
+        "cache_key": format!("direct-{number}"),
+        "messages": [
+            { "role": "system", "content": "You help." },
+            { "role": "user", "content": "one turn" },
+        ],
+    })
+}
+
+struct Series {
+    name: &'static str,
+    connection: Connection,
+    first: Vec<Duration>,
+    whole: Vec<Duration>,
+}
+
+impl Series {
+    fn new(name: &'static str, address: SocketAddr) -> Self {
+        Self {
+            name,
+            connection: Connection::open(address).expect("connect"),
+            first: Vec::new(),
+            whole: Vec::new(),
+        }
+    }
+
+    fn call(&mut self, path: &str, body: &Value) {
+        let timed = self.connection.post(path, body).expect("a call");
+        self.push(timed);
+    }
+
+    fn push(&mut self, timed: Timed) {
+        assert_eq!(timed.tokens, u64::from(TOKENS));
+        self.first.push(timed.first);
+        self.whole.push(timed.whole);
+    }
+
+    fn print(mut self) {
+        let (first_p50, first_p99) = percentiles(&mut self.first);
+        let (whole_p50, whole_p99) = percentiles(&mut self.whole);
+        println!(
+            "{:9} calls {CALLS}, first token p50 {first_p50:.2} ms p99 {first_p99:.2} ms, \
+             whole call p50 {whole_p50:.2} ms p99 {whole_p99:.2} ms ({})",
+            self.name,
+            conditions()
+        );
+    }
+}
--- /dev/null
+++ b/crates/standin/src/bin/standin-measure/process.rs
@@ -0,0 +1,87 @@
+//! What the operating system tells about a process and the machine.
+
+use std::fs::read_to_string;
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::Duration;
+
+/// Clock ticks of `/proc/PID/stat` in a second.
+const TICKS_PER_SECOND: u64 = 100;
+
+/// Processor time of a process, user and system, of all its threads.
+pub fn cpu_time(pid: u32) -> Duration {
+    let stat = read_to_string(format!("/proc/{pid}/stat")).expect("the process runs");
+    // The name of the process, in parentheses, may hold spaces.
+    let fields = stat.rsplit_once(')').expect("a name in parentheses").1;
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = |index: usize| fields[index].parse::<u64>().expect("a number");
+    Duration::from_millis((ticks(11) + ticks(12)) * 1_000 / TICKS_PER_SECOND)
+}
+
+/// Memory of a process in kilobytes: resident now, and at its highest.
+pub fn memory_kb(pid: u32) -> (u64, u64) {
+    let status = read_to_string(format!("/proc/{pid}/status")).expect("the process runs");
+    let value = |name: &str| {
+        let mut lines = status.lines();
+        let line = lines.find(|line| line.starts_with(name)).expect("the line");
+        line.split_whitespace()
+            .nth(1)
+            .and_then(|value| value.parse().ok())
+            .expect("a number")
+    };
+    (value("VmRSS:"), value("VmHWM:"))
+}
+
+/// Bytes that the TCP connections to `remote` have sent and received, without TCP and IP headers.
+///
+/// They are read with `ss`, so connections that are closed by now are not included.
+pub fn tcp_bytes(local: SocketAddr, remote: SocketAddr) -> (u64, u64) {
+    let output = Command::new("ss")
+        .args([
+            "-tinH",
+            "src",
+            &local.ip().to_string(),
+            "dst",
+            &remote.to_string(),
+        ])
+        .output();
+    let output = output.map(|output| output.stdout).unwrap_or_default();
+    let text = String::from_utf8_lossy(&output);
+    let sum = |name: &str| {
+        let words = text.split_whitespace();
+        words
+            .filter_map(|word| word.strip_prefix(name)?.parse::<u64>().ok())
+            .sum()
+    };
+    (sum("bytes_sent:"), sum("bytes_received:"))
+}
+
+/// UDP datagrams that the whole machine has sent.
+pub fn udp_datagrams() -> u64 {
+    let text = read_to_string("/proc/net/snmp").unwrap_or_default();
+    let values = text.lines().filter(|line| line.starts_with("Udp:")).nth(1);
+    let sent = values.and_then(|line| line.split_whitespace().nth(4)?.parse().ok());
+    sent.unwrap_or(0)
+}
+
+/// Time and load average, printed beside the figures.
+pub fn conditions() -> String {
+    let load = read_to_string("/proc/loadavg").unwrap_or_default();
+    let load: Vec<&str> = load.split_whitespace().take(2).collect();
+    let date = Command::new("date").args(["-u", "+%F %T"]).output();
+    let date = date.map(|output| output.stdout).unwrap_or_default();
+    let date = String::from_utf8_lossy(&date);
+    format!("{} UTC, load average {}", date.trim(), load.join(" "))
+}
+
+/// The median and the 99th percentile in milliseconds.
+pub fn percentiles(times: &mut [Duration]) -> (f64, f64) {
+    times.sort_unstable();
+    let at = |share: f64| {
+        let index = ((times.len().max(1) - 1) as f64 * share).round() as usize;
+        times
+            .get(index)
+            .map_or(0.0, |time| time.as_secs_f64() * 1e3)
+    };
+    (at(0.5), at(0.99))
+}
