--- a/crates/standin/src/bin/standin-measure/config.rs
+++ b/crates/standin/src/bin/standin-measure/config.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use sapphireford::version::key;
 use sapphireford_standin::harness::{Site, wait_until};
 use serde_json::{Map, Value, json};
 
@@ -39,7 +40,8 @@
 fn team_rows(count: usize, weight: u32) -> Map<String, Value> {
     (0..count)
         .map(|number| {
-            let key = format!("{number:064x}");
+            let digest = key::digest(&format!("team-{number}-key"));
+            let key: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
             (
                 format!("team-{number}"),
                 json!({ "key_sha256": key, "weight": weight }),
--- a/crates/standin/src/bin/standin-measure/idle.rs
+++ b/crates/standin/src/bin/standin-measure/idle.rs
@@ -9,14 +9,22 @@
 use crate::process::{conditions, cpu_time, memory_kb, tcp_bytes, udp_datagrams};
 use crate::site;
 
-const COUNTS: [usize; 5] = [3, 6, 12, 24, 48];
+/// Numbers of entries and of slots.
+const SITES: [(usize, u64); 6] = [
+    (3, 256),
+    (6, 256),
+    (12, 256),
+    (24, 256),
+    (48, 256),
+    (24, 4_096),
+];
 const SETTLE: Duration = Duration::from_secs(12);
 const SAMPLE: Duration = Duration::from_secs(10);
 
 /// Watches idle sites of different sizes.
 pub fn measure() {
-    for count in COUNTS {
-        let site = site::start(count, 1, 10.0, json!({}));
+    for (count, slots) in SITES {
+        let site = site::start(count, 1, 10.0, json!({ "slot_count": slots }));
         // Connections between peers that are not used end after 10 seconds.
         thread::sleep(SETTLE);
         let before = Sample::take(&site);
@@ -26,7 +34,7 @@
         let entries = count as f64;
         let rate = |name: &str| after.stat(name, &before) / seconds;
         println!(
-            "{count} entries: one entry {:.2} % of a core, {:.0} B/s to and {:.0} B/s from the \
+            "{count} entries, {slots} slots: one entry {:.2} % of a core, {:.0} B/s to and {:.0} B/s from the \
              platform, resident {:.1} MB; UDP of the machine {:.1} datagrams/s; platform {:.1} \
              writes/s, {:.1} scans/s, {:.1} reads/s, {:.1} object writes/s ({})",
             (after.cpu - before.cpu).as_secs_f64() / seconds / entries * 100.0,
--- a/crates/standin/src/bin/standin-measure/recovery.rs
+++ b/crates/standin/src/bin/standin-measure/recovery.rs
@@ -26,6 +26,11 @@
         let entries: Vec<SocketAddr> = (0..ENTRIES as usize)
             .map(|entry| site.entry_address(entry))
             .collect();
+        let balanced = wait_until(LONGEST, || {
+            let held = entries.iter().map(|entry| status(&site, *entry, "slots"));
+            held.min() >= Some(SLOTS / ENTRIES / 2)
+        });
+        assert!(balanced, "the slots are not spread over the entries");
         start_programs(&entries, "program", 0..programs * ENTRIES, INPUT_BYTES);
         let lost = status(&site, entries[0], "conversations");
         let segments = status(&site, entries[0], "committed_segment");
--- a/crates/standin/src/bin/standin-measure/throughput.rs
+++ b/crates/standin/src/bin/standin-measure/throughput.rs
@@ -1,5 +1,7 @@
 //! Processor time of an entry for each token and each request.
 
+use std::process::Command;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -9,16 +11,35 @@
 use crate::site;
 
 const DURATION: Duration = Duration::from_secs(6);
+/// Time for which the entry is stopped, and runs again.
+const INTERRUPTION: Duration = Duration::from_millis(60);
+
+/// Stops the entry for half of the time, so that tokens gather in the buffers of its connections as
+/// they do on an entry without processor time to spare.
+fn interrupt(pid: u32) {
+    let start = Instant::now();
+    while start.elapsed() < DURATION {
+        for signal in ["-STOP", "-CONT"] {
+            let sent = Command::new("kill")
+                .arg(signal)
+                .arg(pid.to_string())
+                .status();
+            assert!(sent.is_ok_and(|status| status.success()), "no {signal}");
+            thread::sleep(INTERRUPTION);
+        }
+    }
+}
 
 /// Relays long and short turns through one entry.
 pub fn measure() {
-    // Name, connections, tokens of a turn, decode time.
+    // Name, connections, tokens of a turn, decode time, whether the entry is behind all the time.
     let loads = [
-        ("paced", 64, 300, 20.0),
-        ("long", 256, 300, 3.0),
-        ("short", 256, 1, 3.0),
+        ("paced", 64, 300, 20.0, false),
+        ("long", 256, 300, 3.0, false),
+        ("behind", 128, 300, 4.0, true),
+        ("short", 256, 1, 3.0, false),
     ];
-    for (name, workers, tokens, decode_ms) in loads {
+    for (name, workers, tokens, decode_ms, is_behind) in loads {
         let mut site = site::start(1, 4, decode_ms, json!({}));
         let pid = site.entry(0).id();
         let load = TurnLoad {
@@ -28,7 +49,11 @@
             duration: DURATION,
             rate: None,
         };
-        let (turns, (cpu, start)) = load.run(name, move || (cpu_time(pid), Instant::now()));
+        let (turns, (cpu, start)) = load.run(name, move || {
+            let interruptions = is_behind.then(|| thread::spawn(move || interrupt(pid)));
+            drop(interruptions);
+            (cpu_time(pid), Instant::now())
+        });
         let elapsed = start.elapsed().as_secs_f64();
         let cpu = (cpu_time(pid) - cpu).as_secs_f64();
         let requests = turns.first.len() as f64;
