Remove the deadlines of dropped sleeps, and keep one token limit for each stream

Cause: each token of a stream started a time limit of its own. Its deadline stayed in the heap of the timer service until it was due, 10 s later by default: 860,000 dead deadlines at the target of 86,000 tokens a second. Each new sleep also woke the driver task, whether or not its deadline was the earliest.

Ruled out: the profile shows no single function behind the processor time of a token; 42 % of it is the write to the caller.

Change: the timer service removes dead deadlines when they are more than half, and wakes its driver only for a deadline earlier than all others. A stream keeps one sleep and starts it again only when it completes.

--- a/src/connection/engine.rs
+++ b/src/connection/engine.rs
@@ -7,10 +7,12 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -21,7 +23,7 @@
 use crate::connection::http_client::{ClientError, HttpClient, read_all};
 use crate::connection::sse;
 use crate::ids::{FenceNumber, ModelId};
-use crate::process::timer::TimerService;
+use crate::process::timer::{Sleep, TimerService};
 
 /// The result of a call to an engine.
 pub type Result<T> = std::result::Result<T, EngineError>;
@@ -243,6 +245,7 @@
         }
         Ok(CompletionStream {
             timer: self.http.timer().clone(),
+            token_limit: None,
             body: Some(response.into_body()),
             parser: sse::Parser::default(),
             ready: VecDeque::new(),
@@ -356,6 +359,9 @@
 /// A completion in progress. Dropping it before its end closes the connection, which cancels it.
 pub struct CompletionStream {
     timer: TimerService,
+    /// Kept from token to token and started again only when it completes, because starting a sleep
+    /// for each token costs more than reading the token.
+    token_limit: Option<Sleep>,
     /// `None` after the last event.
     body: Option<Incoming>,
     parser: sse::Parser,
@@ -369,16 +375,25 @@
     ///
     /// After an error the completion is cancelled, and no further event follows.
     pub async fn next(&mut self, token_gap: Duration) -> Result<Option<CompletionEvent>> {
-        let timer = self.timer.clone();
-        match timer.timeout(token_gap, self.read_event()).await {
-            Ok(Ok(event)) => Ok(event),
-            Ok(Err(error)) => {
-                self.cancel();
-                Err(error)
-            }
-            Err(_) => {
-                self.cancel();
-                Err(EngineError::TimedOut(token_gap))
+        let deadline = self.timer.now() + token_gap;
+        loop {
+            let kept = self.token_limit.take();
+            let limit = kept.filter(|limit| limit.deadline() <= deadline);
+            let limit = limit.unwrap_or_else(|| self.timer.sleep_until(deadline));
+            let outcome = match select(pin!(self.read_event()), limit).await {
+                Either::Left((event, limit)) => Some((event, limit)),
+                Either::Right(_) => None,
+            };
+            match outcome {
+                Some((event, limit)) => {
+                    self.token_limit = Some(limit);
+                    return event.inspect_err(|_| self.cancel());
+                }
+                None if self.timer.now() < deadline => {}
+                None => {
+                    self.cancel();
+                    return Err(EngineError::TimedOut(token_gap));
+                }
             }
         }
     }
--- a/src/process/timer.rs
+++ b/src/process/timer.rs
@@ -34,9 +34,13 @@
 
 type TimerId = u64;
 
+/// Deadlines kept before those of dropped sleeps are removed.
+const LEAST_COMPACTED: usize = 64;
+
 #[derive(Default)]
 struct State {
-    /// May hold ids that are no longer in `wakers`; they are skipped when due.
+    /// May hold ids that are no longer in `wakers`; they are skipped when due, and removed when they
+    /// are more than half.
     deadlines: RefCell<BinaryHeap<Reverse<(Instant, TimerId)>>>,
     wakers: RefCell<IndexMap<TimerId, Waker>>,
     next_id: Cell<TimerId>,
@@ -49,6 +53,35 @@
     state: Rc<State>,
 }
 
+impl State {
+    /// Adds a deadline, and wakes the driver if it is the earliest.
+    fn add(&self, deadline: Instant) -> TimerId {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        let mut deadlines = self.deadlines.borrow_mut();
+        let earliest = deadlines.peek().map(|first| first.0.0);
+        deadlines.push(Reverse((deadline, id)));
+        drop(deadlines);
+        if earliest.is_none_or(|earliest| deadline < earliest)
+            && let Some(driver) = self.driver.borrow_mut().take()
+        {
+            driver.wake();
+        }
+        id
+    }
+
+    /// Removes a sleep before its deadline. A limit on work that usually ends in time leaves its
+    /// deadline behind each time, so these must not stay until they are due.
+    fn remove(&self, id: TimerId) {
+        let mut wakers = self.wakers.borrow_mut();
+        let mut deadlines = self.deadlines.borrow_mut();
+        wakers.swap_remove(&id);
+        if deadlines.len() >= LEAST_COMPACTED && deadlines.len() > 2 * wakers.len() {
+            deadlines.retain(|Reverse((_, id))| wakers.contains_key(id));
+        }
+    }
+}
+
 impl TimerService {
     /// Starts the driver task on the current runtime.
     pub fn start() -> Self {
@@ -110,6 +143,13 @@
     id: Option<TimerId>,
 }
 
+impl Sleep {
+    /// When it completes.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+}
+
 impl Future for Sleep {
     type Output = ();
 
@@ -120,16 +160,8 @@
         let id = match self.id {
             Some(id) => id,
             None => {
-                let id = self.state.next_id.get();
-                self.state.next_id.set(id + 1);
+                let id = self.state.add(self.deadline);
                 self.id = Some(id);
-                self.state
-                    .deadlines
-                    .borrow_mut()
-                    .push(Reverse((self.deadline, id)));
-                if let Some(driver) = self.state.driver.borrow_mut().take() {
-                    driver.wake();
-                }
                 id
             }
         };
@@ -144,7 +176,7 @@
 impl Drop for Sleep {
     fn drop(&mut self) {
         if let Some(id) = self.id {
-            self.state.wakers.borrow_mut().swap_remove(&id);
+            self.state.remove(id);
         }
     }
 }
