Never let a lost entry go first in its own recovery

Cause: one entry goes first in a recovery, chosen by rendezvous hashing among the entries whose row says `live`. Until it is fenced, the row of the lost entry says so as well. When the choice fell on the lost entry, the others waited for two more lease times. With three entries, entry-0 chooses itself.

Change: neither the lost entry nor another one whose lease has expired goes first.

The test `lost_entry_is_not_first_in_its_own_recovery` fails with the filter of the lost entry disabled (`entry-0 of 2: Some("entry-0")`).

--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -447,9 +447,12 @@
         if *entry_id == self.settings.entry_id || self.journal.holder().is_none() {
             return false;
         }
-        let number = placement::hash_bytes(entry_id.as_bytes()) as SlotId;
-        let first = preferred(number, &self.candidates());
-        first.as_ref() == Some(&self.settings.entry_id)
+        // The others that are lost together with this one cannot recover it either.
+        let lost = self.membership.expired(self.settings.lease_ttl);
+        let mut candidates = self.candidates();
+        candidates.retain(|id| lost.iter().all(|row| row.entry_id != *id));
+        let first = placement::first_to_recover(entry_id, candidates.iter().map(|id| &**id));
+        first == Some(&*self.settings.entry_id)
             || since_expiry >= self.settings.lease_ttl * FIRST_TURN_LEASES
     }
 
--- a/src/process/slots/placement.rs
+++ b/src/process/slots/placement.rs
@@ -45,6 +45,16 @@
         .min_by_key(|id| (Reverse(weight(slot, id)), *id))
 }
 
+/// The candidate that goes first in recovering a lost entry, which is none itself: it may still be
+/// listed as live then.
+pub fn first_to_recover<'a>(
+    lost: &str,
+    candidates: impl IntoIterator<Item = &'a str>,
+) -> Option<&'a str> {
+    let others = candidates.into_iter().filter(|id| *id != lost);
+    preferred(hash_bytes(lost.as_bytes()) as SlotId, others)
+}
+
 fn weight(slot: SlotId, entry_id: &str) -> u64 {
     mix(hash_bytes(entry_id.as_bytes()) ^ mix(u64::from(slot)))
 }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -16,7 +16,7 @@
 use sapphireford::ids::ConversationKey;
 use sapphireford::process::membership::{Membership, Observations};
 use sapphireford::process::rows::{EntryRow, EntryState};
-use sapphireford::process::slots::placement::{preferred, rank, slot_of};
+use sapphireford::process::slots::placement::{first_to_recover, preferred, rank, slot_of};
 use serde_json::json;
 use support::run;
 
@@ -212,6 +212,21 @@
     assert!(held.len() == 10 && held.values().all(|count| (1_410..=1_866).contains(count)));
 }
 
+/// Guards against a recovery that waits for the lost entry itself: until it is fenced, its row says
+/// that it is live, and the others come only after two more lease times.
+#[test]
+fn lost_entry_is_not_first_in_its_own_recovery() {
+    let entries: Vec<String> = (0..20).map(|number| format!("entry-{number}")).collect();
+    for count in 2..=entries.len() {
+        for lost in &entries[..count] {
+            let first = first_to_recover(lost, entries[..count].iter().map(String::as_str));
+            let is_other = first.is_some_and(|first| first != lost);
+            assert!(is_other, "{lost} of {count}: {first:?}");
+        }
+    }
+    assert_eq!(first_to_recover("entry-0", ["entry-0"]), None);
+}
+
 /// Guards against a build that places slots or conversations otherwise than the builds before it.
 /// The expected values come from a separate implementation of the same functions.
 #[test]
