--- a/src/process/entry/background.rs
+++ b/src/process/entry/background.rs
@@ -8,7 +8,9 @@
 use crate::process::conversation::{EndReason, Event, Record, RunState};
 use crate::process::entry::Entry;
 use crate::process::metrics as names;
+use crate::process::rows::EntryState;
 use crate::process::slots::ConversationCell;
+use crate::process::timer::unix_ms;
 use crate::request::call::cache_key;
 
 /// Pause between two searches for abandoned runs.
@@ -27,6 +29,7 @@
     entry.router.start_polling(entry.engines.clone());
     monoio::spawn(follow_config(entry.clone()));
     monoio::spawn(follow_vm_list(entry.clone()));
+    monoio::spawn(drop_lost_peers(entry.clone()));
     monoio::spawn(end_abandoned_runs(entry.clone()));
     monoio::spawn(record_gauges(entry.clone()));
 }
@@ -91,6 +94,20 @@
     }
 }
 
+/// Closes the connections to entries that were fenced. Without that, a request to an entry that was
+/// cut off would wait until the connection itself times out.
+async fn drop_lost_peers(entry: Rc<Entry>) {
+    let mut changes = entry.membership.subscribe();
+    loop {
+        changes.changed().await;
+        for row in entry.membership.entries() {
+            if row.state == EntryState::Fenced {
+                entry.peers.disconnect(&row.entry_id);
+            }
+        }
+    }
+}
+
 /// Ends root runs that had no event for longer than the limit.
 async fn end_abandoned_runs(entry: Rc<Entry>) {
     let mut ticks = entry.timer.subscribe(ABANDON_INTERVAL);
@@ -100,7 +117,7 @@
             continue;
         };
         let limit_ms = config.limits.abandon_after.as_millis() as u64;
-        let before_ms = entry.unix_ms().saturating_sub(limit_ms);
+        let before_ms = unix_ms().saturating_sub(limit_ms);
         for cell in entry.slots.conversations() {
             for run_id in abandoned_runs(&cell, before_ms) {
                 monoio::spawn(end_abandoned_run(
@@ -150,7 +167,7 @@
     let record = Record {
         slot: open.slot(),
         key: key.clone(),
-        at_ms: entry.unix_ms(),
+        at_ms: unix_ms(),
         event,
     };
     let Ok(mut receipt) = entry.journal.append(open.incarnation(), record) else {
