Compute the preferred slots when the entries change, and read wanted slots by key

Cause: every 200 ms an entry hashed all slots for all entries to find the slots that prefer it. At 16,384 slots and 640 entries these are 52 million hashes a second, about half a core. While one wanted slot was missing, it also read all slot rows every 200 ms: 1.8 MB each time at 16,384 slots.

Ruled out: a longer interval, because a slot that became free would wait for it.

Change: the slots that prefer an entry are kept until the set of candidates changes. Only the rows of wanted slots are read, by their keys. An entry still learns who holds the slots that it prefers, and tells entries that forward to it; hints about other slots come from these answers.

--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -21,8 +21,8 @@
 use crate::process::membership::Membership;
 use crate::process::recovery;
 use crate::process::rows::{
-    EntryRow, EntryState, Holder, SLOT_PREFIX, SlotRow, checkpoint_key, conversation_object_key,
-    entry_key, segment_key,
+    EntryRow, EntryState, Holder, SlotRow, checkpoint_key, conversation_object_key, entry_key,
+    segment_key, slot_key,
 };
 use crate::process::settings::Settings;
 use crate::process::slots::{ConversationCell, Slots, placement};
@@ -34,9 +34,17 @@
 const FORCED_RELEASE_AFTER: Duration = Duration::from_secs(10);
 /// Objects read or written at the same time.
 const PARALLEL_OBJECTS: usize = 16;
-/// Slot rows changed in one commit.
+/// Slot rows read in one request or changed in one commit.
 const CHANGES_PER_COMMIT: usize = 256;
 
+/// The slots that prefer this entry, kept while the candidates stay the same: to find them takes a
+/// hash for each slot and candidate.
+#[derive(Default)]
+struct Preferences {
+    candidates: IndexSet<EntryId>,
+    own_slots: IndexSet<SlotId>,
+}
+
 /// Moves slots between this entry and the others.
 pub struct SlotManager {
     slots: Rc<Slots>,
@@ -49,6 +57,7 @@
     /// Holders that were seen in slot rows; a hint only.
     holders: RefCell<IndexMap<SlotId, EntryId>>,
     unwanted_since: RefCell<IndexMap<SlotId, Instant>>,
+    preferences: RefCell<Preferences>,
     next_checkpoint: Cell<u64>,
 }
 
@@ -72,6 +81,7 @@
             leaving: Cell::new(false),
             holders: RefCell::default(),
             unwanted_since: RefCell::default(),
+            preferences: RefCell::default(),
             next_checkpoint: Cell::new(1),
         })
     }
@@ -136,20 +146,28 @@
         candidates
     }
 
+    /// The slots to take and those to release.
     fn partition(&self) -> (Vec<SlotId>, Vec<SlotId>) {
+        self.update_preferences();
+        let own_slots = &self.preferences.borrow().own_slots;
+        let missing = own_slots.iter().filter(|slot| !self.slots.is_held(**slot));
+        let wanted = missing.copied().collect();
+        let mut unwanted = self.slots.held();
+        unwanted.retain(|slot| !own_slots.contains(slot));
+        (wanted, unwanted)
+    }
+
+    fn update_preferences(&self) {
         let candidates = self.candidates();
+        let mut preferences = self.preferences.borrow_mut();
+        if preferences.candidates == candidates {
+            return;
+        }
         let own = &self.settings.entry_id;
-        let prefers_own = |slot: &SlotId| preferred(*slot, &candidates).as_ref() == Some(own);
-        let wanted = (0..self.slots.slot_count())
-            .filter(|slot| !self.slots.is_held(*slot) && prefers_own(slot))
-            .collect();
-        let unwanted = self
-            .slots
-            .held()
-            .into_iter()
-            .filter(|slot| !prefers_own(slot))
+        preferences.own_slots = (0..self.slots.slot_count())
+            .filter(|slot| preferred(*slot, &candidates).as_ref() == Some(own))
             .collect();
-        (wanted, unwanted)
+        preferences.candidates = candidates;
     }
 
     /// Takes the free ones among the slots that prefer this entry.
@@ -157,16 +175,7 @@
         let Some(holder) = self.journal.holder() else {
             return Ok(());
         };
-        let mut rows: IndexMap<SlotId, (SlotRow, u64)> = IndexMap::new();
-        for row in self.platform.scan(SLOT_PREFIX).await? {
-            let slot_row: SlotRow = row.decode()?;
-            let seen = slot_row
-                .holder
-                .as_ref()
-                .map(|holder| holder.entry_id.clone());
-            self.learn_holder(slot_row.slot, seen);
-            rows.insert(slot_row.slot, (slot_row, row.version));
-        }
+        let rows = self.read_rows(wanted).await?;
         let free = wanted.iter().filter_map(|slot| match rows.get(slot) {
             None => Some((
                 SlotRow {
@@ -187,6 +196,27 @@
         Ok(())
     }
 
+    /// Reads the rows of some slots that exist, and learns their holders. Reading them by key keeps
+    /// the bytes independent of the number of slots of the site.
+    async fn read_rows(
+        &self,
+        slots: &[SlotId],
+    ) -> crate::connection::platform::Result<IndexMap<SlotId, (SlotRow, u64)>> {
+        let keys: Vec<String> = slots.iter().map(|slot| slot_key(*slot)).collect();
+        let mut rows = IndexMap::new();
+        for keys in keys.chunks(CHANGES_PER_COMMIT) {
+            let read = self.platform.read(keys).await?;
+            for row in read.into_iter().filter(|row| row.version > 0) {
+                let slot_row: SlotRow = row.decode()?;
+                let holder = slot_row.holder.as_ref();
+                let entry_id = holder.map(|holder| holder.entry_id.clone());
+                self.learn_holder(slot_row.slot, entry_id);
+                rows.insert(slot_row.slot, (slot_row, row.version));
+            }
+        }
+        Ok(rows)
+    }
+
     async fn take_chunk(
         &self,
         holder: &Holder,
