--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -51,12 +51,9 @@
 pub struct Faults {
     pub delay: Duration,
     pub outage: Outage,
-<<<<<<< HEAD
     hang_commits: bool,
     commit_filter: String,
-=======
     pub refuse_weights: bool,
->>>>>>> memory
     lose_next: u64,
     /// From 0 to 1.
     lose_rate: f64,
@@ -68,12 +65,9 @@
         Self {
             delay: Duration::ZERO,
             outage: Outage::None,
-<<<<<<< HEAD
             hang_commits: false,
             commit_filter: String::new(),
-=======
             refuse_weights: false,
->>>>>>> memory
             lose_next: 0,
             lose_rate: 0.0,
             random: StdRng::seed_from_u64(0),
@@ -90,16 +84,13 @@
         if let Some(outage) = control.outage {
             self.outage = outage;
         }
-<<<<<<< HEAD
         if let Some(hang) = control.hang_commits {
             self.hang_commits = hang;
         }
         if let Some(filter) = control.commit_filter {
             self.commit_filter = filter;
         }
-=======
         self.refuse_weights = control.refuse_weights.unwrap_or(self.refuse_weights);
->>>>>>> memory
         if let Some(count) = control.lose_acknowledgements {
             self.lose_next = count;
         }
