Tell three peers about a new configuration version, not all of them

Cause: an entry that put a version in force told every peer whose row showed an older one. Rows are up to a second old, so all entries told all others: at 640 entries up to 409,000 messages for each change.

Ruled out: polling alone, which takes up to a second more.

Change: an entry tells three peers, chosen at random among those that are behind; each of them does the same. An entry that nobody tells finds the version at its next poll.

The measuring program now also checks that no token of a turn is missing, and reads chunked answers that a forwarding entry has split.

Conclusion: the messages grow with the entries, not with their square.

--- a/crates/standin/src/bin/standin-measure/client.rs
+++ b/crates/standin/src/bin/standin-measure/client.rs
@@ -21,6 +21,20 @@
     pub whole: Duration,
     /// Tokens in the answer.
     pub tokens: u64,
+    /// Head and body, for the message of a failed check.
+    pub answer: Vec<u8>,
+}
+
+impl Timed {
+    /// Checks that no token is missing.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the answer has another number of tokens.
+    pub fn check(&self, tokens: u32) {
+        let text = String::from_utf8_lossy(&self.answer);
+        assert_eq!(self.tokens, u64::from(tokens), "{text}");
+    }
 }
 
 /// A connection to an entry or an engine.
@@ -69,7 +83,8 @@
         Ok(Timed {
             first: first.unwrap_or(whole),
             whole,
-            tokens: count_tokens(&answer),
+            tokens: count_tokens(&join_chunks(&answer)),
+            answer,
         })
     }
 }
@@ -88,6 +103,22 @@
     }
 }
 
+/// The body of a chunked answer. An entry that forwards a stream may split it anywhere.
+fn join_chunks(answer: &[u8]) -> Vec<u8> {
+    let mut body = Vec::new();
+    let mut rest = find(answer, b"\r\n\r\n").map_or(answer, |head| &answer[head + 4..]);
+    while let Some(line) = find(rest, b"\r\n") {
+        let size = std::str::from_utf8(&rest[..line]).ok();
+        let size = size.and_then(|size| usize::from_str_radix(size, 16).ok());
+        let Some(size) = size.filter(|size| *size > 0 && line + 4 + size <= rest.len()) else {
+            break;
+        };
+        body.extend_from_slice(&rest[line + 2..line + 2 + size]);
+        rest = &rest[line + 4 + size..];
+    }
+    body
+}
+
 fn find(bytes: &[u8], part: &[u8]) -> Option<usize> {
     bytes.windows(part.len()).position(|window| window == part)
 }
--- a/crates/standin/src/bin/standin-measure/config.rs
+++ b/crates/standin/src/bin/standin-measure/config.rs
@@ -3,17 +3,64 @@
 use std::time::{Duration, Instant};
 
 use sapphireford::version::key;
-use sapphireford_standin::harness::{Site, wait_until};
+use sapphireford_standin::harness::{HttpRequest, OPERATOR_KEY, Site, wait_until};
 use serde_json::{Map, Value, json};
 
 use crate::process::{conditions, cpu_time, memory_kb};
 use crate::site;
 
 const TEAMS: [usize; 4] = [10, 1_000, 10_000, 41_000];
+/// Entries of the site on which a change spreads.
+const ENTRIES: usize = 24;
+/// Time before and after the change.
+const SETTLE: Duration = Duration::from_secs(3);
 const LONGEST: Duration = Duration::from_secs(60);
 
-/// Applies configurations with more and more teams, and to each a change of one team.
+/// Applies configurations with more and more teams, and to each a change of one team; then a change
+/// that many entries have to learn.
 pub fn measure() {
+    measure_teams();
+    measure_spread();
+}
+
+/// Counts the messages between entries about one change.
+fn measure_spread() {
+    let site = site::start(ENTRIES, 1, 10.0, json!({}));
+    let addresses: Vec<_> = (0..ENTRIES)
+        .map(|entry| site.entry_address(entry))
+        .collect();
+    std::thread::sleep(SETTLE);
+    let before = peer_requests(&addresses);
+    let start = Instant::now();
+    let change = json!({ "teams": team_rows(1, 2) });
+    site.apply(1, &[site.base_config(), change]);
+    let everywhere = start.elapsed();
+    std::thread::sleep(SETTLE);
+    println!(
+        "{ENTRIES} entries, one change: in force on all after {:.2} s, {} messages between entries \
+         ({})",
+        everywhere.as_secs_f64(),
+        peer_requests(&addresses) - before,
+        conditions()
+    );
+}
+
+/// Requests that the entries have sent to each other.
+fn peer_requests(entries: &[std::net::SocketAddr]) -> u64 {
+    let count = |entry: &std::net::SocketAddr| -> u64 {
+        let answer = HttpRequest::get("/metrics")
+            .bearer(OPERATOR_KEY)
+            .send(*entry);
+        let text = answer.expect("the metrics").text();
+        let lines = text.lines().filter(|line| line.contains("peer_requests"));
+        lines
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok())
+            .sum()
+    };
+    entries.iter().map(count).sum()
+}
+
+fn measure_teams() {
     let mut site = site::start(3, 1, 10.0, json!({}));
     let mut version = 1;
     for teams in TEAMS {
--- a/crates/standin/src/bin/standin-measure/latency.rs
+++ b/crates/standin/src/bin/standin-measure/latency.rs
@@ -78,7 +78,7 @@
     }
 
     fn push(&mut self, timed: Timed) {
-        assert_eq!(timed.tokens, u64::from(TOKENS));
+        timed.check(TOKENS);
         self.first.push(timed.first);
         self.whole.push(timed.whole);
     }
--- a/crates/standin/src/bin/standin-measure/load.rs
+++ b/crates/standin/src/bin/standin-measure/load.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::client::{Connection, Timed};
+use crate::client::Connection;
 use crate::site::{run_body, runs_path, text, turn_body, turns_path};
 
 /// Stack of a client thread, so that some hundred of them stay small.
@@ -98,7 +98,8 @@
             }
             let body = turn_body(&format!("t{number}"), "one turn", self.tokens);
             let timed = connection.post(&turns_path(&conversation), &body);
-            let timed: Timed = timed.expect("a turn");
+            let timed = timed.expect("a turn");
+            timed.check(self.tokens);
             turns.first.push(timed.first);
             turns.tokens += timed.tokens;
         }
--- a/src/process/entry/background.rs
+++ b/src/process/entry/background.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::seq::IndexedRandom;
+
 use crate::connection::peer::messages::PeerRequest;
 use crate::ids::{ConversationKey, RunId};
 use crate::process::conversation::{EndReason, Event, Record, RunState};
@@ -17,6 +19,10 @@
 const ABANDON_INTERVAL: Duration = Duration::from_secs(5);
 /// Pause between two readings of the gauges.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(5);
+/// Peers that an entry tells about a new configuration version. Each of them tells as many, so the
+/// version spreads in few steps with messages that grow with the number of entries and not with its
+/// square; an entry that nobody tells reads the version at its next poll.
+const PEERS_TOLD: usize = 3;
 /// Longest call that tells a peer the configuration version.
 const PEER_CALL_TIME: Duration = Duration::from_secs(1);
 /// Times that an engine is asked to release a prefix before it is left to the reconciliation.
@@ -42,10 +48,11 @@
         version = config.version;
         entry.router.set_config(&config);
         entry.journal.set_config_version(version);
-        for row in entry.membership.live() {
-            if row.entry_id != entry.settings.entry_id && row.config_version < version {
-                monoio::spawn(tell_config_version(entry.clone(), row, version));
-            }
+        let mut behind = entry.membership.live();
+        behind
+            .retain(|row| row.entry_id != entry.settings.entry_id && row.config_version < version);
+        for row in behind.choose_multiple(&mut rand::rng(), PEERS_TOLD) {
+            monoio::spawn(tell_config_version(entry.clone(), row.clone(), version));
         }
     }
 }
