--- a/src/process/journal.rs
+++ b/src/process/journal.rs
@@ -16,14 +16,14 @@
 use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
-use indexmap::IndexMap;
 
 use crate::connection::platform::PlatformClient;
-use crate::ids::{EntryId, Incarnation, SlotId, VersionNumber};
+use crate::ids::{EntryId, VersionNumber};
 use crate::process::conversation::Record;
 use crate::process::notify::Notify;
 use crate::process::rows::{EntryRow, EntryState, Holder, SlotRow};
 use crate::process::settings::Settings;
+use crate::process::slots::OpenConversation;
 use crate::process::timer::TimerService;
 
 /// The result of waiting for durability.
@@ -86,6 +86,8 @@
     record: Record,
     bytes: usize,
     done: oneshot::Sender<Result<()>>,
+    /// Keeps the slot from being released with a checkpoint that does not include the event.
+    open: OpenConversation,
 }
 
 struct QueuedChanges {
@@ -100,8 +102,6 @@
     settings: Rc<Settings>,
     records: RefCell<VecDeque<QueuedRecord>>,
     changes: RefCell<VecDeque<QueuedChanges>>,
-    /// Number of events of each slot that are queued or on their way; none is 0.
-    pending: RefCell<IndexMap<SlotId, usize>>,
     /// Sum of the encoded sizes of `records`.
     queued_bytes: Cell<usize>,
     next_append: Cell<AppendId>,
@@ -120,20 +120,6 @@
     progress: Notify,
 }
 
-impl Shared {
-    /// Counts an event of a slot as no longer pending.
-    fn settle(&self, slot: SlotId) {
-        let mut pending = self.pending.borrow_mut();
-        let Some(count) = pending.get_mut(&slot) else {
-            return;
-        };
-        *count -= 1;
-        if *count == 0 {
-            pending.swap_remove(&slot);
-        }
-    }
-}
-
 /// A handle to the journal; clones share it.
 #[derive(Clone)]
 pub struct Journal {
@@ -149,7 +135,6 @@
             settings,
             records: RefCell::default(),
             changes: RefCell::default(),
-            pending: RefCell::default(),
             queued_bytes: Cell::new(0),
             next_append: Cell::new(1),
             row: RefCell::new(None),
@@ -174,32 +159,31 @@
         monoio::spawn(async move { writer::run(&shared, &*sink).await });
     }
 
-    /// Queues an event of `incarnation`; the receipt resolves when it is durable.
-    pub fn append(&self, incarnation: Incarnation, record: Record) -> Result<Receipt> {
+    /// Queues an event of a conversation; the receipt resolves when it is durable. Until then the
+    /// conversation stays open.
+    ///
+    /// Events that begin work are refused while the queue is full. Those that end it are not: there
+    /// are at most as many of them as calls in progress, and without them a call would stay open.
+    pub fn append(&self, open: &OpenConversation, record: Record) -> Result<Receipt> {
         let current = self.holder().ok_or(JournalError::NotRunning)?.incarnation;
-        if current != incarnation {
+        if current != open.incarnation() {
             return Err(JournalError::Fenced);
         }
         let bytes = segment::encoded_len(&record);
         let queued = self.shared.queued_bytes.get() + bytes;
-        if queued > self.shared.settings.journal_queue_bytes {
+        if queued > self.shared.settings.journal_queue_bytes && record.event.begins_work() {
             return Err(JournalError::Full);
         }
         self.shared.queued_bytes.set(queued);
         let id = self.shared.next_append.get();
         self.shared.next_append.set(id + 1);
-        *self
-            .shared
-            .pending
-            .borrow_mut()
-            .entry(record.slot)
-            .or_insert(0) += 1;
         let (done, receiver) = oneshot::channel();
         self.shared.records.borrow_mut().push_back(QueuedRecord {
             id,
             record,
             bytes,
             done,
+            open: open.clone(),
         });
         self.shared.work.notify();
         Ok(Receipt { id, receiver })
@@ -215,16 +199,10 @@
             self.shared
                 .queued_bytes
                 .set(self.shared.queued_bytes.get() - queued.bytes);
-            self.shared.settle(queued.record.slot);
         }
         true
     }
 
-    /// Whether events of a slot are queued or on their way.
-    pub fn has_pending(&self, slot: SlotId) -> bool {
-        self.shared.pending.borrow().contains_key(&slot)
-    }
-
     /// Changes slot rows under the lease of this entry.
     pub async fn change_slots(&self, changes: Vec<SlotChange>) -> Result<Vec<SlotChangeOutcome>> {
         if self.holder().is_none() {
--- a/src/request/tool_call.rs
+++ b/src/request/tool_call.rs
@@ -5,6 +5,7 @@
 //! status query resolves it where there is one. The call runs in a task of its own, so that its
 //! outcome is recorded even when its caller goes away.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -20,7 +21,7 @@
 use crate::process::conversation::{Action, ActionOutcome, Event, Progress};
 use crate::process::slots::lock::ThreadLock;
 use crate::request::api::{ToolAnswer, ToolCall};
-use crate::request::call::{CallContext, Refusal, StartEvent};
+use crate::request::call::{CallContext, Started, hold_until_settled, unsettled};
 use crate::version::config::Tool;
 
 /// Times that an idempotent action is sent at most.
@@ -33,7 +34,9 @@
     body: ToolCall,
 ) -> Result<Response<Body>> {
     let (answer, receiver) = oneshot::channel();
-    monoio::spawn(run(context, run_id, body, answer));
+    monoio::spawn(async move {
+        let _ = answer.send(run(&context, run_id, body).await);
+    });
     match receiver.await {
         Ok(answer) => Ok(json_response(StatusCode::OK, &answer?)),
         Err(_) => Err(Error::new(
@@ -43,89 +46,47 @@
     }
 }
 
-async fn run(
-    context: CallContext,
-    run_id: RunId,
-    body: ToolCall,
-    answer: oneshot::Sender<Result<ToolAnswer>>,
-) {
-    let call = match prepare(&context, run_id, &body).await {
-        Ok(Prepared::New(call)) => call,
-        Ok(Prepared::InDoubt(call)) => {
-            let _ = answer.send(call.resolve().await);
-            return;
-        }
-        Ok(Prepared::Repeat(first)) => {
-            let _ = answer.send(Ok(first));
-            return;
-        }
-        Err(error) => {
-            let _ = answer.send(Err(error));
-            return;
-        }
-    };
-    match call.start().await {
-        Ok(()) => {
-            let _ = answer.send(call.execute(IsRepeat::No).await);
-        }
-        Err(refusal) => {
-            // The caller gets its final answer before the journal is settled.
-            let _ = answer.send(Err(refusal.error));
-            call.settle_refused(refusal.start).await;
-        }
-    }
-}
-
-enum Prepared<'a> {
-    New(ToolCallInProgress<'a>),
-    InDoubt(ToolCallInProgress<'a>),
-    Repeat(ToolAnswer),
-}
-
-/// Waits for the call's place in the run, and reserves its cost.
-async fn prepare<'a>(
-    context: &'a CallContext,
-    run_id: RunId,
-    body: &'a ToolCall,
-) -> Result<Prepared<'a>> {
-    let repeat = |(action_id, result, charge): (Rc<str>, Rc<str>, Micros)| {
-        let request_id = &body.request_id;
-        answer(context, run_id, request_id, &action_id, &result, charge).map(Prepared::Repeat)
-    };
+async fn run(context: &CallContext, run_id: RunId, body: ToolCall) -> Result<ToolAnswer> {
     if let Some(Progress::ActionDone(action_id, result, charge)) =
         context.earlier(&body.request_id)?
     {
-        return repeat((action_id, result, charge));
+        return answer(
+            context,
+            run_id,
+            &body.request_id,
+            &action_id,
+            &result,
+            charge,
+        );
     }
-    let lock = context.lock_in_sequence(run_id, body.sequence).await?;
+    let lock = context
+        .lock_call(run_id, &body.request_id, body.sequence)
+        .await?;
     match context.earlier(&body.request_id)? {
-        Some(Progress::ActionDone(action_id, result, charge)) => {
-            repeat((action_id, result, charge))
-        }
+        Some(Progress::ActionDone(action_id, result, charge)) => answer(
+            context,
+            run_id,
+            &body.request_id,
+            &action_id,
+            &result,
+            charge,
+        ),
         Some(Progress::ActionInDoubt(action)) => {
-            let call = ToolCallInProgress::resume(context, run_id, body, action, lock)?;
-            Ok(Prepared::InDoubt(call))
+            ToolCallInProgress::resume(context, run_id, &body, action, lock)?
+                .resolve()
+                .await
         }
         None => {
             context.check_durability()?;
             context.check_call(run_id, body.sequence)?;
-            let call = ToolCallInProgress::reserve(context, run_id, body, lock)?;
-            Ok(Prepared::New(call))
-        }
-        Some(_) => {
-            let message = "an earlier attempt of this request is not settled yet; come back soon";
-            Err(Error::new(ErrorKind::QueueTimeout, message))
+            let call = ToolCallInProgress::reserve(context, run_id, &body, lock)?;
+            call.start().await?;
+            call.execute().await
         }
+        Some(_) => Err(unsettled()),
     }
 }
 
-/// Whether an action may have been sent before, by this entry or an earlier holder.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum IsRepeat {
-    No,
-    Yes,
-}
-
 /// An action between its reservation and its outcome.
 struct ToolCallInProgress<'a> {
     context: &'a CallContext,
@@ -133,8 +94,10 @@
     body: &'a ToolCall,
     tool: Tool,
     action: Action,
+    /// Whether the tool may have received the action, in this call or an earlier one.
+    may_have_run: Cell<bool>,
     /// Held until the outcome is settled.
-    _lock: ThreadLock,
+    lock: Cell<Option<ThreadLock>>,
 }
 
 impl<'a> ToolCallInProgress<'a> {
@@ -166,7 +129,8 @@
             body,
             tool,
             action,
-            _lock: lock,
+            may_have_run: Cell::new(false),
+            lock: Cell::new(Some(lock)),
         })
     }
 
@@ -184,61 +148,66 @@
             body,
             tool,
             action,
-            _lock: lock,
+            may_have_run: Cell::new(true),
+            lock: Cell::new(Some(lock)),
         })
     }
 
-    /// Makes the intention durable. After a refusal the action is never sent.
-    async fn start(&self) -> std::result::Result<(), Refusal> {
+    /// Makes the intention durable. After an error the action was certainly not sent.
+    async fn start(&self) -> Result<()> {
         let event = Event::ActionIntended {
             request_id: self.body.request_id.clone(),
             fingerprint: self.context.fingerprint,
             run_id: self.run_id,
             action: self.action.clone(),
         };
-        let receipt = self.context.append(event).map_err(|error| Refusal {
-            error,
-            start: StartEvent::Withdrawn,
-        })?;
-        self.context.start_durable(receipt).await?;
-        self.check_lease().map_err(|error| Refusal {
-            error,
-            start: StartEvent::Durable,
-        })
+        let mut receipt = match self.context.append(event) {
+            Ok(receipt) => receipt,
+            Err(error) => {
+                self.clear_pending();
+                return Err(error);
+            }
+        };
+        match self.context.start_durable(&mut receipt).await {
+            Started::Durable => Ok(()),
+            Started::Refused(error) => {
+                if self.context.entry.journal.withdraw(&receipt) {
+                    self.clear_pending();
+                } else {
+                    let finish = self.finish_event(ActionOutcome::NotRun);
+                    self.context
+                        .settle_refused(receipt, self.lock.take(), finish);
+                }
+                Err(error)
+            }
+        }
     }
 
-    async fn settle_refused(&self, start: StartEvent) {
-        let not_run = self.finish_event(ActionOutcome::NotRun);
-        let reserved = self.action.reserved_micros;
-        self.context
-            .settle_refused(self.run_id, reserved, start, not_run)
-            .await;
+    fn clear_pending(&self) {
+        let mut state = self.context.open.cell().state.borrow_mut();
+        state.clear_pending(self.run_id, self.action.reserved_micros);
     }
 
-    /// Sends the action. A repeat, which only an idempotent tool gets, is never reported as not run,
-    /// because the first attempt may have taken effect.
-    async fn execute(&self, mut is_repeat: IsRepeat) -> Result<ToolAnswer> {
+    async fn execute(&self) -> Result<ToolAnswer> {
         let mut attempt = 1;
         loop {
+            self.check_lease()?;
             let error = match self.send().await {
                 Ok(result) => return self.settle_done(result).await,
                 Err(error) => error,
             };
             match error {
-                ToolError::NotSent(reason) if is_repeat == IsRepeat::No => {
+                ToolError::NotSent(reason) if !self.may_have_run.get() => {
                     return self.not_run(reason).await;
                 }
                 ToolError::Refused(status, message) if status < 500 => {
                     return self.failed(status, message).await;
                 }
-                error if self.may_retry(attempt) => {
-                    log::info!("the action is sent again: {error}")
-                }
+                error if self.may_retry(attempt) => log::info!("the action is sent again: {error}"),
                 error => return self.in_doubt(error).await,
             }
+            self.may_have_run.set(true);
             attempt += 1;
-            is_repeat = IsRepeat::Yes;
-            self.check_lease()?;
         }
     }
 
@@ -246,8 +215,7 @@
     /// that this has no second effect.
     async fn resolve(&self) -> Result<ToolAnswer> {
         if self.tool.idempotent {
-            self.check_lease()?;
-            return self.execute(IsRepeat::Yes).await;
+            return self.execute().await;
         }
         match self.query_status().await {
             Some(result) => self.settle_done(result).await,
@@ -262,6 +230,15 @@
         if self.context.open.is_current() && self.context.entry.journal.holds_lease_at(now) {
             return Ok(());
         }
+        if self.may_have_run.get() {
+            let message =
+                "the entry could not renew its lease in time; send the same request id again";
+            return Err(Error::new(ErrorKind::HolderLost, message));
+        }
+        // The event is refused if the lease is lost; then the recovery marks the action in doubt.
+        if let Ok(receipt) = self.append(ActionOutcome::NotRun) {
+            monoio::spawn(hold_until_settled(receipt, self.lock.take()));
+        }
         let message = "the entry could not renew its lease in time; come back soon";
         Err(Error::new(ErrorKind::SlotUnavailable, message))
     }
@@ -375,6 +352,10 @@
         )
     }
 
+    fn append(&self, outcome: ActionOutcome) -> Result<crate::process::journal::Receipt> {
+        self.context.append(self.finish_event(outcome))
+    }
+
     fn finish_event(&self, outcome: ActionOutcome) -> Event {
         Event::ActionFinished {
             request_id: self.body.request_id.clone(),
@@ -384,8 +365,12 @@
     }
 
     async fn append_and_wait(&self, outcome: ActionOutcome) -> Result<()> {
-        let mut receipt = self.context.append(self.finish_event(outcome))?;
-        self.context.finish_durable(&mut receipt).await
+        let mut receipt = self.append(outcome)?;
+        let result = self.context.finish_durable(&mut receipt).await;
+        if result.is_err() {
+            monoio::spawn(hold_until_settled(receipt, self.lock.take()));
+        }
+        result
     }
 }
 
--- a/src/request/turn/attempt.rs
+++ b/src/request/turn/attempt.rs
@@ -136,6 +136,7 @@
                     finish_reason,
                     usage,
                 }))) => {
+                    let usage = turn.bounded(usage);
                     permit.finished(usage);
                     output.begin(|| self.start_event(turn));
                     let text = std::mem::take(&mut self.text);
