Add the experiment runner: policies, load levels and failures compared

Starts a site of its own for each run, applies the policy, runs sapphireford-load at a share of the rate that the engines can carry, and prints one table line and one JSON object for each run. The load report counts programs and tokens that were complete while others still arrived, because the drain at the end of an overloaded run would otherwise dilute the goodput.

--- /dev/null
+++ b/crates/standin/src/bin/experiment/main.rs
@@ -0,0 +1,216 @@
+//! Runs the experiments of `docs/experiments.md`: policies, load levels and failures compared.
+//!
+//! Each run starts a site of its own, runs `sapphireford-load` against it, and adds one object to the
+//! JSON report; a table with one line for each run follows.
+
+mod scenario;
+mod table;
+
+use std::process::{Command, Stdio};
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use getopts::{Matches, Options};
+use sapphireford_standin::harness::{Process, Site, SiteOptions};
+use serde_json::{Value, json};
+
+use scenario::{ENGINES, ENTRIES, Scenario, TOOL_MS};
+
+/// Time for the programs in flight after the last arrival.
+const DRAIN_MS: u64 = 20_000;
+/// Time in which entries release the engine memory of programs that have ended.
+const RELEASE_TIME: Duration = Duration::from_secs(1);
+
+/// One run.
+struct Run {
+    workload: String,
+    placement: String,
+    queue: String,
+    level: u32,
+    seed: u64,
+    duration_ms: u64,
+    faults: bool,
+}
+
+fn main() {
+    let mut options = Options::new();
+    options.optopt("", "workload", "division or verfwerk", "NAME");
+    options.optmulti("", "policy", "placement and queue; repeated", "NAME/NAME");
+    options.optmulti("", "level", "percent of the full rate; repeated", "PERCENT");
+    options.optmulti("", "seed", "seed of the workload; repeated", "N");
+    options.optopt("", "duration-ms", "time in which programs arrive", "MS");
+    let text = "an engine leaves, an entry is killed, and load reports are 2 s late";
+    options.optflag("", "faults", text);
+    options.optopt("", "jobs", "runs at the same time (1)", "N");
+    options.optopt("", "report", "write the report as JSON", "FILE");
+    options.optflag("h", "help", "print this text");
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) if !matches.opt_present("help") => matches,
+        Ok(_) => return print!("{}", options.usage("Usage: experiment [OPTIONS]")),
+        Err(error) => {
+            eprintln!("error: {error}");
+            std::process::exit(2);
+        }
+    };
+    let runs = runs(&matches);
+    let jobs = matches.opt_get_default("jobs", 1).expect("--jobs N");
+    let mut reports = run_all(runs, jobs);
+    reports.sort_by_key(|report| report["number"].as_u64());
+    if let Some(path) = matches.opt_str("report") {
+        let text = serde_json::to_vec_pretty(&reports).expect("a report is JSON");
+        std::fs::write(path, text).expect("the report can be written");
+    }
+    print!("{}", table::table(&reports));
+    let passed = |report: &Value| report["load"]["checks"]["passed"] == true;
+    if !reports.iter().all(passed) {
+        eprintln!("error: a check of an invariant failed");
+        std::process::exit(3);
+    }
+}
+
+fn runs(matches: &Matches) -> Vec<Run> {
+    let workload = matches
+        .opt_str("workload")
+        .unwrap_or_else(|| "verfwerk".to_string());
+    let duration_ms = matches.opt_get_default("duration-ms", 30_000);
+    let duration_ms = duration_ms.expect("--duration-ms MS");
+    let mut runs = Vec::new();
+    for seed in matches.opt_strs("seed") {
+        for level in matches.opt_strs("level") {
+            for policy in matches.opt_strs("policy") {
+                let (placement, queue) = policy.split_once('/').expect("--policy NAME/NAME");
+                runs.push(Run {
+                    workload: workload.clone(),
+                    placement: placement.to_string(),
+                    queue: queue.to_string(),
+                    level: level.parse().expect("--level PERCENT"),
+                    seed: seed.parse().expect("--seed N"),
+                    duration_ms,
+                    faults: matches.opt_present("faults"),
+                });
+            }
+        }
+    }
+    runs
+}
+
+fn run_all(runs: Vec<Run>, jobs: usize) -> Vec<Value> {
+    let waiting = Mutex::new(runs.into_iter().enumerate());
+    let reports = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..jobs {
+            scope.spawn(|| {
+                loop {
+                    let next = waiting.lock().expect("no run panicked").next();
+                    let Some((number, run)) = next else {
+                        return;
+                    };
+                    let mut report = run.execute();
+                    report["number"] = json!(number);
+                    eprint!("{}", table::line(&report));
+                    reports.lock().expect("no run panicked").push(report);
+                }
+            });
+        }
+    });
+    reports.into_inner().expect("no run panicked")
+}
+
+impl Run {
+    fn execute(&self) -> Value {
+        let scenario = Scenario::find(&self.workload).expect("the workload is known");
+        let rate = scenario.full_rate() * f64::from(self.level) / 100.0;
+        let mut site = Site::with(SiteOptions {
+            entries: ENTRIES,
+            engines: ENGINES,
+            engine_arguments: scenario.engine_arguments(self.faults),
+            config: scenario.config(&self.placement, &self.queue),
+            ..SiteOptions::default()
+        });
+        site.tool.control(&json!({"delay_ms": TOOL_MS}));
+        let load_average = load_average();
+        let load = self.load(&mut site, &scenario, rate);
+        thread::sleep(RELEASE_TIME);
+        let engines: Vec<Value> = site.engines.iter().map(Process::stats).collect();
+        let sum = |name: &str| -> u64 {
+            let values = engines.iter().filter_map(|stats| stats[name].as_u64());
+            values.sum()
+        };
+        json!({
+            "workload": self.workload, "placement": self.placement, "queue": self.queue,
+            "level": self.level, "seed": self.seed, "duration_ms": self.duration_ms,
+            "faults": self.faults, "rate": rate, "load_average": load_average,
+            "wasted": {
+                "recomputed": load["entry"]["tokens"]["wasted_tokens"],
+                "held_by_ended": sum("cache_used_tokens"),
+                "unread": sum("tokens_generated_without_reader"),
+            },
+            "recomputed_after_eviction": sum("tokens_recomputed_after_eviction"),
+            "evicted": sum("tokens_evicted"),
+            "started_while_leaving": sum("calls_started_while_leaving"),
+            "load": load,
+        })
+    }
+
+    /// Runs the load tool, with the failures at their time, and returns its report.
+    fn load(&self, site: &mut Site, scenario: &Scenario, rate: f64) -> Value {
+        let folder = std::env::temp_dir().join(format!(
+            "sapphireford-experiment-{}",
+            site.entry_address(0).ip()
+        ));
+        std::fs::create_dir_all(&folder).expect("a temporary folder can be made");
+        let file = |name: &str, content: &Value| {
+            let path = folder.join(name);
+            std::fs::write(&path, content.to_string()).expect("the file can be written");
+            path.display().to_string()
+        };
+        let keys = Value::Object(scenario.team_keys());
+        let report_path = folder.join("report.json");
+        let mut command = Command::new(load_tool());
+        command
+            .args([
+                "--workload",
+                &file("workload.json", &scenario.workload(rate)),
+            ])
+            .args(["--team-keys", &file("keys.json", &keys)])
+            .args(["--seed", &self.seed.to_string()])
+            .args(["--duration-ms", &self.duration_ms.to_string()])
+            .args(["--drain-ms", &DRAIN_MS.to_string()])
+            .args(["--tool", &site.tool.address().to_string()])
+            .arg("--report")
+            .arg(&report_path)
+            .stdout(Stdio::null());
+        for entry in 0..ENTRIES {
+            command.args(["--entry", &site.entry_address(entry).to_string()]);
+        }
+        for engine in &site.engines {
+            command.args(["--engine", &engine.address().to_string()]);
+        }
+        let started = Instant::now();
+        let mut child = command.spawn().expect("the load tool can be started");
+        if self.faults {
+            let at = |share: u64| Duration::from_millis(self.duration_ms * share / 100);
+            thread::sleep(at(33).saturating_sub(started.elapsed()));
+            site.engines[0].control(&json!({"leaving": true}));
+            thread::sleep(at(50).saturating_sub(started.elapsed()));
+            site.kill_entry(0);
+        }
+        let _ = child.wait().expect("the load tool ends");
+        let report = std::fs::read(&report_path).expect("the load tool wrote its report");
+        let _ = std::fs::remove_dir_all(&folder);
+        serde_json::from_slice(&report).expect("the report is JSON")
+    }
+}
+
+fn load_tool() -> std::path::PathBuf {
+    let this = std::env::current_exe().expect("the path of this program is known");
+    this.with_file_name("sapphireford-load")
+}
+
+/// The load average of the machine over the last minute.
+fn load_average() -> f64 {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let first = text.split_whitespace().next();
+    first.and_then(|text| text.parse().ok()).unwrap_or_default()
+}
--- a/src/load/measures.rs
+++ b/src/load/measures.rs
@@ -114,6 +114,10 @@
     pub not_sent: u64,
     /// Programs that were sent.
     pub sent: u64,
+    /// Programs that ran to their end while others still arrived.
+    pub finished_in_window: u64,
+    /// Tokens of the turns that were complete while programs still arrived.
+    pub output_tokens_in_window: u64,
     /// Sums over all turns.
     pub tokens: TokenSums,
 }
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -42,6 +42,10 @@
 pub struct RouteReport {
     /// Programs that were sent.
     pub sent: u64,
+    /// Programs that ran to their end while others still arrived.
+    pub finished_in_window: u64,
+    /// Tokens of the turns that were complete while programs still arrived.
+    pub output_tokens_in_window: u64,
     /// Arrivals beyond the bound on programs in flight; not sent.
     pub not_sent: u64,
     /// Programs still in flight when the run ended.
@@ -98,6 +102,8 @@
         let groups = measures.groups.iter();
         Self {
             sent: measures.sent,
+            finished_in_window: measures.finished_in_window,
+            output_tokens_in_window: measures.output_tokens_in_window,
             not_sent: measures.not_sent,
             unfinished,
             restarts: measures.restarts,
--- a/src/load/runner.rs
+++ b/src/load/runner.rs
@@ -104,21 +104,27 @@
             groups: &groups,
             known_tokens: 0,
             pauses: Duration::ZERO,
+            // The instant at which programs stop arriving.
+            window_end: arrival - program.at + self.workload.duration,
         };
         let result = run.steps(&mut session, &program.steps).await;
         let finished = result.is_ok();
         if let Err(failure) = &result {
             self.measures.borrow_mut().count_failure(failure);
         }
-        let pauses = run.pauses;
+        let (pauses, window_end) = (run.pauses, run.window_end);
         let ended = self.route.end(session, "end".into(), finished).await;
         let latency = arrival.elapsed();
         let mut measures = self.measures.borrow_mut();
         if let Err(failure) = &ended {
             measures.count_failure(failure);
         }
+        let is_complete = finished && ended.is_ok();
+        if is_complete && Instant::now() <= window_end {
+            measures.finished_in_window += 1;
+        }
         measures.update(&groups, |group| {
-            if finished && ended.is_ok() {
+            if is_complete {
                 group.finished += 1;
                 group.program.record(latency);
                 let without_pauses = latency.saturating_sub(pauses);
@@ -138,6 +144,7 @@
     /// Tokens of the history after the last turn.
     known_tokens: u64,
     pauses: Duration,
+    window_end: Instant,
 }
 
 impl<R: Route> ProgramRun<'_, R> {
@@ -193,6 +200,9 @@
         let mut measures = measures.borrow_mut();
         measures.update(groups, |group| group.turn.record(sent.elapsed()));
         measures.count_tokens(&outcome, self.known_tokens);
+        if Instant::now() <= self.window_end {
+            measures.output_tokens_in_window += outcome.output_tokens;
+        }
         self.known_tokens = outcome.prompt_tokens + outcome.output_tokens;
         let mut checks = self.runner.checks.borrow_mut();
         checks.spending(self.conversation, outcome.spending);
