Let a program keep its prefix against a small difference in load

Cause: the load of a full engine weighed as much as 4,000 prompt tokens, so that one call more or less outweighed a history of 500 tokens, and programs moved with each call. The time that a call may wait for its engine was computed for engines that prefill 10,000 tokens a second.

--- a/src/process/routing/placement.rs
+++ b/src/process/routing/placement.rs
@@ -98,13 +98,15 @@
 const RANDOM_CANDIDATES: usize = 2;
 /// Engines holding the prefix that are looked at for each call.
 const HOLDER_CANDIDATES: usize = 4;
-/// Prompt tokens whose computation costs as much as the load of a full engine over an empty one.
-const FULL_LOAD_TOKENS: u64 = 4_000;
+/// Prompt tokens whose computation costs as much as the load of a full engine over an empty one. With
+/// 4,000, one call more or less outweighed a history of 500 tokens, and programs lost their prefixes.
+const FULL_LOAD_TOKENS: u64 = 1_000;
 /// Prompt tokens whose computation costs as much as one call that waits in an engine.
 const WAITING_CALL_TOKENS: u64 = 1_000;
-/// Prompt tokens that an engine computes in a second, for the time that a call may wait for the
-/// engine that has its prefix.
-const PREFILL_TOKENS_PER_SECOND: u64 = 10_000;
+/// Prompt tokens for which a call may wait a second for the engine that has its prefix. Engines
+/// compute several times as many in a second, but a prefix that is computed again also delays the
+/// prompts behind it and evicts another prefix.
+const PATIENCE_TOKENS_PER_SECOND: u64 = 1_000;
 /// Longest time that a call waits for the engine that has its prefix while others have room.
 const LONGEST_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -178,7 +180,7 @@
         };
         let cached = engines.cached_tokens(index, candidates.call);
         let saved = full_holder_tokens.saturating_sub(cached);
-        let patience = Duration::from_millis(saved * 1000 / PREFILL_TOKENS_PER_SECOND);
+        let patience = Duration::from_millis(saved * 1000 / PATIENCE_TOKENS_PER_SECOND);
         match patience
             .min(LONGEST_PATIENCE)
             .checked_sub(candidates.waited)
