Queue new programs rather than evict the prefixes of running ones

Cause: an entry admitted programs by the calls in progress only. The prefixes of programs that paused for a tool were not counted, so engines evicted what was used again within seconds, prompts were computed again, and programs took longer and overlapped more. Change: an entry counts the prefixes that its programs used in the last 10 s and the programs that it starts. A new program waits if they would not fit into the entry's part of the cache: what the other entries leave by the engine's report, and at least an equal part among the live entries. Calls of running programs pass the waiting ones, and come first in their team.

--- a/src/process/entry/background.rs
+++ b/src/process/entry/background.rs
@@ -76,11 +76,14 @@
     }
 }
 
-/// Keeps new work from engines that the platform lists as leaving.
+/// Keeps new work from engines that the platform lists as leaving, and shares the engines among the
+/// live entries.
 async fn follow_vm_list(entry: Rc<Entry>) {
     let mut changes = entry.membership.subscribe();
     loop {
         changes.changed().await;
+        let live_entries = entry.membership.live().len();
+        entry.router.set_live_entries(live_entries);
         let vms = entry.membership.vms();
         let is_leaving = |address| {
             use crate::connection::platform::VmState;
--- a/src/process/routing.rs
+++ b/src/process/routing.rs
@@ -236,6 +236,12 @@
         dispatch_all(&self.state);
     }
 
+    /// Takes over the number of live entries, which share the engines.
+    pub fn set_live_entries(&self, count: usize) {
+        self.state.borrow_mut().engines.set_live_entries(count);
+        dispatch_all(&self.state);
+    }
+
     /// Forgets a prefix, and returns the engines that may hold it, so that it can be released
     /// there.
     pub fn take_holders(&self, cache_key: &str) -> Vec<(BackendServerId, SocketAddr)> {
@@ -247,6 +253,9 @@
         });
         let holders = holders.collect();
         state.engines.prefixes.forget(cache_key);
+        drop(state);
+        // A program that waits for memory may start now.
+        dispatch_all(&self.state);
         holders
     }
 
@@ -376,7 +385,7 @@
         index: EngineIndex,
         now: Instant,
     ) {
-        self.engines.start(index, call.tokens(), now);
+        self.engines.start(index, call, now);
         let queue = self.queue_for(&call.model_id);
         queue.policy.started(queued, call.tokens());
     }
@@ -425,7 +434,7 @@
                 {
                     break;
                 }
-                Choice::NoRoom => {}
+                Choice::NoRoom | Choice::NoMemory => {}
             }
         }
         let (call_id, index) = chosen?;
@@ -612,7 +621,7 @@
             state.settle(call, 0);
         }
     }
-    state.engines.end(index, call.tokens(), now);
+    state.engines.end(index, call, now);
 }
 
 /// Starts the load requests that are due.
--- a/src/process/routing/engines.rs
+++ b/src/process/routing/engines.rs
@@ -6,16 +6,17 @@
 
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::CallDescription;
 use super::prefix::PrefixMap;
 use crate::connection::engine::{EngineLoad, Usage};
 use crate::ids::{BackendServerId, ModelId};
 use crate::process::breaker::Breaker;
-use crate::version::config::{BackendServer, Config};
+use crate::version::config::{BackendServer, Config, Priority};
 
 /// Position of an engine in the table; stays the same while the engine has calls in flight.
 pub type EngineIndex = usize;
@@ -30,6 +31,11 @@
 const MISSED_REPORTS: u32 = 3;
 /// Weight of one call in the average share of correct cache guesses.
 const TRUST_STEP: f64 = 0.2;
+/// Weight of one call in the mean length of a program's prefix.
+const MEAN_STEP: f64 = 0.02;
+/// Part of the cache that normal programs may fill; the rest is for urgent ones, and for the starts
+/// of other entries since the last report.
+const NORMAL_CACHE_PERCENT: u64 = 90;
 
 /// An engine and what is known of it.
 pub struct Engine {
@@ -48,6 +54,8 @@
     vm_is_leaving: bool,
     in_flight_calls: u32,
     in_flight_tokens: u64,
+    /// Prefixes of calls in flight that the engine did not have when they started.
+    starting: IndexSet<Rc<str>>,
     /// Starts (+1) and ends (-1) of the last seconds.
     history: VecDeque<(Instant, i32)>,
     report: EngineLoad,
@@ -76,6 +84,7 @@
             vm_is_leaving: false,
             in_flight_calls: 0,
             in_flight_tokens: 0,
+            starting: IndexSet::new(),
             history: VecDeque::new(),
             report: EngineLoad::default(),
             others: 0,
@@ -138,6 +147,10 @@
     free: Vec<EngineIndex>,
     groups: Vec<Group>,
     group_of_model: IndexMap<ModelId, usize>,
+    /// Mean length of a program's prefix over its calls, by model.
+    mean_tokens: IndexMap<ModelId, f64>,
+    /// Entries that share the engines, this one included; 0 while unknown.
+    live_entries: u64,
     /// What the engines have in their caches.
     pub prefixes: PrefixMap,
 }
@@ -285,6 +298,45 @@
         engine.in_flight_calls == 0 || tokens <= engine.cache_tokens
     }
 
+    /// Takes over the number of live entries.
+    pub fn set_live_entries(&mut self, count: usize) {
+        self.live_entries = count as u64;
+    }
+
+    /// Tokens of the prefixes of running programs that a call would evict from an engine; 0 if the
+    /// cache has room for it.
+    ///
+    /// A program that starts is counted with the mean length over its calls, because it grows: an
+    /// engine that is full of short prefixes would evict them while the programs run.
+    pub fn overflow(&self, index: EngineIndex, call: &CallDescription) -> u64 {
+        let engine = &self.engines[index];
+        let mean = self.mean_tokens.get(&call.model_id).copied();
+        let mean = mean.unwrap_or(0.0) as u64;
+        let kept = self.prefixes.kept(index);
+        if kept.programs == 0 && engine.starting.is_empty() {
+            return 0;
+        }
+        let starting = engine.starting.len() as u64 * mean;
+        let committed = kept.tokens.max(kept.programs * mean) + starting;
+        let needed = call.prompt_tokens.max(mean);
+        let share = self.cache_share(index, kept.tokens);
+        let percent = match call.priority {
+            Priority::Urgent => 100,
+            Priority::Normal | Priority::Background => NORMAL_CACHE_PERCENT,
+        };
+        let limit = share * percent / 100;
+        (committed + needed).saturating_sub(limit).min(needed)
+    }
+
+    /// Tokens of an engine's cache that this entry may fill: what others leave, at least an equal
+    /// part. Entries with more programs hold more, because others release what they no longer use.
+    fn cache_share(&self, index: EngineIndex, own_tokens: u64) -> u64 {
+        let engine = &self.engines[index];
+        let others = engine.report.cache_used_tokens.saturating_sub(own_tokens);
+        let left = engine.cache_tokens.saturating_sub(others);
+        left.max(engine.cache_tokens / self.live_entries.max(1))
+    }
+
     /// The corrected load of an engine.
     pub fn load(&self, index: EngineIndex) -> LoadPermille {
         let engine = &self.engines[index];
@@ -304,19 +356,24 @@
     }
 
     /// Records that a call was sent to an engine.
-    pub fn start(&mut self, index: EngineIndex, tokens: u64, now: Instant) {
+    pub fn start(&mut self, index: EngineIndex, call: &CallDescription, now: Instant) {
+        let is_cached = self.prefixes.tokens(&call.cache_key, index) > 0;
         let engine = &mut self.engines[index];
         engine.in_flight_calls += 1;
-        engine.in_flight_tokens += tokens;
+        engine.in_flight_tokens += call.tokens();
+        if !is_cached {
+            engine.starting.insert(call.cache_key.clone());
+        }
         engine.remember(now, 1);
         self.update(index, now);
     }
 
     /// Records that a call has ended, whichever way.
-    pub fn end(&mut self, index: EngineIndex, tokens: u64, now: Instant) {
+    pub fn end(&mut self, index: EngineIndex, call: &CallDescription, now: Instant) {
         let engine = &mut self.engines[index];
         engine.in_flight_calls -= 1;
-        engine.in_flight_tokens -= tokens;
+        engine.in_flight_tokens -= call.tokens();
+        engine.starting.swap_remove(&call.cache_key);
         engine.remember(now, -1);
         self.reclaim(index);
         self.update(index, now);
@@ -348,6 +405,9 @@
         }
         let tokens = usage.prompt_tokens + usage.completion_tokens;
         let capacity = engine.cache_tokens;
+        let mean = self.mean_tokens.entry(call.model_id.clone());
+        let mean = mean.or_insert(tokens as f64);
+        *mean += MEAN_STEP * (tokens as f64 - *mean);
         if tokens <= capacity {
             self.prefixes
                 .record(&call.cache_key, index, tokens, capacity);
@@ -417,6 +477,7 @@
 
     /// Brings the engines up to date whose breaker changes with time.
     pub fn refresh(&mut self, now: Instant) {
+        self.prefixes.refresh(now);
         for index in 0..self.engines.len() {
             if !self.engines[index].breaker.is_closed() {
                 self.update(index, now);
--- a/src/process/routing/placement.rs
+++ b/src/process/routing/placement.rs
@@ -42,6 +42,8 @@
     Wait(Duration),
     /// No engine has room.
     NoRoom,
+    /// Engines have room, but a new program would evict the prefixes of running ones.
+    NoMemory,
 }
 
 /// Chooses an engine for a call.
@@ -113,6 +115,7 @@
 /// Cached prefix weighed against the corrected load.
 ///
 /// The candidates are the engines that hold the prefix, the least loaded one and a few random ones.
+/// A program that starts is queued rather than evicting the prefixes of running programs.
 /// When the engines that hold the prefix are full, the call waits for them no longer than another
 /// engine would need to compute the prefix again.
 pub struct PrefixAndLoad {
@@ -143,13 +146,20 @@
     let uncached = candidates.call.prompt_tokens - cached;
     let load = engines.load(index) * FULL_LOAD_TOKENS / 1000;
     let waiting = engines.waiting(index) * WAITING_CALL_TOKENS;
-    uncached + load + waiting
+    // What the call evicts has to be computed again.
+    let evicted = match cached {
+        0 => engines.overflow(index, candidates.call),
+        _ => 0,
+    };
+    uncached + load + waiting + evicted
 }
 
 impl PlacementPolicy for PrefixAndLoad {
     fn choose(&mut self, candidates: Candidates<'_>) -> Choice {
         let engines = candidates.engines;
         let holders = engines.prefixes.holders(&candidates.call.cache_key);
+        let is_new = holders.is_empty() && candidates.call.program_service_tokens == 0;
+        let mut lacks_memory = false;
         let holders = holders.iter().rev().take(HOLDER_CANDIDATES);
         let mut best: Option<(u64, EngineIndex)> = None;
         let mut full_holder_tokens = 0;
@@ -157,6 +167,10 @@
             if !candidates.has_room(index) {
                 return false;
             }
+            if is_new && engines.overflow(index, candidates.call) > 0 {
+                lacks_memory = true;
+                return false;
+            }
             let candidate = (cost(&candidates, index), index);
             best = Some(best.map_or(candidate, |best| best.min(candidate)));
             true
@@ -176,7 +190,11 @@
             }
         }
         let Some((_, index)) = best else {
-            return Choice::NoRoom;
+            return if lacks_memory {
+                Choice::NoMemory
+            } else {
+                Choice::NoRoom
+            };
         };
         let cached = engines.cached_tokens(index, candidates.call);
         let saved = full_holder_tokens.saturating_sub(cached);
--- a/src/process/routing/prefix.rs
+++ b/src/process/routing/prefix.rs
@@ -4,8 +4,9 @@
 //! late and with gaps, and other entries fill the same caches, so it is only an estimate: each
 //! engine's share of correct guesses scales it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 
@@ -13,6 +14,9 @@
 
 /// Most prefixes that are remembered, over all engines. Bounds the memory to about 10 MB.
 const PREFIX_LIMIT: usize = 65_536;
+/// A prefix that was used within this time counts as kept for a program that pauses for a tool or
+/// its caller. Programs that pause for longer must not keep new ones from starting.
+const KEPT_TIME: Duration = Duration::from_secs(10);
 
 /// A prefix in the cache of an engine.
 #[derive(Clone, Copy, Debug)]
@@ -27,10 +31,19 @@
 
 #[derive(Default)]
 struct EngineCache {
-    by_use: BTreeMap<u64, Rc<str>>,
+    by_use: BTreeMap<u64, (Rc<str>, u64)>,
     tokens: u64,
 }
 
+/// The prefixes of running programs on an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Kept {
+    /// Their number.
+    pub programs: u64,
+    /// Their lengths together.
+    pub tokens: u64,
+}
+
 /// The prefixes in the caches of all engines.
 #[derive(Default)]
 pub struct PrefixMap {
@@ -38,6 +51,10 @@
     by_engine: IndexMap<EngineIndex, EngineCache>,
     by_use: BTreeMap<u64, EngineIndex>,
     next_use: u64,
+    /// The next use at some instants of the last [`KEPT_TIME`].
+    use_times: VecDeque<(Instant, u64)>,
+    /// Uses before this one are older than [`KEPT_TIME`].
+    kept_from: u64,
 }
 
 impl PrefixMap {
@@ -54,6 +71,31 @@
             .map_or(0, |holding| holding.tokens)
     }
 
+    /// The prefixes on an engine that running programs used lately.
+    pub fn kept(&self, engine: EngineIndex) -> Kept {
+        let mut kept = Kept::default();
+        let Some(cache) = self.by_engine.get(&engine) else {
+            return kept;
+        };
+        for (_, tokens) in cache.by_use.range(self.kept_from..).map(|(_, entry)| entry) {
+            kept.programs += 1;
+            kept.tokens += tokens;
+        }
+        kept
+    }
+
+    /// Lets the uses of more than [`KEPT_TIME`] ago expire.
+    pub fn refresh(&mut self, now: Instant) {
+        self.use_times.push_back((now, self.next_use));
+        while let Some((time, next_use)) = self.use_times.front().copied() {
+            if now.saturating_duration_since(time) <= KEPT_TIME {
+                break;
+            }
+            self.kept_from = next_use;
+            self.use_times.pop_front();
+        }
+    }
+
     /// Records that an engine now holds `tokens` of a prefix, and drops the prefixes that were
     /// used least recently beyond `capacity_tokens`.
     pub fn record(
@@ -77,7 +119,7 @@
             .push(holding);
         self.by_use.insert(last_use, engine);
         let cache = self.by_engine.entry(engine).or_default();
-        cache.by_use.insert(last_use, cache_key.clone());
+        cache.by_use.insert(last_use, (cache_key.clone(), tokens));
         cache.tokens += tokens;
         while self.engine_tokens(engine) > capacity_tokens && self.evict_from(engine) {}
         while self.by_use.len() > PREFIX_LIMIT {
@@ -109,7 +151,7 @@
         let cache = self.by_engine.get(&engine);
         let oldest = cache.and_then(|cache| cache.by_use.values().next().cloned());
         match oldest {
-            Some(cache_key) => self.remove(&cache_key, engine),
+            Some((cache_key, _)) => self.remove(&cache_key, engine),
             None => false,
         }
     }
--- a/src/process/routing/queue.rs
+++ b/src/process/routing/queue.rs
@@ -100,6 +100,14 @@
     order: BTreeSet<(VirtualTime, TeamId)>,
 }
 
+/// Running programs come before new ones, because they hold engine memory until they end.
+fn order_in_team(call: &QueuedCall) -> u64 {
+    match call.service_tokens {
+        0 => u64::MAX,
+        tokens => tokens,
+    }
+}
+
 /// By priority, then the team furthest behind its share, then the program that received least.
 ///
 /// A team that was idle starts at the virtual time of the last start, so that it cannot save up a
@@ -189,7 +197,7 @@
         let class = &mut self.classes[call.priority as usize];
         class.order.insert((time, call.team_id.clone()));
         let calls = class.teams.entry(call.team_id.clone()).or_default();
-        calls.insert((call.service_tokens, call.call_id));
+        calls.insert((order_in_team(&call), call.call_id));
         self.calls.insert(call.call_id, call);
     }
 
@@ -202,7 +210,7 @@
         let Some(calls) = class.teams.get_mut(&call.team_id) else {
             return;
         };
-        calls.remove(&(call.service_tokens, call_id));
+        calls.remove(&(order_in_team(&call), call_id));
         if calls.is_empty() {
             class.teams.swap_remove(&call.team_id);
             class.order.remove(&(time, call.team_id));
