Refuse a new program at once if it would not start in time

Cause: a new program that found a long queue was held until its deadline and refused then. Change: the router measures the time between the starts of new programs. One that would wait for too long by this measure gets `overloaded`, `ran: no`, with a time to come back. Running programs are never refused this way, because their work so far would be lost, and urgent ones count only urgent ones ahead. The first-come-first-served baseline is left as it was.

--- a/src/process/routing.rs
+++ b/src/process/routing.rs
@@ -22,7 +22,7 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::{BackendServerId, ModelId, TeamId};
 use crate::process::timer::TimerService;
-use crate::version::config::{Config, Priority};
+use crate::version::config::{Config, Priority, QueueKind};
 
 use engines::{EngineIndex, Engines};
 use placement::{Candidates, Choice, ConfiguredPlacement, PlacementPolicy};
@@ -35,6 +35,8 @@
 const POLLS_PER_INTERVAL: usize = 64;
 /// A call is due to start after this part of its longest waiting time.
 const AGE_BOUND_DIVISOR: u32 = 2;
+/// Weight of one start in the mean time between the starts of new programs.
+const START_INTERVAL_STEP: f64 = 0.1;
 
 /// Settings of a router.
 #[derive(Clone, Copy, Debug)]
@@ -83,6 +85,11 @@
         self.prompt_tokens.saturating_add(self.max_output_tokens)
     }
 
+    /// Whether the program has not received any service yet.
+    pub fn is_new_program(&self) -> bool {
+        self.program_service_tokens == 0
+    }
+
     fn team_weight(&self) -> u32 {
         let team = self.config.teams.get(&self.team_id);
         team.map_or(1, |team| team.weight)
@@ -131,6 +138,39 @@
 struct ModelQueue<P: PlacementPolicy, Q: QueuePolicy> {
     policy: Q,
     calls: IndexMap<CallId, WaitingCall<P, Q>>,
+    new_programs: NewPrograms,
+}
+
+/// How often new programs leave the queue.
+#[derive(Default)]
+struct NewPrograms {
+    /// The last start, or the instant at which the first one began to wait.
+    last_start: Option<Instant>,
+    /// Mean time between two starts while others waited.
+    interval_s: Option<f64>,
+}
+
+impl NewPrograms {
+    /// Records a start; `others_wait` tells whether the queue holds further new programs.
+    fn started(&mut self, now: Instant, others_wait: bool) {
+        if let Some(last) = self.last_start {
+            let interval = now.saturating_duration_since(last).as_secs_f64();
+            let mean = self.interval_s.get_or_insert(interval);
+            *mean += START_INTERVAL_STEP * (interval - *mean);
+        }
+        self.last_start = others_wait.then_some(now);
+    }
+
+    /// The time until `ahead` new programs have started.
+    fn expected_wait(&self, ahead: usize, now: Instant) -> Duration {
+        let Some(interval) = self.interval_s else {
+            return Duration::ZERO;
+        };
+        let since = self
+            .last_start
+            .map_or(0.0, |last| now.saturating_duration_since(last).as_secs_f64());
+        Duration::try_from_secs_f64(interval.max(since) * ahead as f64).unwrap_or(Duration::MAX)
+    }
 }
 
 impl<P: PlacementPolicy, Q: QueuePolicy> Default for ModelQueue<P, Q> {
@@ -138,10 +178,22 @@
         Self {
             policy: Q::default(),
             calls: IndexMap::new(),
+            new_programs: NewPrograms::default(),
         }
     }
 }
 
+impl<P: PlacementPolicy, Q: QueuePolicy> ModelQueue<P, Q> {
+    /// New programs that wait and are at least as urgent.
+    fn new_programs_waiting(&self, least: Priority) -> usize {
+        let calls = self.calls.values();
+        let new = calls.filter(|waiting| {
+            waiting.call.is_new_program() && waiting.call.priority as u8 >= least as u8
+        });
+        new.count()
+    }
+}
+
 struct State<P: PlacementPolicy, Q: QueuePolicy> {
     options: RouterOptions,
     config: Option<Rc<Config>>,
@@ -291,6 +343,9 @@
         if let Some(permit) = self.start_at_once(&call, arrived) {
             return Ok(permit);
         }
+        if self.is_hopeless(&call, arrived) {
+            return Err(overloaded(&call.model_id));
+        }
         let (place, mut answer) = self.enqueue(&call, arrived);
         loop {
             let retry_at = place.retry_at().unwrap_or(deadline);
@@ -310,6 +365,21 @@
         }
     }
 
+    /// Whether a new program would not start in time. It gets its answer at once; a program that
+    /// runs is never refused, because its work so far would be lost.
+    fn is_hopeless(&self, call: &CallDescription, now: Instant) -> bool {
+        if call.config.policy.queue == QueueKind::Fifo || !call.is_new_program() {
+            return false;
+        }
+        let state = self.state.borrow();
+        let Some(queue) = state.queues.get(&call.model_id) else {
+            return false;
+        };
+        let ahead = queue.new_programs_waiting(call.priority);
+        let wait = queue.new_programs.expected_wait(ahead, now);
+        wait > call.config.limits.queue_time / AGE_BOUND_DIVISOR
+    }
+
     /// Starts a call without queueing if none waits before it.
     fn start_at_once(&self, call: &Rc<CallDescription>, now: Instant) -> Option<Permit<P, Q>> {
         let mut state = self.state.borrow_mut();
@@ -354,6 +424,9 @@
                 reply,
             };
             queue.calls.insert(call_id, waiting);
+            if call.is_new_program() {
+                queue.new_programs.last_start.get_or_insert(now);
+            }
             call_id
         };
         dispatch(&self.state, &call.model_id);
@@ -442,6 +515,10 @@
         queue.policy.remove(call_id);
         let waiting = queue.calls.swap_remove(&call_id)?;
         let call = waiting.call.clone();
+        if call.is_new_program() {
+            let others_wait = queue.new_programs_waiting(Priority::Background) > 0;
+            queue.new_programs.started(now, others_wait);
+        }
         self.start(&call, &waiting.queued, index, now);
         Some((waiting, index))
     }
