Count short prefixes with the length that programs typically reach

Cause: a cache full of programs in their first turns evicts them when they grow. Change: a kept prefix counts with at least the typical length of the model's prefixes, an average that follows longer prefixes faster than shorter ones.

--- a/src/process/routing/engines.rs
+++ b/src/process/routing/engines.rs
@@ -31,8 +31,11 @@
 const MISSED_REPORTS: u32 = 3;
 /// Weight of one call in the average share of correct cache guesses.
 const TRUST_STEP: f64 = 0.2;
-/// Weight of one call in the mean length of a program's prefix.
-const MEAN_STEP: f64 = 0.02;
+/// Weight of one call in the typical length of a program's prefix, if the prefix is longer than that.
+const LONGER_STEP: f64 = 0.05;
+/// The same for shorter ones. The typical length is above the mean, because a cache that is full to
+/// the mean evicts whenever programs are longer than usual.
+const SHORTER_STEP: f64 = 0.02;
 /// Part of the cache that normal programs may fill; the rest is for urgent ones, and for the starts
 /// of other entries since the last report.
 const NORMAL_CACHE_PERCENT: u64 = 90;
@@ -147,8 +150,8 @@
     free: Vec<EngineIndex>,
     groups: Vec<Group>,
     group_of_model: IndexMap<ModelId, usize>,
-    /// Mean length of a program's prefix over its calls, by model.
-    mean_tokens: IndexMap<ModelId, f64>,
+    /// Typical length of a program's prefix over its calls, by model.
+    typical_tokens: IndexMap<ModelId, f64>,
     /// Entries that share the engines, this one included; 0 while unknown.
     live_entries: u64,
     /// What the engines have in their caches.
@@ -311,19 +314,18 @@
     /// Tokens of the prefixes of running programs that a call would evict from an engine; 0 if the
     /// cache has room for it.
     ///
-    /// A program that starts is counted with the mean length over its calls, because it grows: an
-    /// engine that is full of short prefixes would evict them while the programs run.
+    /// Short prefixes are counted with the typical length, because they grow: an engine that is
+    /// full of short prefixes would evict them while the programs run.
     pub fn overflow(&self, index: EngineIndex, call: &CallDescription) -> u64 {
         let engine = &self.engines[index];
-        let mean = self.mean_tokens.get(&call.model_id).copied();
-        let mean = mean.unwrap_or(0.0) as u64;
-        let kept = self.prefixes.kept(index);
+        let typical = self.typical_tokens.get(&call.model_id).copied();
+        let typical = typical.unwrap_or(0.0) as u64;
+        let kept = self.prefixes.kept(index, typical);
         if kept.programs == 0 && engine.starting.is_empty() {
             return 0;
         }
-        let starting = engine.starting.len() as u64 * mean;
-        let committed = kept.tokens.max(kept.programs * mean) + starting;
-        let needed = call.prompt_tokens.max(mean);
+        let committed = kept.grown_tokens + engine.starting.len() as u64 * typical;
+        let needed = call.prompt_tokens.max(typical);
         let share = self.cache_share(index, kept.tokens);
         let percent = match call.priority {
             Priority::Urgent => 100,
@@ -410,9 +412,15 @@
         }
         let tokens = usage.prompt_tokens + usage.completion_tokens;
         let capacity = engine.cache_tokens;
-        let mean = self.mean_tokens.entry(call.model_id.clone());
-        let mean = mean.or_insert(tokens as f64);
-        *mean += MEAN_STEP * (tokens as f64 - *mean);
+        let typical = self.typical_tokens.entry(call.model_id.clone());
+        let typical = typical.or_insert(tokens as f64);
+        let difference = tokens as f64 - *typical;
+        let step = if difference > 0.0 {
+            LONGER_STEP
+        } else {
+            SHORTER_STEP
+        };
+        *typical += step * difference;
         if tokens <= capacity {
             self.prefixes
                 .record(&call.cache_key, index, tokens, capacity);
--- a/src/process/routing/prefix.rs
+++ b/src/process/routing/prefix.rs
@@ -44,6 +44,8 @@
     pub programs: u64,
     /// Their lengths together.
     pub tokens: u64,
+    /// The same, with the growth that is expected.
+    pub grown_tokens: u64,
 }
 
 /// The prefixes in the caches of all engines.
@@ -75,8 +77,9 @@
             .map_or(0, |holding| holding.tokens)
     }
 
-    /// The prefixes on an engine that running programs used lately.
-    pub fn kept(&self, engine: EngineIndex) -> Kept {
+    /// The prefixes on an engine that running programs used lately, each counted with at least
+    /// `least_tokens`, because they grow.
+    pub fn kept(&self, engine: EngineIndex, least_tokens: u64) -> Kept {
         let mut kept = Kept::default();
         let Some(cache) = self.by_engine.get(&engine) else {
             return kept;
@@ -84,6 +87,7 @@
         for (_, tokens) in cache.by_use.range(self.kept_from..).map(|(_, entry)| entry) {
             kept.programs += 1;
             kept.tokens += tokens;
+            kept.grown_tokens += least_tokens.max(*tokens);
         }
         kept
     }
