Bound the time for which a new program waits for engine memory

Cause: programs that pause for long, or that end without a word, would keep all new ones out until their prefixes are 10 s old, beyond the deadline of a short queue. Change: after half of `queue_time_ms` a new program starts and evicts.

--- a/src/process/routing/placement.rs
+++ b/src/process/routing/placement.rs
@@ -112,6 +112,10 @@
 /// Longest time that a call waits for the engine that has its prefix while others have room.
 const LONGEST_PATIENCE: Duration = Duration::from_secs(1);
 
+/// A new program waits for engine memory no longer than this part of the longest waiting time, so
+/// that programs which pause for long cannot keep all others out.
+const MEMORY_WAIT_DIVISOR: u32 = 2;
+
 /// Cached prefix weighed against the corrected load.
 ///
 /// The candidates are the engines that hold the prefix, the least loaded one and a few random ones.
@@ -158,7 +162,10 @@
     fn choose(&mut self, candidates: Candidates<'_>) -> Choice {
         let engines = candidates.engines;
         let holders = engines.prefixes.holders(&candidates.call.cache_key);
-        let is_new = holders.is_empty() && candidates.call.program_service_tokens == 0;
+        let limits = &candidates.call.config.limits;
+        let longest_wait = limits.queue_time / MEMORY_WAIT_DIVISOR;
+        let is_new = holders.is_empty() && candidates.call.is_new_program();
+        let waits_for_memory = is_new && candidates.waited < longest_wait;
         let mut lacks_memory = false;
         let holders = holders.iter().rev().take(HOLDER_CANDIDATES);
         let mut best: Option<(u64, EngineIndex)> = None;
@@ -167,7 +174,7 @@
             if !candidates.has_room(index) {
                 return false;
             }
-            if is_new && engines.overflow(index, candidates.call) > 0 {
+            if waits_for_memory && engines.overflow(index, candidates.call) > 0 {
                 lacks_memory = true;
                 return false;
             }
