--- a/src/process/routing.rs
+++ b/src/process/routing.rs
@@ -248,7 +248,6 @@
         monoio::spawn(async move {
             while let Some(state) = state.upgrade() {
                 poll_engines(&state, &client);
-                release_stale(&state, &client);
                 dispatch_all(&state);
                 drop(state);
                 ticks.tick().await;
@@ -728,31 +727,6 @@
     borrowed.next_poll = borrowed.next_poll.wrapping_add(count) % all.len().max(1);
 }
 
-/// Releases the prefixes that programs left behind on engines when they moved to other ones.
-fn release_stale<P: PlacementPolicy, Q: QueuePolicy>(state: &Shared<P, Q>, client: &EngineClient) {
-    let engines = &mut state.borrow_mut().engines;
-    for (cache_key, index) in engines.prefixes.take_stale() {
-        if engines.is_starting(index, &cache_key) {
-            continue;
-        }
-        let address = engines.get(index).address;
-        let state = Rc::downgrade(state);
-        let client = client.clone();
-        monoio::spawn(async move {
-            // A holding that is not released stays known, and is released when the program ends.
-            if client.release(address, &cache_key).await.is_err() {
-                return;
-            }
-            if let Some(state) = state.upgrade() {
-                let engines = &mut state.borrow_mut().engines;
-                if engines.get(index).address == address {
-                    engines.prefixes.released(&cache_key, index);
-                }
-            }
-        });
-    }
-}
-
 fn take_load<P: PlacementPolicy, Q: QueuePolicy>(
     state: &Shared<P, Q>,
     backend_server_id: &BackendServerId,
--- a/src/process/routing/engines.rs
+++ b/src/process/routing/engines.rs
@@ -301,11 +301,6 @@
         engine.in_flight_calls == 0 || tokens <= engine.cache_tokens
     }
 
-    /// Whether a call with this prefix is in progress on an engine that had not kept it.
-    pub fn is_starting(&self, index: EngineIndex, cache_key: &str) -> bool {
-        self.engines[index].starting.contains(cache_key)
-    }
-
     /// Takes over the number of live entries.
     pub fn set_live_entries(&mut self, count: usize) {
         self.live_entries = count as u64;
--- a/src/process/routing/prefix.rs
+++ b/src/process/routing/prefix.rs
@@ -27,8 +27,6 @@
     pub tokens: u64,
     /// Orders the holdings by their last use; unique.
     last_use: u64,
-    /// Whether another engine holds a later state of the same prefix.
-    is_stale: bool,
 }
 
 #[derive(Default)]
@@ -59,8 +57,6 @@
     use_times: VecDeque<(Instant, u64)>,
     /// Uses before this one are older than [`KEPT_TIME`].
     kept_from: u64,
-    /// Holdings that became stale since they were last taken.
-    stale: Vec<(Rc<str>, EngineIndex)>,
 }
 
 impl PrefixMap {
@@ -69,11 +65,11 @@
         self.holdings.get(cache_key).map_or(&[], Vec::as_slice)
     }
 
-    /// The estimated length of a prefix on one engine; 0 if it is about to be released there.
+    /// The estimated length of a prefix on one engine.
     pub fn tokens(&self, cache_key: &str, engine: EngineIndex) -> u64 {
         let mut holders = self.holders(cache_key).iter();
         holders
-            .find(|holding| holding.engine == engine && !holding.is_stale)
+            .find(|holding| holding.engine == engine)
             .map_or(0, |holding| holding.tokens)
     }
 
@@ -92,24 +88,6 @@
         kept
     }
 
-    /// Takes the holdings to release because their program has moved to another engine.
-    pub fn take_stale(&mut self) -> Vec<(Rc<str>, EngineIndex)> {
-        let stale = std::mem::take(&mut self.stale);
-        let is_stale = |(cache_key, engine): &(Rc<str>, EngineIndex)| {
-            let mut holders = self.holders(cache_key).iter();
-            holders.any(|holding| holding.engine == *engine && holding.is_stale)
-        };
-        stale.into_iter().filter(is_stale).collect()
-    }
-
-    /// Records that an engine has released a stale holding.
-    pub fn released(&mut self, cache_key: &str, engine: EngineIndex) {
-        let mut holders = self.holders(cache_key).iter();
-        if holders.any(|holding| holding.engine == engine && holding.is_stale) {
-            self.remove(cache_key, engine);
-        }
-    }
-
     /// Lets the uses of more than [`KEPT_TIME`] ago expire.
     pub fn refresh(&mut self, now: Instant) {
         self.use_times.push_back((now, self.next_use));
@@ -138,14 +116,11 @@
             engine,
             tokens,
             last_use,
-            is_stale: false,
         };
-        let holders = self.holdings.entry(cache_key.clone()).or_default();
-        for older in holders.iter_mut().filter(|older| !older.is_stale) {
-            older.is_stale = true;
-            self.stale.push((cache_key.clone(), older.engine));
-        }
-        holders.push(holding);
+        self.holdings
+            .entry(cache_key.clone())
+            .or_default()
+            .push(holding);
         self.by_use.insert(last_use, engine);
         let cache = self.by_engine.entry(engine).or_default();
         cache.by_use.insert(last_use, (cache_key.clone(), tokens));
