Test the admission of new programs; refuse them after a quarter of the queue time

The tests: a new program waits for the memory of a paused one and not for ever, the live entries share a cache, and a new program that would wait too long is refused at once while running and urgent ones are not. `an_engine_that_fails_is_left_alone` let 100 programs finish a call and never end, which fills the cache with kept prefixes and makes the rest wait by design. Its programs end now; its check is unchanged.

--- a/src/process/routing.rs
+++ b/src/process/routing.rs
@@ -35,6 +35,9 @@
 const POLLS_PER_INTERVAL: usize = 64;
 /// A call is due to start after this part of its longest waiting time.
 const AGE_BOUND_DIVISOR: u32 = 2;
+/// A new program is refused if it would wait for more than this part of the longest waiting time.
+/// The rest covers the error of the estimate.
+const HOPELESS_WAIT_DIVISOR: u32 = 4;
 /// Weight of one start in the mean time between the starts of new programs.
 const START_INTERVAL_STEP: f64 = 0.1;
 
@@ -166,9 +169,9 @@
         let Some(interval) = self.interval_s else {
             return Duration::ZERO;
         };
-        let since = self
-            .last_start
-            .map_or(0.0, |last| now.saturating_duration_since(last).as_secs_f64());
+        let since = self.last_start.map_or(0.0, |last| {
+            now.saturating_duration_since(last).as_secs_f64()
+        });
         Duration::try_from_secs_f64(interval.max(since) * ahead as f64).unwrap_or(Duration::MAX)
     }
 }
@@ -376,7 +379,7 @@
         };
         let ahead = queue.new_programs_waiting(call.priority);
         let wait = queue.new_programs.expected_wait(ahead, now);
-        wait > call.config.limits.queue_time / AGE_BOUND_DIVISOR
+        wait > call.config.limits.queue_time / HOPELESS_WAIT_DIVISOR
     }
 
     /// Starts a call without queueing if none waits before it.
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -3,9 +3,10 @@
 use std::cell::RefCell;
 use std::future::Future;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use hyper::{Request, Response, StatusCode};
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
@@ -370,6 +371,115 @@
     });
 }
 
+/// Runs a call of a program to its end, after which the engine keeps `tokens` for the program.
+async fn keep_prefix(router: &Router, config: &Rc<Config>, name: &str, tokens: u64) {
+    let mut first = normal(config, name);
+    first.prompt_tokens = tokens;
+    let usage = Usage {
+        prompt_tokens: tokens,
+        completion_tokens: 0,
+        cached_tokens: 0,
+    };
+    acquire(router, first).await.finished(usage);
+}
+
+/// Guards against new programs that evict the prefix of a program which only pauses for a tool, and
+/// against a pause that keeps new programs out for ever.
+#[test]
+fn a_new_program_waits_for_the_memory_of_a_paused_one() {
+    run(|timer| async move {
+        let config = config(1, 8, 4_000);
+        let router = router(&timer, &config, 16);
+        keep_prefix(&router, &config, "paused", 60_000).await;
+        let log = Log::default();
+        for name in ["new", "next"] {
+            let mut new = normal(&config, name);
+            new.prompt_tokens = 50_000;
+            queue(&timer, &router, new, &log, Duration::from_millis(1));
+        }
+        timer.sleep(Duration::from_millis(50)).await;
+        assert!(log.borrow().is_empty(), "a program started: {log:?}");
+        let mut returning = normal(&config, "paused");
+        returning.prompt_tokens = 61_000;
+        returning.program_service_tokens = 60_000;
+        let passed = timer.timeout(Duration::from_millis(500), router.acquire(returning));
+        let permit = passed.await.expect("it does not wait").expect("a permit");
+        permit.finished(USAGE);
+        router.take_holders("paused");
+        timer.sleep(Duration::from_millis(50)).await;
+        assert_eq!(log.borrow().first().map(String::as_str), Some("new"));
+        // The first new program never ends, so the second one starts after half of `queue_time`.
+        let started = Instant::now();
+        while log.borrow().len() < 2 && started.elapsed() < Duration::from_secs(10) {
+            timer.sleep(Duration::from_millis(20)).await;
+            router.set_report(&"e0".into(), EngineLoad::default());
+        }
+        assert_eq!(log.borrow().last().map(String::as_str), Some("next"));
+    });
+}
+
+/// Guards against an entry that fills a cache which others already fill, and against one that gets
+/// no part of it.
+#[test]
+fn the_cache_of_an_engine_is_shared_by_the_live_entries() {
+    run(|timer| async move {
+        let config = config(1, 100, 60_000);
+        let router = router(&timer, &config, 100);
+        router.set_live_entries(2);
+        let report = EngineLoad {
+            cache_used_tokens: 100_000,
+            ..EngineLoad::default()
+        };
+        router.set_report(&"e0".into(), report);
+        let mut started = 0;
+        for number in 0..20 {
+            let mut new = normal(&config, &number.to_string());
+            new.prompt_tokens = 10_000;
+            let Some(permit) = router.acquire(new).now_or_never() else {
+                break;
+            };
+            started += 1;
+            permit.expect("a permit").finished(Usage {
+                prompt_tokens: 10_000,
+                ..USAGE
+            });
+        }
+        // Half of 100,000 tokens, less the reserve of a tenth for urgent programs.
+        assert_eq!(started, 4);
+    });
+}
+
+/// Guards against a new program that is held until its deadline although it is known that it will
+/// not start, and against refusing a running program, whose work would be lost.
+#[test]
+fn a_new_program_that_would_wait_too_long_is_refused_at_once() {
+    run(|timer| async move {
+        let config = config(1, 1, 4_000);
+        let router = router(&timer, &config, 1_000);
+        let log = Log::default();
+        let held = Duration::from_millis(50);
+        for number in 0..100 {
+            let new = normal(&config, &number.to_string());
+            queue(&timer, &router, new, &log, held);
+        }
+        timer.sleep(Duration::from_millis(500)).await;
+        let started = Instant::now();
+        let refused = router.acquire(normal(&config, "late")).await;
+        let error = refused.expect_err("about 90 programs wait before this one");
+        assert_eq!(error.kind, ErrorKind::Overloaded);
+        assert!(
+            started.elapsed() < Duration::from_secs(1),
+            "it was held back"
+        );
+        let mut running = normal(&config, "running");
+        running.program_service_tokens = 1_000;
+        acquire(&router, running).await;
+        let mut urgent = normal(&config, "urgent");
+        urgent.priority = Priority::Urgent;
+        acquire(&router, urgent).await;
+    });
+}
+
 /// Guards against calls that keep going to an engine that fails all of them.
 #[test]
 fn an_engine_that_fails_is_left_alone() {
@@ -378,13 +488,16 @@
         let router = router(&timer, &config, 16);
         let mut failures = 0;
         for number in 0..100 {
-            let permit = acquire(&router, normal(&config, &number.to_string())).await;
+            let name = number.to_string();
+            let permit = acquire(&router, normal(&config, &name)).await;
             if &*permit.backend_server_id == "e0" {
                 failures += 1;
                 permit.failed();
             } else {
                 permit.finished(USAGE);
             }
+            // The program ends; otherwise its prefix is kept, and new programs wait for memory.
+            router.take_holders(&name);
         }
         assert_eq!(failures, 3, "calls that failed before the breaker opened");
     });
