Wait longer for the engine that has the prefix

Cause: a call waited for its engine for at most 1 s. Under overload all calls wait for longer than that, so all programs lost their prefixes, which made the overload worse.

--- a/src/process/routing/placement.rs
+++ b/src/process/routing/placement.rs
@@ -108,9 +108,11 @@
 /// Prompt tokens for which a call may wait a second for the engine that has its prefix. Engines
 /// compute several times as many in a second, but a prefix that is computed again also delays the
 /// prompts behind it and evicts another prefix.
-const PATIENCE_TOKENS_PER_SECOND: u64 = 1_000;
-/// Longest time that a call waits for the engine that has its prefix while others have room.
-const LONGEST_PATIENCE: Duration = Duration::from_secs(1);
+const PATIENCE_TOKENS_PER_SECOND: u64 = 250;
+/// A call waits no longer than this part of the longest waiting time for the engine that has its
+/// prefix while others have room. With a bound of 1 s, all programs lost their prefixes as soon as
+/// calls waited for longer than that, which made the overload worse.
+const PATIENCE_DIVISOR: u32 = 4;
 
 /// A new program waits for engine memory no longer than this part of the longest waiting time, so
 /// that programs which pause for long cannot keep all others out.
@@ -207,7 +209,7 @@
         let saved = full_holder_tokens.saturating_sub(cached);
         let patience = Duration::from_millis(saved * 1000 / PATIENCE_TOKENS_PER_SECOND);
         match patience
-            .min(LONGEST_PATIENCE)
+            .min(limits.queue_time / PATIENCE_DIVISOR)
             .checked_sub(candidates.waited)
         {
             Some(rest) if !rest.is_zero() => Choice::Wait(rest),
