Start running programs before new ones of all teams

Cause: a new program of a team that was behind its share started before a running program of another team, although running ones hold engine memory until they end. Change: in each priority, running programs come first. Teams share by weight among the running and among the new ones, and the oldest call beyond its age bound keeps its part of the starts.

--- a/src/process/routing/queue.rs
+++ b/src/process/routing/queue.rs
@@ -100,22 +100,22 @@
     order: BTreeSet<(VirtualTime, TeamId)>,
 }
 
-/// Running programs come before new ones, because they hold engine memory until they end.
-fn order_in_team(call: &QueuedCall) -> u64 {
-    match call.service_tokens {
-        0 => u64::MAX,
-        tokens => tokens,
-    }
+/// Position of a call's class. In each priority, running programs come before new ones, whichever
+/// their teams, because they hold engine memory until they end.
+fn class_of(call: &QueuedCall) -> usize {
+    let is_running = call.service_tokens > 0;
+    2 * call.priority as usize + usize::from(is_running)
 }
 
-/// By priority, then the team furthest behind its share, then the program that received least.
+/// By priority, running programs before new ones, then the team furthest behind its share, then the program that received least.
 ///
 /// A team that was idle starts at the virtual time of the last start, so that it cannot save up a
 /// claim while it sends nothing.
 #[derive(Default)]
 pub struct LeastService {
     calls: BTreeMap<CallId, QueuedCall>,
-    classes: [Class; 3],
+    /// By priority, and for each priority the new programs before the running ones.
+    classes: [Class; 6],
     virtual_times: IndexMap<TeamId, VirtualTime>,
     virtual_now: VirtualTime,
     starts_since_aged: u32,
@@ -194,10 +194,10 @@
     fn push(&mut self, call: QueuedCall) {
         let time = self.virtual_time(&call.team_id);
         self.set_virtual_time(&call.team_id, time);
-        let class = &mut self.classes[call.priority as usize];
+        let class = &mut self.classes[class_of(&call)];
         class.order.insert((time, call.team_id.clone()));
         let calls = class.teams.entry(call.team_id.clone()).or_default();
-        calls.insert((order_in_team(&call), call.call_id));
+        calls.insert((call.service_tokens, call.call_id));
         self.calls.insert(call.call_id, call);
     }
 
@@ -206,11 +206,11 @@
             return;
         };
         let time = self.virtual_times.get(&call.team_id).copied().unwrap_or(0);
-        let class = &mut self.classes[call.priority as usize];
+        let class = &mut self.classes[class_of(&call)];
         let Some(calls) = class.teams.get_mut(&call.team_id) else {
             return;
         };
-        calls.remove(&(order_in_team(&call), call_id));
+        calls.remove(&(call.service_tokens, call_id));
         if calls.is_empty() {
             class.teams.swap_remove(&call.team_id);
             class.order.remove(&(time, call.team_id));
