Let urgent programs start without waiting for memory

Cause: urgent programs waited for engine memory like others when the cache was full. Change: they start at once; their prefixes still count.

--- a/src/process/routing/engines.rs
+++ b/src/process/routing/engines.rs
@@ -16,7 +16,7 @@
 use crate::connection::engine::{EngineLoad, Usage};
 use crate::ids::{BackendServerId, ModelId};
 use crate::process::breaker::Breaker;
-use crate::version::config::{BackendServer, Config, Priority};
+use crate::version::config::{BackendServer, Config};
 
 /// Position of an engine in the table; stays the same while the engine has calls in flight.
 pub type EngineIndex = usize;
@@ -36,9 +36,9 @@
 /// The same for shorter ones. The typical length is above the mean, because a cache that is full to
 /// the mean evicts whenever programs are longer than usual.
 const SHORTER_STEP: f64 = 0.02;
-/// Part of the cache that normal programs may fill; the rest is for urgent ones, and for the starts
-/// of other entries since the last report.
-const NORMAL_CACHE_PERCENT: u64 = 90;
+/// Part of the cache that programs may fill; the rest is for urgent ones, which start in any case, and
+/// for the starts of other entries since the last report.
+const FILLED_CACHE_PERCENT: u64 = 90;
 
 /// An engine and what is known of it.
 pub struct Engine {
@@ -322,11 +322,7 @@
         let committed = kept.grown_tokens + engine.starting.len() as u64 * typical;
         let needed = call.prompt_tokens.max(typical);
         let share = self.cache_share(index, kept.tokens);
-        let percent = match call.priority {
-            Priority::Urgent => 100,
-            Priority::Normal | Priority::Background => NORMAL_CACHE_PERCENT,
-        };
-        let limit = share * percent / 100;
+        let limit = share * FILLED_CACHE_PERCENT / 100;
         (committed + needed).saturating_sub(limit).min(needed)
     }
 
--- a/src/process/routing/placement.rs
+++ b/src/process/routing/placement.rs
@@ -10,7 +10,7 @@
 
 use super::CallDescription;
 use super::engines::{EngineIndex, Engines, Group};
-use crate::version::config::{PlacementKind, Policy};
+use crate::version::config::{PlacementKind, Policy, Priority};
 
 /// A call and the engines that it may go to.
 #[derive(Clone, Copy)]
@@ -121,7 +121,8 @@
 /// Cached prefix weighed against the corrected load.
 ///
 /// The candidates are the engines that hold the prefix, the least loaded one and a few random ones.
-/// A program that starts is queued rather than evicting the prefixes of running programs.
+/// A program that starts is queued rather than evicting the prefixes of running programs, unless it is
+/// urgent.
 /// When the engines that hold the prefix are full, the call waits for them no longer than another
 /// engine would need to compute the prefix again.
 pub struct PrefixAndLoad {
@@ -167,7 +168,8 @@
         let limits = &candidates.call.config.limits;
         let longest_wait = limits.queue_time / MEMORY_WAIT_DIVISOR;
         let is_new = holders.is_empty() && candidates.call.is_new_program();
-        let waits_for_memory = is_new && candidates.waited < longest_wait;
+        let is_urgent = candidates.call.priority == Priority::Urgent;
+        let waits_for_memory = is_new && !is_urgent && candidates.waited < longest_wait;
         let mut lacks_memory = false;
         let holders = holders.iter().rev().take(HOLDER_CANDIDATES);
         let mut best: Option<(u64, EngineIndex)> = None;
