Share the places of an engine among the entries

Cause: each entry filled the places that the last report showed as free. Three entries did so at the same time and overfilled the engine, whose queue knows no priorities; and an entry that saw only full reports started nothing. Ruled out: a steward entry for each engine that grants credits over the peer protocol. At 58 calls a second a grant and its return for each call exceed the 6 KB a second of control traffic of a node, add a round trip before the first token, and need a rule for a steward that dies. Change: an entry leaves the others what they had in progress on average over the last reports, so the parts follow the demand, and it may always use an equal part among the live entries. When an entry dies, its calls vanish from the reports and its part from the membership.

--- a/src/process/routing.rs
+++ b/src/process/routing.rs
@@ -293,7 +293,9 @@
 
     /// Takes over the number of live entries, which share the engines.
     pub fn set_live_entries(&self, count: usize) {
-        self.state.borrow_mut().engines.set_live_entries(count);
+        let mut state = self.state.borrow_mut();
+        state.engines.set_live_entries(count, Instant::now());
+        drop(state);
         dispatch_all(&self.state);
     }
 
--- a/src/process/routing/engines.rs
+++ b/src/process/routing/engines.rs
@@ -36,6 +36,9 @@
 /// The same for shorter ones. The typical length is above the mean, because a cache that is full to
 /// the mean evicts whenever programs are longer than usual.
 const SHORTER_STEP: f64 = 0.02;
+/// Weight of one report in the average calls of other entries. Single reports are out of date by
+/// half a second: with them, all entries filled the same free places at the same time.
+const OTHERS_STEP: f64 = 0.3;
 /// Part of the cache that programs may fill; the rest is for urgent ones, which start in any case, and
 /// for the starts of other entries since the last report.
 const FILLED_CACHE_PERCENT: u64 = 90;
@@ -62,8 +65,10 @@
     /// Starts (+1) and ends (-1) of the last seconds.
     history: VecDeque<(Instant, i32)>,
     report: EngineLoad,
-    /// Calls of other entries at the time of the last report.
-    others: u32,
+    /// Calls of other entries, averaged over the last reports; `None` before the first.
+    others: Option<f64>,
+    /// Calls that this entry may always run, whatever the others do.
+    guaranteed_calls: u32,
     missed_reports: u32,
     breaker: Breaker,
     /// Share of the expected cached tokens that the engine's usage confirmed.
@@ -90,7 +95,8 @@
             starting: IndexSet::new(),
             history: VecDeque::new(),
             report: EngineLoad::default(),
-            others: 0,
+            others: None,
+            guaranteed_calls: 0,
             missed_reports: 0,
             breaker: Breaker::default(),
             trust: 1.0,
@@ -104,7 +110,14 @@
     }
 
     fn corrected_calls(&self) -> u32 {
-        self.others.saturating_add(self.in_flight_calls)
+        let others = self.others.unwrap_or(0.0).round() as u32;
+        others.saturating_add(self.in_flight_calls)
+    }
+
+    /// Whether this entry may send a further call. The entries divide an engine by what they use:
+    /// each leaves the others what they had in progress on average, and keeps an equal part.
+    fn has_place(&self) -> bool {
+        self.in_flight_calls < self.guaranteed_calls || self.corrected_calls() < self.max_calls
     }
 
     fn in_flight_at(&self, time: Instant) -> u32 {
@@ -182,6 +195,7 @@
         }
         for index in 0..self.engines.len() {
             self.reclaim(index);
+            self.set_guarantee(index);
             self.update(index, now);
         }
         self.count_in_service();
@@ -293,7 +307,7 @@
         }
         let own = engine.in_flight_calls;
         let breaker_allows = engine.breaker.allows(now, engine.max_calls, own);
-        if !breaker_allows || engine.corrected_calls() >= engine.max_calls {
+        if !breaker_allows || !engine.has_place() {
             return false;
         }
         // A call that is larger than the whole cache runs alone.
@@ -302,8 +316,21 @@
     }
 
     /// Takes over the number of live entries.
-    pub fn set_live_entries(&mut self, count: usize) {
+    pub fn set_live_entries(&mut self, count: usize, now: Instant) {
         self.live_entries = count as u64;
+        for index in 0..self.engines.len() {
+            self.set_guarantee(index);
+            self.update(index, now);
+        }
+    }
+
+    /// An entry that is alone needs no guarantee: what else is in progress is not of its kind.
+    fn set_guarantee(&mut self, index: EngineIndex) {
+        let engine = &mut self.engines[index];
+        engine.guaranteed_calls = match self.live_entries {
+            0 | 1 => 0,
+            count => u64::from(engine.max_calls).div_euclid(count) as u32,
+        };
     }
 
     /// Tokens of the prefixes of running programs that a call would evict from an engine; 0 if the
@@ -424,7 +451,9 @@
         let age = Duration::from_millis(report.age_ms);
         let made = now.checked_sub(age).unwrap_or(now);
         let calls = report.running.saturating_add(report.waiting);
-        engine.others = calls.saturating_sub(engine.in_flight_at(made));
+        let others = f64::from(calls.saturating_sub(engine.in_flight_at(made)));
+        let mean = engine.others.get_or_insert(others);
+        *mean += OTHERS_STEP * (others - *mean);
         engine.report = report;
         if std::mem::take(&mut engine.missed_reports) >= MISSED_REPORTS {
             engine.breaker.end_pause(now);
@@ -506,7 +535,10 @@
         let takes_calls = engine.is_in_service() && limit > 0;
         let keys = takes_calls.then(|| {
             let reported = engine.report.running.saturating_add(engine.report.waiting);
-            let corrected = permille(engine.corrected_calls(), engine.max_calls);
+            let mut corrected = permille(engine.corrected_calls(), engine.max_calls);
+            if engine.has_place() {
+                corrected = corrected.min(FULL_PERMILLE - 1);
+            }
             // The breaker limits the calls of this entry only.
             let own = permille(engine.in_flight_calls, limit);
             (corrected.max(own), permille(reported, engine.max_calls))
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -449,6 +449,43 @@
     });
 }
 
+/// Guards against an entry that gets no place on an engine which others keep full, and against one
+/// report that makes all entries take the same free places.
+#[test]
+fn the_places_of_an_engine_are_shared_by_the_live_entries() {
+    run(|timer| async move {
+        let config = config(1, 9, 60_000);
+        let router = router(&timer, &config, 100);
+        router.set_live_entries(3);
+        let report = |running| EngineLoad {
+            running,
+            ..EngineLoad::default()
+        };
+        for _ in 0..10 {
+            router.set_report(&"e0".into(), report(9));
+        }
+        router.set_report(&"e0".into(), report(0));
+        let mut held = Vec::new();
+        while let Some(permit) = router
+            .acquire(normal(&config, &held.len().to_string()))
+            .now_or_never()
+        {
+            held.push(permit.expect("a permit"));
+        }
+        assert_eq!(held.len(), 3, "a third of the engine");
+        for _ in 0..20 {
+            router.set_report(&"e0".into(), report(3));
+        }
+        while let Some(permit) = router
+            .acquire(normal(&config, &held.len().to_string()))
+            .now_or_never()
+        {
+            held.push(permit.expect("a permit"));
+        }
+        assert_eq!(held.len(), 9, "the others have gone");
+    });
+}
+
 /// Guards against a new program that is held until its deadline although it is known that it will
 /// not start, and against refusing a running program, whose work would be lost.
 #[test]
