--- a/src/process/routing/engines.rs
+++ b/src/process/routing/engines.rs
@@ -142,15 +142,6 @@
     }
 }
 
-/// The cache of an engine, from the point of view of a call.
-#[derive(Clone, Copy, Debug)]
-pub struct Memory {
-    /// Tokens of the prefixes of running programs that the call would evict.
-    pub overflow_tokens: u64,
-    /// Prefixes of running programs, in thousandths of what this entry may fill.
-    pub committed_permille: LoadPermille,
-}
-
 /// The engines of one model.
 #[derive(Default)]
 pub struct Group {
@@ -342,25 +333,24 @@
         };
     }
 
-    /// How the cache of an engine would take a call whose prefix it does not have.
+    /// Tokens of the prefixes of running programs that a call would evict from an engine; 0 if the
+    /// cache has room for it.
     ///
     /// Short prefixes are counted with the typical length, because they grow: an engine that is
     /// full of short prefixes would evict them while the programs run.
-    pub fn memory(&self, index: EngineIndex, call: &CallDescription) -> Memory {
+    pub fn overflow(&self, index: EngineIndex, call: &CallDescription) -> u64 {
         let engine = &self.engines[index];
         let typical = self.typical_tokens.get(&call.model_id).copied();
         let typical = typical.unwrap_or(0.0) as u64;
         let kept = self.prefixes.kept(index, typical);
+        if kept.programs == 0 && engine.starting.is_empty() {
+            return 0;
+        }
         let committed = kept.grown_tokens + engine.starting.len() as u64 * typical;
         let needed = call.prompt_tokens.max(typical);
         let share = self.cache_share(index, kept.tokens);
         let limit = share * FILLED_CACHE_PERCENT / 100;
-        let overflow = (committed + needed).saturating_sub(limit).min(needed);
-        Memory {
-            // A call that is larger than the share runs alone.
-            overflow_tokens: if committed == 0 { 0 } else { overflow },
-            committed_permille: committed * FULL_PERMILLE / share.max(1),
-        }
+        (committed + needed).saturating_sub(limit).min(needed)
     }
 
     /// Tokens of an engine's cache that this entry may fill: what others leave, at least an equal
--- a/src/process/routing/placement.rs
+++ b/src/process/routing/placement.rs
@@ -153,14 +153,12 @@
     let uncached = candidates.call.prompt_tokens - cached;
     let load = engines.load(index) * FULL_LOAD_TOKENS / 1000;
     let waiting = engines.waiting(index) * WAITING_CALL_TOKENS;
-    if cached > 0 {
-        return uncached + load + waiting;
-    }
-    // What the call evicts has to be computed again, and the programs that the engine keeps will send
-    // further calls to it.
-    let memory = engines.memory(index, candidates.call);
-    let kept = memory.committed_permille * FULL_LOAD_TOKENS / 1000;
-    uncached + load + waiting + memory.overflow_tokens + kept
+    // What the call evicts has to be computed again.
+    let evicted = match cached {
+        0 => engines.overflow(index, candidates.call),
+        _ => 0,
+    };
+    uncached + load + waiting + evicted
 }
 
 impl PlacementPolicy for PrefixAndLoad {
@@ -180,7 +178,7 @@
             if !candidates.has_room(index) {
                 return false;
             }
-            if waits_for_memory && engines.memory(index, candidates.call).overflow_tokens > 0 {
+            if waits_for_memory && engines.overflow(index, candidates.call) > 0 {
                 lacks_memory = true;
                 return false;
             }
