--- a/crates/standin/src/bin/experiment/main.rs
+++ b/crates/standin/src/bin/experiment/main.rs
@@ -12,13 +12,13 @@
 use std::time::{Duration, Instant};
 
 use getopts::{Matches, Options};
-use sapphireford_standin::harness::{Process, Site, SiteOptions};
+use sapphireford_standin::harness::{HttpRequest, Process, Site, SiteOptions};
 use serde_json::{Value, json};
 
 use scenario::{ENGINES, ENTRIES, Scenario, TOOL_MS};
 
 /// Time for the programs in flight after the last arrival.
-const DRAIN_MS: u64 = 20_000;
+const DEFAULT_DRAIN_MS: u64 = 20_000;
 /// Time in which entries release the engine memory of programs that have ended.
 const RELEASE_TIME: Duration = Duration::from_secs(1);
 
@@ -30,6 +30,7 @@
     level: u32,
     seed: u64,
     duration_ms: u64,
+    drain_ms: u64,
     faults: bool,
 }
 
@@ -40,6 +41,8 @@
     options.optmulti("", "level", "percent of the full rate; repeated", "PERCENT");
     options.optmulti("", "seed", "seed of the workload; repeated", "N");
     options.optopt("", "duration-ms", "time in which programs arrive", "MS");
+    let text = "time for programs in flight after the last arrival (20000)";
+    options.optopt("", "drain-ms", text, "MS");
     let text = "an engine leaves, an entry is killed, and load reports are 2 s late";
     options.optflag("", "faults", text);
     options.optopt("", "jobs", "runs at the same time (1)", "N");
@@ -75,6 +78,8 @@
         .unwrap_or_else(|| "verfwerk".to_string());
     let duration_ms = matches.opt_get_default("duration-ms", 30_000);
     let duration_ms = duration_ms.expect("--duration-ms MS");
+    let drain_ms = matches.opt_get_default("drain-ms", DEFAULT_DRAIN_MS);
+    let drain_ms = drain_ms.expect("--drain-ms MS");
     let mut runs = Vec::new();
     for seed in matches.opt_strs("seed") {
         for level in matches.opt_strs("level") {
@@ -87,6 +92,7 @@
                     level: level.parse().expect("--level PERCENT"),
                     seed: seed.parse().expect("--seed N"),
                     duration_ms,
+                    drain_ms,
                     faults: matches.opt_present("faults"),
                 });
             }
@@ -139,7 +145,7 @@
         };
         json!({
             "workload": self.workload, "placement": self.placement, "queue": self.queue,
-            "level": self.level, "seed": self.seed, "duration_ms": self.duration_ms,
+            "level": self.level, "seed": self.seed, "duration_ms": self.duration_ms, "drain_ms": self.drain_ms,
             "faults": self.faults, "rate": rate, "load_average": load_average,
             "wasted": {
                 "recomputed": load["entry"]["tokens"]["wasted_tokens"],
@@ -149,6 +155,7 @@
             "recomputed_after_eviction": sum("tokens_recomputed_after_eviction"),
             "evicted": sum("tokens_evicted"),
             "started_while_leaving": sum("calls_started_while_leaving"),
+            "held": site.engines.iter().map(held).collect::<Vec<_>>(),
             "load": load,
         })
     }
@@ -176,7 +183,7 @@
             .args(["--team-keys", &file("keys.json", &keys)])
             .args(["--seed", &self.seed.to_string()])
             .args(["--duration-ms", &self.duration_ms.to_string()])
-            .args(["--drain-ms", &DRAIN_MS.to_string()])
+            .args(["--drain-ms", &self.drain_ms.to_string()])
             .args(["--tool", &site.tool.address().to_string()])
             .arg("--report")
             .arg(&report_path)
@@ -203,6 +210,12 @@
     }
 }
 
+/// What an engine still has in its cache.
+fn held(engine: &Process) -> Value {
+    let answer = HttpRequest::get("/v1/cache").send(engine.address());
+    answer.map_or(Value::Null, |answer| answer.json())
+}
+
 fn load_tool() -> std::path::PathBuf {
     let this = std::env::current_exe().expect("the path of this program is known");
     this.with_file_name("sapphireford-load")
