--- a/src/process/conversation/fold.rs
+++ b/src/process/conversation/fold.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use crate::error::ErrorKind;
 use crate::ids::{Micros, RequestId, RunId};
 use crate::process::conversation::{
     ActionOutcome, Conversation, EndReason, Event, Message, Progress, RequestRecord, Role, Run,
@@ -109,7 +108,8 @@
     /// Settles the calls that were in progress when their holder was lost.
     ///
     /// The reservation of an open turn counts as spent, because the engine may have run all of it.
-    /// An open action is in doubt, and its reservation stays until its outcome is known.
+    /// An open action is in doubt, and its reservation stays until its outcome is known. It counts as
+    /// a call, because the caller goes on with the next one.
     pub fn interrupt_open_calls(&mut self) {
         let open: Vec<RequestId> = self
             .requests
@@ -159,12 +159,14 @@
             return;
         };
         let parent = parent_run_id.and_then(|parent| self.runs.get_mut(&parent));
-        let depth = match parent {
+        // The end of the parent may have become durable before the start of the sub-agent. The
+        // sub-agent has ended with it then; nothing else would ever end it.
+        let (depth, state) = match parent {
             Some(parent) => {
                 parent.sub_agents += 1;
-                parent.depth + 1
+                (parent.depth + 1, parent.state)
             }
-            None => 0,
+            None => (0, RunState::Active),
         };
         let run = Run {
             program_id: program_id.clone(),
@@ -176,7 +178,7 @@
             pending_micros: 0,
             calls: 0,
             sub_agents: 0,
-            state: RunState::Active,
+            state,
             thread: Thread::default(),
             last_event_ms: at_ms,
         };
@@ -260,41 +262,43 @@
         run_id: RunId,
         outcome: &ActionOutcome,
     ) {
-        // An action in doubt has its place among the calls of the run already.
-        let (action, is_open) = match self.requests.get(request_id).map(|entry| &entry.progress) {
+        // An action in doubt was counted as a call when its doubt began.
+        let (action, is_open) = match self
+            .requests
+            .get(request_id)
+            .map(|request| &request.progress)
+        {
             Some(Progress::ActionOpen(action)) => (action.clone(), true),
             Some(Progress::ActionInDoubt(action)) => (action.clone(), false),
             _ => return,
         };
-        let reserved = action.reserved_micros;
+        if is_open && !matches!(outcome, ActionOutcome::NotRun) {
+            self.count_call(run_id);
+        }
         match outcome {
             ActionOutcome::Done {
                 result,
                 charge_micros,
             } => {
-                self.settle(run_id, reserved, *charge_micros);
+                self.settle(run_id, action.reserved_micros, *charge_micros);
                 self.extend_with_tool_result(run_id, result);
                 let progress =
                     Progress::ActionDone(action.action_id, result.clone(), *charge_micros);
                 self.set_progress(request_id, progress);
             }
             ActionOutcome::Failed { message } => {
-                self.settle(run_id, reserved, 0);
-                let progress = Progress::Failed(ErrorKind::ToolFailed, message.clone());
-                self.set_progress(request_id, progress);
+                self.settle(run_id, action.reserved_micros, 0);
+                let kind = crate::error::ErrorKind::ToolFailed;
+                self.set_progress(request_id, Progress::Failed(kind, message.clone()));
             }
             ActionOutcome::InDoubt => {
                 self.set_progress(request_id, Progress::ActionInDoubt(action));
             }
             ActionOutcome::NotRun => {
-                self.settle(run_id, reserved, 0);
+                self.settle(run_id, action.reserved_micros, 0);
                 self.requests.shift_remove(request_id);
-                return;
             }
         }
-        if is_open {
-            self.count_call(run_id);
-        }
     }
 
     fn extend_with_tool_result(&mut self, run_id: RunId, result: &Rc<str>) {
--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -21,8 +21,8 @@
 use crate::process::membership::Membership;
 use crate::process::recovery;
 use crate::process::rows::{
-    EntryRow, EntryState, Holder, SLOT_PREFIX, SlotRow, checkpoint_key, conversation_object_key,
-    entry_key, segment_key,
+    EntryRow, EntryState, Holder, SlotRow, checkpoint_key, conversation_object_key, entry_key,
+    segment_key, slot_key,
 };
 use crate::process::settings::Settings;
 use crate::process::slots::{ConversationCell, Slots, placement};
@@ -34,9 +34,17 @@
 const FORCED_RELEASE_AFTER: Duration = Duration::from_secs(10);
 /// Objects read or written at the same time.
 const PARALLEL_OBJECTS: usize = 16;
-/// Slot rows changed in one commit.
+/// Slot rows read in one request or changed in one commit.
 const CHANGES_PER_COMMIT: usize = 256;
 
+/// The slots that prefer this entry, kept while the candidates stay the same: to find them takes a
+/// hash for each slot and candidate.
+#[derive(Default)]
+struct Preferences {
+    candidates: IndexSet<EntryId>,
+    own_slots: IndexSet<SlotId>,
+}
+
 /// Moves slots between this entry and the others.
 pub struct SlotManager {
     slots: Rc<Slots>,
@@ -49,7 +57,11 @@
     /// Holders that were seen in slot rows; a hint only.
     holders: RefCell<IndexMap<SlotId, EntryId>>,
     unwanted_since: RefCell<IndexMap<SlotId, Instant>>,
+    preferences: RefCell<Preferences>,
     next_checkpoint: Cell<u64>,
+    /// Slots whose row is being changed: a periodic checkpoint and a release of the same slot derive
+    /// their change from the same version of the row, so only one of them may be on its way.
+    changing: RefCell<IndexSet<SlotId>>,
 }
 
 impl SlotManager {
@@ -72,7 +84,9 @@
             leaving: Cell::new(false),
             holders: RefCell::default(),
             unwanted_since: RefCell::default(),
+            preferences: RefCell::default(),
             next_checkpoint: Cell::new(1),
+            changing: RefCell::default(),
         })
     }
 
@@ -121,7 +135,7 @@
     }
 
     /// Entries that may hold slots.
-    fn candidates(&self) -> IndexSet<EntryId> {
+    pub fn candidates(&self) -> IndexSet<EntryId> {
         let mut candidates: IndexSet<EntryId> = self
             .membership
             .live()
@@ -136,20 +150,28 @@
         candidates
     }
 
+    /// The slots to take and those to release.
     fn partition(&self) -> (Vec<SlotId>, Vec<SlotId>) {
+        self.update_preferences();
+        let own_slots = &self.preferences.borrow().own_slots;
+        let missing = own_slots.iter().filter(|slot| !self.slots.is_held(**slot));
+        let wanted = missing.copied().collect();
+        let mut unwanted = self.slots.held();
+        unwanted.retain(|slot| !own_slots.contains(slot));
+        (wanted, unwanted)
+    }
+
+    fn update_preferences(&self) {
         let candidates = self.candidates();
+        let mut preferences = self.preferences.borrow_mut();
+        if preferences.candidates == candidates {
+            return;
+        }
         let own = &self.settings.entry_id;
-        let prefers_own = |slot: &SlotId| preferred(*slot, &candidates).as_ref() == Some(own);
-        let wanted = (0..self.slots.slot_count())
-            .filter(|slot| !self.slots.is_held(*slot) && prefers_own(slot))
+        preferences.own_slots = (0..self.slots.slot_count())
+            .filter(|slot| preferred(*slot, &candidates).as_ref() == Some(own))
             .collect();
-        let unwanted = self
-            .slots
-            .held()
-            .into_iter()
-            .filter(|slot| !prefers_own(slot))
-            .collect();
-        (wanted, unwanted)
+        preferences.candidates = candidates;
     }
 
     /// Takes the free ones among the slots that prefer this entry.
@@ -157,16 +179,7 @@
         let Some(holder) = self.journal.holder() else {
             return Ok(());
         };
-        let mut rows: IndexMap<SlotId, (SlotRow, u64)> = IndexMap::new();
-        for row in self.platform.scan(SLOT_PREFIX).await? {
-            let slot_row: SlotRow = row.decode()?;
-            let seen = slot_row
-                .holder
-                .as_ref()
-                .map(|holder| holder.entry_id.clone());
-            self.learn_holder(slot_row.slot, seen);
-            rows.insert(slot_row.slot, (slot_row, row.version));
-        }
+        let rows = self.read_rows(wanted).await?;
         let free = wanted.iter().filter_map(|slot| match rows.get(slot) {
             None => Some((
                 SlotRow {
@@ -187,6 +200,27 @@
         Ok(())
     }
 
+    /// Reads the rows of some slots that exist, and learns their holders. Reading them by key keeps
+    /// the bytes independent of the number of slots of the site.
+    async fn read_rows(
+        &self,
+        slots: &[SlotId],
+    ) -> crate::connection::platform::Result<IndexMap<SlotId, (SlotRow, u64)>> {
+        let keys: Vec<String> = slots.iter().map(|slot| slot_key(*slot)).collect();
+        let mut rows = IndexMap::new();
+        for keys in keys.chunks(CHANGES_PER_COMMIT) {
+            let read = self.platform.read(keys).await?;
+            for row in read.into_iter().filter(|row| row.version > 0) {
+                let slot_row: SlotRow = row.decode()?;
+                let holder = slot_row.holder.as_ref();
+                let entry_id = holder.map(|holder| holder.entry_id.clone());
+                self.learn_holder(slot_row.slot, entry_id);
+                rows.insert(slot_row.slot, (slot_row, row.version));
+            }
+        }
+        Ok(rows)
+    }
+
     async fn take_chunk(
         &self,
         holder: &Holder,
@@ -228,6 +262,16 @@
         Ok(())
     }
 
+    /// Serves slots again that prefer this entry after all, when their release was begun but the
+    /// platform or calls in progress kept it from being carried out.
+    fn keep_preferred(&self, unwanted: &[SlotId]) {
+        for slot in self.slots.held() {
+            if !unwanted.contains(&slot) {
+                self.slots.keep(slot);
+            }
+        }
+    }
+
     /// Releases slots that prefer another entry: idle ones at once, others when their time is up.
     async fn release(&self, unwanted: &[SlotId]) -> crate::connection::platform::Result<()> {
         let now = Instant::now();
@@ -259,11 +303,28 @@
         Ok(())
     }
 
-    /// Writes checkpoints of slots, and gives the slots up if `release` is set.
+    /// Writes checkpoints of slots, and gives the slots up if `release` is set. Slots whose row is
+    /// being changed already are left for the next time.
     async fn checkpoint(
         &self,
         slots: &[SlotId],
         release: bool,
+    ) -> crate::connection::platform::Result<()> {
+        let slots: Vec<SlotId> = {
+            let mut changing = self.changing.borrow_mut();
+            let free = slots.iter().copied();
+            free.filter(|slot| changing.insert(*slot)).collect()
+        };
+        let result = self.change_rows(&slots, release).await;
+        let mut changing = self.changing.borrow_mut();
+        changing.retain(|slot| !slots.contains(slot));
+        result
+    }
+
+    async fn change_rows(
+        &self,
+        slots: &[SlotId],
+        release: bool,
     ) -> crate::connection::platform::Result<()> {
         let Some(holder) = self.journal.holder() else {
             return Ok(());
@@ -271,13 +332,14 @@
         let first_segment = self.journal.segment() + 1;
         let mut changes = Vec::new();
         let mut objects = Vec::new();
-        let mut replaced = Vec::new();
+        // Objects that a slot no longer needs once its new row is written.
+        let mut replaced: IndexMap<SlotId, Vec<String>> = IndexMap::new();
         for slot in slots {
             let Some((mut row, version)) = self.slots.row(*slot) else {
                 continue;
             };
             if let Some((checkpoint, obsolete)) = self.slots.snapshot_if_changed(*slot) {
-                replaced.extend(obsolete);
+                let replaced = replaced.entry(*slot).or_insert(obsolete);
                 let key = checkpoint_key(*slot, &holder, self.next_object_number());
                 match segment::encode(&checkpoint) {
                     Ok(bytes) => objects.push((key.clone(), bytes)),
@@ -311,12 +373,14 @@
                 }
                 SlotChangeOutcome::Written(version) => self.slots.checkpointed(row, version),
                 SlotChangeOutcome::Conflict => {
+                    // The row still names the old checkpoint.
+                    replaced.swap_remove(&row.slot);
                     let detail = format!("the row of held slot {} was changed", row.slot);
                     invariant::violated("slot_row", &detail);
                 }
             }
         }
-        for key in replaced {
+        for key in replaced.into_values().flatten() {
             if let Err(error) = self.platform.delete_object(&key).await {
                 log::debug!(
                     "the old checkpoint `{key}` was not deleted: {}",
@@ -351,8 +415,7 @@
         let Some(holder) = self.journal.holder() else {
             return Ok(());
         };
-        // An event on its way would be applied to a conversation that is not there.
-        if self.journal.has_pending(slot) || !self.slots.is_open(slot) {
+        if !self.slots.is_open(slot) {
             return Ok(());
         }
         let key = cell.state.borrow().key.clone();
@@ -368,10 +431,9 @@
         let written = cell.state.borrow().clone();
         self.platform.put_object(&object, bytes.into()).await?;
         let is_current = self.journal.holder().as_ref() == Some(&holder);
-        let is_settled = !self.journal.has_pending(slot) && self.slots.is_open(slot);
         // While the object was written, the conversation may have been opened and changed.
-        let is_unchanged = *cell.state.borrow() == written;
-        if is_current && is_settled && is_unchanged {
+        let is_unchanged = self.slots.is_open(slot) && *cell.state.borrow() == written;
+        if is_current && is_unchanged {
             self.slots.evict(slot, cell, Some(object));
         }
         Ok(())
@@ -410,6 +472,7 @@
     loop {
         manager.journal.registered().await;
         let (wanted, unwanted) = manager.partition();
+        manager.keep_preferred(&unwanted);
         if !wanted.is_empty()
             && let Err(error) = manager.take(&wanted).await
         {
@@ -504,9 +567,12 @@
         if *entry_id == self.settings.entry_id || self.journal.holder().is_none() {
             return false;
         }
-        let number = placement::hash_bytes(entry_id.as_bytes()) as SlotId;
-        let first = preferred(number, &self.candidates());
-        first.as_ref() == Some(&self.settings.entry_id)
+        // The others that are lost together with this one cannot recover it either.
+        let lost = self.membership.expired(self.settings.lease_ttl);
+        let mut candidates = self.candidates();
+        candidates.retain(|id| lost.iter().all(|row| row.entry_id != *id));
+        let first = placement::first_to_recover(entry_id, candidates.iter().map(|id| &**id));
+        first == Some(&*self.settings.entry_id)
             || since_expiry >= self.settings.lease_ttl * FIRST_TURN_LEASES
     }
 
--- a/src/request/turn.rs
+++ b/src/request/turn.rs
@@ -24,9 +24,9 @@
 use crate::process::routing::{CallDescription, Permit};
 use crate::process::slots::lock::ThreadLock;
 use crate::request::api::{
-    self, DoneEvent, EVENT_DONE, EVENT_ERROR, EVENT_START, EVENT_TOKEN, TokenEvent, Turn,
+    DoneEvent, EVENT_DONE, EVENT_ERROR, EVENT_START, EVENT_TOKEN, StartEvent, TokenEvent, Turn,
 };
-use crate::request::call::{CallContext, Refusal, StartEvent, cache_key};
+use crate::request::call::{CallContext, Started, cache_key, hold_until_settled, unsettled};
 use crate::version::config::{Model, Program};
 use attempt::Attempt;
 
@@ -39,6 +39,7 @@
         head: Some(head),
         sender,
         index: 0,
+        pending: Vec::new(),
     };
     monoio::spawn(run(context, run_id, body, output));
     match head_receiver.await {
@@ -75,30 +76,46 @@
     /// `None` once the stream has begun.
     head: Option<oneshot::Sender<Result<()>>>,
     sender: BodySender,
-    /// Number of token events sent.
+    /// Number of token events written.
     index: u64,
+    /// Events that are not sent yet, see [`Output::flush`].
+    pending: Vec<u8>,
 }
 
+/// Events of one stream that are sent together at most.
+const PENDING_LIMIT_BYTES: usize = 4 << 10;
+
 impl Output {
-    async fn begin(&mut self, start: &api::StartEvent) {
+    /// Begins the stream if it has not begun; `start` makes its first event.
+    fn begin(&mut self, start: impl FnOnce() -> StartEvent) {
         if let Some(head) = self.head.take() {
             let _ = head.send(Ok(()));
-            let _ = self.sender.send(sse::encode(EVENT_START, start)).await;
+            sse::append(&mut self.pending, EVENT_START, &start());
         }
     }
 
-    async fn token(&mut self, text: &str) {
+    /// Writes a token, which is sent by the next flush.
+    fn token(&mut self, text: &str) {
         let event = TokenEvent {
             index: self.index,
             text: text.to_string(),
         };
         self.index += 1;
-        // A caller that is gone is noticed by `closed`.
-        let _ = self.sender.send(sse::encode(EVENT_TOKEN, &event)).await;
+        sse::append(&mut self.pending, EVENT_TOKEN, &event);
     }
 
     async fn done(&mut self, event: &DoneEvent) {
-        let _ = self.sender.send(sse::encode(EVENT_DONE, event)).await;
+        sse::append(&mut self.pending, EVENT_DONE, event);
+        self.flush().await;
+    }
+
+    /// Sends what was written since the last flush as one chunk.
+    async fn flush(&mut self) {
+        if !self.pending.is_empty() {
+            let chunk = std::mem::take(&mut self.pending);
+            // A caller that is gone is noticed by `closed`.
+            let _ = self.sender.send(chunk.into()).await;
+        }
     }
 
     async fn fail(&mut self, error: Error) {
@@ -110,10 +127,8 @@
                 let kind = error.kind.answer().name;
                 metrics::counter!(REQUESTS, "route" => "turn_stream", "outcome" => kind)
                     .increment(1);
-                let _ = self
-                    .sender
-                    .send(sse::encode(EVENT_ERROR, &error.to_body()))
-                    .await;
+                sse::append(&mut self.pending, EVENT_ERROR, &error.to_body());
+                self.flush().await;
             }
         }
     }
@@ -140,13 +155,11 @@
     (request_id, result): &(crate::ids::RequestId, TurnResult),
     output: &mut Output,
 ) {
-    output
-        .begin(&api::StartEvent {
-            request_id: request_id.clone(),
-            turn: result.turn.into(),
-        })
-        .await;
-    output.token(&result.output).await;
+    output.begin(|| StartEvent {
+        request_id: request_id.clone(),
+        turn: result.turn.into(),
+    });
+    output.token(&result.output);
     output
         .done(&done_event(context, run_id, request_id, result))
         .await;
@@ -189,7 +202,7 @@
         return Ok(Prepared::Repeat((body.request_id, result)));
     }
     let lock = {
-        let lock = std::pin::pin!(context.lock_in_sequence(run_id, body.sequence));
+        let lock = std::pin::pin!(context.lock_call(run_id, &body.request_id, body.sequence));
         let closed = std::pin::pin!(output.sender.closed());
         match select(lock, closed).await {
             Either::Left((lock, _)) => lock?,
@@ -199,10 +212,7 @@
     match context.earlier(&body.request_id)? {
         Some(Progress::TurnDone(result)) => return Ok(Prepared::Repeat((body.request_id, result))),
         None | Some(Progress::TurnInterrupted) => {}
-        Some(_) => {
-            let message = "an earlier attempt of this request is not settled yet; come back soon";
-            return Err(Error::new(ErrorKind::QueueTimeout, message));
-        }
+        Some(_) => return Err(unsettled()),
     }
     context.check_durability()?;
     context.check_call(run_id, body.sequence)?;
@@ -226,7 +236,7 @@
     prompt_tokens_bound: u64,
     reserved_micros: Micros,
     /// Held until the turn is settled.
-    _lock: ThreadLock,
+    lock: Option<ThreadLock>,
 }
 
 impl<'a> NewTurn<'a> {
@@ -263,49 +273,58 @@
             model,
             prompt_tokens_bound,
             reserved_micros,
-            _lock: lock,
+            lock: Some(lock),
         })
     }
 
     async fn execute(&mut self, output: &mut Output) -> Result<()> {
-        let permit = match self.start().await {
-            Ok(permit) => permit,
-            Err(refusal) => {
-                // The caller gets its final answer before the journal is settled.
-                output.fail(refusal.error).await;
-                let not_run = self.finish_event(TurnOutcome::NotRun);
-                let reserved = self.reserved_micros;
-                self.context
-                    .settle_refused(self.run_id, reserved, refusal.start, not_run)
-                    .await;
-                return Ok(());
-            }
-        };
+        let permit = self.start().await?;
         let mut attempt = Attempt::new(permit);
         let outcome = attempt.run(self, output).await;
         self.settle(outcome, output).await
     }
 
     /// Makes the start event durable and waits for an engine, both at the same time.
-    async fn start(&mut self) -> std::result::Result<Permit, Refusal> {
+    async fn start(&mut self) -> Result<Permit> {
         let event = Event::TurnStarted {
             request_id: self.body.request_id.clone(),
             fingerprint: self.context.fingerprint,
             run_id: self.run_id,
             reserved_micros: self.reserved_micros,
         };
-        let receipt = self.context.append(event).map_err(|error| Refusal {
-            error,
-            start: StartEvent::Withdrawn,
-        })?;
-        let call = self.describe(Vec::new());
-        let engine = self.context.entry.router.acquire(call);
-        let (started, permit) = join(self.context.start_durable(receipt), engine).await;
-        started?;
-        permit.map_err(|error| Refusal {
-            error,
-            start: StartEvent::Durable,
-        })
+        let mut receipt = match self.context.append(event) {
+            Ok(receipt) => receipt,
+            Err(error) => {
+                self.clear_pending();
+                return Err(error);
+            }
+        };
+        let engine = self.context.entry.router.acquire(self.describe(Vec::new()));
+        let (started, permit) = join(self.context.start_durable(&mut receipt), engine).await;
+        match (started, permit) {
+            (Started::Durable, Ok(permit)) => Ok(permit),
+            (Started::Durable, Err(error)) => {
+                // The caller does not wait: the call was not sent whether the event is durable or not.
+                let receipt = self.append_finish(TurnOutcome::NotRun)?;
+                monoio::spawn(hold_until_settled(receipt, self.lock.take()));
+                Err(error)
+            }
+            (Started::Refused(error), _) => {
+                if self.context.entry.journal.withdraw(&receipt) {
+                    self.clear_pending();
+                } else {
+                    let finish = self.finish_event(TurnOutcome::NotRun);
+                    self.context
+                        .settle_refused(receipt, self.lock.take(), finish);
+                }
+                Err(error)
+            }
+        }
+    }
+
+    fn clear_pending(&self) {
+        let mut state = self.context.open.cell().state.borrow_mut();
+        state.clear_pending(self.run_id, self.reserved_micros);
     }
 
     fn describe(&self, excluded: Vec<crate::ids::BackendServerId>) -> CallDescription {
@@ -328,6 +347,10 @@
         }
     }
 
+    fn append_finish(&self, outcome: TurnOutcome) -> Result<crate::process::journal::Receipt> {
+        self.context.append(self.finish_event(outcome))
+    }
+
     fn finish_event(&self, outcome: TurnOutcome) -> Event {
         Event::TurnFinished {
             request_id: self.body.request_id.clone(),
@@ -344,20 +367,32 @@
             .unwrap_or(0)
     }
 
-    /// The cost of what an engine reports, never above the reservation.
-    fn cost(&self, usage: &Usage) -> Micros {
-        let cost = price(usage.prompt_tokens, self.model.prompt_micros_per_1k_tokens)
-            + price(
-                usage.completion_tokens,
-                self.model.output_micros_per_1k_tokens,
-            );
-        if cost > self.reserved_micros {
+    /// What an engine reports, at most what the request allows. The history's length is counted
+    /// from it, so a wrong report would also make the conversation too long for further turns.
+    fn bounded(&self, usage: Usage) -> Usage {
+        let bounded = Usage {
+            prompt_tokens: usage.prompt_tokens.min(self.prompt_tokens_bound),
+            completion_tokens: usage
+                .completion_tokens
+                .min(self.body.max_output_tokens.into()),
+            cached_tokens: usage.cached_tokens.min(self.prompt_tokens_bound),
+        };
+        if bounded != usage {
             log::warn!(
-                run_id = self.run_id, cost, reserved = self.reserved_micros;
+                run_id = self.run_id, usage:? = usage;
                 "an engine reports more tokens than the request allows"
             );
         }
-        cost.min(self.reserved_micros)
+        bounded
+    }
+
+    /// The cost of bounded usage, which is never above the reservation.
+    fn cost(&self, usage: &Usage) -> Micros {
+        price(usage.prompt_tokens, self.model.prompt_micros_per_1k_tokens)
+            + price(
+                usage.completion_tokens,
+                self.model.output_micros_per_1k_tokens,
+            )
     }
 
     async fn settle(&mut self, outcome: attempt::Outcome, output: &mut Output) -> Result<()> {
@@ -407,15 +442,17 @@
         Err(error)
     }
 
-    async fn append_and_wait(&self, outcome: TurnOutcome) -> Result<()> {
-        let mut receipt = self.context.append(self.finish_event(outcome))?;
-        self.context.finish_durable(&mut receipt).await
+    async fn append_and_wait(&mut self, outcome: TurnOutcome) -> Result<()> {
+        let mut receipt = self.append_finish(outcome)?;
+        let result = self.context.finish_durable(&mut receipt).await;
+        if result.is_err() {
+            monoio::spawn(hold_until_settled(receipt, self.lock.take()));
+        }
+        result
     }
 
     async fn settle_done(&mut self, result: TurnResult, output: &mut Output) -> Result<()> {
-        let mut receipt = self
-            .context
-            .append(self.finish_event(TurnOutcome::Done(result.clone())))?;
+        let mut receipt = self.append_finish(TurnOutcome::Done(result.clone()))?;
         match self.context.finish_durable(&mut receipt).await {
             Ok(()) => {}
             Err(error) => {
