--- a/src/process/entry/background.rs
+++ b/src/process/entry/background.rs
@@ -173,7 +173,7 @@
         at_ms: unix_ms(),
         event,
     };
-    let Ok(mut receipt) = entry.journal.append(open.incarnation(), record) else {
+    let Ok(mut receipt) = entry.journal.append(&open, record) else {
         return;
     };
     if receipt.durable().await.is_ok() {
--- a/src/request/turn.rs
+++ b/src/request/turn.rs
@@ -24,9 +24,9 @@
 use crate::process::routing::{CallDescription, Permit};
 use crate::process::slots::lock::ThreadLock;
 use crate::request::api::{
-    self, DoneEvent, EVENT_DONE, EVENT_ERROR, EVENT_START, EVENT_TOKEN, TokenEvent, Turn,
+    DoneEvent, EVENT_DONE, EVENT_ERROR, EVENT_START, EVENT_TOKEN, StartEvent, TokenEvent, Turn,
 };
-use crate::request::call::{CallContext, Refusal, StartEvent, cache_key};
+use crate::request::call::{CallContext, Started, cache_key, hold_until_settled, unsettled};
 use crate::version::config::{Model, Program};
 use attempt::Attempt;
 
@@ -80,7 +80,7 @@
 }
 
 impl Output {
-    async fn begin(&mut self, start: &api::StartEvent) {
+    async fn begin(&mut self, start: &StartEvent) {
         if let Some(head) = self.head.take() {
             let _ = head.send(Ok(()));
             let _ = self.sender.send(sse::encode(EVENT_START, start)).await;
@@ -141,7 +141,7 @@
     output: &mut Output,
 ) {
     output
-        .begin(&api::StartEvent {
+        .begin(&StartEvent {
             request_id: request_id.clone(),
             turn: result.turn.into(),
         })
@@ -189,7 +189,7 @@
         return Ok(Prepared::Repeat((body.request_id, result)));
     }
     let lock = {
-        let lock = std::pin::pin!(context.lock_in_sequence(run_id, body.sequence));
+        let lock = std::pin::pin!(context.lock_call(run_id, &body.request_id, body.sequence));
         let closed = std::pin::pin!(output.sender.closed());
         match select(lock, closed).await {
             Either::Left((lock, _)) => lock?,
@@ -199,10 +199,7 @@
     match context.earlier(&body.request_id)? {
         Some(Progress::TurnDone(result)) => return Ok(Prepared::Repeat((body.request_id, result))),
         None | Some(Progress::TurnInterrupted) => {}
-        Some(_) => {
-            let message = "an earlier attempt of this request is not settled yet; come back soon";
-            return Err(Error::new(ErrorKind::QueueTimeout, message));
-        }
+        Some(_) => return Err(unsettled()),
     }
     context.check_durability()?;
     context.check_call(run_id, body.sequence)?;
@@ -226,7 +223,7 @@
     prompt_tokens_bound: u64,
     reserved_micros: Micros,
     /// Held until the turn is settled.
-    _lock: ThreadLock,
+    lock: Option<ThreadLock>,
 }
 
 impl<'a> NewTurn<'a> {
@@ -263,49 +260,58 @@
             model,
             prompt_tokens_bound,
             reserved_micros,
-            _lock: lock,
+            lock: Some(lock),
         })
     }
 
     async fn execute(&mut self, output: &mut Output) -> Result<()> {
-        let permit = match self.start().await {
-            Ok(permit) => permit,
-            Err(refusal) => {
-                // The caller gets its final answer before the journal is settled.
-                output.fail(refusal.error).await;
-                let not_run = self.finish_event(TurnOutcome::NotRun);
-                let reserved = self.reserved_micros;
-                self.context
-                    .settle_refused(self.run_id, reserved, refusal.start, not_run)
-                    .await;
-                return Ok(());
-            }
-        };
+        let permit = self.start().await?;
         let mut attempt = Attempt::new(permit);
         let outcome = attempt.run(self, output).await;
         self.settle(outcome, output).await
     }
 
     /// Makes the start event durable and waits for an engine, both at the same time.
-    async fn start(&mut self) -> std::result::Result<Permit, Refusal> {
+    async fn start(&mut self) -> Result<Permit> {
         let event = Event::TurnStarted {
             request_id: self.body.request_id.clone(),
             fingerprint: self.context.fingerprint,
             run_id: self.run_id,
             reserved_micros: self.reserved_micros,
         };
-        let receipt = self.context.append(event).map_err(|error| Refusal {
-            error,
-            start: StartEvent::Withdrawn,
-        })?;
-        let call = self.describe(Vec::new());
-        let engine = self.context.entry.router.acquire(call);
-        let (started, permit) = join(self.context.start_durable(receipt), engine).await;
-        started?;
-        permit.map_err(|error| Refusal {
-            error,
-            start: StartEvent::Durable,
-        })
+        let mut receipt = match self.context.append(event) {
+            Ok(receipt) => receipt,
+            Err(error) => {
+                self.clear_pending();
+                return Err(error);
+            }
+        };
+        let engine = self.context.entry.router.acquire(self.describe(Vec::new()));
+        let (started, permit) = join(self.context.start_durable(&mut receipt), engine).await;
+        match (started, permit) {
+            (Started::Durable, Ok(permit)) => Ok(permit),
+            (Started::Durable, Err(error)) => {
+                // The caller does not wait: the call was not sent whether the event is durable or not.
+                let receipt = self.append_finish(TurnOutcome::NotRun)?;
+                monoio::spawn(hold_until_settled(receipt, self.lock.take()));
+                Err(error)
+            }
+            (Started::Refused(error), _) => {
+                if self.context.entry.journal.withdraw(&receipt) {
+                    self.clear_pending();
+                } else {
+                    let finish = self.finish_event(TurnOutcome::NotRun);
+                    self.context
+                        .settle_refused(receipt, self.lock.take(), finish);
+                }
+                Err(error)
+            }
+        }
+    }
+
+    fn clear_pending(&self) {
+        let mut state = self.context.open.cell().state.borrow_mut();
+        state.clear_pending(self.run_id, self.reserved_micros);
     }
 
     fn describe(&self, excluded: Vec<crate::ids::BackendServerId>) -> CallDescription {
@@ -328,6 +334,10 @@
         }
     }
 
+    fn append_finish(&self, outcome: TurnOutcome) -> Result<crate::process::journal::Receipt> {
+        self.context.append(self.finish_event(outcome))
+    }
+
     fn finish_event(&self, outcome: TurnOutcome) -> Event {
         Event::TurnFinished {
             request_id: self.body.request_id.clone(),
@@ -419,15 +429,17 @@
         Err(error)
     }
 
-    async fn append_and_wait(&self, outcome: TurnOutcome) -> Result<()> {
-        let mut receipt = self.context.append(self.finish_event(outcome))?;
-        self.context.finish_durable(&mut receipt).await
+    async fn append_and_wait(&mut self, outcome: TurnOutcome) -> Result<()> {
+        let mut receipt = self.append_finish(outcome)?;
+        let result = self.context.finish_durable(&mut receipt).await;
+        if result.is_err() {
+            monoio::spawn(hold_until_settled(receipt, self.lock.take()));
+        }
+        result
     }
 
     async fn settle_done(&mut self, result: TurnResult, output: &mut Output) -> Result<()> {
-        let mut receipt = self
-            .context
-            .append(self.finish_event(TurnOutcome::Done(result.clone())))?;
+        let mut receipt = self.append_finish(TurnOutcome::Done(result.clone()))?;
         match self.context.finish_durable(&mut receipt).await {
             Ok(()) => {}
             Err(error) => {
