--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -51,9 +51,9 @@
 pub struct Faults {
     pub delay: Duration,
     pub outage: Outage,
-    pub refuse_weights: bool,
     hang_commits: bool,
     commit_filter: String,
+    pub refuse_weights: bool,
     lose_next: u64,
     /// From 0 to 1.
     lose_rate: f64,
@@ -65,9 +65,9 @@
         Self {
             delay: Duration::ZERO,
             outage: Outage::None,
-            refuse_weights: false,
             hang_commits: false,
             commit_filter: String::new(),
+            refuse_weights: false,
             lose_next: 0,
             lose_rate: 0.0,
             random: StdRng::seed_from_u64(0),
@@ -84,13 +84,13 @@
         if let Some(outage) = control.outage {
             self.outage = outage;
         }
-        self.refuse_weights = control.refuse_weights.unwrap_or(self.refuse_weights);
         if let Some(hang) = control.hang_commits {
             self.hang_commits = hang;
         }
         if let Some(filter) = control.commit_filter {
             self.commit_filter = filter;
         }
+        self.refuse_weights = control.refuse_weights.unwrap_or(self.refuse_weights);
         if let Some(count) = control.lose_acknowledgements {
             self.lose_next = count;
         }
--- a/src/process/slots/placement.rs
+++ b/src/process/slots/placement.rs
@@ -56,6 +56,16 @@
         .min_by_key(|id| (Reverse(weight_of(number, id)), *id))
 }
 
+/// The candidate that goes first in recovering a lost entry, which is none itself: it may still be
+/// listed as live then.
+pub fn first_to_recover<'a>(
+    lost: &str,
+    candidates: impl IntoIterator<Item = &'a str>,
+) -> Option<&'a str> {
+    let others = candidates.into_iter().filter(|id| *id != lost);
+    preferred(hash_bytes(lost.as_bytes()) as SlotId, others)
+}
+
 fn weight(slot: SlotId, entry_id: &str) -> u64 {
     weight_of(u64::from(slot), entry_id)
 }
