Keep every request whole while an entry leaves, and bound its stop

Cause: closing the listener reset the connections in its queue, and a graceful shutdown closed connections whose first request was still on its way. Requests for a slot that a long stream kept on the leaving entry were not passed on to it. Each step of the stop had the whole limit, and closing the row had none.

Ruled out: a fault of the peer connection. The same callers failed without a forwarded request, with a reset of the connection in the listener's queue.

Change: the listener accepts what is in its queue before it closes, and idle connections stay open for 200 ms. Answers of a leaving entry close their connection. A leaving entry is still asked for the slots that it holds. It waits for one membership interval before it releases slots, and releases each in the first moment in which it is idle. One deadline holds for all steps.

The harness waits until no slot moves any more: an outage in the middle of the first distribution of slots made a test of outages fail with `slot_unavailable`.

--- a/crates/standin/src/harness.rs
+++ b/crates/standin/src/harness.rs
@@ -10,7 +10,7 @@
 pub use caller::{Call, Caller, Reply, check_history};
 pub use http::{Answer, EventStream, HttpRequest};
 pub use process::Process;
-pub use site::{OPERATOR_KEY, Site, SiteOptions, TEAM_ONE_KEY, TEAM_TWO_KEY};
+pub use site::{OPERATOR_KEY, Site, SiteClient, SiteOptions, TEAM_ONE_KEY, TEAM_TWO_KEY};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
--- a/crates/standin/src/harness/site.rs
+++ b/crates/standin/src/harness/site.rs
@@ -10,6 +10,8 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
+use sapphireford::process::rows::SLOT_PREFIX;
+use sapphireford::process::slots::placement::preferred;
 use serde_json::{Value, json};
 
 use super::process::binary_path;
@@ -75,6 +77,8 @@
     folder: PathBuf,
     ip: Ipv4Addr,
     settings: Value,
+    /// Merged over the settings of single entries when they start.
+    entry_settings: Vec<Value>,
 }
 
 impl Site {
@@ -112,6 +116,7 @@
             folder,
             ip,
             settings: options.settings,
+            entry_settings: vec![json!({}); options.entries],
         };
         site.make_certificates();
         site.apply(0, &[site.base_config(), options.config]);
@@ -134,7 +139,12 @@
 
     /// The HTTP address of an entry, whether it runs or not.
     pub fn entry_address(&self, index: usize) -> SocketAddr {
-        SocketAddr::from((self.ip, FIRST_ENTRY_PORT + index as u16))
+        self.client().entry_address(index)
+    }
+
+    /// Sets what is merged over the settings of one entry when it is started the next time.
+    pub fn set_entry_settings(&mut self, index: usize, settings: Value) {
+        self.entry_settings[index] = settings;
     }
 
     /// Number of entries, whether they run or not.
@@ -160,18 +170,37 @@
         }
     }
 
-    /// Waits until all running entries are ready and hold all slots together.
+    /// Waits until all running entries are ready and hold the slots that prefer them, so that no
+    /// slot moves any more.
     pub fn wait_ready(&self) {
         let ready = wait_until(READY_TIME, || {
             let held: Option<u64> = self
                 .running()
                 .map(|entry| slots_held(entry.address()))
                 .sum();
-            held == Some(self.slot_count())
+            held == Some(self.slot_count()) && self.is_balanced()
         });
         assert!(ready, "the site was not ready within {READY_TIME:?}");
     }
 
+    /// Whether each slot is held by the running entry that it prefers.
+    fn is_balanced(&self) -> bool {
+        let running = (0..self.entries.len()).filter(|index| self.entries[*index].is_some());
+        let running: Vec<String> = running.map(|index| format!("entry-{index}")).collect();
+        let body = json!({ "prefix": SLOT_PREFIX });
+        let answer = HttpRequest::post("/table/scan")
+            .json(&body)
+            .send(self.platform.address());
+        let Ok(answer) = answer else { return false };
+        let rows = answer.json()["rows"].as_array().cloned();
+        rows.unwrap_or_default().iter().all(|row| {
+            let row = &row["value"];
+            let slot = row["slot"].as_u64().unwrap_or_default() as u32;
+            let ids = running.iter().map(String::as_str);
+            preferred(slot, ids) == row["holder"]["entry_id"].as_str()
+        })
+    }
+
     /// What an entry tells operators about itself; `None` if it does not answer.
     pub fn status(&self, address: SocketAddr) -> Option<Value> {
         operator_status(address)
@@ -293,30 +322,24 @@
         })
     }
 
+    /// A handle for callers of `team-one`, which can be used while the site's processes change.
+    pub fn client(&self) -> SiteClient {
+        SiteClient { ip: self.ip }
+    }
+
     /// Sends a request of `team-one` about a conversation to an entry.
     pub fn post(&self, entry: usize, path: &str, body: &Value) -> std::io::Result<Answer> {
-        self.request(TEAM_ONE_KEY, path, body)
-            .send(self.entry_address(entry))
+        self.client().post(entry, path, body)
     }
 
     /// Starts a turn of `team-one` and returns its stream.
     pub fn open(&self, entry: usize, path: &str, body: &Value) -> std::io::Result<EventStream> {
-        self.request(TEAM_ONE_KEY, path, body)
-            .open(self.entry_address(entry))
+        self.client().open(entry, path, body)
     }
 
     /// Reads something of `team-one` from an entry.
     pub fn get(&self, entry: usize, path: &str) -> std::io::Result<Answer> {
-        let path = format!("/v1/conversations/{path}");
-        HttpRequest::get(&path)
-            .bearer(TEAM_ONE_KEY)
-            .send(self.entry_address(entry))
-    }
-
-    fn request(&self, key: &str, path: &str, body: &Value) -> HttpRequest {
-        HttpRequest::post(&format!("/v1/conversations/{path}"))
-            .bearer(key)
-            .json(body)
+        self.client().get(entry, path)
     }
 
     /// Number of slots of the site.
@@ -353,14 +376,52 @@
             "slot_count": DEFAULT_SLOT_COUNT,
             "abort_on_violation": true,
         });
-        if let (Some(settings), Some(other)) = (settings.as_object_mut(), self.settings.as_object())
-        {
-            settings.extend(other.clone());
+        for other in [&self.settings, &self.entry_settings[index]] {
+            if let (Some(settings), Some(other)) = (settings.as_object_mut(), other.as_object()) {
+                settings.extend(other.clone());
+            }
         }
         settings
     }
 }
 
+/// Sends requests of `team-one` to the entries of a site.
+#[derive(Clone, Copy, Debug)]
+pub struct SiteClient {
+    ip: Ipv4Addr,
+}
+
+impl SiteClient {
+    /// The HTTP address of an entry, whether it runs or not.
+    pub fn entry_address(&self, index: usize) -> SocketAddr {
+        SocketAddr::from((self.ip, FIRST_ENTRY_PORT + index as u16))
+    }
+
+    /// Sends a request about a conversation to an entry.
+    pub fn post(&self, entry: usize, path: &str, body: &Value) -> std::io::Result<Answer> {
+        self.request(path, body).send(self.entry_address(entry))
+    }
+
+    /// Starts a turn and returns its stream.
+    pub fn open(&self, entry: usize, path: &str, body: &Value) -> std::io::Result<EventStream> {
+        self.request(path, body).open(self.entry_address(entry))
+    }
+
+    /// Reads something about a conversation from an entry.
+    pub fn get(&self, entry: usize, path: &str) -> std::io::Result<Answer> {
+        let path = format!("/v1/conversations/{path}");
+        HttpRequest::get(&path)
+            .bearer(TEAM_ONE_KEY)
+            .send(self.entry_address(entry))
+    }
+
+    fn request(&self, path: &str, body: &Value) -> HttpRequest {
+        HttpRequest::post(&format!("/v1/conversations/{path}"))
+            .bearer(TEAM_ONE_KEY)
+            .json(body)
+    }
+}
+
 /// Slots of a test site; fewer than in production, so that it starts quickly.
 const DEFAULT_SLOT_COUNT: u64 = 32;
 
--- a/src/connection/http_server.rs
+++ b/src/connection/http_server.rs
@@ -16,7 +16,7 @@
 use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use monoio::io::IntoPollIo;
@@ -32,6 +32,11 @@
 /// The result of opening a listener.
 pub type Result<T> = std::io::Result<T>;
 
+/// Time after a stop in which connections that are already established are still accepted.
+const DRAIN_TIME: Duration = Duration::from_millis(50);
+/// Time after a stop in which the next request of an idle connection may arrive.
+const IDLE_GRACE: Duration = Duration::from_millis(200);
+
 /// Bounds on what a connection may send.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpLimits {
@@ -67,9 +72,13 @@
 
 #[derive(Default)]
 struct Shared {
+    /// Whether each answer is the last one on its connection.
+    leaving: Cell<bool>,
     stopping: Cell<bool>,
+    /// Whether the accept loop has ended, so that no connection is added any more.
+    closed: Cell<bool>,
     connections: Cell<usize>,
-    /// Notified when the server starts to stop, and when a connection ends after that.
+    /// Notified when the server starts to stop, and when its listener or a connection ends after that.
     changed: Notify,
 }
 
@@ -79,7 +88,8 @@
     }
 
     async fn drained(&self) {
-        self.changed.until(|| self.connections.get() == 0).await;
+        let is_drained = || self.closed.get() && self.connections.get() == 0;
+        self.changed.until(is_drained).await;
     }
 }
 
@@ -101,8 +111,14 @@
         self.shared.connections.get()
     }
 
+    /// Closes each connection after its next answer, so that callers connect elsewhere.
+    pub fn leave(&self) {
+        self.shared.leaving.set(true);
+    }
+
     /// Stops accepting, lets requests in progress finish, and waits until all connections are closed.
     pub async fn stop(&self) {
+        self.leave();
         self.shared.stopping.set(true);
         self.shared.changed.notify();
         self.shared.drained().await;
@@ -144,28 +160,47 @@
         let stop = pin!(shared.stopping());
         let accepted = match select(pin!(listener.accept()), stop).await {
             Either::Left((accepted, _)) => accepted,
-            Either::Right(_) => return,
+            Either::Right(_) => break,
         };
         match accepted {
-            Ok((stream, _)) if shared.connections.get() < limits.connections => {
-                shared.connections.set(shared.connections.get() + 1);
-                monoio::spawn(connection_task(
-                    stream,
-                    limits,
-                    timer.clone(),
-                    handler.clone(),
-                    shared.clone(),
-                ));
-            }
-            Ok(_) => {
-                log::warn!(limit = limits.connections; "connection refused: too many are open")
-            }
+            Ok((stream, _)) => start_connection(stream, limits, &timer, &handler, &shared),
             Err(error) => {
                 log::warn!("accept failed: {error}");
                 timer.sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    // Closing the listener resets the connections in its queue, whose requests may be on their way.
+    let draining = async {
+        while let Ok((stream, _)) = listener.accept().await {
+            start_connection(stream, limits, &timer, &handler, &shared);
+        }
+    };
+    let _ = timer.timeout(DRAIN_TIME, draining).await;
+    drop(listener);
+    shared.closed.set(true);
+    shared.changed.notify();
+}
+
+fn start_connection<H: Handler>(
+    stream: TcpStream,
+    limits: HttpLimits,
+    timer: &TimerService,
+    handler: &Rc<H>,
+    shared: &Rc<Shared>,
+) {
+    if shared.connections.get() >= limits.connections {
+        log::warn!(limit = limits.connections; "connection refused: too many are open");
+        return;
+    }
+    shared.connections.set(shared.connections.get() + 1);
+    monoio::spawn(connection_task(
+        stream,
+        limits,
+        timer.clone(),
+        handler.clone(),
+        shared.clone(),
+    ));
 }
 
 async fn connection_task<H: Handler>(
@@ -193,10 +228,18 @@
 ) -> std::result::Result<(), Box<dyn std::error::Error>> {
     stream.set_nodelay(true)?;
     let io = MonoioIo::new(stream.into_poll_io()?);
-    let service = service_fn(move |request| {
+    let request_timer = timer.clone();
+    let service = service_fn(|request| {
         let handler = handler.clone();
-        let timer = timer.clone();
-        async move { Ok::<_, Infallible>(handle_request(request, limits, timer, handler).await) }
+        let timer = request_timer.clone();
+        async move {
+            let mut response = handle_request(request, limits, timer, handler).await;
+            if shared.leaving.get() {
+                let headers = response.headers_mut();
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(MonoioTimer)
@@ -206,13 +249,16 @@
     let mut connection = pin!(connection);
     let stop = pin!(shared.stopping());
     match select(connection.as_mut(), stop).await {
-        Either::Left((result, _)) => result?,
-        Either::Right(_) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await?;
-        }
+        Either::Left((result, _)) => return Ok(result?),
+        Either::Right(_) => {}
+    }
+    // An idle connection is closed at once by `graceful_shutdown`, with a request that was just sent.
+    let grace = timer.sleep(IDLE_GRACE);
+    if let Either::Left((result, _)) = select(connection.as_mut(), grace).await {
+        return Ok(result?);
     }
-    Ok(())
+    connection.as_mut().graceful_shutdown();
+    Ok(connection.await?)
 }
 
 async fn handle_request<H: Handler>(
@@ -275,7 +321,7 @@
         Ok(bytes) => {
             let mut response = Response::new(Body::full(bytes));
             *response.status_mut() = status;
-            let content_type = hyper::header::HeaderValue::from_static("application/json");
+            let content_type = HeaderValue::from_static("application/json");
             response.headers_mut().insert(CONTENT_TYPE, content_type);
             response
         }
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -67,6 +67,8 @@
 const CONTROL_TIME: Duration = Duration::from_secs(2);
 /// Time for peers to learn that their connections are closed.
 const CLOSE_TIME: Duration = Duration::from_secs(2);
+/// Time for the scan that shows the others that this entry leaves.
+const NOTICE_MARGIN: Duration = Duration::from_millis(100);
 
 /// What all requests of an entry share.
 pub struct Entry {
@@ -149,33 +151,40 @@
         self.server.address()
     }
 
-    /// Shuts down gracefully: no request in progress is cut off.
+    /// Shuts down gracefully: no request in progress is cut off unless the shutdown limit, which
+    /// holds for all steps together, is reached.
     ///
     /// The row says `leaving` before anything else, so that no entry sends new work here, and the
     /// slots are released before the listener closes, so that requests which still arrive can be
     /// forwarded to the new holders.
     pub async fn shut_down(self) {
         let entry = &self.entry;
-        let limit = entry.settings.shutdown_limit;
+        let deadline = entry.timer.now() + entry.settings.shutdown_limit;
+        let left = || deadline.saturating_duration_since(entry.timer.now());
+        self.server.leave();
         let release = async {
             entry.manager.set_state(EntryState::Leaving).await;
+            // The others see the state in their next scan, and then take each slot once it is free.
+            let notice = entry.settings.membership_interval + NOTICE_MARGIN;
+            entry.timer.sleep(notice).await;
             entry.manager.leave();
             entry.manager.released().await;
         };
-        if entry.timer.timeout(limit, release).await.is_err() {
+        if entry.timer.timeout(left(), release).await.is_err() {
             log::warn!("not all slots were released within the shutdown limit");
         }
-        if entry
-            .timer
-            .timeout(limit, self.server.stop())
-            .await
-            .is_err()
-        {
+        let stopped = entry.timer.timeout(left(), self.server.stop()).await;
+        if stopped.is_err() {
             log::warn!("some requests were still in progress at the shutdown limit");
         }
-        self.peer_server.stop(limit).await;
+        self.peer_server.stop(left()).await;
         if entry.slots.held().is_empty() {
-            entry.manager.set_state(EntryState::Closed).await;
+            let closed = entry.manager.set_state(EntryState::Closed);
+            // Another entry recovers this one if its row cannot be closed.
+            let limit = left().max(CLOSE_TIME);
+            if entry.timer.timeout(limit, closed).await.is_err() {
+                log::warn!("the row of the entry was not closed; another entry recovers it");
+            }
         }
         self.endpoint.close(CLOSE_TIME).await;
         log::info!("entry stopped");
--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::select;
 use futures_util::stream::{self, StreamExt};
 use indexmap::{IndexMap, IndexSet};
 
@@ -98,10 +99,15 @@
         if self.slots.is_open(slot) {
             return Some(self.settings.entry_id.clone());
         }
-        let candidates = self.candidates();
         let hint = self.holders.borrow().get(&slot).cloned();
-        let hint = hint.filter(|hint| candidates.contains(hint) && *hint != self.settings.entry_id);
-        hint.or_else(|| preferred(slot, &candidates))
+        let hint = hint.filter(|hint| *hint != self.settings.entry_id && self.may_hold(hint));
+        hint.or_else(|| preferred(slot, &self.candidates()))
+    }
+
+    /// Whether an entry may still hold slots; a leaving one serves those that it has not released.
+    fn may_hold(&self, entry_id: &EntryId) -> bool {
+        let row = self.membership.get(entry_id);
+        row.is_some_and(|row| matches!(row.state, EntryState::Live | EntryState::Leaving))
     }
 
     /// Notes which entry says that it holds a slot.
@@ -441,19 +447,26 @@
 async fn move_slots(manager: Rc<SlotManager>) {
     loop {
         manager.journal.registered().await;
-        let (wanted, unwanted) = manager.partition();
+        let (wanted, mut unwanted) = manager.partition();
         manager.keep_preferred(&unwanted);
         if !wanted.is_empty()
             && let Err(error) = manager.take(&wanted).await
         {
             log::warn!("slots were not taken: {}", chain(&error));
         }
-        if !unwanted.is_empty()
-            && let Err(error) = manager.release(&unwanted).await
-        {
-            log::warn!("slots were not released: {}", chain(&error));
+        let next = Instant::now() + MOVE_INTERVAL;
+        while !unwanted.is_empty() && Instant::now() < next {
+            let seen = manager.slots.changed().changes();
+            if let Err(error) = manager.release(&unwanted).await {
+                log::warn!("slots were not released: {}", chain(&error));
+                break;
+            }
+            unwanted.retain(|slot| manager.slots.is_held(*slot));
+            // A slot in constant use is idle only for moments between two requests.
+            let changed = std::pin::pin!(manager.slots.changed().changed_since(seen));
+            select(manager.timer.sleep_until(next), changed).await;
         }
-        manager.timer.sleep(MOVE_INTERVAL).await;
+        manager.timer.sleep_until(next).await;
     }
 }
 
