Refuse new work at once in an outage, and end streams that are not durable

Cause: a refused turn still waited for its place in the run and for an engine, and the body of a stream stayed open after its last event `not_durable` until the platform was back. A repeat of a call that had run was refused with `platform_unavailable`, `ran: no`, before its result was durable.

Ruled out: the platform's own delay; the callers waited 30 s in an outage that did not end, whether it refused calls or left them unanswered.

Change: durability is checked before a call waits for its place, and a repeat of a started call gets `not_durable`, `ran: unknown` there. A start event that is not durable ends the wait for an engine. The body ends with its last event.

The tests were seen to fail without each part: `queue_timeout` instead of `platform_unavailable`; no end of the stream within 30 s; `ran: no` instead of `unknown`. With renewals after the end of the lease one entry had incarnation 2 in the test of the slow platform. With slots released while events were pending, the outcome of a finished action was lost. With a refused turn's reservation kept until the next commit, the next turn was refused with `budget_exceeded`.

--- a/src/connection/body.rs
+++ b/src/connection/body.rs
@@ -78,6 +78,11 @@
         self.chunks.send(Ok(chunk)).await.map_err(|_| Aborted)
     }
 
+    /// Ends the body; no chunk is sent any more.
+    pub fn end(&mut self) {
+        self.chunks.close_channel();
+    }
+
     /// Breaks the body off, so that the reader sees an incomplete answer.
     pub async fn abort(mut self) {
         let _ = self.chunks.send(Err(Aborted)).await;
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -154,7 +154,12 @@
         request_id: &RequestId,
         sequence: Option<u64>,
     ) -> Result<ThreadLock> {
-        match self.lock_in_sequence(run_id, sequence).await {
+        // While nothing can start, a call does not wait for its place either.
+        let place = match self.check_durability() {
+            Ok(()) => self.lock_in_sequence(run_id, sequence).await,
+            Err(error) => Err(error),
+        };
+        match place {
             Err(_) if self.earlier(request_id)?.is_some() => Err(unsettled()),
             result => result,
         }
--- a/src/request/turn.rs
+++ b/src/request/turn.rs
@@ -7,10 +7,11 @@
 
 mod attempt;
 
+use std::pin::pin;
 use std::rc::Rc;
 
 use futures_channel::oneshot;
-use futures_util::future::{Either, join, select};
+use futures_util::future::{Either, select};
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 
@@ -286,17 +287,15 @@
                 return Err(error);
             }
         };
-        let engine = self.context.entry.router.acquire(self.describe(Vec::new()));
-        let (started, permit) = join(self.context.start_durable(&mut receipt), engine).await;
-        match (started, permit) {
-            (Started::Durable, Ok(permit)) => Ok(permit),
-            (Started::Durable, Err(error)) => {
+        match self.start_and_acquire(&mut receipt).await {
+            Ok(Ok(permit)) => Ok(permit),
+            Ok(Err(error)) => {
                 // The caller does not wait: the call was not sent whether the event is durable or not.
                 let receipt = self.append_finish(TurnOutcome::NotRun)?;
                 monoio::spawn(hold_until_settled(receipt, self.lock.take()));
                 Err(error)
             }
-            (Started::Refused(error), _) => {
+            Err(error) => {
                 if self.context.entry.journal.withdraw(&receipt) {
                     self.clear_pending();
                 } else {
@@ -309,6 +308,24 @@
         }
     }
 
+    /// The outer error says that the start event is not durable; then no engine is waited for.
+    async fn start_and_acquire(
+        &self,
+        receipt: &mut crate::process::journal::Receipt,
+    ) -> Result<Result<Permit>> {
+        let starting = pin!(self.context.start_durable(receipt));
+        let acquiring = pin!(self.context.entry.router.acquire(self.describe(Vec::new())));
+        let (started, permit) = match select(starting, acquiring).await {
+            Either::Left((Started::Refused(error), _)) => return Err(error),
+            Either::Left((Started::Durable, acquiring)) => (Started::Durable, acquiring.await),
+            Either::Right((permit, starting)) => (starting.await, permit),
+        };
+        match started {
+            Started::Durable => Ok(permit),
+            Started::Refused(error) => Err(error),
+        }
+    }
+
     fn clear_pending(&self) {
         let mut state = self.context.open.cell().state.borrow_mut();
         state.clear_pending(self.run_id, self.reserved_micros);
@@ -432,6 +449,7 @@
             Ok(()) => {}
             Err(error) => {
                 output.fail(error).await;
+                output.sender.end();
                 // The slot stays open until the event is durable or the lease is lost.
                 let _ = receipt.durable().await;
                 return Ok(());
