Serve no request by a configuration that is known to be old

Cause: an entry that was cut off from the platform checked keys by its old configuration and passed requests on to holders, which trusted it. A paused entry served the requests that had waited in its sockets before it read the head again. Both ran requests with a revoked key.

Ruled out: refusing everything without the platform (plain services have to go on in an outage), and refusing each forwarded request with another version (every change of the configuration would refuse requests for a moment).

Change: a forwarded request carries the version and the hash of the key. A holder with a newer version checks the key again, one with an older version reads the newer one first. Answers carry the holder's version back. An entry that knows of a newer version, or has not run for 5.5 s, reads the head before it serves, for at most 1 s.

--- a/src/process/config_watch.rs
+++ b/src/process/config_watch.rs
@@ -22,6 +22,12 @@
 use crate::version::config::Config;
 use crate::version::store::{self, Head, StoreError};
 
+/// A last read that started longer ago means that the process did not run for a while: with the
+/// default settings, a failing read and the pause after it take 3 s, and the next one 2 s.
+const OVERDUE: Duration = Duration::from_millis(5_500);
+/// Longest time that a request waits for a read.
+const READ_WAIT: Duration = Duration::from_secs(1);
+
 /// The result of one read of the configuration head.
 pub type Result<T> = std::result::Result<T, WatchError>;
 
@@ -85,6 +91,9 @@
     refused: Cell<VersionNumber>,
     /// The highest version that a peer named.
     hinted: Cell<VersionNumber>,
+    /// The start of the last read that has ended, whether it succeeded or not.
+    last_read: Cell<Option<Instant>>,
+    reads: Notify,
     /// Notified when a newer version is in force.
     changed: Notify,
 }
@@ -108,6 +117,8 @@
             confirmed: Cell::default(),
             refused: Cell::default(),
             hinted: Cell::default(),
+            last_read: Cell::default(),
+            reads: Notify::default(),
             changed: Notify::default(),
         });
         let watch = Self {
@@ -141,6 +152,32 @@
         let _ = self.hints.borrow_mut().try_send(());
     }
 
+    /// The configuration to serve a request with; `None` if there is none, or if a newer version is
+    /// known and cannot be read.
+    ///
+    /// A process that was paused first reads the head again. While the platform is out the version in
+    /// force stays in use, because no other one can have been accepted, unless a peer has a newer one.
+    pub async fn for_request(&self) -> Option<Rc<Config>> {
+        if self.is_overdue() || self.is_outdated() {
+            let _ = self.hints.borrow_mut().try_send(());
+            let is_certain = || !self.is_overdue() && !self.is_outdated();
+            let certain = self.state.reads.until(is_certain);
+            let _ = self.timer.timeout(READ_WAIT, certain).await;
+        }
+        self.current().filter(|_| !self.is_outdated())
+    }
+
+    fn is_overdue(&self) -> bool {
+        let last_read = self.state.last_read.get();
+        last_read.is_some_and(|at| self.timer.now().saturating_duration_since(at) > OVERDUE)
+    }
+
+    /// Whether a peer has a newer version that was not refused here.
+    fn is_outdated(&self) -> bool {
+        let state = &self.state;
+        state.hinted.get() > state.version().max(state.refused.get())
+    }
+
     /// Waits until a version above `after` is in force, and returns it.
     pub async fn newer_than(&self, after: VersionNumber) -> Rc<Config> {
         loop {
@@ -184,7 +221,11 @@
     let mut ticks = timer.subscribe(interval);
     let mut last_problem = None;
     loop {
-        let problem = match refresh(&state, &platform, &timer).await {
+        let started = timer.now();
+        let refreshed = refresh(&state, &platform, &timer).await;
+        state.last_read.set(Some(started));
+        state.reads.notify();
+        let problem = match refreshed {
             Ok(()) => None,
             Err(error) => Some(chain(&error)),
         };
--- a/src/request/conversation_request.rs
+++ b/src/request/conversation_request.rs
@@ -1,7 +1,8 @@
 //! A request about a conversation: its path and body, checked.
 
 use bytes::Bytes;
-use hyper::{Method, Request};
+use hyper::header::AUTHORIZATION;
+use hyper::{HeaderMap, Method, Request};
 use serde::de::DeserializeOwned;
 
 use crate::error::{Error, ErrorKind, Result};
@@ -11,6 +12,7 @@
     End, EndBody, InvalidBody, StartRun, StartRunBody, SubAgent, SubAgentBody, ToolCall,
     ToolCallBody, Turn, TurnBody, check_conversation_id,
 };
+use crate::version::key::digest;
 
 /// What is asked of a conversation.
 #[derive(Clone, Debug)]
@@ -50,6 +52,8 @@
     pub path: String,
     /// Kept for forwarding.
     pub body: Bytes,
+    /// Hash of the caller's key, kept for forwarding; `None` for an operator's request.
+    pub caller_key: Option<[u8; 32]>,
 }
 
 impl ConversationRequest {
@@ -77,6 +81,7 @@
             }
             _ => return Err(unknown()),
         };
+        let caller_key = bearer_key(&head.headers).map(digest);
         let fingerprint = hash_bytes(path.as_bytes()).rotate_left(17) ^ hash_bytes(&body);
         let key = ConversationKey {
             team_id,
@@ -89,6 +94,7 @@
             method: head.method,
             path,
             body,
+            caller_key,
         })
     }
 
@@ -98,6 +104,12 @@
     }
 }
 
+/// The key in the header `authorization`.
+pub fn bearer_key(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    value.strip_prefix("Bearer ")
+}
+
 fn parse_run_operation(run_id: RunId, verb: &str, body: &[u8]) -> Result<Option<Operation>> {
     Ok(Some(match verb {
         "turns" => Operation::Turn(run_id, decode::<TurnBody, Turn>(body)?),
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 
 use crate::connection::body::Body;
@@ -17,7 +17,8 @@
 use crate::process::entry::Entry;
 use crate::process::metrics::{REQUEST_SECONDS, REQUESTS};
 use crate::request::api::{EntriesAnswer, EntryAddress};
-use crate::request::conversation_request::ConversationRequest;
+use crate::request::conversation_request::{ConversationRequest, bearer_key};
+use crate::request::forward::{CONFIG_VERSION_HEADER, ForwardedCaller};
 use crate::request::{forward, operator, service_call};
 use crate::version::config::Config;
 use crate::version::keys::Principal;
@@ -44,7 +45,8 @@
             "/metrics" => return Ok(text_response(StatusCode::OK, self.entry.metrics.render())),
             _ => {}
         }
-        let config = self.entry.config.current().ok_or_else(not_ready)?;
+        let config = self.entry.config.for_request().await;
+        let config = config.ok_or_else(not_ready)?;
         let principal = self.authenticate(&config, &request)?;
         if let Some(rest) = path.strip_prefix("/v1/operator/") {
             let Principal::Operator(name) = principal else {
@@ -83,16 +85,10 @@
     }
 
     fn authenticate(&self, config: &Config, request: &Request<Bytes>) -> Result<Principal> {
-        let value = request
-            .headers()
-            .get(AUTHORIZATION)
-            .and_then(|value| value.to_str().ok());
-        let key = value.and_then(|value| value.strip_prefix("Bearer "));
-        let unauthorized = |message: &str| Error::new(ErrorKind::Unauthorized, message);
+        let key = bearer_key(request.headers());
         let key = key.ok_or_else(|| unauthorized("send the header `authorization: Bearer KEY`"))?;
         let keys = self.entry.keys.get(config);
-        let principal = keys.find(key).cloned();
-        principal.ok_or_else(|| unauthorized("the key is unknown; ask an operator for a new one"))
+        keys.find(key).cloned().ok_or_else(unknown_key)
     }
 
     fn readiness(&self) -> Response<Body> {
@@ -180,7 +176,9 @@
             Err(error) => error_response(&error),
         };
         let (head, body) = response.into_parts();
-        let headers = headers_from_map(&head.headers);
+        let mut headers = headers_from_map(&head.headers);
+        let version = self.entry.config.version().to_string();
+        headers.push((CONFIG_VERSION_HEADER.to_string(), version.into()));
         (
             ForwardHead {
                 status: head.status.as_u16(),
@@ -193,7 +191,11 @@
 
 impl Dispatcher {
     async fn serve_forwarded(&self, forwarded: ForwardRequest) -> Result<Response<Body>> {
-        let config = self.entry.config.current().ok_or_else(not_ready)?;
+        let caller = ForwardedCaller::from_headers(&forwarded.headers);
+        self.entry.config.hint(caller.config_version);
+        let config = self.entry.config.for_request().await;
+        let config = config.ok_or_else(not_ready)?;
+        self.check_caller(&config, &forwarded.team_id, &caller)?;
         let bad = |reason: &str| Error::new(ErrorKind::BadRequest, reason);
         let mut request = Request::new(forwarded.body);
         *request.method_mut() = Method::from_bytes(forwarded.method.as_bytes())
@@ -208,6 +210,26 @@
     }
 }
 
+impl Dispatcher {
+    /// Checks the key again if the entry that passed the request on has an older configuration.
+    fn check_caller(
+        &self,
+        config: &Config,
+        team_id: &TeamId,
+        caller: &ForwardedCaller,
+    ) -> Result<()> {
+        if caller.config_version >= config.version {
+            return Ok(());
+        }
+        let key = caller.key.as_ref().ok_or_else(not_ready)?;
+        let keys = self.entry.keys.get(config);
+        match keys.find_digest(key) {
+            Some(Principal::Team(owner)) if owner == team_id => Ok(()),
+            _ => Err(unknown_key()),
+        }
+    }
+}
+
 /// Counts a request while it is in progress, up to the point where its answer begins.
 struct InProgress<'a> {
     entry: &'a Entry,
@@ -262,10 +284,19 @@
 }
 
 fn not_ready() -> Error {
-    let message = "the entry has no configuration yet; come back soon, or ask another entry";
+    let message = "the entry could not read the configuration in effect yet; come back soon, or ask \
+                   another entry";
     Error::new(ErrorKind::NotReady, message)
 }
 
+fn unauthorized(message: &str) -> Error {
+    Error::new(ErrorKind::Unauthorized, message)
+}
+
+fn unknown_key() -> Error {
+    unauthorized("the key is unknown; ask an operator for a new one")
+}
+
 fn forbidden(message: &str) -> Error {
     Error::new(ErrorKind::Forbidden, message)
 }
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -13,10 +13,10 @@
 use hyper::{Response, StatusCode};
 
 use crate::connection::body::Body;
-use crate::connection::peer::messages::{ForwardHead, ForwardRequest, headers_to_map};
+use crate::connection::peer::messages::{ForwardHead, ForwardRequest, Headers, headers_to_map};
 use crate::connection::peer::{ForwardBody, PeerError};
 use crate::error::{Error, ErrorKind, Result, chain};
-use crate::ids::{ConversationKey, EntryId, SlotId};
+use crate::ids::{ConversationKey, EntryId, SlotId, VersionNumber};
 use crate::process::entry::Entry;
 use crate::process::recovery;
 use crate::process::slots::{OpenConversation, OpenError};
@@ -24,6 +24,7 @@
 use crate::request::conversation_request::{ConversationRequest, Operation};
 use crate::request::{read, run, tool_call, turn};
 use crate::version::config::Config;
+use crate::version::key::{decode_hex, encode_hex};
 
 /// Pause before a slot without a reachable holder is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -31,9 +32,52 @@
 const PEER_WAIT: Duration = Duration::from_millis(1_000);
 /// Tells the entry that forwarded a request which entry holds the slot.
 const HOLDER_HEADER: HeaderName = HeaderName::from_static("x-sapphireford-holder");
+/// The configuration version of the entry that passes a request on or answers it.
+pub const CONFIG_VERSION_HEADER: &str = "x-sapphireford-config-version";
+/// Hash of the caller's key, with which the holder can check it again.
+const KEY_HEADER: &str = "x-sapphireford-key-sha256";
 /// Set on the answer of an entry that does not hold the slot.
 const NOT_HELD_HEADER: HeaderName = HeaderName::from_static("x-sapphireford-not-held");
 
+/// Who sent a forwarded request, and by which configuration version the first entry checked it.
+pub struct ForwardedCaller {
+    /// 0 if the first entry did not say.
+    pub config_version: VersionNumber,
+    /// Hash of the caller's key; `None` for an operator's request.
+    pub key: Option<[u8; 32]>,
+}
+
+impl ForwardedCaller {
+    fn new(config: &Config, request: &ConversationRequest) -> Self {
+        Self {
+            config_version: config.version,
+            key: request.caller_key,
+        }
+    }
+
+    fn to_headers(&self) -> Headers {
+        let version = self.config_version.to_string();
+        let mut headers = vec![(CONFIG_VERSION_HEADER.to_string(), version.into())];
+        if let Some(key) = &self.key {
+            headers.push((KEY_HEADER.to_string(), encode_hex(key).into()));
+        }
+        headers
+    }
+
+    /// Reads what the first entry has sent along.
+    pub fn from_headers(headers: &Headers) -> Self {
+        let find = |name| {
+            let value = headers.iter().find(|(header, _)| header == name);
+            value.and_then(|(_, value)| std::str::from_utf8(value).ok())
+        };
+        let version = find(CONFIG_VERSION_HEADER).and_then(|version| version.parse().ok());
+        Self {
+            config_version: version.unwrap_or(0),
+            key: find(KEY_HEADER).and_then(decode_hex),
+        }
+    }
+}
+
 /// Serves a caller's request here or at the holder of its slot.
 pub async fn respond(
     entry: &Rc<Entry>,
@@ -50,7 +94,7 @@
         }
         let holder = entry.manager.probable_holder(slot);
         if let Some(holder) = holder.filter(|holder| *holder != entry.settings.entry_id) {
-            match pass_on(entry, slot, &holder, &request).await {
+            match pass_on(entry, &config, slot, &holder, &request).await {
                 Ok(Some(response)) => return Ok(response),
                 Ok(None) => {}
                 Err(error) => last_error = Some(error),
@@ -137,6 +181,7 @@
 /// `None` means that the peer does not hold the slot.
 async fn pass_on(
     entry: &Rc<Entry>,
+    config: &Config,
     slot: SlotId,
     holder: &EntryId,
     request: &ConversationRequest,
@@ -149,7 +194,7 @@
         method: request.method.to_string(),
         path: request.path.clone(),
         team_id: request.key.team_id.clone(),
-        headers: Vec::new(),
+        headers: ForwardedCaller::new(config, request).to_headers(),
         body: request.body.clone(),
     };
     let seen = entry.membership.subscribe();
@@ -207,6 +252,9 @@
     body: ForwardBody,
 ) -> Option<Response<Body>> {
     let mut headers = headers_to_map(&head.headers);
+    let version = headers.remove(CONFIG_VERSION_HEADER);
+    let version = version.and_then(|version| version.to_str().ok()?.parse().ok());
+    entry.config.hint(version.unwrap_or(0));
     if headers.contains_key(NOT_HELD_HEADER) {
         let holder = headers
             .get(HOLDER_HEADER)
--- a/src/version/keys.rs
+++ b/src/version/keys.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 
 use indexmap::IndexMap;
-use sha2::{Digest, Sha256};
 
 use crate::ids::{TeamId, VersionNumber};
 use crate::version::config::Config;
+use crate::version::key::digest;
 
 /// Who presents a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,8 +42,12 @@
 
     /// Looks up the owner of a key.
     pub fn find(&self, key: &str) -> Option<&Principal> {
-        let hash: [u8; 32] = Sha256::digest(key.as_bytes()).into();
-        self.principals.get(&hash)
+        self.find_digest(&digest(key))
+    }
+
+    /// Looks up the owner of a key by its hash.
+    pub fn find_digest(&self, digest: &[u8; 32]) -> Option<&Principal> {
+        self.principals.get(digest)
     }
 }
 
