--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -43,6 +43,8 @@
     pub vms: Option<Vec<Vm>>,
     /// Time from setting the list until it is served.
     pub vm_list_lag_ms: Option<u64>,
+    /// Whether every read of weights is refused with 429.
+    pub refuse_weights: Option<bool>,
 }
 
 /// The failures in force.
@@ -51,6 +53,7 @@
     pub outage: Outage,
     hang_commits: bool,
     commit_filter: String,
+    pub refuse_weights: bool,
     lose_next: u64,
     /// From 0 to 1.
     lose_rate: f64,
@@ -64,6 +67,7 @@
             outage: Outage::None,
             hang_commits: false,
             commit_filter: String::new(),
+            refuse_weights: false,
             lose_next: 0,
             lose_rate: 0.0,
             random: StdRng::seed_from_u64(0),
@@ -86,6 +90,7 @@
         if let Some(filter) = control.commit_filter {
             self.commit_filter = filter;
         }
+        self.refuse_weights = control.refuse_weights.unwrap_or(self.refuse_weights);
         if let Some(count) = control.lose_acknowledgements {
             self.lose_next = count;
         }
