--- a/tests/actions.rs
+++ b/tests/actions.rs
@@ -132,8 +132,11 @@
 /// the action when it runs on although another entry has answered that it is in doubt.
 #[test]
 fn holder_paused_before_it_sends() {
-    // Renewals are rare, so that the first lost acknowledgement is that of the intention.
-    let mut site = site_with(json!({ "lease_ttl_ms": 4_000, "lease_renew_ms": 1_300 }));
+    // Renewals are rare, so that the first lost acknowledgement is that of the intention; and the
+    // grace time does not end the wait, so that only the lease keeps the action from being sent.
+    let mut site = site_with(json!({
+        "lease_ttl_ms": 4_000, "lease_renew_ms": 1_300, "commit_grace_ms": 60_000,
+    }));
     let (caller, holder) = start(&site, "pay");
     let lost = |site: &Site| site.platform.stats()["lost_acknowledgements"].as_u64();
     let writes = |site: &Site| site.platform.stats()["object_writes"].as_u64();
