--- a/src/process/routing/engines.rs
+++ b/src/process/routing/engines.rs
@@ -6,9 +6,10 @@
 
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::CallDescription;
 use super::prefix::PrefixMap;
@@ -30,6 +31,17 @@
 const MISSED_REPORTS: u32 = 3;
 /// Weight of one call in the average share of correct cache guesses.
 const TRUST_STEP: f64 = 0.2;
+/// Weight of one call in the typical length of a program's prefix, if the prefix is longer than that.
+const LONGER_STEP: f64 = 0.05;
+/// The same for shorter ones. The typical length is above the mean, because a cache that is full to
+/// the mean evicts whenever programs are longer than usual.
+const SHORTER_STEP: f64 = 0.02;
+/// Weight of one report in the average calls of other entries. Single reports are out of date by
+/// half a second: with them, all entries filled the same free places at the same time.
+const OTHERS_STEP: f64 = 0.3;
+/// Part of the cache that programs may fill; the rest is for urgent ones, which start in any case, and
+/// for the starts of other entries since the last report.
+const FILLED_CACHE_PERCENT: u64 = 90;
 
 /// An engine and what is known of it.
 pub struct Engine {
@@ -48,11 +60,15 @@
     vm_is_leaving: bool,
     in_flight_calls: u32,
     in_flight_tokens: u64,
+    /// Prefixes of calls in flight that the engine did not have when they started.
+    starting: IndexSet<Rc<str>>,
     /// Starts (+1) and ends (-1) of the last seconds.
     history: VecDeque<(Instant, i32)>,
     report: EngineLoad,
-    /// Calls of other entries at the time of the last report.
-    others: u32,
+    /// Calls of other entries, averaged over the last reports; `None` before the first.
+    others: Option<f64>,
+    /// Calls that this entry may always run, whatever the others do.
+    guaranteed_calls: u32,
     missed_reports: u32,
     breaker: Breaker,
     /// Share of the expected cached tokens that the engine's usage confirmed.
@@ -76,9 +92,11 @@
             vm_is_leaving: false,
             in_flight_calls: 0,
             in_flight_tokens: 0,
+            starting: IndexSet::new(),
             history: VecDeque::new(),
             report: EngineLoad::default(),
-            others: 0,
+            others: None,
+            guaranteed_calls: 0,
             missed_reports: 0,
             breaker: Breaker::default(),
             trust: 1.0,
@@ -92,7 +110,14 @@
     }
 
     fn corrected_calls(&self) -> u32 {
-        self.others.saturating_add(self.in_flight_calls)
+        let others = self.others.unwrap_or(0.0).round() as u32;
+        others.saturating_add(self.in_flight_calls)
+    }
+
+    /// Whether this entry may send a further call. The entries divide an engine by what they use:
+    /// each leaves the others what they had in progress on average, and keeps an equal part.
+    fn has_place(&self) -> bool {
+        self.in_flight_calls < self.guaranteed_calls || self.corrected_calls() < self.max_calls
     }
 
     fn in_flight_at(&self, time: Instant) -> u32 {
@@ -138,6 +163,10 @@
     free: Vec<EngineIndex>,
     groups: Vec<Group>,
     group_of_model: IndexMap<ModelId, usize>,
+    /// Typical length of a program's prefix over its calls, by model.
+    typical_tokens: IndexMap<ModelId, f64>,
+    /// Entries that share the engines, this one included; 0 while unknown.
+    live_entries: u64,
     /// What the engines have in their caches.
     pub prefixes: PrefixMap,
 }
@@ -166,6 +195,7 @@
         }
         for index in 0..self.engines.len() {
             self.reclaim(index);
+            self.set_guarantee(index);
             self.update(index, now);
         }
         self.count_in_service();
@@ -277,7 +307,7 @@
         }
         let own = engine.in_flight_calls;
         let breaker_allows = engine.breaker.allows(now, engine.max_calls, own);
-        if !breaker_allows || engine.corrected_calls() >= engine.max_calls {
+        if !breaker_allows || !engine.has_place() {
             return false;
         }
         // A call that is larger than the whole cache runs alone.
@@ -285,6 +315,53 @@
         engine.in_flight_calls == 0 || tokens <= engine.cache_tokens
     }
 
+    /// Takes over the number of live entries.
+    pub fn set_live_entries(&mut self, count: usize, now: Instant) {
+        self.live_entries = count as u64;
+        for index in 0..self.engines.len() {
+            self.set_guarantee(index);
+            self.update(index, now);
+        }
+    }
+
+    /// An entry that is alone needs no guarantee: what else is in progress is not of its kind.
+    fn set_guarantee(&mut self, index: EngineIndex) {
+        let engine = &mut self.engines[index];
+        engine.guaranteed_calls = match self.live_entries {
+            0 | 1 => 0,
+            count => u64::from(engine.max_calls).div_euclid(count) as u32,
+        };
+    }
+
+    /// Tokens of the prefixes of running programs that a call would evict from an engine; 0 if the
+    /// cache has room for it.
+    ///
+    /// Short prefixes are counted with the typical length, because they grow: an engine that is
+    /// full of short prefixes would evict them while the programs run.
+    pub fn overflow(&self, index: EngineIndex, call: &CallDescription) -> u64 {
+        let engine = &self.engines[index];
+        let typical = self.typical_tokens.get(&call.model_id).copied();
+        let typical = typical.unwrap_or(0.0) as u64;
+        let kept = self.prefixes.kept(index, typical);
+        if kept.programs == 0 && engine.starting.is_empty() {
+            return 0;
+        }
+        let committed = kept.grown_tokens + engine.starting.len() as u64 * typical;
+        let needed = call.prompt_tokens.max(typical);
+        let share = self.cache_share(index, kept.tokens);
+        let limit = share * FILLED_CACHE_PERCENT / 100;
+        (committed + needed).saturating_sub(limit).min(needed)
+    }
+
+    /// Tokens of an engine's cache that this entry may fill: what others leave, at least an equal
+    /// part. Entries with more programs hold more, because others release what they no longer use.
+    fn cache_share(&self, index: EngineIndex, own_tokens: u64) -> u64 {
+        let engine = &self.engines[index];
+        let others = engine.report.cache_used_tokens.saturating_sub(own_tokens);
+        let left = engine.cache_tokens.saturating_sub(others);
+        left.max(engine.cache_tokens / self.live_entries.max(1))
+    }
+
     /// The corrected load of an engine.
     pub fn load(&self, index: EngineIndex) -> LoadPermille {
         let engine = &self.engines[index];
@@ -304,19 +381,24 @@
     }
 
     /// Records that a call was sent to an engine.
-    pub fn start(&mut self, index: EngineIndex, tokens: u64, now: Instant) {
+    pub fn start(&mut self, index: EngineIndex, call: &CallDescription, now: Instant) {
+        let is_cached = self.prefixes.tokens(&call.cache_key, index) > 0;
         let engine = &mut self.engines[index];
         engine.in_flight_calls += 1;
-        engine.in_flight_tokens += tokens;
+        engine.in_flight_tokens += call.tokens();
+        if !is_cached {
+            engine.starting.insert(call.cache_key.clone());
+        }
         engine.remember(now, 1);
         self.update(index, now);
     }
 
     /// Records that a call has ended, whichever way.
-    pub fn end(&mut self, index: EngineIndex, tokens: u64, now: Instant) {
+    pub fn end(&mut self, index: EngineIndex, call: &CallDescription, now: Instant) {
         let engine = &mut self.engines[index];
         engine.in_flight_calls -= 1;
-        engine.in_flight_tokens -= tokens;
+        engine.in_flight_tokens -= call.tokens();
+        engine.starting.swap_remove(&call.cache_key);
         engine.remember(now, -1);
         self.reclaim(index);
         self.update(index, now);
@@ -348,6 +430,15 @@
         }
         let tokens = usage.prompt_tokens + usage.completion_tokens;
         let capacity = engine.cache_tokens;
+        let typical = self.typical_tokens.entry(call.model_id.clone());
+        let typical = typical.or_insert(tokens as f64);
+        let difference = tokens as f64 - *typical;
+        let step = if difference > 0.0 {
+            LONGER_STEP
+        } else {
+            SHORTER_STEP
+        };
+        *typical += step * difference;
         if tokens <= capacity {
             self.prefixes
                 .record(&call.cache_key, index, tokens, capacity);
@@ -360,7 +451,9 @@
         let age = Duration::from_millis(report.age_ms);
         let made = now.checked_sub(age).unwrap_or(now);
         let calls = report.running.saturating_add(report.waiting);
-        engine.others = calls.saturating_sub(engine.in_flight_at(made));
+        let others = f64::from(calls.saturating_sub(engine.in_flight_at(made)));
+        let mean = engine.others.get_or_insert(others);
+        *mean += OTHERS_STEP * (others - *mean);
         engine.report = report;
         if std::mem::take(&mut engine.missed_reports) >= MISSED_REPORTS {
             engine.breaker.end_pause(now);
@@ -417,6 +510,7 @@
 
     /// Brings the engines up to date whose breaker changes with time.
     pub fn refresh(&mut self, now: Instant) {
+        self.prefixes.refresh(now);
         for index in 0..self.engines.len() {
             if !self.engines[index].breaker.is_closed() {
                 self.update(index, now);
@@ -441,7 +535,10 @@
         let takes_calls = engine.is_in_service() && limit > 0;
         let keys = takes_calls.then(|| {
             let reported = engine.report.running.saturating_add(engine.report.waiting);
-            let corrected = permille(engine.corrected_calls(), engine.max_calls);
+            let mut corrected = permille(engine.corrected_calls(), engine.max_calls);
+            if engine.has_place() {
+                corrected = corrected.min(FULL_PERMILLE - 1);
+            }
             // The breaker limits the calls of this entry only.
             let own = permille(engine.in_flight_calls, limit);
             (corrected.max(own), permille(reported, engine.max_calls))
--- a/src/process/routing/placement.rs
+++ b/src/process/routing/placement.rs
@@ -10,7 +10,7 @@
 
 use super::CallDescription;
 use super::engines::{EngineIndex, Engines, Group};
-use crate::version::config::{PlacementKind, Policy};
+use crate::version::config::{PlacementKind, Policy, Priority};
 
 /// A call and the engines that it may go to.
 #[derive(Clone, Copy)]
@@ -42,6 +42,8 @@
     Wait(Duration),
     /// No engine has room.
     NoRoom,
+    /// Engines have room, but a new program would evict the prefixes of running ones.
+    NoMemory,
 }
 
 /// Chooses an engine for a call.
@@ -98,19 +100,31 @@
 const RANDOM_CANDIDATES: usize = 2;
 /// Engines holding the prefix that are looked at for each call.
 const HOLDER_CANDIDATES: usize = 4;
-/// Prompt tokens whose computation costs as much as the load of a full engine over an empty one.
-const FULL_LOAD_TOKENS: u64 = 4_000;
+/// Prompt tokens whose computation costs as much as the load of a full engine over an empty one. With
+/// 4,000, one call more or less outweighed a history of 500 tokens, and programs lost their prefixes.
+const FULL_LOAD_TOKENS: u64 = 1_000;
 /// Prompt tokens whose computation costs as much as one call that waits in an engine.
 const WAITING_CALL_TOKENS: u64 = 1_000;
-/// Prompt tokens that an engine computes in a second, for the time that a call may wait for the
-/// engine that has its prefix.
-const PREFILL_TOKENS_PER_SECOND: u64 = 10_000;
-/// Longest time that a call waits for the engine that has its prefix while others have room.
-const LONGEST_PATIENCE: Duration = Duration::from_secs(1);
+/// Prompt tokens for which a call may wait a second for the engine that has its prefix. Engines
+/// compute several times as many in a second, but a prefix that is computed again also delays the
+/// prompts behind it and evicts another prefix.
+const PATIENCE_TOKENS_PER_SECOND: u64 = 250;
+/// Urgent calls wait for a shorter time: their prefixes are short, and their programs must finish soon.
+const URGENT_PATIENCE_DIVISOR: u32 = 4;
+/// A call waits no longer than this part of the longest waiting time for the engine that has its
+/// prefix while others have room. With a bound of 1 s, all programs lost their prefixes as soon as
+/// calls waited for longer than that, which made the overload worse.
+const PATIENCE_DIVISOR: u32 = 4;
+
+/// A new program waits for engine memory no longer than this part of the longest waiting time, so
+/// that programs which pause for long cannot keep all others out.
+const MEMORY_WAIT_DIVISOR: u32 = 2;
 
 /// Cached prefix weighed against the corrected load.
 ///
 /// The candidates are the engines that hold the prefix, the least loaded one and a few random ones.
+/// A program that starts is queued rather than evicting the prefixes of running programs, unless it is
+/// urgent.
 /// When the engines that hold the prefix are full, the call waits for them no longer than another
 /// engine would need to compute the prefix again.
 pub struct PrefixAndLoad {
@@ -141,13 +155,24 @@
     let uncached = candidates.call.prompt_tokens - cached;
     let load = engines.load(index) * FULL_LOAD_TOKENS / 1000;
     let waiting = engines.waiting(index) * WAITING_CALL_TOKENS;
-    uncached + load + waiting
+    // What the call evicts has to be computed again.
+    let evicted = match cached {
+        0 => engines.overflow(index, candidates.call),
+        _ => 0,
+    };
+    uncached + load + waiting + evicted
 }
 
 impl PlacementPolicy for PrefixAndLoad {
     fn choose(&mut self, candidates: Candidates<'_>) -> Choice {
         let engines = candidates.engines;
         let holders = engines.prefixes.holders(&candidates.call.cache_key);
+        let limits = &candidates.call.config.limits;
+        let longest_wait = limits.queue_time / MEMORY_WAIT_DIVISOR;
+        let is_new = holders.is_empty() && candidates.call.is_new_program();
+        let is_urgent = candidates.call.priority == Priority::Urgent;
+        let waits_for_memory = is_new && !is_urgent && candidates.waited < longest_wait;
+        let mut lacks_memory = false;
         let holders = holders.iter().rev().take(HOLDER_CANDIDATES);
         let mut best: Option<(u64, EngineIndex)> = None;
         let mut full_holder_tokens = 0;
@@ -155,6 +180,10 @@
             if !candidates.has_room(index) {
                 return false;
             }
+            if waits_for_memory && engines.overflow(index, candidates.call) > 0 {
+                lacks_memory = true;
+                return false;
+            }
             let candidate = (cost(&candidates, index), index);
             best = Some(best.map_or(candidate, |best| best.min(candidate)));
             true
@@ -174,13 +203,20 @@
             }
         }
         let Some((_, index)) = best else {
-            return Choice::NoRoom;
+            return if lacks_memory {
+                Choice::NoMemory
+            } else {
+                Choice::NoRoom
+            };
         };
         let cached = engines.cached_tokens(index, candidates.call);
         let saved = full_holder_tokens.saturating_sub(cached);
-        let patience = Duration::from_millis(saved * 1000 / PREFILL_TOKENS_PER_SECOND);
+        let mut patience = Duration::from_millis(saved * 1000 / PATIENCE_TOKENS_PER_SECOND);
+        if is_urgent {
+            patience /= URGENT_PATIENCE_DIVISOR;
+        }
         match patience
-            .min(LONGEST_PATIENCE)
+            .min(limits.queue_time / PATIENCE_DIVISOR)
             .checked_sub(candidates.waited)
         {
             Some(rest) if !rest.is_zero() => Choice::Wait(rest),
