--- a/src/process/routing.rs
+++ b/src/process/routing.rs
@@ -22,7 +22,7 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::{BackendServerId, ModelId, TeamId};
 use crate::process::timer::TimerService;
-use crate::version::config::{Config, Priority};
+use crate::version::config::{Config, Priority, QueueKind};
 
 use engines::{EngineIndex, Engines};
 use placement::{Candidates, Choice, ConfiguredPlacement, PlacementPolicy};
@@ -35,6 +35,11 @@
 const POLLS_PER_INTERVAL: usize = 64;
 /// A call is due to start after this part of its longest waiting time.
 const AGE_BOUND_DIVISOR: u32 = 2;
+/// A new program is refused if it would wait for more than this part of the longest waiting time.
+/// The rest covers the error of the estimate.
+const HOPELESS_WAIT_DIVISOR: u32 = 4;
+/// Weight of one start in the mean time between the starts of new programs.
+const START_INTERVAL_STEP: f64 = 0.1;
 
 /// Settings of a router.
 #[derive(Clone, Copy, Debug)]
@@ -83,6 +88,11 @@
         self.prompt_tokens.saturating_add(self.max_output_tokens)
     }
 
+    /// Whether the program has not received any service yet.
+    pub fn is_new_program(&self) -> bool {
+        self.program_service_tokens == 0
+    }
+
     fn team_weight(&self) -> u32 {
         let team = self.config.teams.get(&self.team_id);
         team.map_or(1, |team| team.weight)
@@ -131,6 +141,39 @@
 struct ModelQueue<P: PlacementPolicy, Q: QueuePolicy> {
     policy: Q,
     calls: IndexMap<CallId, WaitingCall<P, Q>>,
+    new_programs: NewPrograms,
+}
+
+/// How often new programs leave the queue.
+#[derive(Default)]
+struct NewPrograms {
+    /// The last start, or the instant at which the first one began to wait.
+    last_start: Option<Instant>,
+    /// Mean time between two starts while others waited.
+    interval_s: Option<f64>,
+}
+
+impl NewPrograms {
+    /// Records a start; `others_wait` tells whether the queue holds further new programs.
+    fn started(&mut self, now: Instant, others_wait: bool) {
+        if let Some(last) = self.last_start {
+            let interval = now.saturating_duration_since(last).as_secs_f64();
+            let mean = self.interval_s.get_or_insert(interval);
+            *mean += START_INTERVAL_STEP * (interval - *mean);
+        }
+        self.last_start = others_wait.then_some(now);
+    }
+
+    /// The time until `ahead` new programs have started.
+    fn expected_wait(&self, ahead: usize, now: Instant) -> Duration {
+        let Some(interval) = self.interval_s else {
+            return Duration::ZERO;
+        };
+        let since = self.last_start.map_or(0.0, |last| {
+            now.saturating_duration_since(last).as_secs_f64()
+        });
+        Duration::try_from_secs_f64(interval.max(since) * ahead as f64).unwrap_or(Duration::MAX)
+    }
 }
 
 impl<P: PlacementPolicy, Q: QueuePolicy> Default for ModelQueue<P, Q> {
@@ -138,10 +181,22 @@
         Self {
             policy: Q::default(),
             calls: IndexMap::new(),
+            new_programs: NewPrograms::default(),
         }
     }
 }
 
+impl<P: PlacementPolicy, Q: QueuePolicy> ModelQueue<P, Q> {
+    /// New programs that wait and are at least as urgent.
+    fn new_programs_waiting(&self, least: Priority) -> usize {
+        let calls = self.calls.values();
+        let new = calls.filter(|waiting| {
+            waiting.call.is_new_program() && waiting.call.priority as u8 >= least as u8
+        });
+        new.count()
+    }
+}
+
 struct State<P: PlacementPolicy, Q: QueuePolicy> {
     options: RouterOptions,
     config: Option<Rc<Config>>,
@@ -236,6 +291,14 @@
         dispatch_all(&self.state);
     }
 
+    /// Takes over the number of live entries, which share the engines.
+    pub fn set_live_entries(&self, count: usize) {
+        let mut state = self.state.borrow_mut();
+        state.engines.set_live_entries(count, Instant::now());
+        drop(state);
+        dispatch_all(&self.state);
+    }
+
     /// Forgets a prefix, and returns the engines that may hold it, so that it can be released
     /// there.
     pub fn take_holders(&self, cache_key: &str) -> Vec<(BackendServerId, SocketAddr)> {
@@ -247,6 +310,9 @@
         });
         let holders = holders.collect();
         state.engines.prefixes.forget(cache_key);
+        drop(state);
+        // A program that waits for memory may start now.
+        dispatch_all(&self.state);
         holders
     }
 
@@ -281,6 +347,9 @@
         if let Some(permit) = self.start_at_once(&call, arrived) {
             return Ok(permit);
         }
+        if self.is_hopeless(&call, arrived) {
+            return Err(overloaded(&call.model_id));
+        }
         let (place, mut answer) = self.enqueue(&call, arrived);
         loop {
             let retry_at = place.retry_at().unwrap_or(deadline);
@@ -300,6 +369,21 @@
         }
     }
 
+    /// Whether a new program would not start in time. It gets its answer at once; a program that
+    /// runs is never refused, because its work so far would be lost.
+    fn is_hopeless(&self, call: &CallDescription, now: Instant) -> bool {
+        if call.config.policy.queue == QueueKind::Fifo || !call.is_new_program() {
+            return false;
+        }
+        let state = self.state.borrow();
+        let Some(queue) = state.queues.get(&call.model_id) else {
+            return false;
+        };
+        let ahead = queue.new_programs_waiting(call.priority);
+        let wait = queue.new_programs.expected_wait(ahead, now);
+        wait > call.config.limits.queue_time / HOPELESS_WAIT_DIVISOR
+    }
+
     /// Starts a call without queueing if none waits before it.
     fn start_at_once(&self, call: &Rc<CallDescription>, now: Instant) -> Option<Permit<P, Q>> {
         let mut state = self.state.borrow_mut();
@@ -344,6 +428,9 @@
                 reply,
             };
             queue.calls.insert(call_id, waiting);
+            if call.is_new_program() {
+                queue.new_programs.last_start.get_or_insert(now);
+            }
             call_id
         };
         dispatch(&self.state, &call.model_id);
@@ -376,7 +463,7 @@
         index: EngineIndex,
         now: Instant,
     ) {
-        self.engines.start(index, call.tokens(), now);
+        self.engines.start(index, call, now);
         let queue = self.queue_for(&call.model_id);
         queue.policy.started(queued, call.tokens());
     }
@@ -425,13 +512,17 @@
                 {
                     break;
                 }
-                Choice::NoRoom => {}
+                Choice::NoRoom | Choice::NoMemory => {}
             }
         }
         let (call_id, index) = chosen?;
         queue.policy.remove(call_id);
         let waiting = queue.calls.swap_remove(&call_id)?;
         let call = waiting.call.clone();
+        if call.is_new_program() {
+            let others_wait = queue.new_programs_waiting(Priority::Background) > 0;
+            queue.new_programs.started(now, others_wait);
+        }
         self.start(&call, &waiting.queued, index, now);
         Some((waiting, index))
     }
@@ -612,7 +703,7 @@
             state.settle(call, 0);
         }
     }
-    state.engines.end(index, call.tokens(), now);
+    state.engines.end(index, call, now);
 }
 
 /// Starts the load requests that are due.
