--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -92,13 +92,22 @@
     }
 
     /// The budget that the configuration gives to the root of a run.
+    ///
+    /// It is the configuration in force, not the one that the request started with, so that a lowered
+    /// budget also holds for calls that were waiting. A program that was removed keeps its budget for
+    /// the requests that started before.
     pub fn root_budget_micros(&self, run_id: RunId) -> Micros {
+        let current = self.entry.config.current();
         let state = self.open.cell().state.borrow();
         let mut run = state.run(run_id);
         while let Some(parent) = run.and_then(|run| run.parent_run_id) {
             run = state.run(parent);
         }
-        let program = run.and_then(|run| self.config.programs.get(&run.program_id));
+        let program = run.and_then(|run| {
+            let current = current.as_ref();
+            let current = current.and_then(|config| config.programs.get(&run.program_id));
+            current.or_else(|| self.config.programs.get(&run.program_id))
+        });
         program.map_or(0, |program| program.budget_micros)
     }
 
@@ -348,22 +357,27 @@
     format!("{}/{}/{thread_number}", key.team_id, key.conversation_id).into()
 }
 
-/// Whether a run that this entry holds uses the prefix; a conversation that it does not hold counts
-/// as active, because another entry may serve it.
-pub fn is_cache_key_active(entry: &Entry, cache_key: &str) -> bool {
-    let mut parts = cache_key.split('/');
-    let (Some(team_id), Some(conversation_id), Some(thread), None) =
-        (parts.next(), parts.next(), parts.next(), parts.next())
-    else {
-        return true;
-    };
-    let Ok(thread_number) = thread.parse::<RunId>() else {
-        return true;
-    };
+/// The conversation and the thread that a cache key names; `None` for a key of another form, which
+/// some other client of the engine has made.
+pub fn parse_cache_key(text: &str) -> Option<(ConversationKey, RunId)> {
+    let mut parts = text.split('/');
+    let (team_id, conversation_id) = (parts.next()?, parts.next()?);
+    let thread_number = parts.next()?.parse().ok()?;
     let key = ConversationKey {
         team_id: team_id.into(),
         conversation_id: conversation_id.into(),
     };
+    // The comparison also refuses further parts and other spellings of the number.
+    (*cache_key(&key, thread_number) == *text).then_some((key, thread_number))
+}
+
+/// Whether a run that this entry holds uses the prefix; a conversation that it does not hold counts
+/// as active, because another entry may serve it. A conversation of a held slot that is not in memory
+/// has no active run.
+pub fn is_cache_key_active(entry: &Entry, cache_key: &str) -> bool {
+    let Some((key, thread_number)) = parse_cache_key(cache_key) else {
+        return true;
+    };
     match entry.slots.find(&key) {
         Ok(Some(cell)) => cell.state.borrow().is_thread_active(thread_number),
         Ok(None) => false,
