Fence nobody before the own commits have succeeded for a lease time

Cause: while the table can be read but takes no commits, the rows of all entries stand still and every lease seems to have expired. When commits worked again, the first entries fenced the others before they could renew.

Ruled out: counting only time in which scans succeed, which was done already; the scans do succeed here.

Change: an entry fences another one only after its own commits have succeeded without a break for a lease time. Entries that are fenced already are recovered at once.

Conclusion: entries_survive_a_table_that_takes_no_commits guards it. A dead entry is recovered up to one lease time later if it died during such a time.

--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -535,9 +535,14 @@
         .timer
         .subscribe(manager.settings.membership_interval);
     let mut first_seen: IndexMap<Holder, Instant> = IndexMap::new();
+    let mut commits_since = None;
     loop {
         ticks.tick().await;
-        let rows = manager.recoverable();
+        commits_since = manager.commits_since(commits_since);
+        let may_fence = commits_since
+            .is_some_and(|since: Instant| since.elapsed() >= manager.settings.lease_ttl);
+        let mut rows = manager.recoverable();
+        rows.retain(|row| may_fence || row.state == EntryState::Fenced);
         first_seen.retain(|holder, _| rows.iter().any(|row| row.holder() == *holder));
         for row in rows {
             let seen = *first_seen.entry(row.holder()).or_insert_with(Instant::now);
@@ -560,6 +565,16 @@
         rows
     }
 
+    /// Since when the own commits succeed without a break; `since` is the answer of the last time.
+    ///
+    /// While no entry can commit, all rows stand still although their entries are alive. An entry
+    /// whose own commits succeed again gives the others a lease time to renew.
+    fn commits_since(&self, since: Option<Instant>) -> Option<Instant> {
+        let now = self.timer.now();
+        let succeeds = self.journal.holds_lease_at(now) && self.journal.failing_for().is_none();
+        succeeds.then(|| since.unwrap_or(now))
+    }
+
     async fn recover(&self, seen: &EntryRow) -> crate::connection::platform::Result<()> {
         let row = self.platform.read_one(&entry_key(&seen.entry_id)).await?;
         let current: EntryRow = row.decode()?;
--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -271,3 +271,22 @@
     load.check();
     assert_nobody_was_fenced(&site);
 }
+
+/// Guards against healthy entries that fence each other after a time in which the table could be
+/// read but took no commits: all rows stood still in that time.
+#[test]
+fn entries_survive_a_table_that_takes_no_commits() {
+    let site = site();
+    let client = site.client();
+    start_run(client, 0, "c1");
+    site.platform
+        .control(&json!({ "hang_commits": true, "commit_filter": "" }));
+    thread::sleep(LEASE_TTL * 3);
+    site.platform.control(&json!({ "hang_commits": false }));
+    assert_nobody_was_fenced(&site);
+    let mut talk = Talk::new("c1");
+    let expected = talk.expect("t1", 8);
+    let mut stream = open_turn(client, 1, "c1", "t1", 8).expect("a stream");
+    assert_eq!(whole_text(&mut stream, String::new()), Ok(expected));
+    talk.check_history(client, 2);
+}
