Split the router and the slot manager, and record all metrics that are declared

Change: the permit, the polling and the waiting calls of the router, the checkpoints and the recoveries of the slot manager, and the answer of a turn have files of their own. The metrics are recorded where they arise; the time between tokens is one mean value for each turn, because a value for each token would cost at every token. One notifier serves all waiting. The setting is gone until a cache of bodies exists.

--- a/examples/peer_bench.rs
+++ b/examples/peer_bench.rs
@@ -3,7 +3,7 @@
 //! Each entry has its two threads, as in a process of its own. The load is bounded by the constants
 //! below.
 
-#[path = "../tests/support/mod.rs"]
+#[path = "../tests/support/peers.rs"]
 mod support;
 
 use std::rc::Rc;
--- a/src/connection/peer/server.rs
+++ b/src/connection/peer/server.rs
@@ -1,10 +1,9 @@
 //! The server side: one task for each connection and each stream.
 
 use std::cell::{Cell, RefCell};
-use std::future::{Future, poll_fn};
+use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -20,6 +19,7 @@
 use super::{CODE_ABORTED, CODE_REFUSED};
 use crate::connection::body::Body;
 use crate::ids::EntryId;
+use crate::process::notify::Notify;
 
 /// Longest time for the handshake of a connection.
 const HANDSHAKE_TIME: Duration = Duration::from_secs(5);
@@ -52,26 +52,8 @@
     streams: Cell<usize>,
     last_reset: Cell<Option<Instant>>,
     connections: RefCell<IndexMap<usize, Connection>>,
-    wakers: RefCell<Vec<Waker>>,
-}
-
-impl Shared {
-    fn notify(&self) {
-        for waker in self.wakers.borrow_mut().drain(..) {
-            waker.wake();
-        }
-    }
-
-    async fn wait(&self, condition: impl Fn(&Shared) -> bool) {
-        poll_fn(|context| {
-            if condition(self) {
-                return Poll::Ready(());
-            }
-            self.wakers.borrow_mut().push(context.waker().clone());
-            Poll::Pending
-        })
-        .await;
-    }
+    /// Notified when a request ends while the server stops.
+    changed: Notify,
 }
 
 /// A running server.
@@ -90,7 +72,8 @@
     /// connections. Returns whether all requests ended in time. The client side goes on.
     pub async fn stop(&self, limit: Duration) -> bool {
         self.shared.stopping.set(true);
-        let drained = self.shared.wait(|shared| shared.streams.get() == 0);
+        let shared = &self.shared;
+        let drained = shared.changed.until(|| shared.streams.get() == 0);
         let in_time = self.endpoint.timer().timeout(limit, drained).await.is_ok();
         self.shared.stopped.set(true);
         // The end of a connection may overtake the reset of a request that did run.
@@ -225,7 +208,7 @@
     }
     shared.streams.set(shared.streams.get() - 1);
     if shared.stopping.get() {
-        shared.notify();
+        shared.changed.notify();
     }
 }
 
--- a/src/process/journal/writer.rs
+++ b/src/process/journal/writer.rs
@@ -11,6 +11,7 @@
 };
 use crate::connection::platform::{Check, CommitOutcome, PlatformError, Row, Write};
 use crate::process::conversation::Record;
+use crate::process::metrics::{COMMIT_SECONDS, COMMITS};
 use crate::process::recovery;
 use crate::process::rows::{EntryRow, EntryState, Holder, entry_key, segment_key, slot_key};
 use crate::process::slots::OpenConversation;
@@ -329,6 +330,8 @@
         entry.outcome = Some(SlotChangeOutcome::Written(version));
     }
     accept_row(shared, batch.next.clone(), row_version, started);
+    metrics::counter!(COMMITS, "outcome" => "ok").increment(1);
+    metrics::histogram!(COMMIT_SECONDS).record(started.elapsed());
 }
 
 /// `None` means: try again without the changes whose rows have another version.
@@ -445,6 +448,7 @@
 }
 
 fn note_failure(shared: &Shared, error: &PlatformError) {
+    metrics::counter!(COMMITS, "outcome" => "failed").increment(1);
     if shared.failing_since.get().is_none() {
         log::warn!(
             "the platform does not take commits: {}",
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -4,10 +4,8 @@
 //! the time of a lease, by this process's monotonic clock ([`Observations`]). That is only a reason
 //! to try to fence the entry: the compare-and-set of its row decides.
 
-use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
+use std::cell::RefCell;
 use std::rc::{Rc, Weak};
-use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -16,6 +14,7 @@
 use crate::error::chain;
 use crate::ids::EntryId;
 use crate::process::metrics::SCANS;
+use crate::process::notify::Notify;
 use crate::process::rows::{ENTRY_PREFIX, EntryRow, EntryState};
 use crate::process::timer::TimerService;
 
@@ -154,9 +153,8 @@
     observations: RefCell<Observations>,
     vms: RefCell<Vec<Vm>>,
     lease_ttl: Duration,
-    /// Grows with each change that subscribers are told about.
-    changes: Cell<u64>,
-    wakers: RefCell<Vec<Waker>>,
+    /// Notified of each change that subscribers are told about.
+    changed: Notify,
 }
 
 /// A handle to the membership task; clones share it. The task ends with the last handle.
@@ -177,8 +175,7 @@
             observations: RefCell::new(Observations::new(interval)),
             vms: RefCell::default(),
             lease_ttl,
-            changes: Cell::new(0),
-            wakers: RefCell::default(),
+            changed: Notify::default(),
         });
         let scan_state = Rc::downgrade(&state);
         monoio::spawn(scan_task(
@@ -245,7 +242,7 @@
     pub fn subscribe(&self) -> Changes {
         Changes {
             state: self.state.clone(),
-            seen: self.state.changes.get(),
+            seen: self.state.changed.changes(),
         }
     }
 }
@@ -259,26 +256,12 @@
 impl Changes {
     /// Completes when something has changed since the last call or the subscription.
     pub async fn changed(&mut self) {
-        poll_fn(|context| {
-            if self.seen != self.state.changes.get() {
-                self.seen = self.state.changes.get();
-                return Poll::Ready(());
-            }
-            self.state.wakers.borrow_mut().push(context.waker().clone());
-            Poll::Pending
-        })
-        .await;
+        self.state.changed.changed_since(self.seen).await;
+        self.seen = self.state.changed.changes();
     }
 }
 
 impl State {
-    fn notify(&self) {
-        self.changes.set(self.changes.get() + 1);
-        for waker in self.wakers.borrow_mut().drain(..) {
-            waker.wake();
-        }
-    }
-
     /// What subscribers are told about.
     fn summary(&self) -> (Vec<EntryRow>, Vec<EntryId>) {
         let observations = self.observations.borrow();
@@ -295,7 +278,7 @@
         let before = self.summary();
         record(&mut self.observations.borrow_mut());
         if before != self.summary() {
-            self.notify();
+            self.changed.notify();
         }
     }
 }
@@ -360,7 +343,7 @@
                 let changed = summary(&vms) != summary(&state.vms.borrow());
                 *state.vms.borrow_mut() = vms;
                 if changed {
-                    state.notify();
+                    state.changed.notify();
                 }
             }
             // The last list stays in use.
--- a/src/process/recovery.rs
+++ b/src/process/recovery.rs
@@ -13,6 +13,7 @@
 use crate::ids::{ConversationKey, SlotId};
 use crate::process::conversation::{Conversation, Record};
 use crate::process::journal::segment::{self, Checkpoint};
+use crate::process::metrics::ENTRIES_FENCED;
 use crate::process::rows::{
     EntryRow, EntryState, Holder, SLOT_PREFIX, SlotRow, entry_key, recovery_checkpoint_key,
     segment_key, slot_key,
@@ -43,6 +44,7 @@
             CommitOutcome::Conflict(_) => return Ok(()),
             CommitOutcome::Unknown(error) => return Err(error),
         }
+        metrics::counter!(ENTRIES_FENCED).increment(1);
         log::warn!(
             entry = &*row.entry_id, incarnation = row.incarnation, segment = row.segment;
             "entry fenced"
--- /dev/null
+++ b/src/process/routing/permit.rs
@@ -0,0 +1,108 @@
+//! A call in progress on an engine.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Instant;
+
+use super::engines::{EngineIndex, Engines};
+use super::placement::{ConfiguredPlacement, PlacementPolicy};
+use super::queue::{ConfiguredQueue, QueuePolicy};
+use super::waiting::{State, dispatch};
+use super::{CallDescription, Shared};
+use crate::connection::engine::Usage;
+use crate::ids::BackendServerId;
+
+/// The right to run one call on an engine, released when it is dropped.
+///
+/// A permit that is dropped without [`finished`](Self::finished) or [`failed`](Self::failed) is a
+/// cancelled call, which says nothing about the engine.
+pub struct Permit<P: PlacementPolicy = ConfiguredPlacement, Q: QueuePolicy = ConfiguredQueue> {
+    /// The engine.
+    pub backend_server_id: BackendServerId,
+    /// Its address.
+    pub address: SocketAddr,
+    state: Weak<RefCell<State<P, Q>>>,
+    call: Rc<CallDescription>,
+    index: EngineIndex,
+    outcome: Outcome,
+}
+
+#[derive(Clone, Copy)]
+enum Outcome {
+    Cancelled,
+    Finished(Usage),
+    Failed,
+}
+
+impl<P: PlacementPolicy, Q: QueuePolicy> std::fmt::Debug for Permit<P, Q> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "Permit({})", self.backend_server_id)
+    }
+}
+
+impl<P: PlacementPolicy, Q: QueuePolicy> Permit<P, Q> {
+    pub(super) fn new(
+        state: &Shared<P, Q>,
+        engines: &Engines,
+        call: &Rc<CallDescription>,
+        index: EngineIndex,
+    ) -> Self {
+        let engine = engines.get(index);
+        Self {
+            backend_server_id: engine.backend_server_id.clone(),
+            address: engine.address,
+            state: Rc::downgrade(state),
+            call: call.clone(),
+            index,
+            outcome: Outcome::Cancelled,
+        }
+    }
+
+    /// Records that the engine has started to answer.
+    pub fn first_token(&self) {
+        if let Some(state) = self.state.upgrade() {
+            let mut state = state.borrow_mut();
+            state.engines.succeeded(self.index, Instant::now());
+        }
+    }
+
+    /// Records that the call is complete, and releases the permit.
+    pub fn finished(mut self, usage: Usage) {
+        self.outcome = Outcome::Finished(usage);
+    }
+
+    /// Records that the engine failed the call, and releases the permit.
+    pub fn failed(mut self) {
+        self.outcome = Outcome::Failed;
+    }
+}
+
+impl<P: PlacementPolicy, Q: QueuePolicy> Drop for Permit<P, Q> {
+    fn drop(&mut self) {
+        let Some(state) = self.state.upgrade() else {
+            return;
+        };
+        release(&mut state.borrow_mut(), self);
+        dispatch(&state, &self.call.model_id);
+    }
+}
+
+fn release<P: PlacementPolicy, Q: QueuePolicy>(state: &mut State<P, Q>, permit: &Permit<P, Q>) {
+    let now = Instant::now();
+    let call = &permit.call;
+    let index = permit.index;
+    match permit.outcome {
+        Outcome::Cancelled => {}
+        Outcome::Finished(usage) => {
+            state.engines.succeeded(index, now);
+            state.engines.used(index, call, &usage);
+            state.settle(call, usage.prompt_tokens + usage.completion_tokens);
+        }
+        Outcome::Failed => {
+            state.engines.failed(index, now);
+            state.settle(call, 0);
+        }
+    }
+    state.engines.end(index, call, now);
+}
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -98,8 +98,6 @@
     platform_call_ms: u64,
     #[serde(default = "defaults::shutdown_limit_ms")]
     shutdown_limit_ms: u64,
-    #[serde(default = "defaults::body_cache_bytes")]
-    body_cache_bytes: usize,
     #[serde(default = "defaults::journal_queue_bytes")]
     journal_queue_bytes: usize,
     #[serde(default)]
@@ -146,9 +144,6 @@
     pub(super) fn shutdown_limit_ms() -> u64 {
         600_000
     }
-    pub(super) fn body_cache_bytes() -> usize {
-        64 << 20
-    }
     pub(super) fn journal_queue_bytes() -> usize {
         64 << 20
     }
@@ -199,8 +194,6 @@
     pub platform_call: Duration,
     /// Longest graceful shutdown.
     pub shutdown_limit: Duration,
-    /// Memory for bodies of messages.
-    pub body_cache_bytes: usize,
     /// Memory for events that wait to become durable.
     pub journal_queue_bytes: usize,
     /// Ends the process when it finds an invariant violated; for tests.
@@ -252,7 +245,6 @@
             evict_idle: positive("evict_idle_ms", raw.evict_idle_ms)?,
             platform_call: positive("platform_call_ms", raw.platform_call_ms)?,
             shutdown_limit: positive("shutdown_limit_ms", raw.shutdown_limit_ms)?,
-            body_cache_bytes: raw.body_cache_bytes,
             journal_queue_bytes: raw.journal_queue_bytes,
             abort_on_violation: raw.abort_on_violation,
         })
--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -3,8 +3,11 @@
 //! Three tasks run side by side, so that a long recovery does not keep slots from moving:
 //!
 //! - `move_slots` takes free slots that prefer this entry and releases those that prefer another,
-//! - `write_checkpoints` bounds what a recovery has to read,
-//! - `recover_entries` fences and recovers entries whose lease has expired.
+//! - `checkpoints::write_checkpoints` bounds what a recovery has to read,
+//! - `recoveries::recover_entries` fences and recovers entries whose lease has expired.
+
+mod checkpoints;
+mod recoveries;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -17,17 +20,14 @@
 use crate::connection::platform::PlatformClient;
 use crate::error::chain;
 use crate::ids::{EntryId, SlotId};
-use crate::process::invariant;
-use crate::process::journal::{Journal, SlotChange, SlotChangeOutcome, segment};
+use crate::process::journal::{Journal, SlotChange, SlotChangeOutcome};
 use crate::process::membership::Membership;
+use crate::process::metrics::SLOT_CHANGES;
 use crate::process::recovery;
-use crate::process::rows::{
-    EntryRow, EntryState, Holder, SlotRow, checkpoint_key, conversation_object_key, entry_key,
-    segment_key, slot_key,
-};
+use crate::process::rows::{EntryState, Holder, SlotRow, slot_key};
 use crate::process::settings::Settings;
-use crate::process::slots::{ConversationCell, Slots, placement};
-use crate::process::timer::{TimerService, unix_ms};
+use crate::process::slots::{Slots, placement};
+use crate::process::timer::TimerService;
 
 /// Pause between two looks at the slot rows while slots that prefer this entry are missing.
 const MOVE_INTERVAL: Duration = Duration::from_millis(200);
@@ -94,8 +94,8 @@
     /// Starts the tasks.
     pub fn start(self: &Rc<Self>) {
         monoio::spawn(move_slots(self.clone()));
-        monoio::spawn(write_checkpoints(self.clone()));
-        monoio::spawn(recover_entries(self.clone()));
+        monoio::spawn(checkpoints::write_checkpoints(self.clone()));
+        monoio::spawn(recoveries::recover_entries(self.clone()));
     }
 
     /// Makes the entry take no more slots and release those it holds.
@@ -262,6 +262,7 @@
         }
         for ((row, state), outcome) in rows.into_iter().zip(states).zip(outcomes) {
             if let SlotChangeOutcome::Written(version) = outcome {
+                metrics::counter!(SLOT_CHANGES, "change" => "acquired").increment(1);
                 self.slots.insert(holder.incarnation, row, version, state);
             }
         }
@@ -308,166 +309,6 @@
         }
         Ok(())
     }
-
-    /// Writes checkpoints of slots, and gives the slots up if `release` is set. Slots whose row is
-    /// being changed already are left for the next time.
-    async fn checkpoint(
-        &self,
-        slots: &[SlotId],
-        release: bool,
-    ) -> crate::connection::platform::Result<()> {
-        let slots: Vec<SlotId> = {
-            let mut changing = self.changing.borrow_mut();
-            let free = slots.iter().copied();
-            free.filter(|slot| changing.insert(*slot)).collect()
-        };
-        let result = self.change_rows(&slots, release).await;
-        let mut changing = self.changing.borrow_mut();
-        changing.retain(|slot| !slots.contains(slot));
-        result
-    }
-
-    async fn change_rows(
-        &self,
-        slots: &[SlotId],
-        release: bool,
-    ) -> crate::connection::platform::Result<()> {
-        let Some(holder) = self.journal.holder() else {
-            return Ok(());
-        };
-        let first_segment = self.journal.segment() + 1;
-        let mut changes = Vec::new();
-        let mut objects = Vec::new();
-        // Objects that a slot no longer needs once its new row is written.
-        let mut replaced: IndexMap<SlotId, Vec<String>> = IndexMap::new();
-        for slot in slots {
-            let Some((mut row, version)) = self.slots.row(*slot) else {
-                continue;
-            };
-            if let Some((checkpoint, obsolete)) = self.slots.snapshot_if_changed(*slot) {
-                let replaced = replaced.entry(*slot).or_insert(obsolete);
-                let key = checkpoint_key(*slot, &holder, self.next_object_number());
-                match segment::encode(&checkpoint) {
-                    Ok(bytes) => objects.push((key.clone(), bytes)),
-                    Err(error) => unreachable!("a state in memory always encodes: {error}"),
-                }
-                replaced.extend(row.checkpoint.replace(key));
-            }
-            row.first_segment = first_segment;
-            row.holder = (!release).then(|| holder.clone());
-            changes.push(SlotChange { version, row });
-        }
-        let puts = objects
-            .into_iter()
-            .map(|(key, bytes)| async move { self.platform.put_object(&key, bytes.into()).await });
-        let written: Vec<_> = stream::iter(puts)
-            .buffered(PARALLEL_OBJECTS)
-            .collect()
-            .await;
-        for result in written {
-            result?;
-        }
-        let rows: Vec<SlotRow> = changes.iter().map(|change| change.row.clone()).collect();
-        let Ok(outcomes) = self.journal.change_slots(changes).await else {
-            return Ok(());
-        };
-        for (row, outcome) in rows.into_iter().zip(outcomes) {
-            match outcome {
-                SlotChangeOutcome::Written(_) if release => {
-                    self.learn_holder(row.slot, None);
-                    self.slots.remove(row.slot);
-                }
-                SlotChangeOutcome::Written(version) => self.slots.checkpointed(row, version),
-                SlotChangeOutcome::Conflict => {
-                    // The row still names the old checkpoint.
-                    replaced.swap_remove(&row.slot);
-                    let detail = format!("the row of held slot {} was changed", row.slot);
-                    invariant::violated("slot_row", &detail);
-                }
-            }
-        }
-        for key in replaced.into_values().flatten() {
-            if let Err(error) = self.platform.delete_object(&key).await {
-                log::debug!(
-                    "the old checkpoint `{key}` was not deleted: {}",
-                    chain(&error)
-                );
-            }
-        }
-        Ok(())
-    }
-
-    /// Stores conversations that are idle for long, and drops them from memory. Until the next
-    /// checkpoint names their objects, they are also part of the last one, so no order of failures
-    /// loses them.
-    async fn evict_idle(&self) {
-        let idle_ms = self.settings.evict_idle.as_millis() as u64;
-        let before_ms = unix_ms().saturating_sub(idle_ms);
-        for slot in self.slots.held() {
-            for cell in self.slots.idle_conversations(slot, before_ms) {
-                if let Err(error) = self.evict(slot, cell).await {
-                    log::debug!("an idle conversation was not stored: {}", chain(&error));
-                    return;
-                }
-            }
-        }
-    }
-
-    async fn evict(
-        &self,
-        slot: SlotId,
-        cell: Rc<ConversationCell>,
-    ) -> crate::connection::platform::Result<()> {
-        let Some(holder) = self.journal.holder() else {
-            return Ok(());
-        };
-        if !self.slots.is_open(slot) {
-            return Ok(());
-        }
-        let key = cell.state.borrow().key.clone();
-        if self.slots.is_stored(slot, &key) {
-            self.slots.evict(slot, cell, None);
-            return Ok(());
-        }
-        let object = conversation_object_key(slot, &holder, self.next_object_number());
-        let bytes = match segment::encode(&*cell.state.borrow()) {
-            Ok(bytes) => bytes,
-            Err(error) => unreachable!("a state in memory always encodes: {error}"),
-        };
-        let written = cell.state.borrow().clone();
-        self.platform.put_object(&object, bytes.into()).await?;
-        let is_current = self.journal.holder().as_ref() == Some(&holder);
-        // While the object was written, the conversation may have been opened and changed.
-        let is_unchanged = self.slots.is_open(slot) && *cell.state.borrow() == written;
-        if is_current && is_unchanged {
-            self.slots.evict(slot, cell, Some(object));
-        }
-        Ok(())
-    }
-
-    fn next_object_number(&self) -> u64 {
-        let number = self.next_checkpoint.get();
-        self.next_checkpoint.set(number + 1);
-        number
-    }
-
-    /// Deletes segments that all checkpoints include, after the entry row says so.
-    async fn trim_journal(&self, deleted_below: &mut u64) {
-        let Some(holder) = self.journal.holder() else {
-            return;
-        };
-        let first = self.slots.first_needed_segment(self.journal.segment());
-        self.journal.set_first_segment(first);
-        let committed = self.journal.committed_first_segment();
-        while *deleted_below < committed {
-            let key = segment_key(&holder, *deleted_below);
-            if let Err(error) = self.platform.delete_object(&key).await {
-                log::debug!("the segment `{key}` was not deleted: {}", chain(&error));
-                return;
-            }
-            *deleted_below += 1;
-        }
-    }
 }
 
 fn preferred(slot: SlotId, candidates: &IndexSet<EntryId>) -> Option<EntryId> {
@@ -500,110 +341,7 @@
     }
 }
 
-async fn write_checkpoints(manager: Rc<SlotManager>) {
-    let mut ticks = manager
-        .timer
-        .subscribe(manager.settings.checkpoint_interval);
-    let mut incarnation = 0;
-    let mut deleted_below = 1;
-    loop {
-        ticks.tick().await;
-        let Some(holder) = manager.journal.holder() else {
-            continue;
-        };
-        if holder.incarnation != incarnation {
-            incarnation = holder.incarnation;
-            deleted_below = 1;
-        }
-        manager.evict_idle().await;
-        for chunk in manager.slots.changed_slots().chunks(CHANGES_PER_COMMIT) {
-            let held: Vec<_> = chunk
-                .iter()
-                .copied()
-                .filter(|slot| manager.slots.is_open(*slot))
-                .collect();
-            if let Err(error) = manager.checkpoint(&held, false).await {
-                log::warn!("checkpoints were not written: {}", chain(&error));
-            }
-        }
-        manager.trim_journal(&mut deleted_below).await;
-    }
-}
-
-async fn recover_entries(manager: Rc<SlotManager>) {
-    let mut ticks = manager
-        .timer
-        .subscribe(manager.settings.membership_interval);
-    let mut first_seen: IndexMap<Holder, Instant> = IndexMap::new();
-    let mut commits_since = None;
-    loop {
-        ticks.tick().await;
-        commits_since = manager.commits_since(commits_since);
-        let may_fence = commits_since
-            .is_some_and(|since: Instant| since.elapsed() >= manager.settings.lease_ttl);
-        let mut rows = manager.recoverable();
-        rows.retain(|row| may_fence || row.state == EntryState::Fenced);
-        first_seen.retain(|holder, _| rows.iter().any(|row| row.holder() == *holder));
-        for row in rows {
-            let seen = *first_seen.entry(row.holder()).or_insert_with(Instant::now);
-            if !manager.should_recover(&row.entry_id, seen.elapsed()) {
-                continue;
-            }
-            if let Err(error) = manager.recover(&row).await {
-                log::warn!(entry = &*row.entry_id; "the entry was not recovered: {}", chain(&error));
-            }
-        }
-    }
-}
-
-impl SlotManager {
-    /// Entries whose lease has expired, and fenced ones whose recovery is not complete.
-    fn recoverable(&self) -> Vec<EntryRow> {
-        let mut rows = self.membership.expired(self.settings.lease_ttl);
-        let fenced = self.membership.entries().into_iter();
-        rows.extend(fenced.filter(|row| row.state == EntryState::Fenced));
-        rows
-    }
-
-    /// Since when the own commits succeed without a break; `since` is the answer of the last time.
-    ///
-    /// While no entry can commit, all rows stand still although their entries are alive. An entry
-    /// whose own commits succeed again gives the others a lease time to renew.
-    fn commits_since(&self, since: Option<Instant>) -> Option<Instant> {
-        let now = self.timer.now();
-        let succeeds = self.journal.holds_lease_at(now) && self.journal.failing_for().is_none();
-        succeeds.then(|| since.unwrap_or(now))
-    }
-
-    async fn recover(&self, seen: &EntryRow) -> crate::connection::platform::Result<()> {
-        let row = self.platform.read_one(&entry_key(&seen.entry_id)).await?;
-        let current: EntryRow = row.decode()?;
-        // The entry has renewed its lease since the scan, or is closed by now.
-        if current != *seen {
-            return Ok(());
-        }
-        recovery::fence_and_recover(&self.platform, &current, row.version).await
-    }
-}
-
 impl SlotManager {
-    /// One entry goes first, so that not all of them read the same journal; the others follow if
-    /// it does not finish.
-    fn should_recover(&self, entry_id: &EntryId, since_expiry: Duration) -> bool {
-        /// Extra time given to the entry that goes first, in lease times.
-        const FIRST_TURN_LEASES: u32 = 2;
-        if *entry_id == self.settings.entry_id || self.journal.holder().is_none() {
-            return false;
-        }
-        // The others that are lost together with this one cannot recover it either.
-        let lost = self.membership.expired(self.settings.lease_ttl);
-        let mut candidates = self.candidates();
-        candidates.retain(|id| lost.iter().all(|row| row.entry_id != *id));
-        let first = placement::first_to_recover(entry_id, candidates.iter().map(|id| &**id));
-        first == Some(&*self.settings.entry_id)
-            || since_expiry >= self.settings.lease_ttl * FIRST_TURN_LEASES
-    }
-
     /// Waits until all slots are released.
     pub async fn released(&self) {
         self.slots
--- /dev/null
+++ b/src/process/slots/manager/checkpoints.rs
@@ -0,0 +1,198 @@
+//! Checkpoints of slots, and the objects and segments that they make obsolete.
+
+use std::rc::Rc;
+
+use futures_util::stream::{self, StreamExt};
+use indexmap::IndexMap;
+
+use super::{CHANGES_PER_COMMIT, PARALLEL_OBJECTS, SlotManager};
+use crate::connection::platform::Result;
+use crate::error::chain;
+use crate::ids::SlotId;
+use crate::process::invariant;
+use crate::process::journal::{SlotChange, SlotChangeOutcome, segment};
+use crate::process::metrics::SLOT_CHANGES;
+use crate::process::rows::{SlotRow, checkpoint_key, conversation_object_key, segment_key};
+use crate::process::slots::ConversationCell;
+use crate::process::timer::unix_ms;
+
+pub(super) async fn write_checkpoints(manager: Rc<SlotManager>) {
+    let mut ticks = manager
+        .timer
+        .subscribe(manager.settings.checkpoint_interval);
+    let mut incarnation = 0;
+    let mut deleted_below = 1;
+    loop {
+        ticks.tick().await;
+        let Some(holder) = manager.journal.holder() else {
+            continue;
+        };
+        if holder.incarnation != incarnation {
+            incarnation = holder.incarnation;
+            deleted_below = 1;
+        }
+        manager.evict_idle().await;
+        for chunk in manager.slots.changed_slots().chunks(CHANGES_PER_COMMIT) {
+            let held: Vec<_> = chunk
+                .iter()
+                .copied()
+                .filter(|slot| manager.slots.is_open(*slot))
+                .collect();
+            if let Err(error) = manager.checkpoint(&held, false).await {
+                log::warn!("checkpoints were not written: {}", chain(&error));
+            }
+        }
+        manager.trim_journal(&mut deleted_below).await;
+    }
+}
+
+impl SlotManager {
+    /// Writes checkpoints of slots, and gives the slots up if `release` is set. Slots whose row is
+    /// being changed already are left for the next time.
+    pub(super) async fn checkpoint(&self, slots: &[SlotId], release: bool) -> Result<()> {
+        let slots: Vec<SlotId> = {
+            let mut changing = self.changing.borrow_mut();
+            let free = slots.iter().copied();
+            free.filter(|slot| changing.insert(*slot)).collect()
+        };
+        let result = self.change_rows(&slots, release).await;
+        let mut changing = self.changing.borrow_mut();
+        changing.retain(|slot| !slots.contains(slot));
+        result
+    }
+
+    async fn change_rows(&self, slots: &[SlotId], release: bool) -> Result<()> {
+        let Some(holder) = self.journal.holder() else {
+            return Ok(());
+        };
+        let first_segment = self.journal.segment() + 1;
+        let mut changes = Vec::new();
+        let mut objects = Vec::new();
+        // Objects that a slot no longer needs once its new row is written.
+        let mut replaced: IndexMap<SlotId, Vec<String>> = IndexMap::new();
+        for slot in slots {
+            let Some((mut row, version)) = self.slots.row(*slot) else {
+                continue;
+            };
+            if let Some((checkpoint, obsolete)) = self.slots.snapshot_if_changed(*slot) {
+                let replaced = replaced.entry(*slot).or_insert(obsolete);
+                let key = checkpoint_key(*slot, &holder, self.next_object_number());
+                match segment::encode(&checkpoint) {
+                    Ok(bytes) => objects.push((key.clone(), bytes)),
+                    Err(error) => unreachable!("a state in memory always encodes: {error}"),
+                }
+                replaced.extend(row.checkpoint.replace(key));
+            }
+            row.first_segment = first_segment;
+            row.holder = (!release).then(|| holder.clone());
+            changes.push(SlotChange { version, row });
+        }
+        let puts = objects
+            .into_iter()
+            .map(|(key, bytes)| async move { self.platform.put_object(&key, bytes.into()).await });
+        let written: Vec<_> = stream::iter(puts)
+            .buffered(PARALLEL_OBJECTS)
+            .collect()
+            .await;
+        for result in written {
+            result?;
+        }
+        let rows: Vec<SlotRow> = changes.iter().map(|change| change.row.clone()).collect();
+        let Ok(outcomes) = self.journal.change_slots(changes).await else {
+            return Ok(());
+        };
+        for (row, outcome) in rows.into_iter().zip(outcomes) {
+            match outcome {
+                SlotChangeOutcome::Written(_) if release => {
+                    metrics::counter!(SLOT_CHANGES, "change" => "released").increment(1);
+                    self.learn_holder(row.slot, None);
+                    self.slots.remove(row.slot);
+                }
+                SlotChangeOutcome::Written(version) => self.slots.checkpointed(row, version),
+                SlotChangeOutcome::Conflict => {
+                    // The row still names the old checkpoint.
+                    replaced.swap_remove(&row.slot);
+                    let detail = format!("the row of held slot {} was changed", row.slot);
+                    invariant::violated("slot_row", &detail);
+                }
+            }
+        }
+        for key in replaced.into_values().flatten() {
+            if let Err(error) = self.platform.delete_object(&key).await {
+                log::debug!(
+                    "the old checkpoint `{key}` was not deleted: {}",
+                    chain(&error)
+                );
+            }
+        }
+        Ok(())
+    }
+
+    /// Stores conversations that are idle for long, and drops them from memory. Until the next
+    /// checkpoint names their objects, they are also part of the last one, so no order of failures
+    /// loses them.
+    async fn evict_idle(&self) {
+        let idle_ms = self.settings.evict_idle.as_millis() as u64;
+        let before_ms = unix_ms().saturating_sub(idle_ms);
+        for slot in self.slots.held() {
+            for cell in self.slots.idle_conversations(slot, before_ms) {
+                if let Err(error) = self.evict(slot, cell).await {
+                    log::debug!("an idle conversation was not stored: {}", chain(&error));
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn evict(&self, slot: SlotId, cell: Rc<ConversationCell>) -> Result<()> {
+        let Some(holder) = self.journal.holder() else {
+            return Ok(());
+        };
+        if !self.slots.is_open(slot) {
+            return Ok(());
+        }
+        let key = cell.state.borrow().key.clone();
+        if self.slots.is_stored(slot, &key) {
+            self.slots.evict(slot, cell, None);
+            return Ok(());
+        }
+        let object = conversation_object_key(slot, &holder, self.next_object_number());
+        let bytes = match segment::encode(&*cell.state.borrow()) {
+            Ok(bytes) => bytes,
+            Err(error) => unreachable!("a state in memory always encodes: {error}"),
+        };
+        let written = cell.state.borrow().clone();
+        self.platform.put_object(&object, bytes.into()).await?;
+        let is_current = self.journal.holder().as_ref() == Some(&holder);
+        // While the object was written, the conversation may have been opened and changed.
+        let is_unchanged = self.slots.is_open(slot) && *cell.state.borrow() == written;
+        if is_current && is_unchanged {
+            self.slots.evict(slot, cell, Some(object));
+        }
+        Ok(())
+    }
+
+    fn next_object_number(&self) -> u64 {
+        let number = self.next_checkpoint.get();
+        self.next_checkpoint.set(number + 1);
+        number
+    }
+
+    /// Deletes segments that all checkpoints include, after the entry row says so.
+    async fn trim_journal(&self, deleted_below: &mut u64) {
+        let Some(holder) = self.journal.holder() else {
+            return;
+        };
+        let first = self.slots.first_needed_segment(self.journal.segment());
+        self.journal.set_first_segment(first);
+        let committed = self.journal.committed_first_segment();
+        while *deleted_below < committed {
+            let key = segment_key(&holder, *deleted_below);
+            if let Err(error) = self.platform.delete_object(&key).await {
+                log::debug!("the segment `{key}` was not deleted: {}", chain(&error));
+                return;
+            }
+            *deleted_below += 1;
+        }
+    }
+}
--- a/src/request/tool_call.rs
+++ b/src/request/tool_call.rs
@@ -19,6 +19,7 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::{ConversationKey, Micros, RequestId, RunId};
 use crate::process::conversation::{Action, ActionOutcome, Event, Progress};
+use crate::process::metrics::{ACTIONS_IN_DOUBT, RETRIES};
 use crate::process::slots::lock::ThreadLock;
 use crate::request::api::{ToolAnswer, ToolCall};
 use crate::request::call::{CallContext, Started, hold_until_settled, unsettled};
@@ -203,7 +204,10 @@
                 ToolError::Refused(status, message) if status < 500 => {
                     return self.failed(status, message).await;
                 }
-                error if self.may_retry(attempt) => log::info!("the action is sent again: {error}"),
+                error if self.may_retry(attempt) => {
+                    metrics::counter!(RETRIES, "kind" => "action").increment(1);
+                    log::info!("the action is sent again: {error}");
+                }
                 error => return self.in_doubt(error).await,
             }
             self.may_have_run.set(true);
@@ -287,6 +291,7 @@
             return self.settle_done(result).await;
         }
         self.append_and_wait(ActionOutcome::InDoubt).await?;
+        metrics::counter!(ACTIONS_IN_DOUBT).increment(1);
         Err(self.doubt().with_cause(error))
     }
 
--- a/src/request/turn.rs
+++ b/src/request/turn.rs
@@ -6,6 +6,7 @@
 //! goes away; then the engine's stream is cancelled.
 
 mod attempt;
+mod output;
 
 use std::pin::pin;
 use std::rc::Rc;
@@ -15,33 +16,26 @@
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 
-use crate::connection::body::{Body, BodySender};
+use crate::connection::body::Body;
 use crate::connection::engine::Usage;
-use crate::connection::sse;
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::{Micros, RunId};
 use crate::process::conversation::{Event, Progress, TurnOutcome, TurnResult};
-use crate::process::metrics::REQUESTS;
+use crate::process::metrics::{CACHED_TOKENS, COST_MICROS, OUTPUT_TOKENS, PROMPT_TOKENS};
 use crate::process::routing::{CallDescription, Permit};
 use crate::process::slots::lock::ThreadLock;
-use crate::request::api::{
-    DoneEvent, EVENT_DONE, EVENT_ERROR, EVENT_START, EVENT_TOKEN, StartEvent, TokenEvent, Turn,
-};
+use crate::request::api::{DoneEvent, StartEvent, Turn};
 use crate::request::call::{CallContext, Started, cache_key, hold_until_settled, unsettled};
 use crate::version::config::{Model, Program};
 use attempt::Attempt;
+use output::Output;
 
 /// Runs a turn, or repeats the answer of an earlier one with the same request id.
 pub async fn respond(context: CallContext, run_id: RunId, body: Turn) -> Result<Response<Body>> {
     check_limits(&context, &body)?;
     let (head, head_receiver) = oneshot::channel();
     let (sender, stream) = Body::stream();
-    let output = Output {
-        head: Some(head),
-        sender,
-        index: 0,
-        pending: Vec::new(),
-    };
+    let output = Output::new(head, sender);
     monoio::spawn(run(context, run_id, body, output));
     match head_receiver.await {
         Ok(Ok(())) => Ok(stream_response(stream)),
@@ -72,69 +66,6 @@
     Ok(())
 }
 
-/// The answer to the caller: an error status, or a stream that has begun.
-struct Output {
-    /// `None` once the stream has begun.
-    head: Option<oneshot::Sender<Result<()>>>,
-    sender: BodySender,
-    /// Number of token events written.
-    index: u64,
-    /// Events that are not sent yet, see [`Output::flush`].
-    pending: Vec<u8>,
-}
-
-/// Events of one stream that are sent together at most.
-const PENDING_LIMIT_BYTES: usize = 4 << 10;
-
-impl Output {
-    /// Begins the stream if it has not begun; `start` makes its first event.
-    fn begin(&mut self, start: impl FnOnce() -> StartEvent) {
-        if let Some(head) = self.head.take() {
-            let _ = head.send(Ok(()));
-            sse::append(&mut self.pending, EVENT_START, &start());
-        }
-    }
-
-    /// Writes a token, which is sent by the next flush.
-    fn token(&mut self, text: &str) {
-        let event = TokenEvent {
-            index: self.index,
-            text: text.to_string(),
-        };
-        self.index += 1;
-        sse::append(&mut self.pending, EVENT_TOKEN, &event);
-    }
-
-    async fn done(&mut self, event: &DoneEvent) {
-        sse::append(&mut self.pending, EVENT_DONE, event);
-        self.flush().await;
-    }
-
-    /// Sends what was written since the last flush as one chunk.
-    async fn flush(&mut self) {
-        if !self.pending.is_empty() {
-            let chunk = std::mem::take(&mut self.pending);
-            // A caller that is gone is noticed by `closed`.
-            let _ = self.sender.send(chunk.into()).await;
-        }
-    }
-
-    async fn fail(&mut self, error: Error) {
-        match self.head.take() {
-            Some(head) => {
-                let _ = head.send(Err(error));
-            }
-            None => {
-                let kind = error.kind.answer().name;
-                metrics::counter!(REQUESTS, "route" => "turn_stream", "outcome" => kind)
-                    .increment(1);
-                sse::append(&mut self.pending, EVENT_ERROR, &error.to_body());
-                self.flush().await;
-            }
-        }
-    }
-}
-
 async fn run(context: CallContext, run_id: RunId, body: Turn, mut output: Output) {
     let mut turn = match prepare(&context, run_id, body, &mut output).await {
         Ok(Prepared::New(turn)) => turn,
@@ -482,10 +413,19 @@
         }
         let done = done_event(self.context, self.run_id, &self.body.request_id, &result);
         output.done(&done).await;
+        output.record_latency();
+        record_usage(&result);
         Ok(())
     }
 }
 
+fn record_usage(result: &TurnResult) {
+    metrics::counter!(PROMPT_TOKENS).increment(result.prompt_tokens);
+    metrics::counter!(CACHED_TOKENS).increment(result.cached_tokens);
+    metrics::counter!(OUTPUT_TOKENS).increment(result.output_tokens);
+    metrics::counter!(COST_MICROS).increment(result.cost_micros);
+}
+
 fn prompt_bound(context: &CallContext, run_id: RunId, body: &Turn, model: &Model) -> Result<u64> {
     let state = context.open.cell().state.borrow();
     let thread = state.thread_of(run_id);
--- a/src/request/turn/attempt.rs
+++ b/src/request/turn/attempt.rs
@@ -14,10 +14,12 @@
 use crate::error::{Error, ErrorKind};
 use crate::ids::BackendServerId;
 use crate::process::conversation::Role;
+use crate::process::metrics::RETRIES;
 use crate::process::routing::Permit;
 use crate::request::api::StartEvent;
 use crate::request::call::cache_key;
-use crate::request::turn::{NewTurn, Output, PENDING_LIMIT_BYTES};
+use crate::request::turn::NewTurn;
+use crate::request::turn::output::Output;
 
 /// Engines that a turn tries at most.
 const ENGINES_PER_TURN: usize = 3;
@@ -89,6 +91,7 @@
             if !may_retry {
                 return self.failed(turn, error);
             }
+            metrics::counter!(RETRIES, "kind" => "completion").increment(1);
             let call = turn.describe(self.excluded.clone());
             match turn.context.entry.router.acquire(call).await {
                 Ok(permit) => self.permit = Some(permit),
@@ -187,8 +190,7 @@
             return Step::RunEnded;
         }
         let mut next = pin!(stream.next(context.config.limits.token_gap));
-        if output.pending.len() < PENDING_LIMIT_BYTES
-            && !output.pending.is_empty()
+        if output.may_collect_more()
             && let Some(event) = ready_soon(next.as_mut()).await
         {
             return Step::Event(event);
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,5 +1,6 @@
 //! The observation of entries, and the placement of slots on them.
 
+#[path = "support/peers.rs"]
 mod support;
 
 use std::cell::{Cell, RefCell};
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -1,5 +1,6 @@
 //! Requests between entries.
 
+#[path = "support/peers.rs"]
 mod support;
 
 use std::cell::RefCell;
