Keep the engine of a thread in its durable state

Cause: an entry that takes over a slot did not know which engine the former holder had used. The prefix was computed again wherever the next call went, and stayed on the old engine after the end of the run until the check of all caches (60 s).

Ruled out: asking all engines at a take-over, which reads every cache for a few conversations.

Change: a finished turn names its engine; the next holder tells it to its router before it places a call, and before it releases the prefix.

Conclusion: prefixes_are_used_and_released_after_a_take_over guards the release.

--- a/src/process/conversation.rs
+++ b/src/process/conversation.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::ErrorKind;
-use crate::ids::{ConversationKey, Micros, ProgramId, RequestId, RunId, ToolId};
+use crate::ids::{BackendServerId, ConversationKey, Micros, ProgramId, RequestId, RunId, ToolId};
 
 pub use event::{ActionOutcome, EndReason, Event, Record, TurnOutcome};
 
@@ -69,6 +69,8 @@
     pub counted_tokens: u64,
     /// At most the number of messages.
     pub counted_messages: usize,
+    /// The engine that computed the counted tokens and may still have them in its cache.
+    pub backend_server_id: Option<BackendServerId>,
 }
 
 impl Thread {
@@ -144,6 +146,8 @@
     pub cost_micros: Micros,
     /// Why the generation stopped.
     pub finish_reason: Rc<str>,
+    /// The engine that generated it.
+    pub backend_server_id: BackendServerId,
 }
 
 /// A call of a tool that has been intended.
@@ -232,6 +236,14 @@
         })
     }
 
+    /// The thread with this number, see [`Self::thread_number`].
+    pub fn thread_by_number(&self, thread_number: RunId) -> Option<&Thread> {
+        match thread_number {
+            0 => Some(&self.thread),
+            run_id => self.thread_of(run_id),
+        }
+    }
+
     fn thread_of_mut(&mut self, run_id: RunId) -> Option<&mut Thread> {
         let run = self.runs.get_mut(&run_id)?;
         Some(if run.parent_run_id.is_some() {
--- a/src/process/conversation/fold.rs
+++ b/src/process/conversation/fold.rs
@@ -254,6 +254,7 @@
         });
         thread.counted_messages = thread.messages.len();
         thread.counted_tokens = result.prompt_tokens + result.output_tokens;
+        thread.backend_server_id = Some(result.backend_server_id.clone());
     }
 
     fn apply_action_finished(
--- a/src/process/entry/background.rs
+++ b/src/process/entry/background.rs
@@ -202,6 +202,15 @@
             continue;
         }
         let cache_key = cache_key(key, thread_number);
+        // After a move of the slot only the state knows the engine.
+        if let Some(thread) = state.thread_by_number(thread_number)
+            && let Some(backend_server_id) = &thread.backend_server_id
+        {
+            let tokens = thread.counted_tokens;
+            entry
+                .router
+                .learn_prefix(&cache_key, backend_server_id, tokens);
+        }
         for (_, address) in entry.router.take_holders(&cache_key) {
             monoio::spawn(release(entry.clone(), address, cache_key.clone()));
         }
--- a/src/process/routing.rs
+++ b/src/process/routing.rs
@@ -220,6 +220,23 @@
         dispatch_all(&self.state);
     }
 
+    /// Records where a prefix was computed before this entry knew of it; does nothing if this entry
+    /// has sent it anywhere itself.
+    pub fn learn_prefix(
+        &self,
+        cache_key: &Rc<str>,
+        backend_server_id: &BackendServerId,
+        tokens: u64,
+    ) {
+        let engines = &mut self.state.borrow_mut().engines;
+        if engines.prefixes.holders(cache_key).is_empty()
+            && let Some(index) = engines.find(backend_server_id)
+        {
+            let capacity = engines.get(index).cache_tokens;
+            engines.prefixes.record(cache_key, index, tokens, capacity);
+        }
+    }
+
     /// Forgets a prefix, and returns the engines that may hold it, so that it can be released
     /// there.
     pub fn take_holders(&self, cache_key: &str) -> Vec<(BackendServerId, SocketAddr)> {
--- a/src/process/routing/engines.rs
+++ b/src/process/routing/engines.rs
@@ -50,7 +50,7 @@
     /// Its address.
     pub address: SocketAddr,
     max_calls: u32,
-    cache_tokens: u64,
+    pub(super) cache_tokens: u64,
     groups: Vec<usize>,
     /// Whether the configuration in effect has it.
     is_configured: bool,
--- a/src/request/turn.rs
+++ b/src/request/turn.rs
@@ -258,7 +258,9 @@
         receipt: &mut crate::process::journal::Receipt,
     ) -> Result<Result<Permit>> {
         let starting = pin!(self.context.start_durable(receipt));
-        let acquiring = pin!(self.context.entry.router.acquire(self.describe(Vec::new())));
+        let call = self.describe(Vec::new());
+        self.learn_prefix(&call);
+        let acquiring = pin!(self.context.entry.router.acquire(call));
         let (started, permit) = match select(starting, acquiring).await {
             Either::Left((Started::Refused(error), _)) => return Err(error),
             Either::Left((Started::Durable, acquiring)) => (Started::Durable, acquiring.await),
@@ -295,6 +297,17 @@
         }
     }
 
+    /// Tells the router where a former holder of the slot had the prefix computed.
+    fn learn_prefix(&self, call: &CallDescription) {
+        let state = self.context.open.cell().state.borrow();
+        if let Some(thread) = state.thread_of(self.run_id)
+            && let Some(backend_server_id) = &thread.backend_server_id
+        {
+            let router = &self.context.entry.router;
+            router.learn_prefix(&call.cache_key, backend_server_id, thread.counted_tokens);
+        }
+    }
+
     fn append_finish(&self, outcome: TurnOutcome) -> Result<crate::process::journal::Receipt> {
         self.context.append(self.finish_event(outcome))
     }
@@ -346,6 +359,7 @@
     async fn settle(&mut self, outcome: attempt::Outcome, output: &mut Output) -> Result<()> {
         let (outcome, error) = match outcome {
             attempt::Outcome::Finished {
+                backend_server_id,
                 text,
                 finish_reason,
                 usage,
@@ -358,6 +372,7 @@
                     output_tokens: usage.completion_tokens,
                     cost_micros: self.cost(&usage),
                     finish_reason: finish_reason.into(),
+                    backend_server_id,
                 };
                 return self.settle_done(result, output).await;
             }
--- a/src/request/turn/attempt.rs
+++ b/src/request/turn/attempt.rs
@@ -28,6 +28,7 @@
 pub(super) enum Outcome {
     /// With the whole answer.
     Finished {
+        backend_server_id: BackendServerId,
         text: String,
         finish_reason: String,
         usage: Usage,
@@ -140,10 +141,12 @@
                     usage,
                 }))) => {
                     let usage = turn.bounded(usage);
+                    let backend_server_id = permit.backend_server_id.clone();
                     permit.finished(usage);
                     output.begin(|| self.start_event(turn));
                     let text = std::mem::take(&mut self.text);
                     return Ok(Outcome::Finished {
+                        backend_server_id,
                         text,
                         finish_reason,
                         usage,
--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -278,6 +278,7 @@
             output_tokens: 3,
             cost_micros,
             finish_reason: "stop".into(),
+            backend_server_id: "engine".into(),
         }),
         1 => {
             let message = "failed".into();
--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -2,19 +2,23 @@
 
 use std::time::{Duration, Instant};
 
-use sapphireford_standin::harness::{Site, SiteOptions};
+use sapphireford_standin::harness::{Site, SiteOptions, wait_until};
 use serde_json::{Value, json};
 
 /// Lease time of the sites here, shorter than in production so that the tests are quick.
 const LEASE_TTL_MS: u64 = 1_200;
 
 fn site() -> Site {
-    Site::with(SiteOptions {
+    Site::with(options())
+}
+
+fn options() -> SiteOptions {
+    SiteOptions {
         settings: json!({
             "lease_ttl_ms": LEASE_TTL_MS, "lease_renew_ms": 300, "membership_interval_ms": 200,
         }),
         ..SiteOptions::default()
-    })
+    }
 }
 
 fn start_run(site: &Site, entry: usize, conversation: &str) -> u64 {
@@ -142,3 +146,50 @@
         "the reservation of the lost turn must stay spent: {state}"
     );
 }
+
+/// Guards against prefixes that are computed again, or stay on their engine after the end, because
+/// the entry that takes over does not know where they are.
+#[test]
+fn prefixes_are_used_and_released_after_a_take_over() {
+    let mut site = Site::with(SiteOptions {
+        engines: 4,
+        // The check of all caches must not release what the end of a run has to release.
+        config: json!({ "limits": { "cache_check_ms": 600_000 } }),
+        ..options()
+    });
+    let conversations: Vec<String> = (0..8).map(|number| format!("c{number}")).collect();
+    for conversation in &conversations {
+        start_run(&site, 0, conversation);
+        turn(&site, 0, conversation, "t1");
+    }
+    site.kill_entry(0);
+    for conversation in &conversations {
+        let done = turn(&site, 1, conversation, "t2");
+        let cached = done["cached_tokens"].as_u64().unwrap_or_default();
+        assert!(
+            cached > 0,
+            "the prefix of {conversation} was computed again: {done}"
+        );
+    }
+    // Now the runs end at holders that sent no turn themselves.
+    site.kill_entry(1);
+    for conversation in &conversations {
+        let path = format!("{conversation}/runs/1/end");
+        let answer = site
+            .post(2, &path, &json!({ "request_id": "end" }))
+            .expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    let held = || -> u64 {
+        let used = |engine: &sapphireford_standin::harness::Process| {
+            engine.stats()["cache_used_tokens"]
+                .as_u64()
+                .unwrap_or_default()
+        };
+        site.engines.iter().map(used).sum()
+    };
+    assert!(
+        wait_until(Duration::from_secs(10), || held() == 0),
+        "engines still hold prefixes"
+    );
+}
