Do not tell a refused repeat that its call did not run while an attempt waits

Cause: a repeat that found the queue of its run full, or waited too long, was answered with ran: no although its first attempt still waited there and ran later. Only attempts with a start event were looked at.

Ruled out: refusing the first attempt as well, which would lose its place.

Change: attempts are counted from their arrival to their settlement, and a refused repeat beside another attempt is answered with ran: unknown.

Before: overloaded, ran: no, for a call that ran 300 ms later.

Conclusion: refused_repeat_of_a_waiting_call_is_not_certain guards it.

--- a/src/process/slots.rs
+++ b/src/process/slots.rs
@@ -46,6 +46,8 @@
     pub locks: ThreadLocks,
     /// Notified when a run ends or is cancelled.
     pub ended: Notify,
+    /// Attempts in progress of each call, see [`Attempt`]; none is 0.
+    attempts: RefCell<IndexMap<RequestId, usize>>,
     /// Requests whose caller was answered while their event was still on its way into the journal.
     pub unsettled: RefCell<IndexSet<RequestId>>,
 }
@@ -56,10 +58,27 @@
             state: RefCell::new(state),
             locks: ThreadLocks::default(),
             ended: Notify::default(),
+            attempts: RefCell::default(),
             unsettled: RefCell::default(),
         }
     }
 
+    /// Counts an attempt of a call until the returned guard is dropped.
+    pub fn begin_attempt(self: &Rc<Self>, request_id: &RequestId) -> Attempt {
+        let mut attempts = self.attempts.borrow_mut();
+        *attempts.entry(request_id.clone()).or_insert(0) += 1;
+        Attempt {
+            cell: self.clone(),
+            request_id: request_id.clone(),
+        }
+    }
+
+    /// Whether more than one attempt of a call is in progress.
+    pub fn has_several_attempts(&self, request_id: &RequestId) -> bool {
+        let attempts = self.attempts.borrow();
+        attempts.get(request_id).is_some_and(|count| *count > 1)
+    }
+
     fn is_idle(&self, before_ms: u64) -> bool {
         let state = self.state.borrow();
         let mut runs = state.runs.values();
@@ -67,6 +86,25 @@
     }
 }
 
+/// An attempt of a call, from its arrival to its settlement. A repeat that is refused while another
+/// attempt is in progress must not be told that the request did not run.
+pub struct Attempt {
+    cell: Rc<ConversationCell>,
+    request_id: RequestId,
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        let mut attempts = self.cell.attempts.borrow_mut();
+        if let Some(count) = attempts.get_mut(&self.request_id) {
+            *count -= 1;
+            if *count == 0 {
+                attempts.swap_remove(&self.request_id);
+            }
+        }
+    }
+}
+
 struct HeldSlot {
     row: SlotRow,
     version: u64,
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -170,6 +170,7 @@
         };
         match place {
             Err(_) if self.earlier(request_id)?.is_some() => Err(unsettled()),
+            Err(_) if self.open.cell().has_several_attempts(request_id) => Err(unsettled()),
             result => result,
         }
     }
--- a/src/request/tool_call.rs
+++ b/src/request/tool_call.rs
@@ -48,6 +48,7 @@
 }
 
 async fn run(context: &CallContext, run_id: RunId, body: ToolCall) -> Result<ToolAnswer> {
+    let _attempt = context.open.cell().begin_attempt(&body.request_id);
     if let Some(Progress::ActionDone(action_id, result, charge)) =
         context.earlier(&body.request_id)?
     {
--- a/src/request/turn.rs
+++ b/src/request/turn.rs
@@ -67,6 +67,7 @@
 }
 
 async fn run(context: CallContext, run_id: RunId, body: Turn, mut output: Output) {
+    let _attempt = context.open.cell().begin_attempt(&body.request_id);
     let mut turn = match prepare(&context, run_id, body, &mut output).await {
         Ok(Prepared::New(turn)) => turn,
         Ok(Prepared::Repeat(result)) => {
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -337,3 +337,36 @@
         .map(|keys| keys.len());
     assert_eq!(executed, Some(done), "a refused action ran");
 }
+
+/// Guards against `ran: no` for a repeat whose first attempt still waits for its place and runs later.
+#[test]
+fn refused_repeat_of_a_waiting_call_is_not_certain() {
+    let site = site();
+    let run = start(&site, "usual");
+    site.tool.control(&json!({ "delay_ms": 300 }));
+    let client = site.client();
+    let path = format!("c1/runs/{run}/tool-calls");
+    // One call runs, one attempt of `b` waits for it, and the others find the queue full.
+    let calls: Vec<_> = ["a", "b", "b", "b"]
+        .map(|request_id| {
+            let (path, body) = (path.clone(), tool(request_id, "book"));
+            let call = thread::spawn(move || client.post(0, &path, &body).expect("an answer"));
+            thread::sleep(Duration::from_millis(60));
+            (request_id, call)
+        })
+        .into_iter()
+        .collect();
+    let mut done = 0;
+    for (request_id, call) in calls {
+        let answer = call.join().expect("an answer");
+        if answer.status == 200 {
+            done += usize::from(request_id == "b");
+        } else if request_id == "b" {
+            let ran = answer.json()["error"]["ran"].clone();
+            assert_eq!(ran, "unknown", "{}", answer.text());
+        }
+    }
+    assert!(done >= 1, "no attempt of the repeated call ran");
+    let executed = site.tool.stats()["executions_by_key"].clone();
+    assert_eq!(executed.as_object().map(|keys| keys.len()), Some(2));
+}
