Name limits and disconnected callers by the usual terms

Constants named for patience or hopelessness are now named for what they bound: the wait for a prefix, the admission of a new program, the wait of a test. A caller that has closed its connection is disconnected everywhere.

--- a/src/connection/peer/server.rs
+++ b/src/connection/peer/server.rs
@@ -36,7 +36,7 @@
     fn call(&self, from: EntryId, request: PeerRequest) -> impl Future<Output = PeerResponse>;
 
     /// Answers a caller's request that a peer has passed on. The future, and then the body, is
-    /// dropped when the caller is gone.
+    /// dropped when the caller is disconnected.
     fn forward(
         &self,
         from: EntryId,
@@ -268,17 +268,17 @@
     request: ForwardRequest,
 ) -> Result<(), String> {
     // Completes when the peer resets the stream or the connection ends.
-    let mut gone = pin!(send.stopped());
+    let mut disconnected = pin!(send.stopped());
     let answer = pin!(server.handler.forward(from.clone(), request));
-    let (head, mut body) = match select(answer, gone.as_mut()).await {
+    let (head, mut body) = match select(answer, disconnected.as_mut()).await {
         Either::Left((answer, _)) => answer,
-        Either::Right(_) => return Err("the caller is gone".to_string()),
+        Either::Right(_) => return Err("the caller is disconnected".to_string()),
     };
     write_message(send, &head).await?;
     loop {
-        let chunk = match select(pin!(next_chunk(&mut body)), gone.as_mut()).await {
+        let chunk = match select(pin!(next_chunk(&mut body)), disconnected.as_mut()).await {
             Either::Left((chunk, _)) => chunk?,
-            Either::Right(_) => return Err("the caller is gone".to_string()),
+            Either::Right(_) => return Err("the caller is disconnected".to_string()),
         };
         match chunk {
             Some(chunk) => write(send, chunk).await?,
--- a/src/process/routing.rs
+++ b/src/process/routing.rs
@@ -38,7 +38,7 @@
 const AGE_BOUND_DIVISOR: u32 = 2;
 /// A new program is refused if it would wait for more than this part of the longest waiting time.
 /// The rest covers the error of the estimate.
-const HOPELESS_WAIT_DIVISOR: u32 = 4;
+const ADMISSION_WAIT_DIVISOR: u32 = 4;
 /// Settings of a router.
 #[derive(Clone, Copy, Debug)]
 pub struct RouterOptions {
@@ -285,7 +285,7 @@
         if let Some(permit) = self.start_at_once(&call, arrived) {
             return Ok(permit);
         }
-        if self.is_hopeless(&call, arrived) {
+        if self.would_wait_too_long(&call, arrived) {
             return Err(overloaded(&call.model_id));
         }
         let (place, mut answer) = self.enqueue(&call, arrived);
@@ -309,7 +309,7 @@
 
     /// Whether a new program would not start in time. It gets its answer at once; a program that
     /// runs is never refused, because its work so far would be lost.
-    fn is_hopeless(&self, call: &CallDescription, now: Instant) -> bool {
+    fn would_wait_too_long(&self, call: &CallDescription, now: Instant) -> bool {
         if call.config.policy.queue == QueueKind::Fifo || !call.is_new_program() {
             return false;
         }
@@ -319,7 +319,7 @@
         };
         let ahead = queue.new_programs_waiting(call.priority);
         let wait = queue.new_programs.expected_wait(ahead, now);
-        wait > call.config.limits.queue_time / HOPELESS_WAIT_DIVISOR
+        wait > call.config.limits.queue_time / ADMISSION_WAIT_DIVISOR
     }
 
     /// Starts a call without queueing if none waits before it.
--- a/src/process/routing/placement.rs
+++ b/src/process/routing/placement.rs
@@ -108,13 +108,13 @@
 /// Prompt tokens for which a call may wait a second for the engine that has its prefix. Engines
 /// compute several times as many in a second, but a prefix that is computed again also delays the
 /// prompts behind it and evicts another prefix.
-const PATIENCE_TOKENS_PER_SECOND: u64 = 250;
+const PREFIX_WAIT_TOKENS_PER_SECOND: u64 = 250;
 /// Urgent calls wait for a shorter time: their prefixes are short, and their programs must finish soon.
-const URGENT_PATIENCE_DIVISOR: u32 = 4;
+const URGENT_PREFIX_WAIT_DIVISOR: u32 = 4;
 /// A call waits no longer than this part of the longest waiting time for the engine that has its
 /// prefix while others have room. With a bound of 1 s, all programs lost their prefixes as soon as
 /// calls waited for longer than that, which made the overload worse.
-const PATIENCE_DIVISOR: u32 = 4;
+const PREFIX_WAIT_DIVISOR: u32 = 4;
 
 /// A new program waits for engine memory no longer than this part of the longest waiting time, so
 /// that programs which pause for long cannot keep all others out.
@@ -211,12 +211,12 @@
         };
         let cached = engines.cached_tokens(index, candidates.call);
         let saved = full_holder_tokens.saturating_sub(cached);
-        let mut patience = Duration::from_millis(saved * 1000 / PATIENCE_TOKENS_PER_SECOND);
+        let mut prefix_wait = Duration::from_millis(saved * 1000 / PREFIX_WAIT_TOKENS_PER_SECOND);
         if is_urgent {
-            patience /= URGENT_PATIENCE_DIVISOR;
+            prefix_wait /= URGENT_PREFIX_WAIT_DIVISOR;
         }
-        match patience
-            .min(limits.queue_time / PATIENCE_DIVISOR)
+        match prefix_wait
+            .min(limits.queue_time / PREFIX_WAIT_DIVISOR)
             .checked_sub(candidates.waited)
         {
             Some(rest) if !rest.is_zero() => Choice::Wait(rest),
--- a/src/request/turn.rs
+++ b/src/request/turn.rs
@@ -73,7 +73,7 @@
         Ok(Prepared::Repeat(result)) => {
             return repeat(&context, run_id, &result, &mut output).await;
         }
-        Ok(Prepared::CallerGone) => return,
+        Ok(Prepared::CallerDisconnected) => return,
         Err(error) => return output.fail(error).await,
     };
     if let Err(error) = turn.execute(&mut output).await {
@@ -121,7 +121,7 @@
 enum Prepared<'a> {
     New(Box<NewTurn<'a>>),
     Repeat((crate::ids::RequestId, TurnResult)),
-    CallerGone,
+    CallerDisconnected,
 }
 
 /// Waits for the turn's place in the run, and reserves its cost.
@@ -139,7 +139,7 @@
         let closed = std::pin::pin!(output.sender.closed());
         match select(lock, closed).await {
             Either::Left((lock, _)) => lock?,
-            Either::Right(_) => return Ok(Prepared::CallerGone),
+            Either::Right(_) => return Ok(Prepared::CallerDisconnected),
         }
     };
     match context.earlier(&body.request_id)? {
@@ -391,7 +391,7 @@
                     error,
                 )
             }
-            attempt::Outcome::CallerGone { used } => {
+            attempt::Outcome::CallerDisconnected { used } => {
                 let cost_micros = self.cost(&used);
                 self.append_and_wait(TurnOutcome::Interrupted { cost_micros })
                     .await?;
--- a/src/request/turn/attempt.rs
+++ b/src/request/turn/attempt.rs
@@ -38,7 +38,7 @@
     /// An engine failed, or the run was cancelled.
     Failed { error: Error, used: Usage },
     /// Nobody reads the answer any more.
-    CallerGone { used: Usage },
+    CallerDisconnected { used: Usage },
     /// Another entry has taken over.
     LeaseLost,
 }
@@ -56,7 +56,7 @@
 /// Why reading from the engine stopped.
 enum Step {
     Event(Result<Option<CompletionEvent>, EngineError>),
-    CallerGone,
+    CallerDisconnected,
     RunEnded,
     LeaseLost,
 }
@@ -162,8 +162,8 @@
                     permit.failed();
                     return Err(error);
                 }
-                Step::CallerGone => {
-                    return Ok(Outcome::CallerGone {
+                Step::CallerDisconnected => {
+                    return Ok(Outcome::CallerDisconnected {
                         used: self.used(turn),
                     });
                 }
@@ -206,7 +206,7 @@
         match select(next, interrupted).await {
             Either::Left((event, _)) => Step::Event(event),
             Either::Right((Either::Left(_), _)) => Step::RunEnded,
-            Either::Right((Either::Right(_), _)) => Step::CallerGone,
+            Either::Right((Either::Right(_), _)) => Step::CallerDisconnected,
         }
     }
 
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -45,7 +45,7 @@
                 }
             }
         });
-        wait_until(PATIENCE, || {
+        wait_until(WAIT_LIMIT, || {
             load.done.load(Ordering::Relaxed) >= CALLERS * 10
         });
         load.stop.store(true, Ordering::Relaxed);
@@ -66,10 +66,10 @@
     let client = site.client();
     let holder = site.holder_of("team-one", "slow").expect("a holder");
     start_run(client, 0, "slow");
-    let mut talk = Talk::new("slow");
+    let mut expected_history = ExpectedConversation::new("slow");
     for (number, through) in [holder, (holder + 1) % 3].into_iter().enumerate() {
         let request_id = format!("t{number}");
-        let expected = talk.expect(&request_id, TOKENS);
+        let expected = expected_history.expect(&request_id, TOKENS);
         let mut stream = open_turn(client, through, "slow", &request_id, TOKENS).expect("a stream");
         let mut read = String::new();
         // The buffers on the way fill up while nothing is read.
@@ -79,7 +79,7 @@
         }
         assert_eq!(whole_text(&mut stream, read), Ok(expected));
     }
-    talk.check_history(client, 0);
+    expected_history.check_history(client, 0);
 }
 
 /// Guards against a second execution, another request's answer, or a missing part, when a caller's
@@ -90,14 +90,14 @@
     let site = site("2");
     let client = site.client();
     start_run(client, 0, "c1");
-    let mut talk = Talk::new("c1");
-    let expected = talk.expect("t1", TOKENS);
+    let mut expected_history = ExpectedConversation::new("c1");
+    let expected = expected_history.expect("t1", TOKENS);
     let mut stream = open_turn(client, 0, "c1", "t1", TOKENS).expect("a stream");
     read_tokens(&mut stream, 5);
     drop(stream);
     let first = run_turn(client, &mut [1, 2, 0].into(), "c1", "t1", TOKENS);
     assert_eq!(first, Ok(expected.clone()));
-    let next = talk.expect("t2", TOKENS);
+    let next = expected_history.expect("t2", TOKENS);
     assert_eq!(
         run_turn(client, &mut [2, 0, 1].into(), "c1", "t2", TOKENS),
         Ok(next)
@@ -112,7 +112,7 @@
         calls,
         "a repeat ran again"
     );
-    talk.check_history(client, 1);
+    expected_history.check_history(client, 1);
 }
 
 /// Guards against parts of one answer in the next one on the same connection.
@@ -128,19 +128,24 @@
     for entry in 0..3 {
         let mut connection = TcpStream::connect(client.entry_address(entry)).expect("connects");
         connection
-            .set_read_timeout(Some(PATIENCE))
+            .set_read_timeout(Some(WAIT_LIMIT))
             .expect("a time limit");
-        let mut talks = conversations.map(Talk::new);
-        for talk in &mut talks {
+        let mut expected_histories = conversations.map(ExpectedConversation::new);
+        for expected_history in &mut expected_histories {
             for number in 0..entry * TURNS {
-                talk.expect(&format!("t{number}"), 20);
+                expected_history.expect(&format!("t{number}"), 20);
             }
         }
         for number in entry * TURNS..(entry + 1) * TURNS {
-            for talk in &mut talks {
+            for expected_history in &mut expected_histories {
                 let request_id = format!("t{number}");
-                let expected = talk.expect(&request_id, 20);
-                let text = turn_on(&mut connection, &talk.conversation, &request_id, 20);
+                let expected = expected_history.expect(&request_id, 20);
+                let text = turn_on(
+                    &mut connection,
+                    &expected_history.conversation,
+                    &request_id,
+                    20,
+                );
                 assert_eq!(text, expected);
             }
         }
--- a/tests/idle_conversations.rs
+++ b/tests/idle_conversations.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 /// Longest time until something that an interval of the settings brings about has happened.
-const PATIENCE: Duration = Duration::from_secs(20);
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
 fn site() -> Site {
     Site::with(SiteOptions {
@@ -80,7 +80,7 @@
     visit(&site, 0, "c1", 1);
     let first = history(&site, 1);
     assert!(
-        wait_until(PATIENCE, || in_memory(&site) == 0),
+        wait_until(WAIT_LIMIT, || in_memory(&site) == 0),
         "the conversation stays in memory"
     );
     assert_eq!(history(&site, 2), first);
@@ -88,7 +88,7 @@
     // The copy that was read leaves memory again. Then the holder dies right after it has changed the
     // conversation, so that the recovery has to load the stored object and apply events to it.
     assert!(
-        wait_until(PATIENCE, || in_memory(&site) == 0),
+        wait_until(WAIT_LIMIT, || in_memory(&site) == 0),
         "the copy stays in memory"
     );
     let holder = site.holder_of("team-one", "c1").expect("a holder");
--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -94,8 +94,8 @@
     for conversation in ["stream", "first", "other"] {
         start_run(client, 0, conversation);
     }
-    let mut talk = Talk::new("stream");
-    let expected = talk.expect("t1", 500);
+    let mut expected_history = ExpectedConversation::new("stream");
+    let expected = expected_history.expect("t1", 500);
     let mut stream = open_turn(client, 1, "stream", "t1", 500).expect("a stream");
     let mut read = read_tokens(&mut stream, 5);
     site.platform.control(&json!({ "outage": outage }));
@@ -163,7 +163,7 @@
         (stream.status() == 200).then(|| whole_text(&mut stream, String::new()))
     };
     let mut repeated = None;
-    wait_until(PATIENCE, || {
+    wait_until(WAIT_LIMIT, || {
         repeated = repeat();
         repeated.is_some()
     });
@@ -178,14 +178,14 @@
         "a refused turn ran"
     );
     assert_eq!(executions(&site), 0, "a refused action ran");
-    talk.check_history(client, 2);
+    expected_history.check_history(client, 2);
     // A refused request runs when it is sent again.
-    let mut talk = Talk::new("first");
-    let expected = talk.expect("t1", 8);
+    let mut expected_history = ExpectedConversation::new("first");
+    let expected = expected_history.expect("t1", 8);
     let text = run_turn(client, &mut [0, 1, 2].into(), "first", "t1", 8);
     assert_eq!(text, Ok(expected));
     let mut last = String::new();
-    let accepted = wait_until(PATIENCE, || {
+    let accepted = wait_until(WAIT_LIMIT, || {
         let body = tool_body("a1", "charge");
         let answer = client
             .post(0, "other/runs/1/tool-calls", &body)
@@ -222,14 +222,17 @@
     site.mute_tool.control(&json!({ "delay_ms": 2_000 }));
     let body = tool_body("pay", "charge");
     let call = thread::spawn(move || client.post(holder, "c1/runs/1/tool-calls", &body));
-    assert!(wait_until(PATIENCE, || site.mute_tool.stats()["requests"] == 1));
+    assert!(wait_until(
+        WAIT_LIMIT,
+        || site.mute_tool.stats()["requests"] == 1
+    ));
     site.entry(holder).terminate();
     let only_the_busy_slot = || {
         let status = site.status(site.entry_address(holder));
         status.is_some_and(|status| status["slots"] == 1)
     };
     assert!(
-        wait_until(PATIENCE, only_the_busy_slot),
+        wait_until(WAIT_LIMIT, only_the_busy_slot),
         "the idle slots are not released"
     );
     site.platform.control(&json!({ "outage": "refuse" }));
@@ -241,11 +244,14 @@
     );
     thread::sleep(Duration::from_millis(500));
     site.platform.control(&json!({ "outage": "none" }));
-    let status = site.entry(holder).wait(PATIENCE).expect("the entry stops");
+    let status = site
+        .entry(holder)
+        .wait(WAIT_LIMIT)
+        .expect("the entry stops");
     assert!(status.success(), "{status}");
     let body = tool_body("pay", "charge");
     let mut last = String::new();
-    let known = wait_until(PATIENCE, || {
+    let known = wait_until(WAIT_LIMIT, || {
         let answer = client.post((holder + 1) % 3, "c1/runs/1/tool-calls", &body);
         last = answer.expect("an answer").text();
         last.contains("charge_micros")
@@ -284,9 +290,9 @@
     thread::sleep(LEASE_TTL * 3);
     site.platform.control(&json!({ "hang_commits": false }));
     assert_nobody_was_fenced(&site);
-    let mut talk = Talk::new("c1");
-    let expected = talk.expect("t1", 8);
+    let mut expected_history = ExpectedConversation::new("c1");
+    let expected = expected_history.expect("t1", 8);
     let mut stream = open_turn(client, 1, "c1", "t1", 8).expect("a stream");
     assert_eq!(whole_text(&mut stream, String::new()), Ok(expected));
-    talk.check_history(client, 2);
+    expected_history.check_history(client, 2);
 }
--- a/tests/randomised.rs
+++ b/tests/randomised.rs
@@ -118,7 +118,7 @@
             caller: Caller::with_key(site, key).timeout(PART),
             random: StdRng::seed_from_u64(seed * 100 + index),
             // Both teams use the same ids.
-            conversation: format!("talk{}", index / 2),
+            conversation: format!("expected_history{}", index / 2),
             program,
             budget_micros: if index < 4 {
                 BUDGET_MICROS
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -49,9 +49,9 @@
         for entry in 0..3 {
             let before = load.done.load(Ordering::Relaxed);
             let busy = || load.done.load(Ordering::Relaxed) >= before + CALLERS;
-            wait_until(PATIENCE, busy);
+            wait_until(WAIT_LIMIT, busy);
             site.entry(entry).terminate();
-            let status = site.entry(entry).wait(PATIENCE);
+            let status = site.entry(entry).wait(WAIT_LIMIT);
             let status = status.expect("the entry must stop in bounded time");
             assert!(status.success(), "{status}");
             site.start_entry(entry);
@@ -83,16 +83,16 @@
     for (index, (holder, through)) in routes.into_iter().enumerate() {
         let conversation = conversation_at(&site, holder, index);
         start_run(client, through, &conversation);
-        let mut talk = Talk::new(&conversation);
-        let expected = talk.expect("t1", TOKENS);
+        let mut expected_history = ExpectedConversation::new(&conversation);
+        let expected = expected_history.expect("t1", TOKENS);
         let mut stream = open_turn(client, through, &conversation, "t1", TOKENS).expect("a stream");
         let read = read_tokens(&mut stream, 5);
-        streams.push((talk, expected, stream, read));
+        streams.push((expected_history, expected, stream, read));
     }
     let idle_slots = slots_of(&site, leaving) - 2;
     let others_before = slots_of(&site, 1) + slots_of(&site, 2);
     site.entry(leaving).terminate();
-    let moved = wait_until(PATIENCE, || {
+    let moved = wait_until(WAIT_LIMIT, || {
         slots_of(&site, 1) + slots_of(&site, 2) >= others_before + idle_slots
     });
     assert!(moved, "the idle slots must go to the others");
@@ -105,10 +105,13 @@
         let text = whole_text(stream, std::mem::take(read)).expect("a whole stream");
         assert_eq!(text, *expected);
     }
-    let status = site.entry(leaving).wait(PATIENCE).expect("the entry stops");
+    let status = site
+        .entry(leaving)
+        .wait(WAIT_LIMIT)
+        .expect("the entry stops");
     assert!(status.success(), "{status}");
-    for (talk, ..) in &streams {
-        talk.check_history(client, 2);
+    for (expected_history, ..) in &streams {
+        expected_history.check_history(client, 2);
     }
     assert_eq!(engine_total(&site, "calls_started"), busy.len() as u64);
     assert_eq!(engine_total(&site, "calls_cancelled"), 0);
@@ -126,7 +129,7 @@
     let idle_slots = slots_of(&site, 0) - 1;
     let others_before = slots_of(&site, 1) + slots_of(&site, 2);
     site.entry(0).terminate();
-    wait_until(PATIENCE, || {
+    wait_until(WAIT_LIMIT, || {
         slots_of(&site, 1) + slots_of(&site, 2) >= others_before + idle_slots
     });
     for through in [1, 2] {
@@ -138,7 +141,7 @@
         "it waits for the stream"
     );
     whole_text(&mut stream, read).expect("a whole stream");
-    assert!(site.entry(0).wait(PATIENCE).is_some());
+    assert!(site.entry(0).wait(WAIT_LIMIT).is_some());
 }
 
 /// Guards against an entry that never ends, or takes several times its limit, because a call hangs
@@ -161,7 +164,7 @@
     site.platform.control(&json!({ "outage": "refuse" }));
     let asked = Instant::now();
     site.entry(holder).terminate();
-    let status = site.entry(holder).wait(PATIENCE);
+    let status = site.entry(holder).wait(WAIT_LIMIT);
     let took = asked.elapsed();
     assert!(status.is_some(), "the entry does not end");
     assert!(took < LIMIT + MARGIN, "the stop took {took:?}");
@@ -175,7 +178,9 @@
     thread::sleep(Duration::from_secs(3));
     let before = started();
     let done = load.done.load(Ordering::Relaxed);
-    let more = wait_until(PATIENCE, || load.done.load(Ordering::Relaxed) >= done + 40);
+    let more = wait_until(WAIT_LIMIT, || {
+        load.done.load(Ordering::Relaxed) >= done + 40
+    });
     assert!(more, "the other engine must serve the callers");
     assert_eq!(started(), before, "the leaving engine got new work");
 }
@@ -212,7 +217,7 @@
     let vms = json!([{ "address": address, "state": "live" }]);
     site.platform.control(&json!({ "vms": vms }));
     with_load(&site, |load| {
-        wait_until(PATIENCE, || engine_total(&site, "calls_started") > 20);
+        wait_until(WAIT_LIMIT, || engine_total(&site, "calls_started") > 20);
         site.engines[0].control(&json!({ "leaving": true }));
         assert_gets_no_new_work(&site, load, 0);
         let stats = site.engines[0].stats();
@@ -232,7 +237,7 @@
     let list = |state: &str| json!([{ "address": address, "state": state }]);
     site.platform.control(&json!({ "vms": list("live") }));
     with_load(&site, |load| {
-        wait_until(PATIENCE, || engine_total(&site, "calls_started") > 20);
+        wait_until(WAIT_LIMIT, || engine_total(&site, "calls_started") > 20);
         site.platform
             .control(&json!({ "vm_list_lag_ms": 1_000, "vms": list("leaving") }));
         thread::sleep(Duration::from_secs(1));
--- a/tests/support/calls.rs
+++ b/tests/support/calls.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 /// Longest wait of a test for something that has to happen; long enough for a machine under load.
-pub const PATIENCE: Duration = Duration::from_secs(20);
+pub const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
 /// Starts run 1 of a conversation.
 pub fn start_run(site: SiteClient, entry: usize, conversation: &str) {
@@ -89,13 +89,13 @@
 }
 
 /// A conversation as a caller sees it.
-pub struct Talk {
+pub struct ExpectedConversation {
     pub conversation: String,
     /// All messages up to now, with the system prompt.
     pub messages: Vec<Message>,
 }
 
-impl Talk {
+impl ExpectedConversation {
     pub fn new(conversation: &str) -> Self {
         Self {
             conversation: conversation.to_string(),
@@ -174,7 +174,7 @@
 
     /// Runs turns of one conversation and checks their answers and, at the end, the history.
     pub fn converse(&self, conversation: &str) {
-        let mut talk = Talk::new(conversation);
+        let mut expected_history = ExpectedConversation::new(conversation);
         let mut entries: VecDeque<usize> = (0..self.entries).collect();
         entries.rotate_left(conversation.len() % self.entries);
         start_run(self.site, entries[0], conversation);
@@ -184,7 +184,7 @@
             }
             entries.rotate_left(1);
             let request_id = format!("t{number}");
-            let expected = talk.expect(&request_id, self.tokens);
+            let expected = expected_history.expect(&request_id, self.tokens);
             let started = Instant::now();
             match run_turn(
                 self.site,
@@ -201,7 +201,7 @@
             *slowest = slowest.max(started.elapsed());
             self.done.fetch_add(1, Ordering::Relaxed);
         }
-        talk.check_history(self.site, entries[0]);
+        expected_history.check_history(self.site, entries[0]);
     }
 
     fn fault(&self, conversation: &str, reason: String) {
@@ -226,7 +226,7 @@
     request_id: &str,
     tokens: u32,
 ) -> Result<String, String> {
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + WAIT_LIMIT;
     while Instant::now() < deadline {
         match open_turn(site, entries[0], conversation, request_id, tokens) {
             Ok(mut stream) if stream.status() == 200 => {
@@ -242,7 +242,7 @@
         entries.rotate_left(1);
         thread::sleep(Duration::from_millis(50));
     }
-    Err(format!("{request_id} was refused for {PATIENCE:?}"))
+    Err(format!("{request_id} was refused for {WAIT_LIMIT:?}"))
 }
 
 /// Sum of a counter over all engines.
