--- a/src/connection/http_server.rs
+++ b/src/connection/http_server.rs
@@ -6,6 +6,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -219,13 +220,40 @@
     }
 }
 
+/// Why a connection ended early.
+enum ConnectionError {
+    Io(std::io::Error),
+    Http(hyper::Error),
+}
+
+impl fmt::Display for ConnectionError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConnectionError::Io(error) => error.fmt(formatter),
+            ConnectionError::Http(error) => error.fmt(formatter),
+        }
+    }
+}
+
+impl From<std::io::Error> for ConnectionError {
+    fn from(error: std::io::Error) -> Self {
+        ConnectionError::Io(error)
+    }
+}
+
+impl From<hyper::Error> for ConnectionError {
+    fn from(error: hyper::Error) -> Self {
+        ConnectionError::Http(error)
+    }
+}
+
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
     limits: HttpLimits,
     timer: TimerService,
     handler: Rc<H>,
     shared: &Shared,
-) -> std::result::Result<(), Box<dyn std::error::Error>> {
+) -> std::result::Result<(), ConnectionError> {
     stream.set_nodelay(true)?;
     let io = MonoioIo::new(stream.into_poll_io()?);
     let request_timer = timer.clone();
