--- a/src/connection/engine.rs
+++ b/src/connection/engine.rs
@@ -90,6 +90,7 @@
             ClientError::NotSent(reason) => EngineError::NotSent(reason),
             ClientError::Interrupted(reason) => EngineError::Interrupted(reason),
             ClientError::TimedOut(limit) => EngineError::TimedOut(limit),
+            ClientError::Mismatched => EngineError::Interrupted(error.to_string()),
         }
     }
 }
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use hyper::header::{HOST, HeaderValue};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response};
 use indexmap::IndexMap;
 use monoio::io::IntoPollIo;
@@ -34,6 +34,8 @@
     Interrupted(String),
     /// The time limit passed after the request was sent.
     TimedOut(Duration),
+    /// The answer on the connection belongs to another request; this one may have been received.
+    Mismatched,
 }
 
 impl ClientError {
@@ -56,6 +58,7 @@
             ClientError::TimedOut(limit) => {
                 write!(formatter, "no answer within {} ms", limit.as_millis())
             }
+            ClientError::Mismatched => formatter.write_str("the answer belongs to another request"),
         }
     }
 }
@@ -63,29 +66,71 @@
 impl std::error::Error for ClientError {}
 
 type Sender = SendRequest<Full<Bytes>>;
-type Pool = Rc<RefCell<IndexMap<SocketAddr, Vec<Sender>>>>;
+type Pool = Rc<RefCell<IndexMap<SocketAddr, Vec<IdleConnection>>>>;
+
+/// A connection that waits for its next request.
+struct IdleConnection {
+    sender: Sender,
+    /// When the server may close it; it is not used from then on.
+    expires: Option<Instant>,
+}
 
 /// Idle connections kept for one address.
 const IDLE_CONNECTIONS_PER_ADDRESS: usize = 64;
-/// Longest time to open a connection.
-const CONNECT_TIME: Duration = Duration::from_secs(2);
+/// A connection is not used again this long before the server may close it, because the request and
+/// the close could cross.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Bounds on the connections of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// Longest time to open a connection.
+    pub connect_time: Duration,
+    /// Time without traffic after which a connection is probed, and time between two probes. A
+    /// connection that does not answer `KEEPALIVE_PROBES` of them is closed. `None` sends no probes.
+    pub keepalive: Option<Duration>,
+}
+
+/// Unanswered probes after which a connection is closed.
+const KEEPALIVE_PROBES: u32 = 2;
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            connect_time: Duration::from_secs(2),
+            keepalive: None,
+        }
+    }
+}
 
 /// A client with a pool of idle connections; clones share the pool.
 #[derive(Clone)]
 pub struct HttpClient {
     pool: Pool,
     timer: TimerService,
+    limits: ClientLimits,
 }
 
 impl HttpClient {
-    /// Makes a client with an empty pool.
+    /// Makes a client with an empty pool and the default limits.
     pub fn new(timer: TimerService) -> Self {
+        Self::with_limits(timer, ClientLimits::default())
+    }
+
+    /// Makes a client with an empty pool.
+    pub fn with_limits(timer: TimerService, limits: ClientLimits) -> Self {
         Self {
             pool: Pool::default(),
             timer,
+            limits,
         }
     }
 
+    /// Closes the idle connections to an address.
+    pub fn close_idle(&self, address: SocketAddr) {
+        self.pool.borrow_mut().swap_remove(&address);
+    }
+
     /// The timer service that bounds the requests.
     pub fn timer(&self) -> &TimerService {
         &self.timer
@@ -97,14 +142,24 @@
         address: SocketAddr,
         request: Request<Bytes>,
         limit: Duration,
+    ) -> Result<Response<Incoming>> {
+        self.send_matched(address, request, limit, |_| true).await
+    }
+
+    /// Like [`HttpClient::send`], for servers that may answer late or twice: an answer for which
+    /// `is_own` is false fails the request, and its connection is closed.
+    pub async fn send_matched(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        limit: Duration,
+        is_own: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Incoming>> {
         let deadline = Instant::now() + limit;
         let mut request = prepare(address, request);
         while let Some(sender) = self.take_idle(address) {
-            match self
-                .send_on(address, sender, request, deadline, limit)
-                .await
-            {
+            let sent = self.send_on(address, sender, request, deadline, limit, &is_own);
+            match sent.await {
                 Ok(response) => return Ok(response),
                 Err((error, None)) => return Err(error),
                 // The server closed the idle connection before it read the request.
@@ -112,10 +167,8 @@
             }
         }
         let sender = self.connect(address, deadline).await?;
-        let sent = self
-            .send_on(address, sender, request, deadline, limit)
-            .await;
-        sent.map_err(|(error, _)| error)
+        let sent = self.send_on(address, sender, request, deadline, limit, &is_own);
+        sent.await.map_err(|(error, _)| error)
     }
 
     /// Sends a request and reads the whole answer, of at most `body_limit_bytes`.
@@ -139,16 +192,18 @@
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let mut pool = self.pool.borrow_mut();
         let idle = pool.get_mut(&address)?;
-        while let Some(sender) = idle.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        let now = Instant::now();
+        while let Some(connection) = idle.pop() {
+            let is_expired = connection.expires.is_some_and(|expires| expires <= now);
+            if connection.sender.is_ready() && !is_expired {
+                return Some(connection.sender);
             }
         }
         None
     }
 
     async fn connect(&self, address: SocketAddr, deadline: Instant) -> Result<Sender> {
-        let deadline = deadline.min(Instant::now() + CONNECT_TIME);
+        let deadline = deadline.min(Instant::now() + self.limits.connect_time);
         let not_sent =
             |reason: String| ClientError::NotSent(format!("connect to {address}: {reason}"));
         let stream = self
@@ -160,6 +215,11 @@
         stream
             .set_nodelay(true)
             .map_err(|error| not_sent(error.to_string()))?;
+        if let Some(pause) = self.limits.keepalive {
+            stream
+                .set_tcp_keepalive(Some(pause), Some(pause), Some(KEEPALIVE_PROBES))
+                .map_err(|error| not_sent(error.to_string()))?;
+        }
         let io = stream
             .into_poll_io()
             .map_err(|error| not_sent(error.to_string()))?;
@@ -181,6 +241,7 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
         limit: Duration,
+        is_own: &impl Fn(&HeaderMap) -> bool,
     ) -> std::result::Result<Response<Incoming>, (ClientError, Option<Request<Full<Bytes>>>)> {
         let sending = sender.try_send_request(request);
         let response = match self.timer.timeout_at(deadline, sending).await {
@@ -196,11 +257,20 @@
                 return Err((error, unsent));
             }
         };
-        self.return_when_idle(address, sender);
+        if !is_own(response.headers()) {
+            return Err((ClientError::Mismatched, None));
+        }
+        let idle_time = idle_timeout(response.headers());
+        self.return_when_idle(address, sender, idle_time);
         Ok(response)
     }
 
-    fn return_when_idle(&self, address: SocketAddr, mut sender: Sender) {
+    fn return_when_idle(
+        &self,
+        address: SocketAddr,
+        mut sender: Sender,
+        idle_time: Option<Duration>,
+    ) {
         let pool = self.pool.clone();
         monoio::spawn(async move {
             if sender.ready().await.is_err() {
@@ -209,12 +279,22 @@
             let mut pool = pool.borrow_mut();
             let idle = pool.entry(address).or_default();
             if idle.len() < IDLE_CONNECTIONS_PER_ADDRESS {
-                idle.push(sender);
+                let usable = idle_time.map(|time| time.saturating_sub(IDLE_MARGIN));
+                let expires = usable.map(|time| Instant::now() + time);
+                idle.push(IdleConnection { sender, expires });
             }
         });
     }
 }
 
+/// How long the server keeps an idle connection, where its answer says so.
+fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parameters = text.split(',').map(str::trim);
+    let seconds = parameters.find_map(|parameter| parameter.strip_prefix("timeout="))?;
+    Some(Duration::from_secs(seconds.trim().parse().ok()?))
+}
+
 fn prepare(address: SocketAddr, request: Request<Bytes>) -> Request<Full<Bytes>> {
     let (mut head, body) = request.into_parts();
     if !head.headers.contains_key(HOST)
--- a/src/connection/sse.rs
+++ b/src/connection/sse.rs
@@ -113,3 +113,88 @@
         None
     }
 }
+
+/// One event of a stream with the bytes that it was read from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NumberedEvent {
+    /// The bytes of the event, up to and including its empty line.
+    pub raw: Bytes,
+    /// The number of the event, where the stream numbers its events.
+    pub id: Option<u64>,
+    /// The lines of data, joined by line feeds.
+    pub data: Vec<u8>,
+}
+
+/// Splits a stream into whole events without changing their bytes.
+#[derive(Default)]
+pub struct Splitter {
+    /// Holds the bytes after the last complete event.
+    buffer: BytesMut,
+}
+
+impl Splitter {
+    /// Takes a chunk and returns the events that it completes.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<NumberedEvent>> {
+        if self.buffer.len() + chunk.len() > EVENT_LIMIT_BYTES {
+            return Err(ParseError::TooLong);
+        }
+        self.buffer.extend_from_slice(chunk);
+        let mut events = Vec::new();
+        while let Some(length) = event_length(&self.buffer) {
+            let raw = self.buffer.split_to(length).freeze();
+            events.push(number_event(raw));
+        }
+        Ok(events)
+    }
+
+    /// Whether the stream stands between two events.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+}
+
+/// The length of the first event including the empty line that ends it.
+fn event_length(buffer: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (position, byte) in buffer.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &buffer[line_start..position];
+        if line.is_empty() || line == b"\r" {
+            return Some(position + 1);
+        }
+        line_start = position + 1;
+    }
+    None
+}
+
+fn number_event(raw: Bytes) -> NumberedEvent {
+    let mut id = None;
+    let mut data: Option<Vec<u8>> = None;
+    for line in raw.split(|byte| *byte == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+            continue;
+        };
+        let value = &line[colon + 1..];
+        let value = value.strip_prefix(b" ").unwrap_or(value);
+        match &line[..colon] {
+            b"id" => {
+                id = std::str::from_utf8(value)
+                    .ok()
+                    .and_then(|id| id.trim().parse().ok())
+            }
+            b"data" => match &mut data {
+                Some(data) => {
+                    data.push(b'\n');
+                    data.extend_from_slice(value);
+                }
+                None => data = Some(value.to_vec()),
+            },
+            _ => {}
+        }
+    }
+    let data = data.unwrap_or_default();
+    NumberedEvent { raw, id, data }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -14,6 +14,7 @@
 use crate::connection::http_client::ClientError;
 use crate::connection::peer::PeerError;
 use crate::connection::tool::ToolError;
+use crate::process::gateway::store::StoreError;
 use crate::process::journal::JournalError;
 
 /// The result of work on a request.
@@ -136,6 +137,8 @@
     ActionInDoubt => 502, "action_in_doubt", Unknown, NEVER;
     /// The service's connection broke after the call was sent.
     ServiceInDoubt => 502, "service_in_doubt", Unknown, NEVER;
+    /// The deadline passed while a backend server was processing the request.
+    DeadlineExceeded => 504, "deadline_exceeded", Unknown, NEVER;
     /// A fault of this program.
     Internal => 500, "internal", Unknown, NEVER;
 }
@@ -176,6 +179,7 @@
     Journal(JournalError);
     Json(serde_json::Error);
     Peer(PeerError);
+    Store(StoreError);
     Tool(ToolError);
 }
 
--- a/src/process.rs
+++ b/src/process.rs
@@ -5,6 +5,7 @@
 pub mod config_watch;
 pub mod conversation;
 pub mod entry;
+pub mod gateway;
 pub mod invariant;
 pub mod journal;
 pub mod logging;
--- /dev/null
+++ b/src/process/gateway/directory.rs
@@ -0,0 +1,245 @@
+//! The other gateways, and the answers to callers that ask where to connect.
+//!
+//! Each gateway writes a row with a counter that it raises at every heartbeat. A gateway whose
+//! counter stands still for [`HEARTBEAT_TTL`] is not handed out. Only time in which the own reads of
+//! the store succeed counts, so that an outage of the store does not make the others look dead.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use sapphireford_platform::store::{Row, RowKey, RowWrite};
+use serde::{Deserialize, Serialize};
+
+use super::settings::GatewaySettings;
+use super::store::{RelayAddresses, Store};
+use super::writer::StoreWriter;
+use crate::ids::EntryId;
+use crate::process::notify::Notify;
+use crate::process::timer::unix_ms;
+
+const TABLE: &str = "gateways";
+/// Pause between two heartbeats, and between two reads of all rows.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// A gateway whose counter stands still for this long counts as dead.
+const HEARTBEAT_TTL: Duration = Duration::from_millis(3_200);
+/// Longest time for a read of all rows.
+const READ_TIME: Duration = Duration::from_secs(1);
+/// Rows of gateways that stopped or died this long ago are removed.
+const ROW_LIFETIME: Duration = Duration::from_secs(600);
+
+/// What a gateway says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayRow {
+    /// Where callers send requests.
+    pub caller_address: SocketAddr,
+    /// Where the other gateways send requests.
+    pub peer_address: SocketAddr,
+    /// Where it runs.
+    pub failure_domain: String,
+    /// Whether it stops and takes no new callers.
+    pub is_leaving: bool,
+    /// Tells two starts of one gateway apart.
+    pub started_unix_ms: u64,
+    /// Raised with every heartbeat.
+    pub heartbeat: u64,
+}
+
+struct Known {
+    row: GatewayRow,
+    /// When the row last changed, on the own clock, moved forward by failed reads.
+    changed: Instant,
+}
+
+/// The gateways as this one sees them.
+pub struct Directory {
+    own_id: EntryId,
+    own: RefCell<GatewayRow>,
+    known: RefCell<IndexMap<EntryId, Known>>,
+    last_read: Cell<Option<Instant>>,
+    relays: RelayAddresses,
+    leaving: Notify,
+}
+
+impl Directory {
+    /// Makes a directory that knows only this gateway.
+    pub fn new(settings: &GatewaySettings, relays: RelayAddresses) -> Self {
+        let own = GatewayRow {
+            caller_address: settings.caller_address,
+            peer_address: settings.peer_address,
+            failure_domain: settings.failure_domain.to_string(),
+            is_leaving: false,
+            started_unix_ms: unix_ms(),
+            heartbeat: 0,
+        };
+        Self {
+            own_id: settings.entry_id.clone(),
+            own: RefCell::new(own),
+            known: RefCell::default(),
+            last_read: Cell::new(None),
+            relays,
+            leaving: Notify::default(),
+        }
+    }
+
+    /// Marks this gateway as leaving.
+    pub fn leave(&self) {
+        self.own.borrow_mut().is_leaving = true;
+        self.leaving.notify();
+    }
+
+    /// Whether this gateway is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.own.borrow().is_leaving
+    }
+
+    /// The number of gateways that take requests, at least 1.
+    pub fn live_count(&self) -> u32 {
+        let others = self.live_others(Instant::now()).len() as u32;
+        others + u32::from(!self.is_leaving()).max(u32::from(others == 0))
+    }
+
+    /// The addresses for callers. This gateway is among them only if `can_serve`; if no other one
+    /// is known, it is all that there is.
+    pub fn caller_addresses(&self, can_serve: bool, now: Instant) -> Vec<SocketAddr> {
+        let mut addresses = self.live_others(now);
+        let own = self.own.borrow();
+        if (can_serve && !own.is_leaving) || addresses.is_empty() {
+            addresses.push(own.caller_address);
+        }
+        addresses
+    }
+
+    fn live_others(&self, now: Instant) -> Vec<SocketAddr> {
+        let known = self.known.borrow();
+        let live = known.values().filter(|known| self.is_live(known, now));
+        live.map(|known| known.row.caller_address).collect()
+    }
+
+    fn is_live(&self, known: &Known, now: Instant) -> bool {
+        // Without a recent read, nothing is known of the present.
+        let seen_at = self.last_read.get().unwrap_or(now);
+        let silent = seen_at.saturating_duration_since(known.changed);
+        !known.row.is_leaving && silent < HEARTBEAT_TTL
+    }
+
+    /// Takes over the rows of a successful read.
+    pub fn apply(&self, rows: &[Row], now: Instant) {
+        let mut known = self.known.borrow_mut();
+        // After failed reads, the others get a new chance to show a heartbeat.
+        let last_read = self.last_read.replace(Some(now));
+        let gap = last_read.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
+        let missed = gap.saturating_sub(2 * HEARTBEAT_INTERVAL);
+        for known in known.values_mut() {
+            known.changed += missed;
+        }
+        known.retain(|id, _| rows.iter().any(|row| *row.key == **id));
+        for row in rows.iter().filter(|row| *row.key != *self.own_id) {
+            let Some(value) = &row.value else { continue };
+            let decoded: GatewayRow = match serde_json::from_slice(value) {
+                Ok(decoded) => decoded,
+                Err(error) => {
+                    log::warn!(gateway = row.key; "gateway row skipped: {error}");
+                    continue;
+                }
+            };
+            match known.get_mut(row.key.as_str()) {
+                Some(known) if known.row == decoded => {}
+                Some(known) => {
+                    if known.row.is_leaving != decoded.is_leaving {
+                        log::info!(gateway = row.key, is_leaving = decoded.is_leaving;
+                            "gateway changed");
+                    }
+                    known.row = decoded;
+                    known.changed = now;
+                }
+                None => {
+                    log::info!(gateway = row.key; "gateway added");
+                    let added = Known {
+                        row: decoded,
+                        changed: now,
+                    };
+                    known.insert(row.key.as_str().into(), added);
+                }
+            }
+        }
+        let relays = known.values().filter(|known| self.is_live(known, now));
+        let relays = relays.map(|known| known.row.peer_address).collect();
+        self.relays.replace(relays);
+    }
+
+    fn heartbeat(&self) -> Option<RowWrite> {
+        let mut own = self.own.borrow_mut();
+        own.heartbeat += 1;
+        let value = match serde_json::to_vec(&*own) {
+            Ok(value) => value,
+            Err(error) => {
+                log::error!("the gateway row could not be encoded: {error}");
+                return None;
+            }
+        };
+        Some(RowWrite {
+            row: self.row_key(&self.own_id),
+            value: Some(Bytes::from(value)),
+        })
+    }
+
+    fn row_key(&self, id: &str) -> RowKey {
+        RowKey {
+            table: TABLE,
+            partition: String::new(),
+            key: id.to_string(),
+        }
+    }
+
+    /// Rows of gateways that have long stopped.
+    fn expired_rows(&self) -> Vec<RowWrite> {
+        let now_ms = unix_ms();
+        let lifetime_ms = ROW_LIFETIME.as_millis() as u64;
+        let known = self.known.borrow();
+        let expired = known.iter().filter(|(_, known)| {
+            let is_silent = known.changed.elapsed() > ROW_LIFETIME;
+            is_silent && now_ms.saturating_sub(known.row.started_unix_ms) > lifetime_ms
+        });
+        expired
+            .map(|(id, _)| RowWrite {
+                row: self.row_key(id),
+                value: None,
+            })
+            .collect()
+    }
+}
+
+/// Writes the own row and reads all rows until the process ends.
+pub async fn keep_up_to_date(directory: Rc<Directory>, store: Store, writer: StoreWriter) {
+    let timer = store.timer().clone();
+    loop {
+        let started = Instant::now();
+        let left = directory.leaving.changes();
+        if let Some(heartbeat) = directory.heartbeat() {
+            let deadline = started + HEARTBEAT_INTERVAL;
+            if let Err(error) = writer.write(heartbeat, deadline).await {
+                log::debug!("heartbeat failed: {error}");
+            }
+        }
+        match store
+            .read_all(TABLE, "", "", Instant::now() + READ_TIME)
+            .await
+        {
+            Ok(page) => {
+                directory.apply(&page.rows, Instant::now());
+                for removal in directory.expired_rows() {
+                    writer.write_later(removal);
+                }
+            }
+            Err(error) => log::debug!("gateways could not be read: {error}"),
+        }
+        let next = started + HEARTBEAT_INTERVAL;
+        // A gateway that leaves tells the others at once.
+        let changed = directory.leaving.changed_since(left);
+        let _ = timer.timeout_at(next, changed).await;
+    }
+}
--- /dev/null
+++ b/src/process/gateway/settings.rs
@@ -0,0 +1,123 @@
+//! The settings of a gateway, read at its start and again when they change.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::ids::{EntryId, FailureDomainId};
+use crate::process::settings::{Result, SettingsError};
+
+/// Settings as they stand in the file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawGatewaySettings {
+    entry_id: String,
+    failure_domain: String,
+    caller_address: String,
+    readiness_address: String,
+    directory_address: String,
+    peer_address: String,
+    metrics_address: String,
+    store_address: String,
+    #[serde(default = "defaults::row_limit_bytes")]
+    row_limit_bytes: usize,
+    #[serde(default = "defaults::shutdown_limit_s")]
+    shutdown_limit_s: f64,
+    #[serde(default = "defaults::lookup_lifetime_limit_s")]
+    lookup_lifetime_limit_s: f64,
+}
+
+mod defaults {
+    pub(super) fn row_limit_bytes() -> usize {
+        65_536
+    }
+    pub(super) fn shutdown_limit_s() -> f64 {
+        8.0
+    }
+    pub(super) fn lookup_lifetime_limit_s() -> f64 {
+        5.0
+    }
+}
+
+/// Checked settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Names this gateway; stays the same over restarts. Not empty.
+    pub entry_id: EntryId,
+    /// Where this gateway runs.
+    pub failure_domain: FailureDomainId,
+    /// Where callers send requests.
+    pub caller_address: SocketAddr,
+    /// Where the platform checks whether this gateway is ready.
+    pub readiness_address: SocketAddr,
+    /// Where callers look up addresses.
+    pub directory_address: SocketAddr,
+    /// Where the other gateways send requests.
+    pub peer_address: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_address: SocketAddr,
+    /// The metadata store of the platform.
+    pub store_address: SocketAddr,
+    /// Longest value of a row of the store; at least `MIN_ROW_LIMIT_BYTES`.
+    pub row_limit_bytes: usize,
+    /// Time between the request to stop and the end of the process.
+    pub shutdown_limit: Duration,
+    /// Longest time for which callers may keep an answer of the directory.
+    pub lookup_lifetime_limit: Duration,
+}
+
+/// Smaller rows could not hold a single turn of a conversation.
+const MIN_ROW_LIMIT_BYTES: usize = 1_024;
+
+fn address(field: &'static str, text: &str) -> Result<SocketAddr> {
+    text.parse().map_err(|_| {
+        let reason = format!("`{text}` is not an IP address with a port");
+        SettingsError::Invalid(field, reason)
+    })
+}
+
+fn seconds(field: &'static str, value: f64) -> Result<Duration> {
+    Duration::try_from_secs_f64(value)
+        .map_err(|error| SettingsError::Invalid(field, format!("{value}: {error}")))
+}
+
+impl TryFrom<RawGatewaySettings> for GatewaySettings {
+    type Error = SettingsError;
+
+    fn try_from(raw: RawGatewaySettings) -> Result<Self> {
+        if raw.entry_id.is_empty() {
+            let reason = "it must not be empty".to_string();
+            return Err(SettingsError::Invalid("entry_id", reason));
+        }
+        if raw.row_limit_bytes < MIN_ROW_LIMIT_BYTES {
+            let reason = format!("it must be at least {MIN_ROW_LIMIT_BYTES}");
+            return Err(SettingsError::Invalid("row_limit_bytes", reason));
+        }
+        Ok(Self {
+            entry_id: raw.entry_id.into(),
+            failure_domain: raw.failure_domain.into(),
+            caller_address: address("caller_address", &raw.caller_address)?,
+            readiness_address: address("readiness_address", &raw.readiness_address)?,
+            directory_address: address("directory_address", &raw.directory_address)?,
+            peer_address: address("peer_address", &raw.peer_address)?,
+            metrics_address: address("metrics_address", &raw.metrics_address)?,
+            store_address: address("store_address", &raw.store_address)?,
+            row_limit_bytes: raw.row_limit_bytes,
+            shutdown_limit: seconds("shutdown_limit_s", raw.shutdown_limit_s)?,
+            lookup_lifetime_limit: seconds("lookup_lifetime_limit_s", raw.lookup_lifetime_limit_s)?,
+        })
+    }
+}
+
+impl GatewaySettings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self> {
+        let bytes =
+            std::fs::read(path).map_err(|error| SettingsError::Read(path.to_path_buf(), error))?;
+        let raw: RawGatewaySettings = serde_json::from_slice(&bytes)
+            .map_err(|error| SettingsError::Parse(path.to_path_buf(), error))?;
+        Self::try_from(raw)
+    }
+}
--- /dev/null
+++ b/src/process/gateway/store.rs
@@ -0,0 +1,386 @@
+//! The client of the platform's store.
+//!
+//! Every call that this gateway makes has the same effect when it is performed twice, so a call that
+//! got no answer is made again on the next path. Calls go directly to the store or through a peer, see
+//! [`store_path`](super::store_path).
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::{Request, Response, StatusCode};
+use sapphireford_platform::FormatError;
+use sapphireford_platform::store::{self as format, RowKey, RowPage, RowWrite, StoreAnswer};
+
+use super::peers;
+use super::store_path::{StorePath, StorePaths};
+use crate::connection::http_client::{ClientError, HttpClient};
+use crate::process::metrics;
+use crate::process::timer::TimerService;
+
+/// The result of a call to the store.
+pub type Result<T> = std::result::Result<T, StoreError>;
+
+/// Why a call to the store failed.
+#[derive(Debug)]
+pub enum StoreError {
+    /// No path led to an answer.
+    Unreachable(String),
+    /// The store refused the call on every path that was tried; nothing was done.
+    Refused(u16),
+    /// The message could not be encoded or decoded.
+    Format(FormatError),
+    /// The call was not made, because the calls before it have failed.
+    Outage,
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Unreachable(reason) => {
+                write!(formatter, "the store did not answer: {reason}")
+            }
+            StoreError::Refused(status) => {
+                write!(formatter, "the store refused the call with status {status}")
+            }
+            StoreError::Format(_) => formatter.write_str("a message of the store is not valid"),
+            StoreError::Outage => formatter.write_str("the store does not answer at present"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            StoreError::Format(error) => Some(error),
+            _ => None,
+        }
+    }
+}
+
+impl From<FormatError> for StoreError {
+    fn from(error: FormatError) -> Self {
+        StoreError::Format(error)
+    }
+}
+
+/// Longest answer read from the store; its own limit on a page is 1 MB before encoding.
+const ANSWER_LIMIT_BYTES: usize = 4 << 20;
+/// Shortest time that a call on one path may take.
+const SHORTEST_ATTEMPT: Duration = Duration::from_millis(150);
+/// Longest time that a call on one path may take, without the time that a feed waits.
+const LONGEST_ATTEMPT: Duration = Duration::from_millis(1_500);
+/// A call may take this many times the typical time of the last calls.
+const ATTEMPT_FACTOR: u32 = 4;
+/// Weight of a new call in the typical time: one part of this many.
+const TYPICAL_TIME_PARTS: u32 = 8;
+/// The typical time before any call was made.
+const INITIAL_TYPICAL_TIME: Duration = Duration::from_millis(40);
+/// Time added for the way through a peer.
+const RELAY_TIME: Duration = Duration::from_millis(50);
+/// Calls of peers that are passed on at the same time; further ones are refused.
+const RELAYED_CALLS: usize = 64;
+
+/// Where the other gateways take store calls.
+pub type RelayAddresses = Rc<RefCell<Vec<SocketAddr>>>;
+
+/// A client of the store; clones share their state.
+#[derive(Clone)]
+pub struct Store {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    http: HttpClient,
+    timer: TimerService,
+    address: SocketAddr,
+    relays: RelayAddresses,
+    paths: RefCell<StorePaths>,
+    /// A moving average of the time that calls take.
+    typical_time: Cell<Duration>,
+    is_available: Cell<bool>,
+    relayed_calls: Cell<usize>,
+}
+
+impl Store {
+    /// Makes a client of the store at `address`.
+    pub fn new(http: HttpClient, address: SocketAddr, relays: RelayAddresses) -> Self {
+        let timer = http.timer().clone();
+        let shared = Shared {
+            http,
+            timer,
+            address,
+            relays,
+            paths: RefCell::default(),
+            typical_time: Cell::new(INITIAL_TYPICAL_TIME),
+            is_available: Cell::new(true),
+            relayed_calls: Cell::new(0),
+        };
+        Self {
+            shared: Rc::new(shared),
+        }
+    }
+
+    /// Whether a call has a chance to succeed now.
+    pub fn is_available(&self) -> bool {
+        self.shared.paths.borrow().is_available(Instant::now())
+    }
+
+    /// When a call last failed directly or on all paths.
+    pub fn last_disturbance(&self) -> Option<Instant> {
+        self.shared.paths.borrow().last_disturbance()
+    }
+
+    /// When a call last succeeded.
+    pub fn last_success(&self) -> Option<Instant> {
+        self.shared.paths.borrow().last_success()
+    }
+
+    /// Writes and removes rows, all or none.
+    pub async fn write(&self, writes: &[RowWrite], deadline: Instant) -> Result<()> {
+        let request = format::write_request(writes)?;
+        let response = self.call(request, Duration::ZERO, deadline).await?;
+        match format::decode_write(&response) {
+            StoreAnswer::Done(()) => Ok(()),
+            StoreAnswer::Refused(status) => Err(StoreError::Refused(status)),
+            StoreAnswer::HistoryGone => Err(StoreError::Refused(StatusCode::GONE.as_u16())),
+        }
+    }
+
+    /// Reads one row; `None` if it does not exist.
+    pub async fn read_one(&self, row: &RowKey, deadline: Instant) -> Result<Option<Bytes>> {
+        let request = format::read_one_request(row)?;
+        let response = self.call(request, Duration::ZERO, deadline).await?;
+        let page = page(&response)?;
+        let row = page.rows.into_iter().find(|found| found.key == row.key);
+        Ok(row.and_then(|row| row.value))
+    }
+
+    /// Reads all rows of a partition whose keys start with `prefix`.
+    pub async fn read_all(
+        &self,
+        table: &str,
+        partition: &str,
+        prefix: &str,
+        deadline: Instant,
+    ) -> Result<RowPage> {
+        let mut rows = Vec::new();
+        let mut after: Option<String> = None;
+        loop {
+            let request = format::read_request(table, partition, prefix, after.as_deref())?;
+            let response = self.call(request, Duration::ZERO, deadline).await?;
+            let page = page(&response)?;
+            rows.extend(page.rows);
+            if !page.has_more {
+                return Ok(RowPage {
+                    rows,
+                    has_more: false,
+                    version: page.version,
+                });
+            }
+            after = rows.last().map(|row| row.key.clone());
+        }
+    }
+
+    /// Waits for changes of a table after a version; `None` if the store no longer knows them.
+    pub async fn feed(
+        &self,
+        table: &str,
+        after_version: u64,
+        wait: Duration,
+    ) -> Result<Option<RowPage>> {
+        let request = format::feed_request(table, after_version, wait.as_millis() as u64)?;
+        let deadline = Instant::now() + wait + LONGEST_ATTEMPT;
+        let response = self.call(request, wait, deadline).await?;
+        match format::decode_page(&response)? {
+            StoreAnswer::Done(page) => Ok(Some(page)),
+            StoreAnswer::HistoryGone => Ok(None),
+            StoreAnswer::Refused(status) => Err(StoreError::Refused(status)),
+        }
+    }
+
+    /// Passes on the call of a peer; `None` if the store did not answer.
+    pub async fn relay(&self, call: peers::RelayedCall) -> Option<Response<Bytes>> {
+        let shared = &self.shared;
+        if shared.relayed_calls.get() >= RELAYED_CALLS {
+            return None;
+        }
+        shared.relayed_calls.set(shared.relayed_calls.get() + 1);
+        let fetch = shared.http.fetch(
+            shared.address,
+            call.request,
+            call.time_left,
+            ANSWER_LIMIT_BYTES,
+        );
+        let answer = fetch.await;
+        shared.relayed_calls.set(shared.relayed_calls.get() - 1);
+        answer.ok()
+    }
+
+    /// Makes a call on one path after the other until one leads to an answer.
+    async fn call(
+        &self,
+        request: Request<Bytes>,
+        wait: Duration,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>> {
+        let relays = self.shared.relays.borrow().clone();
+        let plan = self.shared.paths.borrow_mut().plan(&relays, Instant::now());
+        let mut last_error = StoreError::Outage;
+        let mut was_tried_everywhere = true;
+        for path in plan {
+            if Instant::now() >= deadline {
+                was_tried_everywhere = false;
+                break;
+            }
+            match self
+                .attempt(path, clone_request(&request), wait, deadline)
+                .await
+            {
+                Ok(response) => {
+                    self.note_availability(true, &path, "");
+                    return Ok(response);
+                }
+                Err(error) => {
+                    log::debug!(path:? = path; "store call failed: {error}");
+                    last_error = error;
+                }
+            }
+        }
+        if was_tried_everywhere {
+            self.shared.paths.borrow_mut().record_outage(Instant::now());
+            self.note_availability(false, &StorePath::Direct, &last_error.to_string());
+        }
+        Err(last_error)
+    }
+
+    async fn attempt(
+        &self,
+        path: StorePath,
+        request: Request<Bytes>,
+        wait: Duration,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>> {
+        let started = Instant::now();
+        let left = deadline.saturating_duration_since(started);
+        let limit = self.attempt_time().min(LONGEST_ATTEMPT) + wait;
+        let limit = limit.min(left);
+        let fetched = match path {
+            StorePath::Direct => self.fetch(self.shared.address, request, limit).await,
+            StorePath::Relay(peer) => match peers::relayed(request, limit) {
+                Some(request) => self.fetch(peer, request, limit + RELAY_TIME).await,
+                None => return Err(StoreError::Unreachable("invalid path".to_string())),
+            },
+        };
+        let result = self.judge(path, fetched);
+        let now = Instant::now();
+        let succeeded = result.is_ok();
+        if wait.is_zero() {
+            self.learn_time(now.saturating_duration_since(started), succeeded);
+        }
+        self.shared.paths.borrow_mut().record(path, succeeded, now);
+        let outcome = if succeeded { "ok" } else { "failed" };
+        let label = match path {
+            StorePath::Direct => "direct",
+            StorePath::Relay(_) => "relay",
+        };
+        ::metrics::counter!(metrics::STORE_CALLS, "path" => label, "outcome" => outcome)
+            .increment(1);
+        if wait.is_zero() {
+            let elapsed = now.saturating_duration_since(started);
+            ::metrics::histogram!(metrics::STORE_CALL_SECONDS).record(elapsed.as_secs_f64());
+        }
+        result
+    }
+
+    async fn fetch(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        limit: Duration,
+    ) -> std::result::Result<Response<Bytes>, ClientError> {
+        let http = &self.shared.http;
+        http.fetch(address, request, limit, ANSWER_LIMIT_BYTES)
+            .await
+    }
+
+    fn judge(
+        &self,
+        path: StorePath,
+        fetched: std::result::Result<Response<Bytes>, ClientError>,
+    ) -> Result<Response<Bytes>> {
+        let response = match fetched {
+            Ok(response) => response,
+            Err(error) => {
+                if path == StorePath::Direct {
+                    // Other idle connections may be silent for the same reason.
+                    self.shared.http.close_idle(self.shared.address);
+                }
+                return Err(StoreError::Unreachable(error.to_string()));
+            }
+        };
+        let is_relayed = matches!(path, StorePath::Relay(_));
+        if is_relayed && !peers::is_from_store(&response) {
+            let reason = "the peer does not reach the store".to_string();
+            return Err(StoreError::Unreachable(reason));
+        }
+        match response.status() {
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                Err(StoreError::Refused(response.status().as_u16()))
+            }
+            _ => Ok(response),
+        }
+    }
+
+    fn attempt_time(&self) -> Duration {
+        let typical = self.shared.typical_time.get();
+        (typical * ATTEMPT_FACTOR).clamp(SHORTEST_ATTEMPT, LONGEST_ATTEMPT)
+    }
+
+    fn learn_time(&self, elapsed: Duration, succeeded: bool) {
+        let typical = self.shared.typical_time.get();
+        let learned = if succeeded {
+            (typical * (TYPICAL_TIME_PARTS - 1) + elapsed) / TYPICAL_TIME_PARTS
+        } else {
+            // A call that was given up would have taken longer.
+            typical.max(elapsed / 2)
+        };
+        self.shared.typical_time.set(learned.min(LONGEST_ATTEMPT));
+    }
+
+    /// Logs the loss and the return of the store.
+    fn note_availability(&self, is_available: bool, path: &StorePath, reason: &str) {
+        if self.shared.is_available.replace(is_available) == is_available {
+            return;
+        }
+        if is_available {
+            log::info!(path:? = path; "store regained");
+        } else {
+            log::warn!(reason = reason; "store lost");
+        }
+    }
+
+    /// The timer service that bounds the calls.
+    pub fn timer(&self) -> &TimerService {
+        &self.shared.timer
+    }
+}
+
+fn page(response: &Response<Bytes>) -> Result<RowPage> {
+    match format::decode_page(response)? {
+        StoreAnswer::Done(page) => Ok(page),
+        StoreAnswer::Refused(status) => Err(StoreError::Refused(status)),
+        StoreAnswer::HistoryGone => Err(StoreError::Refused(StatusCode::GONE.as_u16())),
+    }
+}
+
+fn clone_request(request: &Request<Bytes>) -> Request<Bytes> {
+    let mut copy = Request::new(request.body().clone());
+    *copy.method_mut() = request.method().clone();
+    *copy.uri_mut() = request.uri().clone();
+    *copy.headers_mut() = request.headers().clone();
+    copy
+}
--- /dev/null
+++ b/src/process/gateway/store_path.rs
@@ -0,0 +1,112 @@
+//! The choice of the way to the store: directly, or through a peer.
+//!
+//! The store may refuse some VMs while it serves others. A gateway that is refused hands its calls to
+//! a peer that is served, so that it can go on serving its callers.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// A way to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StorePath {
+    /// A connection of this gateway to the store.
+    Direct,
+    /// A peer that passes the call on.
+    Relay(SocketAddr),
+}
+
+/// Peers that are tried for one call. More of them would multiply the calls of an outage that
+/// concerns all VMs.
+const RELAYS_PER_CALL: usize = 2;
+/// Time after a failed direct call in which a peer that works is tried first.
+const DIRECT_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time after a call that failed on all paths in which requests are refused without a call. The
+/// background calls go on and find out when the store is back.
+const OUTAGE_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// What is known of the paths to the store.
+#[derive(Debug, Default)]
+pub struct StorePaths {
+    direct_failed: Option<Instant>,
+    /// The peer through which the last relayed call succeeded.
+    working_relay: Option<SocketAddr>,
+    last_success: Option<Instant>,
+    /// The last call that failed on every path.
+    last_outage: Option<Instant>,
+    next_relay: usize,
+}
+
+impl StorePaths {
+    /// The paths for a call, in the order in which they are tried.
+    pub fn plan(&mut self, peers: &[SocketAddr], now: Instant) -> Vec<StorePath> {
+        let mut relays: Vec<StorePath> = Vec::new();
+        let working = self.working_relay.filter(|relay| peers.contains(relay));
+        relays.extend(working.map(StorePath::Relay));
+        for _ in 0..peers.len() {
+            if relays.len() >= RELAYS_PER_CALL {
+                break;
+            }
+            self.next_relay = (self.next_relay + 1) % peers.len();
+            let relay = StorePath::Relay(peers[self.next_relay]);
+            if !relays.contains(&relay) {
+                relays.push(relay);
+            }
+        }
+        let prefers_relay = working.is_some() && self.is_direct_suspect(now);
+        let direct_position = usize::from(prefers_relay);
+        relays.insert(direct_position, StorePath::Direct);
+        relays
+    }
+
+    /// Whether a direct call has failed a short while ago.
+    pub fn is_direct_suspect(&self, now: Instant) -> bool {
+        let failed = self.direct_failed;
+        failed.is_some_and(|failed| now.saturating_duration_since(failed) < DIRECT_PAUSE)
+    }
+
+    /// Records how a call on one path ended.
+    pub fn record(&mut self, path: StorePath, succeeded: bool, now: Instant) {
+        match (path, succeeded) {
+            (StorePath::Direct, true) => {
+                self.direct_failed = None;
+                self.working_relay = None;
+            }
+            (StorePath::Direct, false) => self.direct_failed = Some(now),
+            (StorePath::Relay(relay), true) => self.working_relay = Some(relay),
+            (StorePath::Relay(relay), false) => {
+                if self.working_relay == Some(relay) {
+                    self.working_relay = None;
+                }
+            }
+        }
+        if succeeded {
+            self.last_success = Some(now);
+        }
+    }
+
+    /// Records that a call failed on every path.
+    pub fn record_outage(&mut self, now: Instant) {
+        self.last_outage = Some(now);
+    }
+
+    /// Whether a call has a chance to succeed now.
+    pub fn is_available(&self, now: Instant) -> bool {
+        match self.last_outage {
+            None => true,
+            Some(outage) => {
+                let recovered = self.last_success.is_some_and(|success| success > outage);
+                recovered || now.saturating_duration_since(outage) >= OUTAGE_PAUSE
+            }
+        }
+    }
+
+    /// When a direct call or a call on all paths last failed.
+    pub fn last_disturbance(&self) -> Option<Instant> {
+        self.direct_failed.max(self.last_outage)
+    }
+
+    /// When a call last succeeded.
+    pub fn last_success(&self) -> Option<Instant> {
+        self.last_success
+    }
+}
--- /dev/null
+++ b/src/process/gateway/watch.rs
@@ -0,0 +1,70 @@
+//! Follows the rows of a table: a full read, and then the change feed.
+
+use std::time::{Duration, Instant};
+
+use sapphireford_platform::store::Row;
+
+use super::store::Store;
+
+/// What a watch has seen.
+pub enum TableChange {
+    /// All rows of the table; rows that are not among them do not exist.
+    Snapshot(Vec<Row>),
+    /// Rows that were written or removed, in the order of their versions.
+    Rows(Vec<Row>),
+}
+
+/// Time for which a feed call waits for changes. A connection that has gone silent is noticed
+/// after this time and the time of a call, which must be well below the time within which a
+/// configuration has to be in force.
+const FEED_WAIT: Duration = Duration::from_millis(800);
+/// Time for a full read.
+const READ_TIME: Duration = Duration::from_secs(2);
+/// Pause after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Reports the rows of a table and their changes until the process ends.
+pub async fn watch_table(store: Store, table: &'static str, mut apply: impl FnMut(TableChange)) {
+    loop {
+        let deadline = Instant::now() + READ_TIME;
+        let version = match store.read_all(table, "", "", deadline).await {
+            Ok(page) => {
+                apply(TableChange::Snapshot(page.rows));
+                page.version
+            }
+            Err(error) => {
+                log::debug!(table = table; "table could not be read: {error}");
+                store.timer().sleep(RETRY_PAUSE).await;
+                continue;
+            }
+        };
+        follow(&store, table, version, &mut apply).await;
+    }
+}
+
+/// Follows the feed until the store no longer has the changes after the version that was seen.
+async fn follow(
+    store: &Store,
+    table: &'static str,
+    mut version: u64,
+    apply: &mut impl FnMut(TableChange),
+) {
+    loop {
+        match store.feed(table, version, FEED_WAIT).await {
+            Ok(Some(page)) => {
+                version = version.max(page.version);
+                if !page.rows.is_empty() {
+                    apply(TableChange::Rows(page.rows));
+                }
+            }
+            Ok(None) => {
+                log::info!(table = table, version = version; "change history is gone, reading all");
+                return;
+            }
+            Err(error) => {
+                log::debug!(table = table; "feed call failed: {error}");
+                store.timer().sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -4,7 +4,7 @@
 use std::io;
 
 use log::LevelFilter;
-use logforth::append::Stderr;
+use logforth::append::{Stderr, Stdout};
 use logforth::layout::JsonLayout;
 
 /// The result of setting up the log.
@@ -57,3 +57,14 @@
     log::set_max_level(level);
     Ok(())
 }
+
+/// Sends the log of this process to standard output, from `level` up.
+pub fn install_stdout(level: LevelFilter) -> Result<()> {
+    let output = Stdout::default().with_layout(JsonLayout::default());
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.append(output))
+        .try_apply()
+        .map_err(|error| LoggingError::Installed(io::Error::other(error.to_string())))?;
+    log::set_max_level(level);
+    Ok(())
+}
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -83,6 +83,12 @@
         "Requests sent to peers, by `kind` and `outcome`.";
     describe_counter INVARIANT_VIOLATIONS = "sapphireford_invariant_violations_total", Count,
         "Violations of invariants, by `invariant`; any is a fault of this program.";
+    describe_counter STORE_CALLS = "sapphireford_store_calls_total", Count,
+        "Calls to the platform's store, by `path` (direct or relay) and `outcome`.";
+    describe_histogram STORE_CALL_SECONDS = "sapphireford_store_call_seconds", Seconds,
+        "Time of a call to the platform's store on one path, without feeds.";
+    describe_counter LOG_LINES_DROPPED = "sapphireford_log_lines_dropped_total", Count,
+        "Log lines that were dropped because too many were written.";
     describe_gauge CONFIG_VERSION = "sapphireford_config_version", Count,
         "The configuration version in effect.";
 }
--- a/src/process/shutdown.rs
+++ b/src/process/shutdown.rs
@@ -15,8 +15,22 @@
 /// Pause between two looks at the flag.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Makes SIGTERM and SIGINT request a graceful stop.
+/// What the process is asked to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Request {
+    /// Stop gracefully.
+    Stop,
+    /// Read the settings again.
+    Reload,
+}
+
+/// Makes SIGTERM and SIGINT request a graceful stop, and SIGHUP a reload of the settings.
 pub fn install() -> Result<()> {
+    let reload = std::sync::Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, reload.clone())?;
+    *RELOAD
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner()) = Some(reload);
     let flag = std::sync::Arc::new(AtomicBool::new(false));
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
         signal_hook::flag::register(signal, flag.clone())?;
@@ -30,6 +44,18 @@
 static SIGNALLED: std::sync::Mutex<Option<std::sync::Arc<AtomicBool>>> =
     std::sync::Mutex::new(None);
 
+static RELOAD: std::sync::Mutex<Option<std::sync::Arc<AtomicBool>>> = std::sync::Mutex::new(None);
+
+/// Whether a reload was requested since the last call.
+fn take_reload() -> bool {
+    let reload = RELOAD
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
+    reload
+        .as_ref()
+        .is_some_and(|flag| flag.swap(false, Ordering::Relaxed))
+}
+
 /// Requests a graceful stop.
 pub fn request() {
     REQUESTED.store(true, Ordering::Relaxed);
@@ -52,3 +78,17 @@
         ticks.tick().await;
     }
 }
+
+/// Completes when a stop or a reload was requested.
+pub async fn requested_or_reload(timer: &TimerService) -> Request {
+    let mut ticks = timer.subscribe(POLL_INTERVAL);
+    loop {
+        if is_requested() {
+            return Request::Stop;
+        }
+        if take_reload() {
+            return Request::Reload;
+        }
+        ticks.tick().await;
+    }
+}
--- a/src/process/slots/placement.rs
+++ b/src/process/slots/placement.rs
@@ -53,7 +53,7 @@
     let number = hash_bytes(backend_server_id.as_bytes());
     candidates
         .into_iter()
-        .min_by_key(|id| (Reverse(weight_of(number, id)), *id))
+        .min_by_key(|id| (Reverse(rendezvous_weight(number, id)), *id))
 }
 
 /// The candidate that goes first in recovering a lost entry, which is none itself: it may still be
@@ -67,10 +67,11 @@
 }
 
 fn weight(slot: SlotId, entry_id: &str) -> u64 {
-    weight_of(u64::from(slot), entry_id)
+    rendezvous_weight(u64::from(slot), entry_id)
 }
 
-fn weight_of(number: u64, entry_id: &str) -> u64 {
+/// The weight of a candidate for a number; the one with the highest weight is preferred.
+pub fn rendezvous_weight(number: u64, entry_id: &str) -> u64 {
     mix(hash_bytes(entry_id.as_bytes()) ^ mix(number))
 }
 
--- a/src/request.rs
+++ b/src/request.rs
@@ -10,6 +10,7 @@
 pub mod conversation_request;
 pub mod dispatch;
 pub mod forward;
+pub mod gateway;
 pub mod operator;
 pub mod read;
 pub mod run;
--- /dev/null
+++ b/src/request/gateway/record.rs
@@ -0,0 +1,125 @@
+//! The log line and the metrics of one request.
+
+use std::cell::{Cell, RefCell};
+use std::time::{Duration, Instant};
+
+use crate::ids::VersionNumber;
+use crate::process::metrics;
+
+/// What decided the fate of a request; logged once, when the request has ended.
+pub struct RequestRecord {
+    started: Instant,
+    request_id: String,
+    program_id: Option<String>,
+    route: RefCell<String>,
+    config_version: Cell<VersionNumber>,
+    servers: RefCell<Vec<String>>,
+    notes: RefCell<Vec<String>>,
+    /// Time until the turn was admitted by the ledger and its history was read.
+    prepared: Cell<Option<Duration>>,
+    first_event: Cell<Option<Duration>>,
+    events: Cell<u64>,
+    status: Cell<u16>,
+    outcome: RefCell<String>,
+}
+
+/// The outcome of requests whose caller has left before they ended otherwise.
+const CALLER_LEFT: &str = "caller left";
+
+impl RequestRecord {
+    /// Starts the record of a request.
+    pub fn new(request_id: String, program_id: Option<String>) -> Self {
+        Self {
+            started: Instant::now(),
+            request_id,
+            program_id,
+            route: RefCell::default(),
+            config_version: Cell::new(0),
+            servers: RefCell::default(),
+            notes: RefCell::default(),
+            prepared: Cell::new(None),
+            first_event: Cell::new(None),
+            events: Cell::new(0),
+            status: Cell::new(0),
+            outcome: RefCell::new(CALLER_LEFT.to_string()),
+        }
+    }
+
+    /// When the request arrived.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Records the route and the configuration that it comes from.
+    pub fn set_route(&self, route: &str, config_version: VersionNumber) {
+        self.route.replace(route.to_string());
+        self.config_version.set(config_version);
+    }
+
+    /// Records that the request was sent to a server, with the load that decided it.
+    pub fn add_server(&self, server_id: &str, load: u32, report_age: Option<Duration>) {
+        let age = report_age.map_or("none".to_string(), |age| age.as_millis().to_string());
+        let text = format!("{server_id} load={load} report_age_ms={age}");
+        self.servers.borrow_mut().push(text);
+    }
+
+    /// Adds an observation, such as why an attempt failed.
+    pub fn note(&self, note: impl Into<String>) {
+        self.notes.borrow_mut().push(note.into());
+    }
+
+    /// Records that the turn is ready to be sent to a server.
+    pub fn set_prepared(&self) {
+        self.prepared.set(Some(self.started.elapsed()));
+    }
+
+    /// Records that an event was passed on.
+    pub fn add_event(&self) {
+        self.events.set(self.events.get() + 1);
+        if self.first_event.get().is_none() {
+            let elapsed = self.started.elapsed();
+            self.first_event.set(Some(elapsed));
+            ::metrics::histogram!(metrics::FIRST_TOKEN_SECONDS).record(elapsed.as_secs_f64());
+        }
+    }
+
+    /// Records how the request ended.
+    pub fn finish(&self, status: u16, outcome: impl Into<String>) {
+        self.status.set(status);
+        self.outcome.replace(outcome.into());
+    }
+}
+
+fn millis(duration: Option<Duration>) -> i64 {
+    duration.map_or(-1, |duration| duration.as_millis() as i64)
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        let elapsed = self.started.elapsed();
+        let route = self.route.borrow();
+        let outcome = self.outcome.borrow();
+        log::info!(
+            request_id = self.request_id,
+            program_id = self.program_id.as_deref().unwrap_or(""),
+            route = *route,
+            config_version = self.config_version.get(),
+            servers:? = *self.servers.borrow(),
+            notes:? = *self.notes.borrow(),
+            prepared_ms = millis(self.prepared.get()),
+            first_event_ms = millis(self.first_event.get()),
+            events = self.events.get(),
+            total_ms = elapsed.as_millis() as u64,
+            status = self.status.get(),
+            outcome = *outcome;
+            "request ended"
+        );
+        let labels = [
+            ("route", route.clone()),
+            ("status", self.status.get().to_string()),
+        ];
+        ::metrics::counter!(metrics::REQUESTS, &labels).increment(1);
+        ::metrics::histogram!(metrics::REQUEST_SECONDS, "route" => route.clone())
+            .record(elapsed.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/src/request/gateway/refusal.rs
@@ -0,0 +1,50 @@
+//! The answers to requests that the system gives up on.
+
+use std::time::Duration;
+
+use hyper::Response;
+use hyper::header::RETRY_AFTER;
+use rand::Rng;
+use sapphireford_platform::headers;
+
+use crate::connection::body::Body;
+use crate::connection::http_server::error_response;
+use crate::error::{Error, ErrorKind, Ran};
+
+/// Time after which a caller may come back, before it is spread.
+fn base_delay(kind: ErrorKind) -> Duration {
+    match kind {
+        // Another gateway or server can take the request at once.
+        ErrorKind::Leaving | ErrorKind::NotReady => Duration::from_millis(50),
+        // A place becomes free within the time of a typical request.
+        ErrorKind::Overloaded => Duration::from_millis(100),
+        // A server registers, or recovers, within a few heartbeats.
+        ErrorKind::NoBackendServer | ErrorKind::QueueTimeout => Duration::from_millis(300),
+        // The store is down for seconds, if at all.
+        _ => Duration::from_millis(600),
+    }
+}
+
+/// When a caller should come back; `None` if the request cannot succeed later or may have run.
+///
+/// `spread` is between 0 and 1. Callers that are refused together do not come back together.
+pub fn retry_delay(kind: ErrorKind, spread: f64) -> Option<Duration> {
+    let answer = kind.answer();
+    let can_return = answer.retry_after.is_some() && answer.ran == Ran::No;
+    can_return.then(|| base_delay(kind).mul_f64(1.0 + spread))
+}
+
+/// The answer to a request that ended with an error.
+pub fn refuse(error: &Error) -> Response<Body> {
+    let mut response = error_response(error);
+    match retry_delay(error.kind, rand::rng().random()) {
+        Some(delay) => {
+            let value = headers::retry_after(delay);
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+        None => {
+            response.headers_mut().remove(RETRY_AFTER);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/src/request/gateway/turn.rs
@@ -0,0 +1,128 @@
+//! Turns of agent programs: their budget and their history, before they go to a server.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_util::future::try_join;
+use sapphireford_platform::headers::CallHeaders;
+use sapphireford_platform::operator::RouteRecord;
+
+use crate::error::{Error, ErrorKind, Result};
+use crate::process::gateway::history::{Chain, Lookup};
+use crate::process::gateway::ledger::{Admission, Reservation, TurnBudget};
+use crate::process::gateway::running::Gateway;
+use crate::process::gateway::store::StoreError;
+
+/// A turn that may go to a server.
+pub struct PreparedTurn {
+    /// What the server receives: the history and then the input.
+    pub body: Bytes,
+    /// Holds the tokens of the turn; absent if the program has no budget.
+    pub reservation: Option<Reservation>,
+    /// Set if the turn must be kept once it is complete.
+    pub record: Option<TurnToKeep>,
+}
+
+/// A turn that becomes part of a conversation when it is complete.
+pub struct TurnToKeep {
+    /// Names the turn.
+    pub turn_id: String,
+    /// What comes before it.
+    pub chain: Chain,
+    /// The input of the turn.
+    pub input: Bytes,
+}
+
+fn store_failure(error: StoreError) -> Error {
+    let message = "the store does not answer, so the turn cannot start; come back later";
+    Error::new(ErrorKind::PlatformUnavailable, message).with_cause(error)
+}
+
+/// Reserves the tokens of a turn and reads its history.
+pub async fn prepare(
+    gateway: &Gateway,
+    route: &RouteRecord,
+    headers: &CallHeaders,
+    input: Bytes,
+    deadline: Instant,
+) -> Result<PreparedTurn> {
+    let budget = turn_budget(headers);
+    let needs_store = budget.is_some() || route.keeps_history;
+    if needs_store && !gateway.store.is_available() {
+        return Err(store_failure(StoreError::Outage));
+    }
+    let reserved = reserve(gateway, budget, deadline);
+    let (reservation, chain) = try_join(reserved, load(gateway, route, headers, deadline)).await?;
+    let body = match &chain {
+        Some(chain) if !chain.text.is_empty() => {
+            Bytes::from([chain.text.as_slice(), &input].concat())
+        }
+        _ => input.clone(),
+    };
+    let record = match (chain, &headers.request_id) {
+        (Some(chain), Some(turn_id)) => Some(TurnToKeep {
+            turn_id: turn_id.clone(),
+            chain,
+            input,
+        }),
+        _ => None,
+    };
+    Ok(PreparedTurn {
+        body,
+        reservation,
+        record,
+    })
+}
+
+fn turn_budget(headers: &CallHeaders) -> Option<TurnBudget> {
+    let program = headers.program.as_ref()?;
+    Some(TurnBudget {
+        program_id: program.program_id.clone(),
+        attempt_id: headers.request_id.clone()?,
+        max_tokens: headers.prompt.max_output_tokens,
+        budget_tokens: program.budget_tokens?,
+    })
+}
+
+async fn reserve(
+    gateway: &Gateway,
+    budget: Option<TurnBudget>,
+    deadline: Instant,
+) -> Result<Option<Reservation>> {
+    let Some(budget) = budget else {
+        return Ok(None);
+    };
+    match gateway.ledger.reserve(&budget, deadline).await {
+        Ok(Admission::Reserved(reservation)) => Ok(Some(reservation)),
+        Ok(Admission::Exceeded { others_tokens }) => {
+            let message = format!(
+                "the program has used {others_tokens} of its {} tokens",
+                budget.budget_tokens
+            );
+            Err(Error::new(ErrorKind::BudgetExceeded, message))
+        }
+        Err(error) => Err(store_failure(error)),
+    }
+}
+
+async fn load(
+    gateway: &Gateway,
+    route: &RouteRecord,
+    headers: &CallHeaders,
+    deadline: Instant,
+) -> Result<Option<Chain>> {
+    if !route.keeps_history {
+        return Ok(None);
+    }
+    let Some(previous) = &headers.previous_turn_id else {
+        return Ok(Some(Chain::default()));
+    };
+    match gateway.history.load(previous, deadline).await {
+        Ok(Lookup::Found(chain)) => Ok(Some(chain)),
+        Ok(Lookup::NotFound) => {
+            let message = format!("there is no turn `{previous}` to continue from");
+            Err(Error::new(ErrorKind::NotFound, message))
+        }
+        Err(error) => Err(store_failure(error)),
+    }
+}
--- a/src/version.rs
+++ b/src/version.rs
@@ -12,4 +12,5 @@
 pub mod keys;
 pub mod merge;
 pub mod raw;
+pub mod route_table;
 pub mod store;
