Keep programs with their ranked server, and bound the grace for expired rows

Now a server is passed over only for one that is less loaded by half a batch for each place in the ranking.

Cause 2: a row that was removed within 3 s of any failed store call counted as expired, and its server got requests for 2.2 s more. Now only an absence of the store of 500 ms or longer counts, for 1 s after its return, and the grace ends 2 s after the return.

--- a/src/process/gateway/placement.rs
+++ b/src/process/gateway/placement.rs
@@ -2,9 +2,12 @@
 //!
 //! Gateways choose without asking each other. Model calls of one program go to the same server, which
 //! has their prefix in its cache: all gateways rank the servers for a program in the same order. A
-//! server that is loaded beyond [`SPILL_LOAD_PERMILLE`] is passed over for the next one in that order,
-//! so that a burst of programs on one server does not queue while others are free. Plain calls go to
-//! the least loaded server.
+//! server is passed over for one further down in that order only if that one is less loaded by
+//! [`SPILL_LOAD_PERMILLE`] for each place between them. So a burst of programs on one server does not
+//! queue while others are free, and under general overload programs stay where their prefixes are.
+//! Plain calls go to the least loaded server.
+
+use std::cmp::Reverse;
 
 use crate::process::slots::placement::rendezvous_weight;
 
@@ -24,9 +27,9 @@
     pub is_near: bool,
 }
 
-/// Load beyond which a model call leaves the server that has its prefix. Below it, the batch has
-/// free places and computing the prefix again costs more than sharing the batch.
-pub const SPILL_LOAD_PERMILLE: LoadPermille = 750;
+/// Load that a server must be below the one before it in the ranking to be chosen instead. Leaving
+/// a server costs the time to compute the prefix again, which is about that of half a batch.
+pub const SPILL_LOAD_PERMILLE: LoadPermille = 500;
 
 fn rank(key: u64, candidate: &Candidate<'_>) -> u64 {
     rendezvous_weight(key, candidate.server_id)
@@ -35,15 +38,20 @@
 /// The server for a request whose prefix is likely cached where earlier requests with the same key
 /// went.
 pub fn by_affinity(key: u64, candidates: &[Candidate<'_>]) -> Option<usize> {
-    let allowed = || {
-        let all = candidates.iter().enumerate();
-        all.filter(|(_, candidate)| candidate.is_allowed)
-    };
-    let preferred = allowed()
-        .filter(|(_, candidate)| candidate.load < SPILL_LOAD_PERMILLE)
-        .max_by_key(|(_, candidate)| rank(key, candidate));
-    let least_loaded = || allowed().min_by_key(|(_, candidate)| candidate.load);
-    preferred.or_else(least_loaded).map(|(index, _)| index)
+    let all = candidates.iter().enumerate();
+    let mut ranked: Vec<_> = all.filter(|(_, candidate)| candidate.is_allowed).collect();
+    ranked.sort_by_key(|(_, candidate)| Reverse(rank(key, candidate)));
+    let costs = ranked
+        .iter()
+        .zip(0..)
+        .map(|((index, candidate), position)| {
+            let cost = candidate
+                .load
+                .saturating_add(position * SPILL_LOAD_PERMILLE);
+            (cost, *index)
+        });
+    let least = costs.min_by_key(|(cost, _)| *cost);
+    least.map(|(_, index)| index)
 }
 
 /// The least loaded server; `tie` decides among equals, where those in the same failure domain go
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -363,8 +363,10 @@
     }));
     let servers = gateway.clone();
     monoio::spawn(watch_table(store.clone(), SERVER_TABLE, move |change| {
-        let disturbed = servers.store.last_disturbance();
-        servers.servers.apply(change, disturbed, Instant::now());
+        let store_returned = servers.store.last_return();
+        servers
+            .servers
+            .apply(change, store_returned, Instant::now());
     }));
     let directory = gateway.directory.clone();
     monoio::spawn(directory::keep_up_to_date(directory, store, writer.clone()));
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -17,10 +17,11 @@
 
 /// Time for which a reported load counts. Later, only the own requests in progress are known.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
-/// A removed row counts as lapsed, not as left, if the store was disturbed this short a time ago.
-const DISTURBANCE_WINDOW: Duration = Duration::from_millis(3_000);
-/// Time within which the row of a living server is back after the store is.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+/// A row that is missing this short a time after the store has returned may have expired in the
+/// meantime, because its server could not renew it.
+const LAPSE_WINDOW: Duration = Duration::from_millis(1_000);
+/// Time after the return of the store within which living servers have written their rows again.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 
 /// A backend server.
 pub struct Server {
@@ -30,8 +31,8 @@
     in_flight: Cell<u32>,
     report: Cell<Option<(ReportedLoad, Instant)>>,
     breaker: RefCell<Breaker>,
-    /// Set while the server's row is missing after a disturbance of the store.
-    lapsed_since: Cell<Option<Instant>>,
+    /// Set while the server's row is missing after an absence of the store: when it counts as gone.
+    lapse_ends: Cell<Option<Instant>>,
 }
 
 impl Server {
@@ -42,7 +43,7 @@
             in_flight: Cell::new(0),
             report: Cell::new(None),
             breaker: RefCell::default(),
-            lapsed_since: Cell::new(None),
+            lapse_ends: Cell::new(None),
         }
     }
 
@@ -128,8 +129,9 @@
         }
     }
 
-    /// Takes over what the store says. `disturbed` is when a call to the store last failed.
-    pub fn apply(&self, change: TableChange, disturbed: Option<Instant>, now: Instant) {
+    /// Takes over what the store says. `store_returned` is when the store last returned after an
+    /// absence.
+    pub fn apply(&self, change: TableChange, store_returned: Option<Instant>, now: Instant) {
         match change {
             TableChange::Snapshot(rows) => {
                 let is_listed = |id: &BackendServerId| rows.iter().any(|row| *row.key == **id);
@@ -141,21 +143,21 @@
                     .cloned()
                     .collect();
                 for id in missing {
-                    self.remove(&id, disturbed, now);
+                    self.remove(&id, store_returned, now);
                 }
                 rows.iter()
-                    .for_each(|row| self.apply_row(row, disturbed, now));
+                    .for_each(|row| self.apply_row(row, store_returned, now));
             }
             TableChange::Rows(rows) => {
                 rows.iter()
-                    .for_each(|row| self.apply_row(row, disturbed, now));
+                    .for_each(|row| self.apply_row(row, store_returned, now));
             }
         }
     }
 
-    fn apply_row(&self, row: &Row, disturbed: Option<Instant>, now: Instant) {
+    fn apply_row(&self, row: &Row, store_returned: Option<Instant>, now: Instant) {
         let Some(value) = &row.value else {
-            self.remove(&row.key, disturbed, now);
+            self.remove(&row.key, store_returned, now);
             return;
         };
         let record = match server::decode(value) {
@@ -170,9 +172,12 @@
         if let Some(known) = by_id.get(row.key.as_str())
             && is_same_life(&known.record.borrow(), &record)
         {
-            known.lapsed_since.set(None);
-            known.record.replace(record);
-            log::info!(server = row.key, row_version = row.version; "server changed");
+            known.lapse_ends.set(None);
+            if *known.record.borrow() != record {
+                log::info!(server = row.key, row_version = row.version,
+                    state:? = record.state; "server changed");
+                known.record.replace(record);
+            }
             return;
         }
         log::info!(server = row.key, service = record.service, row_version = row.version,
@@ -181,18 +186,20 @@
         by_id.insert(server.id.clone(), Rc::new(server));
     }
 
-    fn remove(&self, id: &str, disturbed: Option<Instant>, now: Instant) {
+    fn remove(&self, id: &str, store_returned: Option<Instant>, now: Instant) {
         let mut by_id = self.by_id.borrow_mut();
         let Some(server) = by_id.get(id) else {
             return;
         };
-        let is_disturbed =
-            disturbed.is_some_and(|at| now.saturating_duration_since(at) < DISTURBANCE_WINDOW);
+        let returned =
+            store_returned.filter(|at| now.saturating_duration_since(*at) < LAPSE_WINDOW);
         let is_draining = server.record.borrow().state == ServerState::Draining;
-        if is_disturbed && !is_draining {
-            if server.lapsed_since.get().is_none() {
-                server.lapsed_since.set(Some(now));
-                log::info!(server = id; "server row lapsed, kept for a moment");
+        if let Some(returned) = returned
+            && !is_draining
+        {
+            if server.lapse_ends.get().is_none() {
+                server.lapse_ends.set(Some(returned + LAPSE_GRACE));
+                log::info!(server = id; "server row is missing after an absence of the store");
             }
             return;
         }
@@ -203,8 +210,7 @@
     /// Removes the servers whose rows did not come back after a disturbance of the store.
     pub fn remove_lapsed(&self, now: Instant) {
         self.by_id.borrow_mut().retain(|id, server| {
-            let lapsed = server.lapsed_since.get();
-            let is_gone = lapsed.is_some_and(|at| now.saturating_duration_since(at) >= LAPSE_GRACE);
+            let is_gone = server.lapse_ends.get().is_some_and(|end| now >= end);
             if is_gone {
                 log::info!(server = &**id; "server removed: its row did not come back");
             }
--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -129,9 +129,9 @@
         self.shared.paths.borrow().is_available(Instant::now())
     }
 
-    /// When a call last failed directly or on all paths.
-    pub fn last_disturbance(&self) -> Option<Instant> {
-        self.shared.paths.borrow().last_disturbance()
+    /// When the store last returned after it had been away.
+    pub fn last_return(&self) -> Option<Instant> {
+        self.shared.paths.borrow().last_return()
     }
 
     /// When a call last succeeded.
--- a/src/process/gateway/store_path.rs
+++ b/src/process/gateway/store_path.rs
@@ -23,6 +23,8 @@
 /// Time after a call that failed on all paths in which requests are refused without a call. The
 /// background calls go on and find out when the store is back.
 const OUTAGE_PAUSE: Duration = Duration::from_millis(1_000);
+/// Shorter failures are those of single calls or connections, not of the store.
+const SHORTEST_ABSENCE: Duration = Duration::from_millis(500);
 
 /// What is known of the paths to the store.
 #[derive(Debug, Default)]
@@ -33,6 +35,10 @@
     last_success: Option<Instant>,
     /// The last call that failed on every path.
     last_outage: Option<Instant>,
+    /// When the calls began to fail of which none has succeeded since.
+    failing_since: Option<Instant>,
+    /// When the store last returned after it had been away for `SHORTEST_ABSENCE` or longer.
+    returned: Option<Instant>,
     next_relay: usize,
 }
 
@@ -79,8 +85,14 @@
                 }
             }
         }
-        if succeeded {
-            self.last_success = Some(now);
+        if !succeeded {
+            self.failing_since.get_or_insert(now);
+            return;
+        }
+        self.last_success = Some(now);
+        let since = self.failing_since.take();
+        if since.is_some_and(|since| now.saturating_duration_since(since) >= SHORTEST_ABSENCE) {
+            self.returned = Some(now);
         }
     }
 
@@ -100,9 +112,9 @@
         }
     }
 
-    /// When a direct call or a call on all paths last failed.
-    pub fn last_disturbance(&self) -> Option<Instant> {
-        self.direct_failed.max(self.last_outage)
+    /// When the store last returned after it had been away for this gateway on all paths.
+    pub fn last_return(&self) -> Option<Instant> {
+        self.returned
     }
 
     /// When a call last succeeded.
--- /dev/null
+++ b/tests/gateway_placement.rs
@@ -0,0 +1,80 @@
+//! The choice of backend servers by a gateway, without a network.
+
+use sapphireford::process::gateway::placement::{Candidate, by_affinity, by_load};
+
+const SERVERS: [&str; 9] = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
+
+fn candidates(load: impl Fn(usize) -> u32) -> Vec<Candidate<'static>> {
+    let servers = SERVERS.iter().enumerate();
+    servers
+        .map(|(index, server_id)| Candidate {
+            server_id,
+            load: load(index),
+            is_allowed: true,
+            is_near: false,
+        })
+        .collect()
+}
+
+/// Guards against lost prefixes: the turns of a program must meet the same server at every gateway.
+#[test]
+fn idle_servers_are_chosen_by_the_program_alone() {
+    let idle = candidates(|_| 0);
+    let mut reversed = idle.clone();
+    reversed.reverse();
+    for program in 0..100 {
+        let first = by_affinity(program, &idle).map(|index| idle[index].server_id);
+        let second = by_affinity(program, &reversed).map(|index| reversed[index].server_id);
+        assert_eq!(first, second);
+    }
+}
+
+/// Guards against a collapse under overload. When all servers were loaded beyond the limit for
+/// spilling, programs went to the least loaded one with each turn, computed their prefixes again
+/// there, and so kept all servers overloaded.
+#[test]
+fn programs_stay_with_their_server_when_all_are_overloaded() {
+    let idle = candidates(|_| 0);
+    let overloaded = candidates(|index| 3_000 + 40 * index as u32);
+    for program in 0..100 {
+        assert_eq!(
+            by_affinity(program, &idle),
+            by_affinity(program, &overloaded)
+        );
+    }
+}
+
+/// Guards against a queue at one server while others are free.
+#[test]
+fn a_program_leaves_a_server_that_is_much_more_loaded_than_the_next() {
+    for program in 0..100 {
+        let idle = candidates(|_| 0);
+        let home = by_affinity(program, &idle).expect("a server");
+        let busy = candidates(|index| if index == home { 1_500 } else { 200 });
+        assert_ne!(by_affinity(program, &busy), Some(home));
+    }
+}
+
+/// Guards against work for servers that leave or fail.
+#[test]
+fn servers_that_are_not_allowed_are_not_chosen() {
+    let mut servers = candidates(|_| 0);
+    for candidate in &mut servers {
+        candidate.is_allowed = candidate.server_id == "e";
+    }
+    assert_eq!(by_affinity(7, &servers), Some(4));
+    assert_eq!(by_load(7, &servers), Some(4));
+    servers[4].is_allowed = false;
+    assert_eq!(by_affinity(7, &servers), None);
+    assert_eq!(by_load(7, &servers), None);
+}
+
+/// Guards against bytes between failure domains that a near server would save.
+#[test]
+fn near_servers_go_first_among_equally_loaded_ones() {
+    let mut servers = candidates(|_| 100);
+    servers[3].is_near = true;
+    assert_eq!(by_load(1, &servers), Some(3));
+    servers[5].load = 0;
+    assert_eq!(by_load(1, &servers), Some(5));
+}
--- /dev/null
+++ b/tests/gateway_servers.rs
@@ -0,0 +1,112 @@
+//! What a gateway believes of the backend servers, without a network.
+
+use std::time::{Duration, Instant};
+
+use sapphireford::process::gateway::servers::Servers;
+use sapphireford::process::gateway::watch::TableChange;
+use sapphireford_platform::store::Row;
+
+fn row(id: &str, state: &str, version: u64) -> Row {
+    let value = format!(
+        "{{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"zone\":\"d1\",\"slots\":4,\
+         \"state\":\"{state}\",\"born\":1}}"
+    );
+    Row {
+        key: id.to_string(),
+        value: Some(value.into()),
+        version,
+    }
+}
+
+fn removed(id: &str) -> Row {
+    Row {
+        key: id.to_string(),
+        value: None,
+        version: 9,
+    }
+}
+
+fn with_two_servers(now: Instant) -> Servers {
+    let servers = Servers::new("d1".into());
+    let rows = vec![row("i-1", "ready", 1), row("i-2", "ready", 2)];
+    servers.apply(TableChange::Snapshot(rows), None, now);
+    servers
+}
+
+fn ids(servers: &Servers) -> Vec<String> {
+    let servers = servers.of_service("llm");
+    servers.iter().map(|server| server.id.to_string()).collect()
+}
+
+/// Guards against requests to a server whose row was removed without a notice before.
+#[test]
+fn a_removed_server_is_not_used() {
+    let now = Instant::now();
+    let servers = with_two_servers(now);
+    servers.apply(TableChange::Rows(vec![removed("i-1")]), None, now);
+    assert_eq!(ids(&servers), ["i-2"]);
+}
+
+/// Guards against requests to a server that drains.
+#[test]
+fn a_draining_server_takes_no_requests() {
+    let now = Instant::now();
+    let servers = with_two_servers(now);
+    let change = TableChange::Rows(vec![row("i-1", "draining", 3)]);
+    servers.apply(change, None, now);
+    let all = servers.of_service("llm");
+    let allowed = |index: usize| servers.candidate(&all[index], 10, now).is_allowed;
+    assert!(!allowed(0));
+    assert!(allowed(1));
+}
+
+/// Guards against an empty list of servers after an outage of the store in which all rows expired.
+#[test]
+fn servers_whose_rows_expired_in_an_outage_are_kept_until_they_can_be_back() {
+    let now = Instant::now();
+    let servers = with_two_servers(now);
+    let returned = now + Duration::from_secs(9);
+    let seen = returned + Duration::from_millis(50);
+    servers.apply(TableChange::Snapshot(Vec::new()), Some(returned), seen);
+    assert_eq!(ids(&servers), ["i-1", "i-2"]);
+    let back = returned + Duration::from_millis(1_500);
+    servers.apply(
+        TableChange::Rows(vec![row("i-1", "ready", 8)]),
+        Some(returned),
+        back,
+    );
+    servers.remove_lapsed(returned + Duration::from_millis(2_100));
+    assert_eq!(ids(&servers), ["i-1"]);
+}
+
+/// Guards against work for leaving servers: a removal that has nothing to do with the outage was
+/// taken for an expired row, and the server got requests for two more seconds.
+#[test]
+fn a_row_removed_a_while_after_an_outage_is_gone_at_once() {
+    let now = Instant::now();
+    let servers = with_two_servers(now);
+    let returned = now + Duration::from_secs(9);
+    let seen = returned + Duration::from_millis(2_800);
+    servers.apply(
+        TableChange::Rows(vec![removed("i-1")]),
+        Some(returned),
+        seen,
+    );
+    assert_eq!(ids(&servers), ["i-2"]);
+}
+
+/// Guards against rows of other writers that hide the servers beside them.
+#[test]
+fn unreadable_rows_are_skipped() {
+    let now = Instant::now();
+    let servers = Servers::new("d1".into());
+    let broken = Row {
+        key: "i-0".to_string(),
+        value: Some("{\"service\":7}".into()),
+        version: 1,
+    };
+    let unknown_state = row("i-3", "resting", 2);
+    let rows = vec![broken, unknown_state, row("i-1", "ready", 3)];
+    servers.apply(TableChange::Snapshot(rows), None, now);
+    assert_eq!(ids(&servers), ["i-1"]);
+}
