Count each program's tokens at one gateway, ahead of need

Cause: each turn wrote its reservation, read the rows of its program and wrote what it had spent.

Every gateway counts in rows of its own, so a second one may step in at any time without overspending. Feed calls wait 2 s.

--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -5,10 +5,13 @@
 //!
 //! - [`store`] reaches the store directly, or through a peer while the store refuses this VM.
 //! - [`writer`] commits rows in groups; [`watch`] follows the changes of a table.
-//! - [`ledger`] keeps what each program has spent, and [`history`] the turns of conversations.
+//! - [`budget`] admits turns with the [`ledger`] of the gateway that looks after their program, and
+//!   [`history`] keeps the turns of conversations.
 //! - [`servers`] knows the backend servers and their load, [`placement`] chooses one of them.
 //! - [`directory`] knows the other gateways and answers the look-ups of callers.
 
+pub mod account;
+pub mod budget;
 pub mod directory;
 pub mod history;
 pub mod ledger;
--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -19,6 +19,7 @@
 use super::writer::StoreWriter;
 use crate::ids::EntryId;
 use crate::process::notify::Notify;
+use crate::process::slots::placement::{hash_bytes, rendezvous_weight};
 use crate::process::timer::unix_ms;
 
 const TABLE: &str = "gateways";
@@ -113,6 +114,28 @@
         addresses
     }
 
+    /// A text that no other start of any gateway has.
+    pub fn writer_id(&self) -> String {
+        format!("{}-{}", self.own_id, self.own.borrow().started_unix_ms)
+    }
+
+    /// The peer that looks after the object named by `key`, by rendezvous hashing over the live
+    /// gateways; `None` if it is this gateway.
+    pub fn peer_for(&self, key: &[u8]) -> Option<SocketAddr> {
+        let now = Instant::now();
+        let number = hash_bytes(key);
+        let known = self.known.borrow();
+        let live = known.iter().filter(|(_, known)| self.is_live(known, now));
+        let others = live.map(|(id, known)| {
+            let weight = rendezvous_weight(number, id);
+            (weight, Some(known.row.peer_address))
+        });
+        let own_weight = rendezvous_weight(number, &self.own_id);
+        let own = (!self.is_leaving()).then_some((own_weight, None));
+        let best = others.chain(own).max_by_key(|(weight, _)| *weight);
+        best.and_then(|(_, peer)| peer)
+    }
+
     fn live_others(&self, now: Instant) -> Vec<SocketAddr> {
         let known = self.known.borrow();
         let live = known.values().filter(|known| self.is_live(known, now));
--- a/src/process/gateway/ledger.rs
+++ b/src/process/gateway/ledger.rs
@@ -1,160 +1,324 @@
 //! What each program has spent of its token budget.
 //!
-//! Every attempt of a turn has a row of its own below its program. The row is written with the most
-//! that the turn can generate before the turn goes to a server, and again with what it did generate.
-//! An attempt reads the rows of the others after its own row is durable, so of two attempts at the
-//! same time at least one sees the other.
+//! One gateway looks after each program, found by rendezvous hashing over the live gateways; the
+//! others ask it to admit turns. If it does not answer, a gateway looks after the program itself: any
+//! number of gateways may do so at once, because each one counts in rows of its own and takes the rows
+//! of the others into account, see [`account`](super::account).
 
-use std::cell::Cell;
-use std::time::Instant;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use indexmap::IndexMap;
 use sapphireford_platform::store::{RowKey, RowWrite};
 use serde::{Deserialize, Serialize};
 
-use super::store::{Result, Store};
+use super::account::{Account, GrantId, Verdict};
+use super::store::{Result, Store, StoreError};
 use super::writer::StoreWriter;
+use crate::process::notify::Notify;
 use crate::process::slots::placement::hash_bytes;
 
 const TABLE: &str = "program-spending";
 /// Partitions of the table. Programs are spread over them, because a partition takes a limited
 /// number of transactions a second.
 const PARTITIONS: u64 = 64;
-
-/// One attempt of a turn, as its row holds it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Spending {
-    /// Tokens that the attempt may have generated, or did generate once it has ended.
-    pub tokens: u64,
-    /// Whether the attempt has ended, so that `tokens` is exact.
-    pub is_settled: bool,
-}
-
-/// Whether a turn may run, given what the other attempts of its program have spent at the most.
-///
-/// The turn may exceed the budget by its own tokens, as the budget allows the last turn to.
-pub fn is_within_budget(others_tokens: u64, budget_tokens: u64) -> bool {
-    others_tokens < budget_tokens
-}
-
-/// Keeps the spending of programs in the store.
-#[derive(Clone)]
-pub struct Ledger {
-    store: Store,
-    writer: StoreWriter,
-}
+/// Time without a turn after which an account returns what it does not need. It is longer than the
+/// pauses of most programs between two turns.
+const IDLE_TIME: Duration = Duration::from_secs(3);
+/// Time for an extension ahead of need.
+const AHEAD_TIME: Duration = Duration::from_secs(3);
 
 /// A turn that wants to run.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TurnBudget {
     /// The program that pays.
     pub program_id: String,
-    /// This attempt; unique within the program.
-    pub attempt_id: String,
     /// Most tokens that the turn can generate.
     pub max_tokens: u64,
     /// Tokens that all turns of the program may generate.
     pub budget_tokens: u64,
 }
 
-/// How a reservation ended.
+/// How the admission of a turn ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Admission {
     /// The turn may run.
-    Reserved(Reservation),
+    Granted(GrantId),
     /// The budget is spent; the turn must not run.
     Exceeded {
-        /// What the other attempts have spent at the most.
-        others_tokens: u64,
+        /// Tokens that count as spent.
+        spent_tokens: u64,
     },
 }
 
+/// The account of a program and its rows.
+struct Holding {
+    account: RefCell<Account>,
+    /// The rows of this account, with their tokens.
+    rows: RefCell<Vec<(RowKey, u64)>>,
+    /// Whether an extension is in progress.
+    is_extending: Cell<bool>,
+    changed: Notify,
+}
+
+struct Book {
+    store: Store,
+    writer: StoreWriter,
+    /// Unique for each start of each gateway, so that no two write the same row.
+    writer_id: String,
+    next_row: Cell<u64>,
+    holdings: RefCell<IndexMap<String, Rc<Holding>>>,
+}
+
+/// The accounts that this gateway looks after; clones share them.
+#[derive(Clone)]
+pub struct Ledger {
+    book: Rc<Book>,
+}
+
 impl Ledger {
-    /// Makes a ledger in a store.
-    pub fn new(store: Store, writer: StoreWriter) -> Self {
-        Self { store, writer }
+    /// Makes a ledger without accounts. `writer_id` is unique for each start of each gateway.
+    pub fn new(store: Store, writer: StoreWriter, writer_id: String) -> Self {
+        let book = Book {
+            store,
+            writer,
+            writer_id,
+            next_row: Cell::new(1),
+            holdings: RefCell::default(),
+        };
+        Self {
+            book: Rc::new(book),
+        }
     }
 
-    /// Reserves the tokens of a turn.
-    pub async fn reserve(&self, turn: &TurnBudget, deadline: Instant) -> Result<Admission> {
-        let row = row_key(&turn.program_id, &turn.attempt_id);
-        let reservation = Reservation {
-            writer: self.writer.clone(),
-            row: row.clone(),
-            spent_tokens: Cell::new(0),
+    /// Admits a turn that must end by `deadline`.
+    pub async fn admit(&self, turn: &TurnBudget, deadline: Instant) -> Result<Admission> {
+        let holding = self.holding(turn);
+        loop {
+            let now = Instant::now();
+            let verdict = holding
+                .account
+                .borrow_mut()
+                .admit(turn.max_tokens, deadline, now);
+            let needed = match verdict {
+                Verdict::Granted(grant_id) => {
+                    self.extend_ahead(&turn.program_id, &holding);
+                    return Ok(Admission::Granted(grant_id));
+                }
+                Verdict::Exceeded { spent_tokens } => {
+                    return Ok(Admission::Exceeded { spent_tokens });
+                }
+                Verdict::NeedsTokens(needed) => needed,
+            };
+            if now >= deadline || !self.book.store.is_available() {
+                return Err(StoreError::Outage);
+            }
+            if holding.is_extending.get() {
+                let seen = holding.changed.changes();
+                let changed = holding.changed.changed_since(seen);
+                let timer = self.book.store.timer();
+                // At the deadline, the loop ends above.
+                let _ = timer.timeout_at(deadline, changed).await;
+                continue;
+            }
+            let program_id = &turn.program_id;
+            self.extend(program_id, &holding, needed, turn.max_tokens, deadline)
+                .await?;
+        }
+    }
+
+    /// Records what an admitted turn has spent.
+    pub fn settle(&self, program_id: &str, grant_id: GrantId, spent_tokens: u64) {
+        let holding = self.book.holdings.borrow().get(program_id).cloned();
+        if let Some(holding) = holding {
+            let now = Instant::now();
+            holding
+                .account
+                .borrow_mut()
+                .settle(grant_id, spent_tokens, now);
+            self.extend_ahead(program_id, &holding);
+        }
+    }
+
+    /// Returns what idle programs do not need.
+    pub fn close_idle(&self, now: Instant) {
+        self.close_after(IDLE_TIME, now);
+    }
+
+    /// Returns all that is not in use, because this gateway stops.
+    pub fn close_all(&self) {
+        self.close_after(Duration::ZERO, Instant::now());
+    }
+
+    fn close_after(&self, idle_time: Duration, now: Instant) {
+        self.book.holdings.borrow_mut().retain(|_, holding| {
+            holding.account.borrow_mut().expire(now);
+            let is_in_use = Rc::strong_count(holding) > 1;
+            if is_in_use || holding.is_extending.get() {
+                return true;
+            }
+            let unused = holding.account.borrow().tokens_to_return(idle_time, now);
+            let Some(unused) = unused else {
+                return true;
+            };
+            self.give_back(holding, unused);
+            false
+        });
+    }
+
+    fn holding(&self, turn: &TurnBudget) -> Rc<Holding> {
+        let mut holdings = self.book.holdings.borrow_mut();
+        let new = || {
+            Rc::new(Holding {
+                account: RefCell::new(Account::new(turn.budget_tokens, Instant::now())),
+                rows: RefCell::default(),
+                is_extending: Cell::new(false),
+                changed: Notify::default(),
+            })
         };
-        let spending = Spending {
-            tokens: turn.max_tokens,
-            is_settled: false,
+        holdings
+            .entry(turn.program_id.clone())
+            .or_insert_with(new)
+            .clone()
+    }
+
+    /// Starts an extension if the next turn would have to wait for one.
+    fn extend_ahead(&self, program_id: &str, holding: &Rc<Holding>) {
+        let ahead = holding.account.borrow().tokens_to_reserve_ahead();
+        let Some(ahead) = ahead else { return };
+        if holding.is_extending.get() || !self.book.store.is_available() {
+            return;
+        }
+        let ledger = self.clone();
+        let program_id = program_id.to_string();
+        let holding = holding.clone();
+        monoio::spawn(async move {
+            let deadline = Instant::now() + AHEAD_TIME;
+            let extended = ledger.extend(&program_id, &holding, ahead, 0, deadline);
+            if let Err(error) = extended.await {
+                log::debug!(program_id = program_id; "reservation not extended: {error}");
+            }
+        });
+    }
+
+    /// Reserves `added` more tokens, and reads what others have reserved.
+    async fn extend(
+        &self,
+        program_id: &str,
+        holding: &Rc<Holding>,
+        added: u64,
+        max_tokens: u64,
+        deadline: Instant,
+    ) -> Result<()> {
+        let _extending = Extending::start(holding);
+        let mut pending = PendingRow {
+            writer: &self.book.writer,
+            row: self.new_row(program_id),
+            is_kept: false,
         };
-        self.writer
-            .write(encode(row.clone(), spending), deadline)
-            .await?;
-        let prefix = format!("{}/", turn.program_id);
-        let rows = self
-            .store
-            .read_all(TABLE, &row.partition, &prefix, deadline);
-        let others = rows
-            .await?
-            .rows
-            .into_iter()
-            .filter(|other| other.key != row.key);
-        let others_tokens = others
-            .filter_map(|other| other.value)
-            .map(|value| decode(&value).map_or(0, |spending| spending.tokens))
-            .sum();
-        if is_within_budget(others_tokens, turn.budget_tokens) {
-            Ok(Admission::Reserved(reservation))
-        } else {
-            Ok(Admission::Exceeded { others_tokens })
+        let row = pending.row.clone();
+        let write = encode(row.clone(), added);
+        self.book.writer.write(write, deadline).await?;
+        let prefix = prefix(program_id);
+        let store = &self.book.store;
+        let read = store.read_all(TABLE, &row.partition, &prefix, deadline);
+        let page = read.await?;
+        pending.is_kept = true;
+        let mut own_rows = holding.rows.borrow_mut();
+        let is_own = |key: &str| key == row.key || own_rows.iter().any(|(own, _)| own.key == key);
+        let others = page.rows.iter().filter(|row| !is_own(&row.key));
+        let others_tokens = others.map(decode).sum();
+        let account = &mut holding.account.borrow_mut();
+        let returned = account.extend(added, others_tokens, max_tokens);
+        let kept = added - returned;
+        own_rows.push((row.clone(), kept));
+        if returned > 0 {
+            self.book.writer.write_later(encode(row, kept));
         }
+        Ok(())
     }
-}
 
-fn row_key(program_id: &str, attempt_id: &str) -> RowKey {
-    let partition = hash_bytes(program_id.as_bytes()) % PARTITIONS;
-    RowKey {
-        table: TABLE,
-        partition: format!("{partition:02}"),
-        key: format!("{program_id}/{attempt_id}"),
+    /// Writes the rows of an account again so that they hold `unused` tokens less.
+    fn give_back(&self, holding: &Holding, mut unused: u64) {
+        for (row, tokens) in holding.rows.borrow_mut().iter_mut().rev() {
+            if unused == 0 {
+                return;
+            }
+            let returned = unused.min(*tokens);
+            if returned > 0 {
+                *tokens -= returned;
+                unused -= returned;
+                self.book.writer.write_later(encode(row.clone(), *tokens));
+            }
+        }
     }
-}
 
-fn encode(row: RowKey, spending: Spending) -> RowWrite {
-    let kind = if spending.is_settled { 's' } else { 'r' };
-    let value = Bytes::from(format!("{kind}{}", spending.tokens));
-    RowWrite {
-        row,
-        value: Some(value),
+    fn new_row(&self, program_id: &str) -> RowKey {
+        let number = self.book.next_row.get();
+        self.book.next_row.set(number + 1);
+        let partition = hash_bytes(program_id.as_bytes()) % PARTITIONS;
+        RowKey {
+            table: TABLE,
+            partition: format!("{partition:02}"),
+            key: format!("{}{}-{number}", prefix(program_id), self.book.writer_id),
+        }
     }
 }
 
-fn decode(value: &[u8]) -> Option<Spending> {
-    let text = std::str::from_utf8(value).ok()?;
-    let tokens = text.get(1..)?.parse().ok()?;
-    let is_settled = text.starts_with('s');
-    Some(Spending { tokens, is_settled })
+/// A row that may become durable although the call that writes it fails or is given up. Dropping it
+/// takes its tokens back unless the account counts them.
+struct PendingRow<'a> {
+    writer: &'a StoreWriter,
+    row: RowKey,
+    is_kept: bool,
 }
 
-/// The reserved tokens of a turn. Dropping it settles the turn with what was spent.
-pub struct Reservation {
-    writer: StoreWriter,
-    row: RowKey,
-    spent_tokens: Cell<u64>,
+impl Drop for PendingRow<'_> {
+    fn drop(&mut self) {
+        if !self.is_kept {
+            self.writer.write_later(encode(self.row.clone(), 0));
+        }
+    }
 }
 
-impl Reservation {
-    /// Counts tokens that are about to be handed to the caller.
-    pub fn spend(&self, tokens: u64) {
-        self.spent_tokens.set(self.spent_tokens.get() + tokens);
+/// Marks an extension as in progress until it is dropped.
+struct Extending(Rc<Holding>);
+
+impl Extending {
+    fn start(holding: &Rc<Holding>) -> Self {
+        holding.is_extending.set(true);
+        Self(holding.clone())
     }
 }
 
-impl Drop for Reservation {
+impl Drop for Extending {
     fn drop(&mut self) {
-        let spending = Spending {
-            tokens: self.spent_tokens.get(),
-            is_settled: true,
-        };
-        self.writer.write_later(encode(self.row.clone(), spending));
+        self.0.is_extending.set(false);
+        self.0.changed.notify();
+    }
+}
+
+fn prefix(program_id: &str) -> String {
+    format!("{program_id}/")
+}
+
+fn encode(row: RowKey, tokens: u64) -> RowWrite {
+    let value = Some(Bytes::from(tokens.to_string()));
+    RowWrite { row, value }
+}
+
+fn decode(row: &sapphireford_platform::store::Row) -> u64 {
+    let text = row
+        .value
+        .as_deref()
+        .and_then(|value| std::str::from_utf8(value).ok());
+    match text.and_then(|text| text.parse().ok()) {
+        Some(tokens) => tokens,
+        None => {
+            log::error!(row = row.key, row_version = row.version; "spending row is not a number");
+            0
+        }
     }
 }
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -1,12 +1,17 @@
-//! The calls between gateways: a gateway passes store calls of another one on.
+//! The calls between gateways.
+//!
+//! A gateway passes on store calls of another one, and admits turns of the programs that it looks
+//! after.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use serde::{Deserialize, Serialize};
 
+use super::account::GrantId;
+use super::ledger::{Admission, TurnBudget};
 use crate::connection::body::Body;
 
 /// Paths that start with it are store calls of another gateway.
@@ -34,8 +39,7 @@
     pub time_left: Duration,
 }
 
-/// Unwraps a store call of a peer; `None` for other requests.
-pub fn unwrap_relayed(mut request: Request<Bytes>) -> Option<RelayedCall> {
+fn unwrap_relayed(mut request: Request<Bytes>) -> Option<RelayedCall> {
     let path = request.uri().path_and_query()?.as_str();
     let uri = path.strip_prefix(RELAY_PREFIX)?.parse().ok()?;
     *request.uri_mut() = uri;
@@ -68,9 +72,94 @@
     answer.headers().contains_key(FROM_STORE)
 }
 
-/// Where a peer listens, and since when its row has not changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PeerAddress {
-    /// Where it takes requests of other gateways.
-    pub peer_address: SocketAddr,
+/// Asks a peer to admit a turn of a program that it looks after.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdmitRequest {
+    /// The turn.
+    pub turn: TurnBudget,
+    /// Time until the turn must have ended.
+    pub time_left_ms: u64,
+}
+
+/// The answer of a peer to [`AdmitRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AdmitAnswer {
+    /// The account was asked.
+    Admission(Admission),
+    /// The account needs the store, which does not answer.
+    StoreUnavailable,
+}
+
+/// Tells a peer what a turn has spent that it admitted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettleRequest {
+    /// The program that pays.
+    pub program_id: String,
+    /// The turn.
+    pub grant_id: GrantId,
+    /// Tokens that were handed to the caller.
+    pub spent_tokens: u64,
+}
+
+const ADMIT_PATH: &str = "/programs/admit";
+const SETTLE_PATH: &str = "/programs/settle";
+
+fn post(path: &'static str, message: &impl Serialize) -> Request<Bytes> {
+    // These types have no values that cannot be encoded.
+    let body = postcard::to_stdvec(message).unwrap_or_default();
+    let mut request = Request::new(Bytes::from(body));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static(path);
+    request
+}
+
+impl AdmitRequest {
+    /// The call for a peer.
+    pub fn encode(&self) -> Request<Bytes> {
+        post(ADMIT_PATH, self)
+    }
+}
+
+impl SettleRequest {
+    /// The call for a peer.
+    pub fn encode(&self) -> Request<Bytes> {
+        post(SETTLE_PATH, self)
+    }
+}
+
+impl AdmitAnswer {
+    /// The answer to a peer.
+    pub fn encode(&self) -> Response<Body> {
+        let body = postcard::to_stdvec(self).unwrap_or_default();
+        Response::new(Body::full(body))
+    }
+
+    /// Decodes the answer of a peer; `None` if it is not one.
+    pub fn decode(response: &Response<Bytes>) -> Option<Self> {
+        let is_ok = response.status() == StatusCode::OK;
+        is_ok.then(|| postcard::from_bytes(response.body()).ok())?
+    }
+}
+
+/// A call of another gateway.
+pub enum PeerCall {
+    /// A store call to pass on.
+    Relay(RelayedCall),
+    /// A turn to admit.
+    Admit(AdmitRequest),
+    /// Spending to record.
+    Settle(SettleRequest),
+}
+
+/// Decodes a call of another gateway; `None` if it is not one.
+pub fn decode_call(request: Request<Bytes>) -> Option<PeerCall> {
+    match request.uri().path() {
+        ADMIT_PATH => postcard::from_bytes(request.body())
+            .ok()
+            .map(PeerCall::Admit),
+        SETTLE_PATH => postcard::from_bytes(request.body())
+            .ok()
+            .map(PeerCall::Settle),
+        _ => unwrap_relayed(request).map(PeerCall::Relay),
+    }
 }
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -14,10 +14,11 @@
 use sapphireford_platform::operator;
 use sapphireford_platform::store::{OPERATOR_TABLE, Row, SERVER_TABLE};
 
+use super::budget::Budgets;
 use super::directory::{self, Directory};
 use super::history::History;
 use super::ledger::Ledger;
-use super::peers;
+use super::peers::{self, PeerCall};
 use super::servers::Servers;
 use super::settings::GatewaySettings;
 use super::store::Store;
@@ -85,8 +86,8 @@
     pub http: HttpClient,
     /// The platform's store.
     pub store: Store,
-    /// What programs have spent.
-    pub ledger: Ledger,
+    /// Admits turns of programs.
+    pub budgets: Budgets,
     /// The turns of conversations.
     pub history: History,
     /// The backend servers.
@@ -191,8 +192,14 @@
 
 impl Handler for PeerHandler {
     async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
-        match peers::unwrap_relayed(request) {
-            Some(call) => peers::relay_answer(self.0.store.relay(call).await),
+        let gateway = &self.0;
+        match peers::decode_call(request) {
+            Some(PeerCall::Relay(call)) => peers::relay_answer(gateway.store.relay(call).await),
+            Some(PeerCall::Admit(request)) => gateway.budgets.answer(request).await.encode(),
+            Some(PeerCall::Settle(report)) => {
+                gateway.budgets.record(&report);
+                status(StatusCode::OK)
+            }
             None => status(StatusCode::NOT_FOUND),
         }
     }
@@ -221,6 +228,7 @@
     gateway: Rc<Gateway>,
     settings: GatewaySettings,
     writer: StoreWriter,
+    ledger: Ledger,
     caller_server: Server,
 }
 
@@ -231,13 +239,15 @@
         let relays = Rc::new(RefCell::new(Vec::new()));
         let store = Store::new(http.clone(), settings.store_address, relays.clone());
         let writer = StoreWriter::start(store.clone());
+        let directory = Rc::new(Directory::new(&settings, relays));
+        let ledger = Ledger::new(store.clone(), writer.clone(), directory.writer_id());
         let gateway = Rc::new(Gateway {
             timer: timer.clone(),
+            budgets: Budgets::new(ledger.clone(), http.clone(), directory.clone()),
             http,
-            ledger: Ledger::new(store.clone(), writer.clone()),
             history: History::new(store.clone(), writer.clone(), settings.row_limit_bytes),
             servers: Servers::new(settings.failure_domain.clone()),
-            directory: Rc::new(Directory::new(&settings, relays)),
+            directory,
             routes: RefCell::default(),
             metrics,
             lookup_lifetime: LOOKUP_LIFETIME.min(settings.lookup_lifetime_limit),
@@ -245,9 +255,10 @@
             store,
         });
         let caller_server = start_servers(&gateway, &settings)?;
-        start_tasks(&gateway, &writer);
+        start_tasks(&gateway, &writer, &ledger);
         Ok(Self {
             gateway,
+            ledger,
             settings,
             writer,
             caller_server,
@@ -274,6 +285,7 @@
                 "some requests were still in progress at the shutdown limit");
         }
         self.gateway.is_stopped.set(true);
+        self.ledger.close_all();
         if timer
             .timeout(FLUSH_TIME, self.writer.drained())
             .await
@@ -355,7 +367,7 @@
         .map_err(|error| StartError::Listen(setting, address, error))
 }
 
-fn start_tasks(gateway: &Rc<Gateway>, writer: &StoreWriter) {
+fn start_tasks(gateway: &Rc<Gateway>, writer: &StoreWriter, ledger: &Ledger) {
     let store = gateway.store.clone();
     let config = gateway.clone();
     monoio::spawn(watch_table(store.clone(), OPERATOR_TABLE, move |change| {
@@ -371,11 +383,13 @@
     let directory = gateway.directory.clone();
     monoio::spawn(directory::keep_up_to_date(directory, store, writer.clone()));
     let upkeep = gateway.clone();
+    let ledger = ledger.clone();
     monoio::spawn(async move {
         let mut ticks = upkeep.timer.subscribe(UPKEEP_INTERVAL);
         loop {
             ticks.tick().await;
             upkeep.servers.remove_lapsed(Instant::now());
+            ledger.close_idle(Instant::now());
             upkeep.metrics.run_upkeep();
         }
     });
--- a/src/process/gateway/watch.rs
+++ b/src/process/gateway/watch.rs
@@ -14,10 +14,9 @@
     Rows(Vec<Row>),
 }
 
-/// Time for which a feed call waits for changes. A connection that has gone silent is noticed
-/// after this time and the time of a call, which must be well below the time within which a
-/// configuration has to be in force.
-const FEED_WAIT: Duration = Duration::from_millis(800);
+/// Time for which a feed call waits for changes. A connection that goes silent is noticed after this
+/// time and the time of a call.
+const FEED_WAIT: Duration = Duration::from_millis(2_000);
 /// Time for a full read.
 const READ_TIME: Duration = Duration::from_secs(2);
 /// Pause after a failure.
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -11,7 +11,7 @@
 use super::turn::TurnToKeep;
 use crate::connection::body::BodySender;
 use crate::connection::sse::{NumberedEvent, Splitter};
-use crate::process::gateway::ledger::Reservation;
+use crate::process::gateway::budget::Reservation;
 
 /// A stream that may be continued elsewhere is given up at its server after this pause. It is far
 /// above the pauses of a loaded server and below the time after which callers leave.
--- a/src/request/gateway/turn.rs
+++ b/src/request/gateway/turn.rs
@@ -8,8 +8,9 @@
 use sapphireford_platform::operator::RouteRecord;
 
 use crate::error::{Error, ErrorKind, Result};
+use crate::process::gateway::budget::{Outcome, Reservation};
 use crate::process::gateway::history::{Chain, Lookup};
-use crate::process::gateway::ledger::{Admission, Reservation, TurnBudget};
+use crate::process::gateway::ledger::TurnBudget;
 use crate::process::gateway::running::Gateway;
 use crate::process::gateway::store::StoreError;
 
@@ -47,8 +48,7 @@
     deadline: Instant,
 ) -> Result<PreparedTurn> {
     let budget = turn_budget(headers);
-    let needs_store = budget.is_some() || route.keeps_history;
-    if needs_store && !gateway.store.is_available() {
+    if route.keeps_history && !gateway.store.is_available() {
         return Err(store_failure(StoreError::Outage));
     }
     let reserved = reserve(gateway, budget, deadline);
@@ -78,7 +78,6 @@
     let program = headers.program.as_ref()?;
     Some(TurnBudget {
         program_id: program.program_id.clone(),
-        attempt_id: headers.request_id.clone()?,
         max_tokens: headers.prompt.max_output_tokens,
         budget_tokens: program.budget_tokens?,
     })
@@ -92,13 +91,12 @@
     let Some(budget) = budget else {
         return Ok(None);
     };
-    match gateway.ledger.reserve(&budget, deadline).await {
-        Ok(Admission::Reserved(reservation)) => Ok(Some(reservation)),
-        Ok(Admission::Exceeded { others_tokens }) => {
-            let message = format!(
-                "the program has used {others_tokens} of its {} tokens",
-                budget.budget_tokens
-            );
+    let budget_tokens = budget.budget_tokens;
+    match gateway.budgets.reserve(budget, deadline).await {
+        Ok(Outcome::Reserved(reservation)) => Ok(Some(reservation)),
+        Ok(Outcome::Exceeded { spent_tokens }) => {
+            let message =
+                format!("the program has used {spent_tokens} of its {budget_tokens} tokens");
             Err(Error::new(ErrorKind::BudgetExceeded, message))
         }
         Err(error) => Err(store_failure(error)),
