--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -144,7 +144,7 @@
 /// A call of another gateway.
 pub enum PeerCall {
     /// A store call to pass on.
-    Relay(RelayedCall),
+    Relay(Box<RelayedCall>),
     /// A turn to admit.
     Admit(AdmitRequest),
     /// Spending to record.
@@ -160,6 +160,6 @@
         SETTLE_PATH => postcard::from_bytes(request.body())
             .ok()
             .map(PeerCall::Settle),
-        _ => unwrap_relayed(request).map(PeerCall::Relay),
+        _ => unwrap_relayed(request).map(|call| PeerCall::Relay(Box::new(call))),
     }
 }
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -194,7 +194,7 @@
     async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
         let gateway = &self.0;
         match peers::decode_call(request) {
-            Some(PeerCall::Relay(call)) => peers::relay_answer(gateway.store.relay(call).await),
+            Some(PeerCall::Relay(call)) => peers::relay_answer(gateway.store.relay(*call).await),
             Some(PeerCall::Admit(request)) => gateway.budgets.answer(request).await.encode(),
             Some(PeerCall::Settle(report)) => {
                 gateway.budgets.record(&report);
