Refuse a turn at once when the store takes no reservation, and test gateways with stand-ins

Cause: a commit that failed on every path was tried again until the deadline of the request, so callers waited up to 4 s for a refusal during an outage. One slow call of a gateway with a single peer counted as an outage. The log wrote to standard output from the request path.

Change: rows that a request waits for before it runs are tried once; rows of finished turns are tried until their deadline. An outage is declared after 300 ms without any successful call. Log lines pass through a bounded channel. New stand-ins speak the platform's protocol: the row store, backend servers, and a loopback proxy that delays, resets and silences connections.

--- a/crates/standin/src/harness.rs
+++ b/crates/standin/src/harness.rs
@@ -1,15 +1,21 @@
 //! What tests need to drive processes from outside: child processes, signals and a blocking client.
 
 mod caller;
+mod gateway_site;
 mod http;
 mod process;
+mod proxy;
 mod site;
 
 use std::time::{Duration, Instant};
 
 pub use caller::{Call, Caller, Reply, check_history};
+pub use gateway_site::{
+    Backend, EVENT_TOKENS, GatewayProcess, GatewaySite, HOST, default_routes, route,
+};
 pub use http::{Answer, EventStream, HttpRequest};
 pub use process::Process;
+pub use proxy::{Proxy, ProxyMode};
 pub use site::{OPERATOR_KEY, Site, SiteClient, SiteOptions, TEAM_ONE_KEY, TEAM_TWO_KEY};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
--- a/crates/standin/src/harness/http.rs
+++ b/crates/standin/src/harness/http.rs
@@ -105,7 +105,10 @@
 
     fn encode(&self, address: SocketAddr) -> Vec<u8> {
         let mut head = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
-        head.push_str(&format!("host: {address}\r\nconnection: close\r\n"));
+        if find_header(&self.headers, "host").is_none() {
+            head.push_str(&format!("host: {address}\r\n"));
+        }
+        head.push_str("connection: close\r\n");
         head.push_str(&format!("content-length: {}\r\n", self.body.len()));
         for (name, value) in &self.headers {
             head.push_str(&format!("{name}: {value}\r\n"));
--- a/crates/standin/src/harness/process.rs
+++ b/crates/standin/src/harness/process.rs
@@ -147,13 +147,17 @@
     profile.join(name)
 }
 
-/// Reads lines until the address comes; later output is discarded, so that the pipe never fills.
+/// Reads lines until the address comes; later output is read on, so that the pipe never fills, and
+/// shown if `SAPPHIREFORD_TEST_LOG` is set.
 fn wait_for_address(stdout: impl Read + Send + 'static) -> Option<SocketAddr> {
     let (sender, receiver) = mpsc::channel();
+    let is_shown = std::env::var_os("SAPPHIREFORD_TEST_LOG").is_some();
     thread::spawn(move || {
         for line in BufReader::new(stdout).lines().map_while(Result::ok) {
             if let Some(address) = line.strip_prefix(READY_PREFIX) {
                 let _ = sender.send(address.trim().parse().ok());
+            } else if is_shown {
+                eprintln!("{line}");
             }
         }
     });
--- a/crates/standin/src/harness/site.rs
+++ b/crates/standin/src/harness/site.rs
@@ -447,7 +447,8 @@
     }
 }
 
-fn next_ip() -> Ipv4Addr {
+/// An IP address that no other site of this machine uses.
+pub(super) fn next_ip() -> Ipv4Addr {
     let pid = std::process::id();
     let site = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
     // The first and the last address of each block are left alone.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,17 +4,21 @@
 //!
 //! - [`platform`]: table, object store, VM list and weight store (section 5.4),
 //! - [`engine`]: a model engine with continuous batching and a prefix cache (section 5.2),
-//! - [`tool`] and [`service`]: a tool service and a plain service (section 5.3).
+//! - [`tool`] and [`service`]: a tool service and a plain service (section 5.3),
+//!
+//! - [`row_store`] and [`backend_server`]: the store and the backend servers of the users' platform.
 //!
 //! All of them take failure injection by `POST /control` and report counters by `GET /stats`. Tests
 //! start them with [`harness`]. They are for tests and the local site only.
 
 pub mod answer;
 pub mod arguments;
+pub mod backend_server;
 pub mod engine;
 pub mod fault;
 pub mod harness;
 pub mod platform;
+pub mod row_store;
 pub mod server;
 pub mod service;
 pub mod tool;
--- a/src/bin/sapphireford-gateway/main.rs
+++ b/src/bin/sapphireford-gateway/main.rs
@@ -92,7 +92,7 @@
 
 fn run(path: &Path, level: &str) -> Result<(), Box<dyn std::error::Error>> {
     let settings = GatewaySettings::load(path)?;
-    logging::install_stdout(logging::parse_level(level)?)?;
+    logging::install_bounded(logging::parse_level(level)?)?;
     let metrics = Metrics::install()?;
     shutdown::install()?;
     let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
@@ -102,6 +102,7 @@
         let timer = TimerService::start();
         let entry_id = settings.entry_id.clone();
         let mut gateway = RunningGateway::start(settings, metrics, timer.clone())?;
+        println!("listening on {}", gateway.address());
         log::info!(gateway = &*entry_id; "gateway started");
         loop {
             match shutdown::requested_or_reload(&timer).await {
--- a/src/process/gateway/ledger.rs
+++ b/src/process/gateway/ledger.rs
@@ -220,7 +220,7 @@
         };
         let row = pending.row.clone();
         let write = encode(row.clone(), added);
-        self.book.writer.write(write, deadline).await?;
+        self.book.writer.write_once(write, deadline).await?;
         let prefix = prefix(program_id);
         let store = &self.book.store;
         let read = store.read_all(TABLE, &row.partition, &prefix, deadline);
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -265,6 +265,11 @@
         })
     }
 
+    /// The address that callers connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.caller_server.address()
+    }
+
     /// Shuts down gracefully: no request in progress is cut off before the shutdown limit.
     ///
     /// The directory stops handing this gateway out first. The listener stays open for as long as
--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -70,7 +70,7 @@
 /// Longest answer read from the store; its own limit on a page is 1 MB before encoding.
 const ANSWER_LIMIT_BYTES: usize = 4 << 20;
 /// Shortest time that a call on one path may take.
-const SHORTEST_ATTEMPT: Duration = Duration::from_millis(150);
+const SHORTEST_ATTEMPT: Duration = Duration::from_millis(250);
 /// Longest time that a call on one path may take, without the time that a feed waits.
 const LONGEST_ATTEMPT: Duration = Duration::from_millis(1_500);
 /// A call may take this many times the typical time of the last calls.
--- a/src/process/gateway/store_path.rs
+++ b/src/process/gateway/store_path.rs
@@ -23,6 +23,9 @@
 /// Time after a call that failed on all paths in which requests are refused without a call. The
 /// background calls go on and find out when the store is back.
 const OUTAGE_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time without any successful call after which requests are refused without a call. A shorter
+/// failure may concern a single call.
+const SHORTEST_OUTAGE: Duration = Duration::from_millis(300);
 /// Shorter failures are those of single calls or connections, not of the store.
 const SHORTEST_ABSENCE: Duration = Duration::from_millis(500);
 
@@ -106,8 +109,10 @@
         match self.last_outage {
             None => true,
             Some(outage) => {
-                let recovered = self.last_success.is_some_and(|success| success > outage);
-                recovered || now.saturating_duration_since(outage) >= OUTAGE_PAUSE
+                let failing = self.failing_since;
+                let is_lasting = failing
+                    .is_some_and(|since| now.saturating_duration_since(since) >= SHORTEST_OUTAGE);
+                !is_lasting || now.saturating_duration_since(outage) >= OUTAGE_PAUSE
             }
         }
     }
--- a/src/process/gateway/writer.rs
+++ b/src/process/gateway/writer.rs
@@ -31,6 +31,8 @@
     write: RowWrite,
     /// It is not tried any more from then on.
     deadline: Instant,
+    /// Whether it is given up when the store does not take it at once.
+    is_tried_once: bool,
     done: Option<oneshot::Sender<Result<()>>>,
 }
 
@@ -59,12 +61,28 @@
         writer
     }
 
-    /// Writes a row; completes when it is durable.
+    /// Writes a row, again and again until `deadline`; completes when it is durable.
     pub async fn write(&self, write: RowWrite, deadline: Instant) -> Result<()> {
+        self.write_waiting(write, deadline, false).await
+    }
+
+    /// Writes a row, and fails as soon as the store does not take it on any path. The row may
+    /// become durable all the same.
+    pub async fn write_once(&self, write: RowWrite, deadline: Instant) -> Result<()> {
+        self.write_waiting(write, deadline, true).await
+    }
+
+    async fn write_waiting(
+        &self,
+        write: RowWrite,
+        deadline: Instant,
+        is_tried_once: bool,
+    ) -> Result<()> {
         let (done, outcome) = oneshot::channel();
         self.push(Pending {
             write,
             deadline,
+            is_tried_once,
             done: Some(done),
         });
         let outcome = self.store.timer().timeout_at(deadline, outcome).await;
@@ -80,6 +98,7 @@
         self.push(Pending {
             write,
             deadline: Instant::now() + DEFERRED_TIME,
+            is_tried_once: false,
             done: None,
         });
     }
@@ -164,6 +183,8 @@
                 }
                 Err(error) => log::debug!(rows = group.len(); "commit failed: {error}"),
             }
+            // Dropping a row tells its requester that it was given up.
+            group.retain(|row| !row.is_tried_once);
             self.store.timer().sleep(RETRY_PAUSE).await;
         }
     }
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -1,12 +1,16 @@
-//! The log: JSON lines on standard error, with the key-values of each record.
+//! The log: JSON lines with the key-values of each record, on standard error or standard output.
+
+pub mod bounded;
 
 use std::fmt;
 use std::io;
 
 use log::LevelFilter;
-use logforth::append::{Stderr, Stdout};
+use logforth::append::Stderr;
 use logforth::layout::JsonLayout;
 
+use bounded::BoundedOutput;
+
 /// The result of setting up the log.
 pub type Result<T> = std::result::Result<T, LoggingError>;
 
@@ -17,6 +21,8 @@
     Level(String),
     /// The process has set up its log before.
     Installed(io::Error),
+    /// The thread that writes the log could not be started.
+    Thread(io::Error),
 }
 
 impl fmt::Display for LoggingError {
@@ -27,6 +33,7 @@
                 "there is no log level `{level}`; use off, error, warn, info, debug or trace"
             ),
             LoggingError::Installed(_) => formatter.write_str("the log is already set up"),
+            LoggingError::Thread(_) => formatter.write_str("could not start the log thread"),
         }
     }
 }
@@ -35,7 +42,7 @@
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
             LoggingError::Level(_) => None,
-            LoggingError::Installed(error) => Some(error),
+            LoggingError::Installed(error) | LoggingError::Thread(error) => Some(error),
         }
     }
 }
@@ -58,9 +65,9 @@
     Ok(())
 }
 
-/// Sends the log of this process to standard output, from `level` up.
-pub fn install_stdout(level: LevelFilter) -> Result<()> {
-    let output = Stdout::default().with_layout(JsonLayout::default());
+/// Sends the log of this process to standard output, from `level` up, without ever blocking on it.
+pub fn install_bounded(level: LevelFilter) -> Result<()> {
+    let output = BoundedOutput::start().map_err(LoggingError::Thread)?;
     logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.append(output))
         .try_apply()
--- /dev/null
+++ b/src/process/logging/bounded.rs
@@ -0,0 +1,158 @@
+//! Log output that never blocks the request path and whose volume is bounded.
+//!
+//! Lines pass through a channel of limited length to a thread that writes them. A line that exceeds the
+//! number of lines of a second, or finds the channel full, is dropped and counted. The number of
+//! dropped lines is logged once a second while there are any.
+
+use std::io::Write;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use logforth::layout::JsonLayout;
+use logforth::record::{Level, Record};
+use logforth::{Append, Diagnostic, Layout};
+
+use crate::process::metrics;
+
+/// Lines of requests and other events in each second.
+const LINES_PER_SECOND: u32 = 200;
+/// Further lines of warnings and errors in each second, so that events cannot crowd them out.
+const WARNINGS_PER_SECOND: u32 = 50;
+/// Lines that wait for the writing thread; a few seconds of output.
+const QUEUE_LINES: usize = 1_000;
+/// The time for which lines are counted together.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Bounds the lines of each second.
+#[derive(Debug)]
+pub struct LineBudget {
+    lines_per_window: u32,
+    window_start: Option<Instant>,
+    used: u32,
+    dropped: u64,
+}
+
+/// What to do with a line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LineVerdict {
+    /// Write it.
+    Write,
+    /// Write it, and say that so many lines before it were dropped.
+    WriteAfterDropped(u64),
+    /// Drop it.
+    Drop,
+}
+
+impl LineBudget {
+    /// Allows `lines_per_window` lines in each second.
+    pub fn new(lines_per_window: u32) -> Self {
+        Self {
+            lines_per_window,
+            window_start: None,
+            used: 0,
+            dropped: 0,
+        }
+    }
+
+    /// Decides on a line.
+    pub fn admit(&mut self, now: Instant) -> LineVerdict {
+        let is_new_window = self
+            .window_start
+            .is_none_or(|start| now.saturating_duration_since(start) >= WINDOW);
+        if is_new_window {
+            self.window_start = Some(now);
+            self.used = 0;
+        }
+        if self.used >= self.lines_per_window {
+            self.dropped += 1;
+            return LineVerdict::Drop;
+        }
+        self.used += 1;
+        match std::mem::take(&mut self.dropped) {
+            0 => LineVerdict::Write,
+            dropped => LineVerdict::WriteAfterDropped(dropped),
+        }
+    }
+
+    /// Counts a line that was admitted but could not be written.
+    pub fn count_dropped(&mut self) {
+        self.dropped += 1;
+    }
+}
+
+/// Writes JSON lines to standard output from a thread of its own.
+#[derive(Debug)]
+pub struct BoundedOutput {
+    layout: JsonLayout,
+    lines: SyncSender<Vec<u8>>,
+    events: Mutex<LineBudget>,
+    warnings: Mutex<LineBudget>,
+}
+
+impl BoundedOutput {
+    /// Starts the thread that writes.
+    pub fn start() -> std::io::Result<Self> {
+        let (lines, received) = sync_channel(QUEUE_LINES);
+        std::thread::Builder::new()
+            .name("log-output".to_string())
+            .spawn(move || write_lines(&received))?;
+        Ok(Self {
+            layout: JsonLayout::default(),
+            lines,
+            events: Mutex::new(LineBudget::new(LINES_PER_SECOND)),
+            warnings: Mutex::new(LineBudget::new(WARNINGS_PER_SECOND)),
+        })
+    }
+
+    fn budget(&self, level: Level) -> &Mutex<LineBudget> {
+        if level >= Level::Warn {
+            &self.warnings
+        } else {
+            &self.events
+        }
+    }
+}
+
+fn write_lines(lines: &Receiver<Vec<u8>>) {
+    while let Ok(line) = lines.recv() {
+        let mut output = std::io::stdout().lock();
+        // Nobody can be told that standard output is closed.
+        let _ = output.write_all(&line).and_then(|()| output.flush());
+    }
+}
+
+impl Append for BoundedOutput {
+    fn append(
+        &self,
+        record: &Record,
+        diagnostics: &[Box<dyn Diagnostic>],
+    ) -> Result<(), logforth::Error> {
+        let budget = self.budget(record.level());
+        let verdict = budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .admit(Instant::now());
+        if verdict == LineVerdict::Drop {
+            ::metrics::counter!(metrics::LOG_LINES_DROPPED).increment(1);
+            return Ok(());
+        }
+        let mut line = Vec::new();
+        if let LineVerdict::WriteAfterDropped(dropped) = verdict {
+            let notice = format!("{{\"message\":\"log lines dropped\",\"dropped\":{dropped}}}\n");
+            line.extend_from_slice(notice.as_bytes());
+        }
+        line.extend(self.layout.format(record, diagnostics)?);
+        line.push(b'\n');
+        if self.lines.try_send(line).is_err() {
+            ::metrics::counter!(metrics::LOG_LINES_DROPPED).increment(1);
+            let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
+            budget.count_dropped();
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), logforth::Error> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tests/support/gateway.rs
@@ -0,0 +1,99 @@
+//! Requests to gateways, and what the backend servers must have seen.
+#![allow(dead_code)]
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use sapphireford_standin::backend_server::expected_data;
+use sapphireford_standin::harness::{Backend, EventStream, GatewayProcess, HOST, HttpRequest};
+use serde_json::Value;
+
+/// Longest wait of a test for something that has to happen; long enough for a machine under load.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+/// A request id that no other request of the test has.
+pub fn new_id() -> String {
+    format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed))
+}
+
+/// A request of a caller with its own id.
+pub fn call(method: &str, path: &str, id: &str) -> HttpRequest {
+    HttpRequest::new(method, path)
+        .header("host", HOST)
+        .header("request-id", id)
+        .header("deadline-ms", "4000")
+}
+
+/// A turn of a program.
+pub struct Turn<'a> {
+    pub path: &'a str,
+    pub id: &'a str,
+    pub program: &'a str,
+    pub previous: Option<&'a str>,
+    pub input: &'a str,
+    pub events: u64,
+    pub budget_tokens: u64,
+}
+
+impl Default for Turn<'_> {
+    fn default() -> Self {
+        Self {
+            path: "/quote/a",
+            id: "",
+            program: "p-1",
+            previous: None,
+            input: "how much",
+            events: 4,
+            budget_tokens: 100_000,
+        }
+    }
+}
+
+impl Turn<'_> {
+    pub fn request(&self) -> HttpRequest {
+        let max_tokens = self.events * 9;
+        let request = call("POST", self.path, self.id)
+            .header("program-id", self.program)
+            .header("session-id", self.program)
+            .header("program-deadline-ms", "9000")
+            .header("token-budget", &self.budget_tokens.to_string())
+            .header("token-usage", &format!("100,{max_tokens}"))
+            .header("x-events", &self.events.to_string())
+            .body(self.input);
+        match self.previous {
+            Some(previous) => request.header("previous-turn", previous),
+            None => request,
+        }
+    }
+
+    pub fn open(&self, gateway: &GatewayProcess) -> std::io::Result<EventStream> {
+        self.request().open(gateway.caller_address())
+    }
+
+    /// Runs the turn and checks that it ends whole; returns the data of its events.
+    pub fn run(&self, gateway: &GatewayProcess) -> Vec<String> {
+        let mut stream = self.open(gateway).expect("an answer");
+        assert_eq!(stream.status(), 200, "turn {}", self.id);
+        let events = stream.rest().expect("a whole stream");
+        events.into_iter().map(|event| event.data).collect()
+    }
+}
+
+/// The data of all events of a request that the server received with this body.
+pub fn whole_data(body: &str, events: u64) -> Vec<String> {
+    let ids = 1..=events;
+    ids.map(|id| expected_data(body.as_bytes(), id)).collect()
+}
+
+/// The runs of a request at these servers.
+pub fn runs_of(servers: &[Backend], id: &str) -> Vec<Value> {
+    let mut found = Vec::new();
+    for server in servers {
+        let stats = server.process.stats();
+        let runs = stats["runs"].as_array().cloned().unwrap_or_default();
+        found.extend(runs.into_iter().filter(|run| run["request_id"] == id));
+    }
+    found
+}
