Keep the last chains in memory, and let callers come back by the age of the outage

Cause: a turn that came back through the same gateway read its chain from the store again. Callers refused in an outage of several seconds came back after 0.6 to 1.2 s and used up their attempts before the store did.

--- a/src/process/gateway/history.rs
+++ b/src/process/gateway/history.rs
@@ -4,9 +4,12 @@
 //! read in most cases. Where it does not fit, the row holds the end of the chain and names the turn
 //! that holds what comes before.
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Instant;
 
 use bytes::Bytes;
+use indexmap::IndexMap;
 use sapphireford_platform::store::{RowKey, RowWrite};
 use serde::{Deserialize, Serialize};
 
@@ -66,6 +69,20 @@
         }
     }
 
+    /// The chain after a turn that was kept as `row`.
+    pub fn continued(
+        &self,
+        turn_id: TurnId,
+        row: &StoredTurn,
+        input: &[u8],
+        output: &[u8],
+    ) -> Self {
+        Self {
+            text: [self.text.as_slice(), input, output].concat(),
+            last: Some((turn_id, row.base.clone(), row.text.len())),
+        }
+    }
+
     /// Joins rows, from the last one of the chain to the first.
     pub fn from_rows(last: TurnId, rows: &[StoredTurn]) -> Self {
         let text = rows.iter().rev().flat_map(|row| row.text.iter().copied());
@@ -80,17 +97,50 @@
 /// How a look-up ended.
 pub enum Lookup {
     /// The chain of the turn.
-    Found(Chain),
+    Found(Rc<Chain>),
     /// There certainly is no such turn.
     NotFound,
 }
 
+/// Chains of the last turns that this gateway has served, so that a program that comes back through
+/// it needs no read.
+#[derive(Default)]
+pub struct ChainCache {
+    /// In the order of their use.
+    chains: IndexMap<TurnId, Rc<Chain>>,
+    bytes: usize,
+}
+
+/// Text that a cache holds.
+const CACHE_BYTES: usize = 4 << 20;
+
+impl ChainCache {
+    /// Adds the chain of a turn, in place of those that were not used for the longest time.
+    pub fn insert(&mut self, turn_id: TurnId, chain: Rc<Chain>) {
+        self.bytes += chain.text.len();
+        if let Some(previous) = self.chains.insert(turn_id, chain) {
+            self.bytes -= previous.text.len();
+        }
+        while self.bytes > CACHE_BYTES
+            && let Some((_, oldest)) = self.chains.shift_remove_index(0)
+        {
+            self.bytes -= oldest.text.len();
+        }
+    }
+
+    /// The chain of a turn.
+    pub fn get(&self, turn_id: &str) -> Option<Rc<Chain>> {
+        self.chains.get(turn_id).cloned()
+    }
+}
+
 /// Keeps turns in the store.
 #[derive(Clone)]
 pub struct History {
     store: Store,
     writer: StoreWriter,
     row_limit_bytes: usize,
+    cache: Rc<RefCell<ChainCache>>,
 }
 
 impl History {
@@ -100,11 +150,15 @@
             store,
             writer,
             row_limit_bytes,
+            cache: Rc::default(),
         }
     }
 
     /// Reads the chain of a turn.
     pub async fn load(&self, turn_id: &str, deadline: Instant) -> Result<Lookup> {
+        if let Some(chain) = self.cache.borrow().get(turn_id) {
+            return Ok(Lookup::Found(chain));
+        }
         let mut rows: Vec<StoredTurn> = Vec::new();
         let mut next = Some(turn_id.to_string());
         while let Some(id) = next {
@@ -128,7 +182,8 @@
                 )));
             }
         }
-        Ok(Lookup::Found(Chain::from_rows(turn_id.to_string(), &rows)))
+        let chain = Chain::from_rows(turn_id.to_string(), &rows);
+        Ok(Lookup::Found(Rc::new(chain)))
     }
 
     /// Makes a turn durable.
@@ -148,7 +203,11 @@
             row: row_key(turn_id),
             value: Some(Bytes::from(value)),
         };
-        self.writer.write(write, deadline).await
+        self.writer.write(write, deadline).await?;
+        let chain = chain.continued(turn_id.to_string(), &turn, input, output);
+        let mut cache = self.cache.borrow_mut();
+        cache.insert(turn_id.to_string(), Rc::new(chain));
+        Ok(())
     }
 }
 
--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -129,6 +129,11 @@
         self.shared.paths.borrow().is_available(Instant::now())
     }
 
+    /// How long no call has succeeded, while calls fail.
+    pub fn outage_age(&self) -> Option<Duration> {
+        self.shared.paths.borrow().outage_age(Instant::now())
+    }
+
     /// When the store last returned after it had been away.
     pub fn last_return(&self) -> Option<Instant> {
         self.shared.paths.borrow().last_return()
--- a/src/process/gateway/store_path.rs
+++ b/src/process/gateway/store_path.rs
@@ -117,6 +117,12 @@
         }
     }
 
+    /// How long no call has succeeded, while calls fail.
+    pub fn outage_age(&self, now: Instant) -> Option<Duration> {
+        let since = self.failing_since?;
+        Some(now.saturating_duration_since(since))
+    }
+
     /// When the store last returned after it had been away for this gateway on all paths.
     pub fn last_return(&self) -> Option<Instant> {
         self.returned
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -112,7 +112,7 @@
             Err(error) => {
                 let status = error.kind.answer().status;
                 record.finish(status, crate::error::chain(&error));
-                refusal::refuse(&error)
+                refusal::refuse(&error, self.gateway.store.outage_age())
             }
         }
     }
--- a/src/request/gateway/refusal.rs
+++ b/src/request/gateway/refusal.rs
@@ -11,8 +11,14 @@
 use crate::connection::http_server::error_response;
 use crate::error::{Error, ErrorKind, Ran};
 
+/// Shortest and longest time after which callers come back during an outage of the store. A longer
+/// one would keep callers away after the store has returned.
+const OUTAGE_DELAYS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(2));
+
 /// Time after which a caller may come back, before it is spread.
-fn base_delay(kind: ErrorKind) -> Duration {
+///
+/// An outage that has lasted for a while is likely to last as long again.
+fn base_delay(kind: ErrorKind, outage_age: Option<Duration>) -> Duration {
     match kind {
         // Another gateway or server can take the request at once.
         ErrorKind::Leaving | ErrorKind::NotReady => Duration::from_millis(50),
@@ -20,24 +26,27 @@
         ErrorKind::Overloaded => Duration::from_millis(100),
         // A server registers, or recovers, within a few heartbeats.
         ErrorKind::NoBackendServer | ErrorKind::QueueTimeout => Duration::from_millis(300),
-        // The store is down for seconds, if at all.
-        _ => Duration::from_millis(600),
+        _ => {
+            let (shortest, longest) = OUTAGE_DELAYS;
+            outage_age.unwrap_or_default().clamp(shortest, longest)
+        }
     }
 }
 
 /// When a caller should come back; `None` if the request cannot succeed later or may have run.
 ///
-/// `spread` is between 0 and 1. Callers that are refused together do not come back together.
-pub fn retry_delay(kind: ErrorKind, spread: f64) -> Option<Duration> {
+/// `outage_age` is how long the store has not answered. `spread` is between 0 and 1, so that callers
+/// that are refused together do not come back together.
+pub fn retry_delay(kind: ErrorKind, outage_age: Option<Duration>, spread: f64) -> Option<Duration> {
     let answer = kind.answer();
     let can_return = answer.retry_after.is_some() && answer.ran == Ran::No;
-    can_return.then(|| base_delay(kind).mul_f64(1.0 + spread))
+    can_return.then(|| base_delay(kind, outage_age).mul_f64(1.0 + spread / 2.0))
 }
 
 /// The answer to a request that ended with an error.
-pub fn refuse(error: &Error) -> Response<Body> {
+pub fn refuse(error: &Error, outage_age: Option<Duration>) -> Response<Body> {
     let mut response = error_response(error);
-    match retry_delay(error.kind, rand::rng().random()) {
+    match retry_delay(error.kind, outage_age, rand::rng().random()) {
         Some(delay) => {
             let value = headers::retry_after(delay);
             response.headers_mut().insert(RETRY_AFTER, value);
--- a/src/request/gateway/turn.rs
+++ b/src/request/gateway/turn.rs
@@ -1,5 +1,6 @@
 //! Turns of agent programs: their budget and their history, before they go to a server.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -29,7 +30,7 @@
     /// Names the turn.
     pub turn_id: String,
     /// What comes before it.
-    pub chain: Chain,
+    pub chain: Rc<Chain>,
     /// The input of the turn.
     pub input: Bytes,
 }
@@ -108,12 +109,12 @@
     route: &RouteRecord,
     headers: &CallHeaders,
     deadline: Instant,
-) -> Result<Option<Chain>> {
+) -> Result<Option<Rc<Chain>>> {
     if !route.keeps_history {
         return Ok(None);
     }
     let Some(previous) = &headers.previous_turn_id else {
-        return Ok(Some(Chain::default()));
+        return Ok(Some(Rc::default()));
     };
     match gateway.history.load(previous, deadline).await {
         Ok(Lookup::Found(chain)) => Ok(Some(chain)),
