Hedge store calls, and keep callers and programs in their failure domain

Turns of one program came through gateways of all domains, far from the one that looks after it. In outages, all gateways called on three paths every 50 to 100 ms.

Change: a call goes out on the next path after four times the typical time. Callers get gateways of their own failure domain while two are live, and a program is looked after there. Pauses double in outages, with one relay. Heartbeats slow down with the number of gateways.

--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -1,7 +1,7 @@
 //! The other gateways, and the answers to callers that ask where to connect.
 //!
 //! Each gateway writes a row with a counter that it raises at every heartbeat. A gateway whose
-//! counter stands still for [`HEARTBEAT_TTL`] is not handed out. Only time in which the own reads of
+//! counter stands still for about three heartbeats is not handed out. Only time in which the own reads of
 //! the store succeed counts, so that an outage of the store does not make the others look dead.
 
 use std::cell::{Cell, RefCell};
@@ -23,10 +23,16 @@
 use crate::process::timer::unix_ms;
 
 const TABLE: &str = "gateways";
-/// Pause between two heartbeats, and between two reads of all rows.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
-/// A gateway whose counter stands still for this long counts as dead.
-const HEARTBEAT_TTL: Duration = Duration::from_millis(3_200);
+/// Shortest and longest pause between two heartbeats, and between two reads of all rows.
+const HEARTBEAT_INTERVALS: (Duration, Duration) =
+    (Duration::from_millis(1_000), Duration::from_millis(4_000));
+/// Pause for each known gateway, which keeps the bytes that all of them read from growing with the
+/// square of their number.
+const HEARTBEAT_PAUSE_EACH: Duration = Duration::from_millis(25);
+/// A gateway whose counter stands still for this many tenths of the pause counts as dead.
+const TTL_TENTHS: u32 = 32;
+/// Gateways of one failure domain that must be live for its callers to be sent to them only.
+const LEAST_NEAR: usize = 2;
 /// Longest time for a read of all rows.
 const READ_TIME: Duration = Duration::from_secs(1);
 /// Rows of gateways that stopped or died this long ago are removed.
@@ -99,19 +105,34 @@
 
     /// The number of gateways that take requests, at least 1.
     pub fn live_count(&self) -> u32 {
-        let others = self.live_others(Instant::now()).len() as u32;
+        let now = Instant::now();
+        let known = self.known.borrow();
+        let others = known.values().filter(|known| self.is_live(known, now));
+        let others = others.count() as u32;
         others + u32::from(!self.is_leaving()).max(u32::from(others == 0))
     }
 
-    /// The addresses for callers. This gateway is among them only if `can_serve`; if no other one
-    /// is known, it is all that there is.
-    pub fn caller_addresses(&self, can_serve: bool, now: Instant) -> Vec<SocketAddr> {
-        let mut addresses = self.live_others(now);
+    /// The addresses for callers in a failure domain: gateways of that domain if enough are live,
+    /// which saves bytes between domains, otherwise all. This gateway is among them only if
+    /// `can_serve`; if no other one is known, it is all that there is.
+    pub fn caller_addresses(
+        &self,
+        failure_domain: &str,
+        can_serve: bool,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let known = self.known.borrow();
         let own = self.own.borrow();
-        if (can_serve && !own.is_leaving) || addresses.is_empty() {
-            addresses.push(own.caller_address);
+        let mut live: Vec<&GatewayRow> = known
+            .values()
+            .filter(|known| self.is_live(known, now))
+            .map(|known| &known.row)
+            .collect();
+        if (can_serve && !own.is_leaving) || live.is_empty() {
+            live.push(&own);
         }
-        addresses
+        let near = prefer_near(live, |row| row.failure_domain == failure_domain);
+        near.into_iter().map(|row| row.caller_address).collect()
     }
 
     /// A text that no other start of any gateway has.
@@ -120,42 +141,49 @@
     }
 
     /// The peer that looks after the object named by `key`, by rendezvous hashing over the live
-    /// gateways; `None` if it is this gateway.
+    /// gateways of the own failure domain, or of all if there are few; `None` if it is this gateway.
     pub fn peer_for(&self, key: &[u8]) -> Option<SocketAddr> {
         let now = Instant::now();
         let number = hash_bytes(key);
         let known = self.known.borrow();
+        let own = self.own.borrow();
         let live = known.iter().filter(|(_, known)| self.is_live(known, now));
-        let others = live.map(|(id, known)| {
-            let weight = rendezvous_weight(number, id);
-            (weight, Some(known.row.peer_address))
-        });
-        let own_weight = rendezvous_weight(number, &self.own_id);
-        let own = (!self.is_leaving()).then_some((own_weight, None));
-        let best = others.chain(own).max_by_key(|(weight, _)| *weight);
-        best.and_then(|(_, peer)| peer)
+        let mut live: Vec<(&str, &GatewayRow)> =
+            live.map(|(id, known)| (&**id, &known.row)).collect();
+        if !own.is_leaving {
+            live.push((&*self.own_id, &*own));
+        }
+        let near = prefer_near(live, |(_, row)| row.failure_domain == own.failure_domain);
+        let best = near
+            .into_iter()
+            .max_by_key(|(id, _)| rendezvous_weight(number, id));
+        let (id, row) = best?;
+        (id != &*self.own_id).then_some(row.peer_address)
     }
 
-    fn live_others(&self, now: Instant) -> Vec<SocketAddr> {
-        let known = self.known.borrow();
-        let live = known.values().filter(|known| self.is_live(known, now));
-        live.map(|known| known.row.caller_address).collect()
+    /// Pause between two heartbeats.
+    fn heartbeat_interval(&self) -> Duration {
+        let known = self.known.borrow().len() as u32;
+        let (shortest, longest) = HEARTBEAT_INTERVALS;
+        (HEARTBEAT_PAUSE_EACH * known).clamp(shortest, longest)
     }
 
     fn is_live(&self, known: &Known, now: Instant) -> bool {
         // Without a recent read, nothing is known of the present.
         let seen_at = self.last_read.get().unwrap_or(now);
         let silent = seen_at.saturating_duration_since(known.changed);
-        !known.row.is_leaving && silent < HEARTBEAT_TTL
+        let ttl = self.heartbeat_interval() * TTL_TENTHS / 10;
+        !known.row.is_leaving && silent < ttl
     }
 
     /// Takes over the rows of a successful read.
     pub fn apply(&self, rows: &[Row], now: Instant) {
+        let interval = self.heartbeat_interval();
         let mut known = self.known.borrow_mut();
         // After failed reads, the others get a new chance to show a heartbeat.
         let last_read = self.last_read.replace(Some(now));
         let gap = last_read.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
-        let missed = gap.saturating_sub(2 * HEARTBEAT_INTERVAL);
+        let missed = gap.saturating_sub(2 * interval);
         for known in known.values_mut() {
             known.changed += missed;
         }
@@ -189,9 +217,15 @@
                 }
             }
         }
-        let relays = known.values().filter(|known| self.is_live(known, now));
-        let relays = relays.map(|known| known.row.peer_address).collect();
-        self.relays.replace(relays);
+        drop(known);
+        self.update_relays(now);
+    }
+
+    fn update_relays(&self, now: Instant) {
+        let known = self.known.borrow();
+        let live = known.values().filter(|known| self.is_live(known, now));
+        let addresses = live.map(|known| known.row.peer_address);
+        self.relays.replace(addresses.collect());
     }
 
     fn heartbeat(&self) -> Option<RowWrite> {
@@ -236,14 +270,26 @@
     }
 }
 
+/// Those for which `is_near` holds if there are enough, otherwise all.
+fn prefer_near<T>(all: Vec<T>, is_near: impl Fn(&T) -> bool) -> Vec<T> {
+    let near = all.iter().filter(|candidate| is_near(candidate)).count();
+    if near < LEAST_NEAR {
+        return all;
+    }
+    all.into_iter()
+        .filter(|candidate| is_near(candidate))
+        .collect()
+}
+
 /// Writes the own row and reads all rows until the process ends.
 pub async fn keep_up_to_date(directory: Rc<Directory>, store: Store, writer: StoreWriter) {
     let timer = store.timer().clone();
     loop {
         let started = Instant::now();
         let left = directory.leaving.changes();
+        let interval = directory.heartbeat_interval();
         if let Some(heartbeat) = directory.heartbeat() {
-            let deadline = started + HEARTBEAT_INTERVAL;
+            let deadline = started + interval;
             if let Err(error) = writer.write(heartbeat, deadline).await {
                 log::debug!("heartbeat failed: {error}");
             }
@@ -260,7 +306,7 @@
             }
             Err(error) => log::debug!("gateways could not be read: {error}"),
         }
-        let next = started + HEARTBEAT_INTERVAL;
+        let next = started + interval;
         // A gateway that leaves tells the others at once.
         let changed = directory.leaving.changed_since(left);
         let _ = timer.timeout_at(next, changed).await;
--- a/src/process/gateway/placement.rs
+++ b/src/process/gateway/placement.rs
@@ -30,7 +30,6 @@
 /// Load that a server must be below the one before it in the ranking to be chosen instead. Leaving
 /// a server costs the time to compute the prefix again, which is about that of half a batch.
 pub const SPILL_LOAD_PERMILLE: LoadPermille = 500;
-
 fn rank(key: u64, candidate: &Candidate<'_>) -> u64 {
     rendezvous_weight(key, candidate.server_id)
 }
@@ -41,15 +40,10 @@
     let all = candidates.iter().enumerate();
     let mut ranked: Vec<_> = all.filter(|(_, candidate)| candidate.is_allowed).collect();
     ranked.sort_by_key(|(_, candidate)| Reverse(rank(key, candidate)));
-    let costs = ranked
-        .iter()
-        .zip(0..)
-        .map(|((index, candidate), position)| {
-            let cost = candidate
-                .load
-                .saturating_add(position * SPILL_LOAD_PERMILLE);
-            (cost, *index)
-        });
+    let costs = ranked.iter().zip(0..).map(|((index, candidate), place)| {
+        let cost = candidate.load.saturating_add(place * SPILL_LOAD_PERMILLE);
+        (cost, *index)
+    });
     let least = costs.min_by_key(|(cost, _)| *cost);
     least.map(|(_, index)| index)
 }
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -72,7 +72,9 @@
 /// up to three times the lifetime of an answer.
 const LINGER_TIME: Duration = Duration::from_millis(3_500);
 /// Part of the shutdown limit that is left for the last rows to become durable.
-const FLUSH_TIME: Duration = Duration::from_millis(700);
+const FLUSH_TIME: Duration = Duration::from_millis(500);
+/// Part of the shutdown limit that is left for the process to end.
+const EXIT_TIME: Duration = Duration::from_millis(500);
 /// Pause between two rounds of upkeep.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without a successful call to the store after which this gateway is not handed out.
@@ -176,9 +178,10 @@
         let gateway = &self.0;
         let lookup = Lookup::decode(request.uri().query().unwrap_or_default());
         let now = Instant::now();
-        let mut addresses = gateway
-            .directory
-            .caller_addresses(gateway.can_serve(now), now);
+        let domain = &lookup.failure_domain;
+        let can_serve = gateway.can_serve(now);
+        let directory = &gateway.directory;
+        let mut addresses = directory.caller_addresses(domain, can_serve, now);
         log::debug!(host = lookup.host, failure_domain = lookup.failure_domain,
             addresses = addresses.len(); "addresses looked up");
         addresses.truncate(MAX_ADDRESSES);
@@ -277,7 +280,11 @@
     pub async fn shut_down(self) {
         let timer = &self.gateway.timer;
         let started = timer.now();
-        let deadline = started + self.settings.shutdown_limit.saturating_sub(FLUSH_TIME);
+        let deadline = started
+            + self
+                .settings
+                .shutdown_limit
+                .saturating_sub(FLUSH_TIME + EXIT_TIME);
         self.gateway.directory.leave();
         self.caller_server.leave();
         timer.sleep(LINGER_TIME).await;
--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::{Request, Response, StatusCode};
 use sapphireford_platform::FormatError;
 use sapphireford_platform::store::{self as format, RowKey, RowPage, RowWrite, StoreAnswer};
@@ -69,16 +70,19 @@
 
 /// Longest answer read from the store; its own limit on a page is 1 MB before encoding.
 const ANSWER_LIMIT_BYTES: usize = 4 << 20;
-/// Shortest time that a call on one path may take.
-const SHORTEST_ATTEMPT: Duration = Duration::from_millis(250);
 /// Longest time that a call on one path may take, without the time that a feed waits.
 const LONGEST_ATTEMPT: Duration = Duration::from_millis(1_500);
-/// A call may take this many times the typical time of the last calls.
-const ATTEMPT_FACTOR: u32 = 4;
-/// Weight of a new call in the typical time: one part of this many.
-const TYPICAL_TIME_PARTS: u32 = 8;
+/// A call goes out on the next path as well when it has taken this many times the typical time.
+const HEDGE_FACTOR: u32 = 4;
+/// Bounds of the time after which a call goes out on the next path as well.
+const HEDGE_DELAYS: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(600));
+/// Weight of a faster call in the typical time: one part of this many.
+const FASTER_PARTS: u32 = 8;
+/// Weight of a slower call in the typical time. A store that turns slow is soon recognised, so that
+/// its load is not doubled.
+const SLOWER_PARTS: u32 = 2;
 /// The typical time before any call was made.
-const INITIAL_TYPICAL_TIME: Duration = Duration::from_millis(40);
+const INITIAL_TYPICAL_TIME: Duration = Duration::from_millis(20);
 /// Time added for the way through a peer.
 const RELAY_TIME: Duration = Duration::from_millis(50);
 /// Calls of peers that are passed on at the same time; further ones are refused.
@@ -99,7 +103,7 @@
     address: SocketAddr,
     relays: RelayAddresses,
     paths: RefCell<StorePaths>,
-    /// A moving average of the time that calls take.
+    /// A moving average of the time of the calls that succeed.
     typical_time: Cell<Duration>,
     is_available: Cell<bool>,
     relayed_calls: Cell<usize>,
@@ -225,7 +229,9 @@
         answer.ok()
     }
 
-    /// Makes a call on one path after the other until one leads to an answer.
+    /// Makes a call on one path after the other until one leads to an answer. A path that fails, or
+    /// takes longer than usual, is followed by the next one while the call may still succeed on it:
+    /// an answer that is lost is as good as one that is late.
     async fn call(
         &self,
         request: Request<Bytes>,
@@ -234,71 +240,90 @@
     ) -> Result<Response<Bytes>> {
         let relays = self.shared.relays.borrow().clone();
         let plan = self.shared.paths.borrow_mut().plan(&relays, Instant::now());
+        let mut plan = plan.into_iter();
+        let mut started: Vec<StorePath> = Vec::new();
+        let mut running = FuturesUnordered::new();
         let mut last_error = StoreError::Outage;
-        let mut was_tried_everywhere = true;
-        for path in plan {
+        loop {
             if Instant::now() >= deadline {
-                was_tried_everywhere = false;
                 break;
             }
-            match self
-                .attempt(path, clone_request(&request), wait, deadline)
-                .await
-            {
-                Ok(response) => {
-                    self.note_availability(true, &path, "");
+            if let Some(path) = plan.next() {
+                started.push(path);
+                running.push(self.attempt(path, clone_request(&request), wait, deadline));
+            } else if running.is_empty() {
+                self.record_outage(&last_error);
+                break;
+            }
+            let hedge_at = match plan.len() {
+                0 => deadline,
+                _ => deadline.min(Instant::now() + self.hedge_delay() + wait),
+            };
+            let next = self.shared.timer.timeout_at(hedge_at, running.next());
+            match next.await {
+                Ok(Some((path, Ok(response)))) => {
+                    self.record_overtaken(&started, path);
+                    self.note_availability(true, "");
                     return Ok(response);
                 }
-                Err(error) => {
+                Ok(Some((path, Err(error)))) => {
                     log::debug!(path:? = path; "store call failed: {error}");
+                    started.retain(|other| *other != path);
                     last_error = error;
                 }
+                Ok(None) | Err(_) => {}
             }
         }
-        if was_tried_everywhere {
-            self.shared.paths.borrow_mut().record_outage(Instant::now());
-            self.note_availability(false, &StorePath::Direct, &last_error.to_string());
-        }
         Err(last_error)
     }
 
+    /// Records that paths did not answer before one that was tried after them.
+    fn record_overtaken(&self, started: &[StorePath], winner: StorePath) {
+        let mut paths = self.shared.paths.borrow_mut();
+        let slower = started.iter().take_while(|path| **path != winner);
+        for path in slower {
+            paths.record_overtaken(*path, Instant::now());
+        }
+    }
+
+    fn record_outage(&self, error: &StoreError) {
+        self.shared.paths.borrow_mut().record_outage(Instant::now());
+        self.note_availability(false, &error.to_string());
+    }
+
     async fn attempt(
         &self,
         path: StorePath,
         request: Request<Bytes>,
         wait: Duration,
         deadline: Instant,
-    ) -> Result<Response<Bytes>> {
+    ) -> (StorePath, Result<Response<Bytes>>) {
         let started = Instant::now();
         let left = deadline.saturating_duration_since(started);
-        let limit = self.attempt_time().min(LONGEST_ATTEMPT) + wait;
-        let limit = limit.min(left);
+        let limit = left.min(LONGEST_ATTEMPT + wait);
         let fetched = match path {
             StorePath::Direct => self.fetch(self.shared.address, request, limit).await,
             StorePath::Relay(peer) => match peers::relayed(request, limit) {
                 Some(request) => self.fetch(peer, request, limit + RELAY_TIME).await,
-                None => return Err(StoreError::Unreachable("invalid path".to_string())),
+                None => {
+                    let error = StoreError::Unreachable("invalid path".to_string());
+                    return (path, Err(error));
+                }
             },
         };
         let result = self.judge(path, fetched);
         let now = Instant::now();
         let succeeded = result.is_ok();
-        if wait.is_zero() {
-            self.learn_time(now.saturating_duration_since(started), succeeded);
-        }
         self.shared.paths.borrow_mut().record(path, succeeded, now);
-        let outcome = if succeeded { "ok" } else { "failed" };
-        let label = match path {
-            StorePath::Direct => "direct",
-            StorePath::Relay(_) => "relay",
-        };
-        ::metrics::counter!(metrics::STORE_CALLS, "path" => label, "outcome" => outcome)
-            .increment(1);
+        let elapsed = now.saturating_duration_since(started);
+        if wait.is_zero() && succeeded {
+            self.learn_time(elapsed);
+        }
+        count_call(path, succeeded);
         if wait.is_zero() {
-            let elapsed = now.saturating_duration_since(started);
             ::metrics::histogram!(metrics::STORE_CALL_SECONDS).record(elapsed.as_secs_f64());
         }
-        result
+        (path, result)
     }
 
     async fn fetch(
@@ -340,29 +365,30 @@
         }
     }
 
-    fn attempt_time(&self) -> Duration {
+    fn hedge_delay(&self) -> Duration {
         let typical = self.shared.typical_time.get();
-        (typical * ATTEMPT_FACTOR).clamp(SHORTEST_ATTEMPT, LONGEST_ATTEMPT)
+        let (shortest, longest) = HEDGE_DELAYS;
+        (typical * HEDGE_FACTOR).clamp(shortest, longest)
     }
 
-    fn learn_time(&self, elapsed: Duration, succeeded: bool) {
+    fn learn_time(&self, elapsed: Duration) {
         let typical = self.shared.typical_time.get();
-        let learned = if succeeded {
-            (typical * (TYPICAL_TIME_PARTS - 1) + elapsed) / TYPICAL_TIME_PARTS
+        let parts = if elapsed > typical {
+            SLOWER_PARTS
         } else {
-            // A call that was given up would have taken longer.
-            typical.max(elapsed)
+            FASTER_PARTS
         };
-        self.shared.typical_time.set(learned.min(LONGEST_ATTEMPT));
+        let learned = (typical * (parts - 1) + elapsed) / parts;
+        self.shared.typical_time.set(learned);
     }
 
     /// Logs the loss and the return of the store.
-    fn note_availability(&self, is_available: bool, path: &StorePath, reason: &str) {
+    fn note_availability(&self, is_available: bool, reason: &str) {
         if self.shared.is_available.replace(is_available) == is_available {
             return;
         }
         if is_available {
-            log::info!(path:? = path; "store regained");
+            log::info!("store regained");
         } else {
             log::warn!(reason = reason; "store lost");
         }
@@ -374,6 +400,15 @@
     }
 }
 
+fn count_call(path: StorePath, succeeded: bool) {
+    let outcome = if succeeded { "ok" } else { "failed" };
+    let label = match path {
+        StorePath::Direct => "direct",
+        StorePath::Relay(_) => "relay",
+    };
+    ::metrics::counter!(metrics::STORE_CALLS, "path" => label, "outcome" => outcome).increment(1);
+}
+
 fn page(response: &Response<Bytes>) -> Result<RowPage> {
     match format::decode_page(response)? {
         StoreAnswer::Done(page) => Ok(page),
--- a/src/process/gateway/store_path.rs
+++ b/src/process/gateway/store_path.rs
@@ -18,6 +18,8 @@
 /// Peers that are tried for one call. More of them would multiply the calls of an outage that
 /// concerns all VMs.
 const RELAYS_PER_CALL: usize = 2;
+/// Peers that are tried for one call when no call has succeeded for `SHORTEST_OUTAGE`.
+const RELAYS_IN_OUTAGE: usize = 1;
 /// Time after a failed direct call in which a peer that works is tried first.
 const DIRECT_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time after a call that failed on all paths in which requests are refused without a call. The
@@ -49,10 +51,14 @@
     /// The paths for a call, in the order in which they are tried.
     pub fn plan(&mut self, peers: &[SocketAddr], now: Instant) -> Vec<StorePath> {
         let mut relays: Vec<StorePath> = Vec::new();
+        let relay_count = match self.is_lasting_outage(now) {
+            true => RELAYS_IN_OUTAGE,
+            false => RELAYS_PER_CALL,
+        };
         let working = self.working_relay.filter(|relay| peers.contains(relay));
         relays.extend(working.map(StorePath::Relay));
         for _ in 0..peers.len() {
-            if relays.len() >= RELAYS_PER_CALL {
+            if relays.len() >= relay_count {
                 break;
             }
             self.next_relay = (self.next_relay + 1) % peers.len();
@@ -99,6 +105,18 @@
         }
     }
 
+    /// Records that a path had not answered a call when a later one did. The call may still be
+    /// performed on it, so this is no failure of the store.
+    pub fn record_overtaken(&mut self, path: StorePath, now: Instant) {
+        match path {
+            StorePath::Direct => self.direct_failed = Some(now),
+            StorePath::Relay(relay) if self.working_relay == Some(relay) => {
+                self.working_relay = None;
+            }
+            StorePath::Relay(_) => {}
+        }
+    }
+
     /// Records that a call failed on every path.
     pub fn record_outage(&mut self, now: Instant) {
         self.last_outage = Some(now);
@@ -117,6 +135,11 @@
         }
     }
 
+    fn is_lasting_outage(&self, now: Instant) -> bool {
+        self.outage_age(now)
+            .is_some_and(|age| age >= SHORTEST_OUTAGE)
+    }
+
     /// How long no call has succeeded, while calls fail.
     pub fn outage_age(&self, now: Instant) -> Option<Duration> {
         let since = self.failing_since?;
--- a/src/process/gateway/watch.rs
+++ b/src/process/gateway/watch.rs
@@ -19,21 +19,24 @@
 const FEED_WAIT: Duration = Duration::from_millis(2_000);
 /// Time for a full read.
 const READ_TIME: Duration = Duration::from_secs(2);
-/// Pause after a failure.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Shortest and longest pause after a failure. Each failure doubles the pause.
+const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
 /// Reports the rows of a table and their changes until the process ends.
 pub async fn watch_table(store: Store, table: &'static str, mut apply: impl FnMut(TableChange)) {
+    let mut pause = RETRY_PAUSES.0;
     loop {
         let deadline = Instant::now() + READ_TIME;
         let version = match store.read_all(table, "", "", deadline).await {
             Ok(page) => {
                 apply(TableChange::Snapshot(page.rows));
+                pause = RETRY_PAUSES.0;
                 page.version
             }
             Err(error) => {
                 log::debug!(table = table; "table could not be read: {error}");
-                store.timer().sleep(RETRY_PAUSE).await;
+                store.timer().sleep(pause).await;
+                pause = (pause * 2).min(RETRY_PAUSES.1);
                 continue;
             }
         };
@@ -48,10 +51,12 @@
     mut version: u64,
     apply: &mut impl FnMut(TableChange),
 ) {
+    let mut pause = RETRY_PAUSES.0;
     loop {
         match store.feed(table, version, FEED_WAIT).await {
             Ok(Some(page)) => {
                 version = version.max(page.version);
+                pause = RETRY_PAUSES.0;
                 if !page.rows.is_empty() {
                     apply(TableChange::Rows(page.rows));
                 }
@@ -62,7 +67,8 @@
             }
             Err(error) => {
                 log::debug!(table = table; "feed call failed: {error}");
-                store.timer().sleep(RETRY_PAUSE).await;
+                store.timer().sleep(pause).await;
+                pause = (pause * 2).min(RETRY_PAUSES.1);
             }
         }
     }
--- a/src/process/gateway/writer.rs
+++ b/src/process/gateway/writer.rs
@@ -21,8 +21,9 @@
 const SINGLE_PARTITION_COMMITS: usize = 4;
 /// Pause between the starts of two commits, which bounds the calls of a gateway under load.
 const COMMIT_PAUSE: Duration = Duration::from_millis(8);
-/// Pause before a commit that failed is made again.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Shortest and longest pause before a commit that failed is made again. Each failure doubles the
+/// pause.
+const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// Time for which a row that nobody waits for is tried.
 const DEFERRED_TIME: Duration = Duration::from_secs(30);
 /// Rows that may wait; beyond that, the oldest row that nobody waits for is dropped.
@@ -174,6 +175,7 @@
 
     /// Writes a group until it is durable, or no row of it is waited for any more.
     async fn commit(&self, mut group: Vec<Pending>) {
+        let mut pause = RETRY_PAUSES.0;
         loop {
             let now = Instant::now();
             group.retain(|row| row.deadline > now && !is_abandoned(row));
@@ -193,7 +195,8 @@
             }
             // Dropping a row tells its requester that it was given up.
             group.retain(|row| !row.is_tried_once);
-            self.store.timer().sleep(RETRY_PAUSE).await;
+            self.store.timer().sleep(pause).await;
+            pause = (pause * 2).min(RETRY_PAUSES.1);
         }
     }
 }
