Let gateways tell each other the loads of servers

Cause: a gateway knows a server's load from the server's answers only. With 87 gateways and 45 servers it hears from each server every 6 s, so programs were placed without any load, and servers with 8 places had queues beside free ones.

Change: each side of an admission tells the other the loads that it knows and that are younger than a second. Requests sent since a report count on top.

--- a/src/process/gateway/budget.rs
+++ b/src/process/gateway/budget.rs
@@ -10,7 +10,8 @@
 use super::account::GrantId;
 use super::directory::Directory;
 use super::ledger::{Admission, Ledger, TurnBudget};
-use super::peers::{AdmitAnswer, AdmitRequest, SettleRequest};
+use super::peers::{AdmitAnswer, AdmitRequest, AdmitVerdict, SettleRequest};
+use super::servers::Servers;
 use super::store::{Result, StoreError};
 use crate::connection::http_client::HttpClient;
 
@@ -22,7 +23,7 @@
 /// Time for which a peer that did not answer is not asked.
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
 /// Longest answer of a peer.
-const ANSWER_LIMIT_BYTES: usize = 4 << 10;
+const ANSWER_LIMIT_BYTES: usize = 1 << 20;
 /// Attempts to report what a turn has spent.
 const SETTLE_ATTEMPTS: u32 = 3;
 
@@ -45,6 +46,7 @@
     ledger: Ledger,
     http: HttpClient,
     directory: Rc<Directory>,
+    servers: Rc<Servers>,
     suspects: RefCell<IndexMap<SocketAddr, Instant>>,
 }
 
@@ -61,11 +63,17 @@
 
 impl Budgets {
     /// Makes an admission that uses the ledger of this gateway and those of its peers.
-    pub fn new(ledger: Ledger, http: HttpClient, directory: Rc<Directory>) -> Self {
+    pub fn new(
+        ledger: Ledger,
+        http: HttpClient,
+        directory: Rc<Directory>,
+        servers: Rc<Servers>,
+    ) -> Self {
         let shared = Shared {
             ledger,
             http,
             directory,
+            servers,
             suspects: RefCell::default(),
         };
         Self {
@@ -120,6 +128,7 @@
         let request = AdmitRequest {
             turn: turn.clone(),
             time_left_ms: left.as_millis() as u64,
+            loads: self.shared.servers.shared_loads(Instant::now()),
         };
         let limit = (PEER_TIME + STORE_TIME).min(left);
         let http = &self.shared.http;
@@ -127,9 +136,13 @@
             .fetch(peer, request.encode(), limit, ANSWER_LIMIT_BYTES)
             .await;
         let answer = answer.ok().and_then(|answer| AdmitAnswer::decode(&answer));
-        match answer {
-            Some(AdmitAnswer::Admission(admission)) => Ok(Some(admission)),
-            Some(AdmitAnswer::StoreUnavailable) => Err(StoreError::Outage),
+        if let Some(answer) = &answer {
+            let servers = &self.shared.servers;
+            servers.merge_loads(&answer.loads, Instant::now());
+        }
+        match answer.map(|answer| answer.verdict) {
+            Some(AdmitVerdict::Admission(admission)) => Ok(Some(admission)),
+            Some(AdmitVerdict::StoreUnavailable) => Err(StoreError::Outage),
             None => {
                 log::info!(peer:% = peer, program_id = turn.program_id;
                     "peer did not admit a turn in time, counting at this gateway");
@@ -171,14 +184,18 @@
 
     /// Answers a peer that asks to admit a turn.
     pub async fn answer(&self, request: AdmitRequest) -> AdmitAnswer {
-        let deadline = Instant::now() + Duration::from_millis(request.time_left_ms);
-        match self.shared.ledger.admit(&request.turn, deadline).await {
-            Ok(admission) => AdmitAnswer::Admission(admission),
+        let now = Instant::now();
+        let deadline = now + Duration::from_millis(request.time_left_ms);
+        self.shared.servers.merge_loads(&request.loads, now);
+        let verdict = match self.shared.ledger.admit(&request.turn, deadline).await {
+            Ok(admission) => AdmitVerdict::Admission(admission),
             Err(error) => {
                 log::debug!(program_id = request.turn.program_id; "turn not admitted: {error}");
-                AdmitAnswer::StoreUnavailable
+                AdmitVerdict::StoreUnavailable
             }
-        }
+        };
+        let loads = self.shared.servers.shared_loads(Instant::now());
+        AdmitAnswer { verdict, loads }
     }
 
     /// Records what a peer reports.
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -1,7 +1,7 @@
 //! The calls between gateways.
 //!
 //! A gateway passes on store calls of another one, and admits turns of the programs that it looks
-//! after.
+//! after. Both sides of an admission tell each other the loads of servers that they know.
 
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 
 use super::account::GrantId;
 use super::ledger::{Admission, TurnBudget};
+use super::servers::SharedLoad;
 use crate::connection::body::Body;
 
 /// Paths that start with it are store calls of another gateway.
@@ -79,11 +80,22 @@
     pub turn: TurnBudget,
     /// Time until the turn must have ended.
     pub time_left_ms: u64,
+    /// The loads of servers as the asking gateway knows them.
+    pub loads: Vec<SharedLoad>,
 }
 
 /// The answer of a peer to [`AdmitRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdmitAnswer {
+    /// What the account of the program says.
+    pub verdict: AdmitVerdict,
+    /// The loads of servers as the peer knows them.
+    pub loads: Vec<SharedLoad>,
+}
+
+/// What the account of a program says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum AdmitAnswer {
+pub enum AdmitVerdict {
     /// The account was asked.
     Admission(Admission),
     /// The account needs the store, which does not answer.
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -93,7 +93,7 @@
     /// The turns of conversations.
     pub history: History,
     /// The backend servers.
-    pub servers: Servers,
+    pub servers: Rc<Servers>,
     /// The other gateways.
     pub directory: Rc<Directory>,
     routes: RefCell<Option<Rc<RouteTable>>>,
@@ -243,13 +243,20 @@
         let store = Store::new(http.clone(), settings.store_address, relays.clone());
         let writer = StoreWriter::start(store.clone());
         let directory = Rc::new(Directory::new(&settings, relays));
+        let servers = Rc::new(Servers::new(settings.failure_domain.clone()));
         let ledger = Ledger::new(store.clone(), writer.clone(), directory.writer_id());
+        let budgets = Budgets::new(
+            ledger.clone(),
+            http.clone(),
+            directory.clone(),
+            servers.clone(),
+        );
         let gateway = Rc::new(Gateway {
             timer: timer.clone(),
-            budgets: Budgets::new(ledger.clone(), http.clone(), directory.clone()),
+            budgets,
             http,
             history: History::new(store.clone(), writer.clone(), settings.row_limit_bytes),
-            servers: Servers::new(settings.failure_domain.clone()),
+            servers,
             directory,
             routes: RefCell::default(),
             metrics,
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -9,6 +9,7 @@
 use sapphireford_platform::answer::ReportedLoad;
 use sapphireford_platform::server::{self, ServerRecord, ServerState};
 use sapphireford_platform::store::Row;
+use serde::{Deserialize, Serialize};
 
 use super::placement::{Candidate, LoadPermille};
 use super::watch::TableChange;
@@ -30,6 +31,8 @@
     record: RefCell<ServerRecord>,
     in_flight: Cell<u32>,
     report: Cell<Option<(ReportedLoad, Instant)>>,
+    /// Requests that this gateway has sent since the report was made.
+    sent_since_report: Cell<u32>,
     breaker: RefCell<Breaker>,
     /// Set while the server's row is missing after an absence of the store: when it counts as gone.
     lapse_ends: Cell<Option<Instant>>,
@@ -42,6 +45,7 @@
             record: RefCell::new(record),
             in_flight: Cell::new(0),
             report: Cell::new(None),
+            sent_since_report: Cell::new(0),
             breaker: RefCell::default(),
             lapse_ends: Cell::new(None),
         }
@@ -60,12 +64,18 @@
     /// Counts a request until the guard is dropped.
     pub fn start_request(self: &Rc<Self>) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
+        self.sent_since_report.set(self.sent_since_report.get() + 1);
         InFlight(self.clone())
     }
 
     /// Records the load that the server reported with an answer.
     pub fn record_load(&self, load: ReportedLoad) {
-        self.report.set(Some((load, Instant::now())));
+        self.set_report(load, Instant::now());
+    }
+
+    fn set_report(&self, load: ReportedLoad, made: Instant) {
+        self.report.set(Some((load, made)));
+        self.sent_since_report.set(0);
     }
 
     /// Records that the server answered as it should.
@@ -89,7 +99,10 @@
         let reported = self.reported_load(now);
         let reported = reported.filter(|(_, age)| *age < REPORT_LIFETIME);
         let requests = match reported {
-            Some((load, _)) => own.max(load.running.saturating_add(load.waiting)),
+            Some((load, _)) => {
+                let reported = load.running.saturating_add(load.waiting);
+                own.max(reported.saturating_add(self.sent_since_report.get()))
+            }
             None => own,
         };
         let slots = self.record.borrow().slots.max(1);
@@ -113,6 +126,21 @@
     }
 }
 
+/// A load that a server reported to some gateway, as gateways pass it on to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SharedLoad {
+    /// The server.
+    pub server_id: String,
+    /// Requests that it was processing.
+    pub running: u32,
+    /// Requests in its queue.
+    pub waiting: u32,
+    /// Requests that it processes at once.
+    pub slots: u32,
+    /// Time since the server made the report, without the way between gateways.
+    pub age_ms: u32,
+}
+
 /// All backend servers.
 #[derive(Default)]
 pub struct Servers {
@@ -218,6 +246,47 @@
         });
     }
 
+    /// The loads that are recent enough to be of use to other gateways.
+    ///
+    /// With many gateways, each one hears too seldom from each server to know its load.
+    pub fn shared_loads(&self, now: Instant) -> Vec<SharedLoad> {
+        let by_id = self.by_id.borrow();
+        let reports = by_id.values().filter_map(|server| {
+            let (load, age) = server.reported_load(now)?;
+            (age < REPORT_LIFETIME).then(|| SharedLoad {
+                server_id: server.id.to_string(),
+                running: load.running,
+                waiting: load.waiting,
+                slots: load.slots,
+                age_ms: age.as_millis() as u32,
+            })
+        });
+        reports.collect()
+    }
+
+    /// Takes over the loads that are newer than the known ones.
+    pub fn merge_loads(&self, loads: &[SharedLoad], now: Instant) {
+        let by_id = self.by_id.borrow();
+        for load in loads {
+            let Some(server) = by_id.get(load.server_id.as_str()) else {
+                continue;
+            };
+            let age = Duration::from_millis(u64::from(load.age_ms));
+            let Some(made) = now.checked_sub(age) else {
+                continue;
+            };
+            let is_newer = server.report.get().is_none_or(|(_, known)| made > known);
+            if is_newer {
+                let reported = ReportedLoad {
+                    running: load.running,
+                    waiting: load.waiting,
+                    slots: load.slots,
+                };
+                server.set_report(reported, made);
+            }
+        }
+    }
+
     /// Whether any server is known.
     pub fn is_empty(&self) -> bool {
         self.by_id.borrow().is_empty()
--- a/tests/gateway_servers.rs
+++ b/tests/gateway_servers.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use sapphireford::process::gateway::servers::Servers;
+use sapphireford::process::gateway::servers::{Servers, SharedLoad};
 use sapphireford::process::gateway::watch::TableChange;
 use sapphireford_platform::store::Row;
 
@@ -110,3 +110,50 @@
     servers.apply(TableChange::Snapshot(rows), None, now);
     assert_eq!(ids(&servers), ["i-1"]);
 }
+
+/// Guards against gateways that choose servers blindly, because each one hears too seldom from each
+/// server.
+#[test]
+fn loads_that_other_gateways_have_seen_count() {
+    let now = Instant::now();
+    let servers = with_two_servers(now);
+    let load = |running, age_ms| SharedLoad {
+        server_id: "i-1".to_string(),
+        running,
+        waiting: 0,
+        slots: 4,
+        age_ms,
+    };
+    let permille = || {
+        let all = servers.of_service("llm");
+        servers.candidate(&all[0], 10, now).load
+    };
+    assert_eq!(permille(), 0);
+    servers.merge_loads(&[load(2, 300)], now);
+    assert_eq!(permille(), 500);
+    servers.merge_loads(&[load(4, 600)], now);
+    assert_eq!(permille(), 500, "an older report replaced a newer one");
+    servers.merge_loads(&[load(3, 100)], now);
+    assert_eq!(permille(), 750);
+    let later = now + Duration::from_secs(2);
+    let all = servers.of_service("llm");
+    assert_eq!(servers.candidate(&all[0], 10, later).load, 0);
+}
+
+/// Guards against a herd on a server between two of its reports.
+#[test]
+fn requests_sent_since_the_report_count() {
+    let now = Instant::now();
+    let servers = with_two_servers(now);
+    let load = SharedLoad {
+        server_id: "i-1".to_string(),
+        running: 2,
+        waiting: 0,
+        slots: 4,
+        age_ms: 0,
+    };
+    servers.merge_loads(&[load], now);
+    let all = servers.of_service("llm");
+    let _running = [all[0].start_request(), all[0].start_request()];
+    assert_eq!(servers.candidate(&all[0], 10, now).load, 1_000);
+}
