Keep chains at the gateway that looks after a program, and turns in one of two partitions

Most turns read their chain from the store although a peer had it in memory.

Change: the gateway that looks after a program gets the chain of each durable turn with the report of what was spent, and sends it with the next admission. A turn is written to its second partition if the first does not take it. Refused callers come back after a second at the least. A caller that does not read cannot hold a stream beyond its deadline, and breaking off a full stream does not wait for it.

--- a/crates/standin/src/row_store.rs
+++ b/crates/standin/src/row_store.rs
@@ -185,7 +185,8 @@
 
 async fn serve(state: Rc<State>, request: Request<Bytes>) -> Response<Body> {
     let path = request.uri().path().to_string();
-    *state.calls.borrow_mut().entry(path.clone()).or_default() += 1;
+    let query = parse_query(request.uri().query().unwrap_or_default());
+    state.count_call(&path, query.get("table"));
     let (mode, delay) = {
         let faults = state.faults.borrow();
         (faults.mode, faults.delay)
@@ -196,7 +197,6 @@
         Mode::Silent => return answer::hang().await,
     }
     state.timer.sleep(delay).await;
-    let query = parse_query(request.uri().query().unwrap_or_default());
     match path.as_str() {
         "/rows-tx" => match answer::decode::<Transaction>(request.body()) {
             Ok(transaction) => {
@@ -241,6 +241,15 @@
         }
     }
 
+    /// Counts a call under its path, and a read under its path and table.
+    fn count_call(&self, path: &str, table: Option<&String>) {
+        let name = match table {
+            Some(table) => format!("{path} {table}"),
+            None => path.to_string(),
+        };
+        *self.calls.borrow_mut().entry(name).or_default() += 1;
+    }
+
     fn stats(&self) -> Value {
         let rows = self.rows.borrow();
         let mut tables: IndexMap<&str, usize> = IndexMap::new();
--- a/src/connection/body.rs
+++ b/src/connection/body.rs
@@ -83,9 +83,13 @@
         self.chunks.close_channel();
     }
 
-    /// Breaks the body off, so that the reader sees an incomplete answer.
-    pub async fn abort(mut self) {
-        let _ = self.chunks.send(Err(Aborted)).await;
+    /// Breaks the body off, so that the reader sees an incomplete answer. It does not wait for the
+    /// reader.
+    pub async fn abort(self) {
+        // A new handle has a place of its own in the channel, also when the channel is full.
+        let mut chunks = self.chunks.clone();
+        // The reader may be gone already.
+        let _ = chunks.try_send(Err(Aborted));
     }
 
     /// Completes when the reader is gone.
--- a/src/process/gateway/budget.rs
+++ b/src/process/gateway/budget.rs
@@ -9,6 +9,7 @@
 
 use super::account::GrantId;
 use super::directory::Directory;
+use super::history::{Chain, ChainCache, TurnId};
 use super::ledger::{Admission, Ledger, TurnBudget};
 use super::peers::{AdmitAnswer, AdmitRequest, AdmitVerdict, SettleRequest};
 use super::servers::Servers;
@@ -47,13 +48,14 @@
     http: HttpClient,
     directory: Rc<Directory>,
     servers: Rc<Servers>,
+    chains: Rc<RefCell<ChainCache>>,
     suspects: RefCell<IndexMap<SocketAddr, Instant>>,
 }
 
 /// How a turn was admitted.
 pub enum Outcome {
-    /// The turn may run.
-    Reserved(Reservation),
+    /// The turn may run. The chain that it continues comes with it if a peer has it.
+    Reserved(Reservation, Option<Chain>),
     /// The budget is spent; the turn must not run.
     Exceeded {
         /// Tokens that count as spent.
@@ -68,12 +70,14 @@
         http: HttpClient,
         directory: Rc<Directory>,
         servers: Rc<Servers>,
+        chains: Rc<RefCell<ChainCache>>,
     ) -> Self {
         let shared = Shared {
             ledger,
             http,
             directory,
             servers,
+            chains,
             suspects: RefCell::default(),
         };
         Self {
@@ -81,28 +85,37 @@
         }
     }
 
-    /// Admits a turn that must end by `deadline`.
-    pub async fn reserve(&self, turn: TurnBudget, deadline: Instant) -> Result<Outcome> {
+    /// Admits a turn that must end by `deadline`, and looks for the chain that it continues.
+    pub async fn reserve(
+        &self,
+        turn: TurnBudget,
+        previous_turn_id: Option<&str>,
+        deadline: Instant,
+    ) -> Result<Outcome> {
         let keeper = self.keeper_of(&turn.program_id);
         let admission = match keeper {
             Keeper::Own => None,
-            Keeper::Peer(peer) => self.ask(peer, &turn, deadline).await?,
+            Keeper::Peer(peer) => self.ask(peer, &turn, previous_turn_id, deadline).await?,
         };
-        let (keeper, admission) = match admission {
-            Some(admission) => (keeper, admission),
+        let (keeper, admission, chain) = match admission {
+            Some((admission, chain)) => (keeper, admission, chain),
             None => {
                 let ledger = &self.shared.ledger;
-                (Keeper::Own, ledger.admit(&turn, deadline).await?)
+                (Keeper::Own, ledger.admit(&turn, deadline).await?, None)
             }
         };
         match admission {
-            Admission::Granted(grant_id) => Ok(Outcome::Reserved(Reservation {
-                budgets: self.clone(),
-                keeper,
-                program_id: turn.program_id,
-                grant_id,
-                spent_tokens: Cell::new(0),
-            })),
+            Admission::Granted(grant_id) => {
+                let reservation = Reservation {
+                    budgets: self.clone(),
+                    keeper,
+                    program_id: turn.program_id,
+                    grant_id,
+                    spent_tokens: Cell::new(0),
+                    kept: RefCell::default(),
+                };
+                Ok(Outcome::Reserved(reservation, chain))
+            }
             Admission::Exceeded { spent_tokens } => Ok(Outcome::Exceeded { spent_tokens }),
         }
     }
@@ -122,13 +135,17 @@
         &self,
         peer: SocketAddr,
         turn: &TurnBudget,
+        previous_turn_id: Option<&str>,
         deadline: Instant,
-    ) -> Result<Option<Admission>> {
+    ) -> Result<Option<(Admission, Option<Chain>)>> {
         let left = deadline.saturating_duration_since(Instant::now());
         let request = AdmitRequest {
             turn: turn.clone(),
             time_left_ms: left.as_millis() as u64,
             loads: self.shared.servers.shared_loads(Instant::now()),
+            previous_turn_id: previous_turn_id
+                .filter(|id| self.shared.chains.borrow().get(id).is_none())
+                .map(str::to_string),
         };
         let limit = (PEER_TIME + STORE_TIME).min(left);
         let http = &self.shared.http;
@@ -140,9 +157,9 @@
             let servers = &self.shared.servers;
             servers.merge_loads(&answer.loads, Instant::now());
         }
-        match answer.map(|answer| answer.verdict) {
-            Some(AdmitVerdict::Admission(admission)) => Ok(Some(admission)),
-            Some(AdmitVerdict::StoreUnavailable) => Err(StoreError::Outage),
+        match answer.map(|answer| (answer.verdict, answer.chain)) {
+            Some((AdmitVerdict::Admission(admission), chain)) => Ok(Some((admission, chain))),
+            Some((AdmitVerdict::StoreUnavailable, _)) => Err(StoreError::Outage),
             None => {
                 log::info!(peer:% = peer, program_id = turn.program_id;
                     "peer did not admit a turn in time, counting at this gateway");
@@ -153,21 +170,14 @@
         }
     }
 
-    fn settle(&self, keeper: Keeper, program_id: String, grant_id: GrantId, spent_tokens: u64) {
+    fn settle(&self, keeper: Keeper, request: SettleRequest) {
         let peer = match keeper {
             Keeper::Own => {
-                self.shared
-                    .ledger
-                    .settle(&program_id, grant_id, spent_tokens);
+                self.record(request);
                 return;
             }
             Keeper::Peer(peer) => peer,
         };
-        let request = SettleRequest {
-            program_id,
-            grant_id,
-            spent_tokens,
-        };
         let http = self.shared.http.clone();
         monoio::spawn(async move {
             for _ in 0..SETTLE_ATTEMPTS {
@@ -194,14 +204,24 @@
                 AdmitVerdict::StoreUnavailable
             }
         };
-        let loads = self.shared.servers.shared_loads(Instant::now());
-        AdmitAnswer { verdict, loads }
+        let chains = self.shared.chains.borrow();
+        let previous = request.previous_turn_id;
+        let chain = previous.and_then(|previous| chains.get(&previous));
+        AdmitAnswer {
+            verdict,
+            loads: self.shared.servers.shared_loads(Instant::now()),
+            chain: chain.map(|chain| (*chain).clone()),
+        }
     }
 
     /// Records what a peer reports.
-    pub fn record(&self, report: &SettleRequest) {
+    pub fn record(&self, report: SettleRequest) {
         let ledger = &self.shared.ledger;
         ledger.settle(&report.program_id, report.grant_id, report.spent_tokens);
+        if let Some((turn_id, chain)) = report.kept {
+            let mut chains = self.shared.chains.borrow_mut();
+            chains.insert(turn_id, Rc::new(chain));
+        }
     }
 }
 
@@ -212,6 +232,8 @@
     program_id: String,
     grant_id: GrantId,
     spent_tokens: Cell<u64>,
+    /// The turn once it is durable.
+    kept: RefCell<Option<(TurnId, Rc<Chain>)>>,
 }
 
 impl Reservation {
@@ -220,17 +242,24 @@
         self.spent_tokens.set(self.spent_tokens.get() + tokens);
     }
 
-    /// Where the tokens are counted.
-    pub fn keeper(&self) -> Keeper {
-        self.keeper
+    /// Records that the turn is durable, so that the gateway that looks after the program has its
+    /// chain for the next turn.
+    pub fn keep(&self, turn_id: TurnId, chain: Rc<Chain>) {
+        self.kept.replace(Some((turn_id, chain)));
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let program_id = std::mem::take(&mut self.program_id);
-        let spent_tokens = self.spent_tokens.get();
-        self.budgets
-            .settle(self.keeper, program_id, self.grant_id, spent_tokens);
+        let is_own = self.keeper == Keeper::Own;
+        // The chain is in the memory of this gateway already.
+        let kept = self.kept.take().filter(|_| !is_own);
+        let report = SettleRequest {
+            program_id: std::mem::take(&mut self.program_id),
+            grant_id: self.grant_id,
+            spent_tokens: self.spent_tokens.get(),
+            kept: kept.map(|(turn_id, chain)| (turn_id, (*chain).clone())),
+        };
+        self.budgets.settle(self.keeper, report);
     }
 }
--- a/src/process/gateway/history.rs
+++ b/src/process/gateway/history.rs
@@ -6,7 +6,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use indexmap::IndexMap;
@@ -17,9 +17,12 @@
 use super::writer::StoreWriter;
 
 const TABLE: &str = "conversation-turns";
-/// The key of the only row in the partition of a turn. Each turn has a partition of its own, because
+/// The key of the only row in a partition of a turn. Each turn has partitions of its own, because
 /// the transactions of one partition wait for each other.
 const KEY: &str = "turn";
+/// Partitions that a turn may lie in. The store may be down in part: a turn that cannot be written
+/// to its first partition is written to the other one.
+const PLACES: [&str; 2] = ["", "~2"];
 /// Part of a row that is left for the other fields.
 const ROW_MARGIN_BYTES: usize = 512;
 /// Rows that one chain may have; a longer chain is a fault of the stored data.
@@ -38,7 +41,7 @@
 }
 
 /// The chain of a turn, as the next turn continues it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Chain {
     /// The whole text of the chain.
     pub text: Vec<u8>,
@@ -106,16 +109,18 @@
 /// it needs no read.
 #[derive(Default)]
 pub struct ChainCache {
-    /// In the order of their use.
+    /// In the order in which they were added.
     chains: IndexMap<TurnId, Rc<Chain>>,
     bytes: usize,
 }
 
+/// Shortest and longest pause before a turn is written again to all its places.
+const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// Text that a cache holds.
 const CACHE_BYTES: usize = 4 << 20;
 
 impl ChainCache {
-    /// Adds the chain of a turn, in place of those that were not used for the longest time.
+    /// Adds the chain of a turn, in place of the oldest ones.
     pub fn insert(&mut self, turn_id: TurnId, chain: Rc<Chain>) {
         self.bytes += chain.text.len();
         if let Some(previous) = self.chains.insert(turn_id, chain) {
@@ -162,7 +167,7 @@
         let mut rows: Vec<StoredTurn> = Vec::new();
         let mut next = Some(turn_id.to_string());
         while let Some(id) = next {
-            let value = self.store.read_one(&row_key(&id), deadline).await?;
+            let value = self.read(&id, deadline).await?;
             let Some(value) = value else {
                 if rows.is_empty() {
                     return Ok(Lookup::NotFound);
@@ -186,7 +191,21 @@
         Ok(Lookup::Found(Rc::new(chain)))
     }
 
-    /// Makes a turn durable.
+    /// Reads the row of a turn; `None` if it certainly is in none of its places.
+    async fn read(&self, turn_id: &str, deadline: Instant) -> Result<Option<Bytes>> {
+        let mut failure = None;
+        for place in PLACES {
+            let row = row_key(turn_id, place);
+            match self.store.read_one(&row, deadline).await {
+                Ok(Some(value)) => return Ok(Some(value)),
+                Ok(None) => {}
+                Err(error) => failure = Some(error),
+            }
+        }
+        failure.map_or(Ok(None), Err)
+    }
+
+    /// Makes a turn durable; returns its chain.
     pub async fn save(
         &self,
         turn_id: &str,
@@ -194,27 +213,52 @@
         input: &[u8],
         output: &[u8],
         deadline: Instant,
-    ) -> Result<()> {
+    ) -> Result<Rc<Chain>> {
         let limit_bytes = self.row_limit_bytes - ROW_MARGIN_BYTES;
         let turn = chain.extended(input, output, limit_bytes);
         let value = postcard::to_stdvec(&turn)
             .map_err(|error| StoreError::Unreachable(error.to_string()))?;
-        let write = RowWrite {
-            row: row_key(turn_id),
-            value: Some(Bytes::from(value)),
-        };
-        self.writer.write(write, deadline).await?;
+        self.write(turn_id, value.into(), deadline).await?;
         let chain = chain.continued(turn_id.to_string(), &turn, input, output);
+        let chain = Rc::new(chain);
         let mut cache = self.cache.borrow_mut();
-        cache.insert(turn_id.to_string(), Rc::new(chain));
-        Ok(())
+        cache.insert(turn_id.to_string(), chain.clone());
+        Ok(chain)
+    }
+
+    /// Writes the row of a turn to one place after the other until one of them takes it.
+    async fn write(&self, turn_id: &str, value: Bytes, deadline: Instant) -> Result<()> {
+        let mut pause = RETRY_PAUSES.0;
+        loop {
+            let mut failure = StoreError::Outage;
+            for place in PLACES {
+                let write = RowWrite {
+                    row: row_key(turn_id, place),
+                    value: Some(value.clone()),
+                };
+                match self.writer.write_once(write, deadline).await {
+                    Ok(()) => return Ok(()),
+                    Err(error) => failure = error,
+                }
+            }
+            if Instant::now() + pause >= deadline {
+                return Err(failure);
+            }
+            self.store.timer().sleep(pause).await;
+            pause = (pause * 2).min(RETRY_PAUSES.1);
+        }
+    }
+
+    /// The chains in memory, shared with the admission of turns.
+    pub fn cache(&self) -> Rc<RefCell<ChainCache>> {
+        self.cache.clone()
     }
 }
 
-fn row_key(turn_id: &str) -> RowKey {
+fn row_key(turn_id: &str, place: &str) -> RowKey {
     RowKey {
         table: TABLE,
-        partition: turn_id.to_string(),
+        partition: format!("{turn_id}{place}"),
         key: KEY.to_string(),
     }
 }
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -1,7 +1,8 @@
 //! The calls between gateways.
 //!
 //! A gateway passes on store calls of another one, and admits turns of the programs that it looks
-//! after. Both sides of an admission tell each other the loads of servers that they know.
+//! after. Both sides of an admission tell each other the loads of servers that they know,
+//! and the gateway that looks after a program keeps the chains of its last turns in memory.
 
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::account::GrantId;
+use super::history::{Chain, TurnId};
 use super::ledger::{Admission, TurnBudget};
 use super::servers::SharedLoad;
 use crate::connection::body::Body;
@@ -82,6 +84,8 @@
     pub time_left_ms: u64,
     /// The loads of servers as the asking gateway knows them.
     pub loads: Vec<SharedLoad>,
+    /// The turn that this one continues, if the asking gateway does not have its chain.
+    pub previous_turn_id: Option<TurnId>,
 }
 
 /// The answer of a peer to [`AdmitRequest`].
@@ -91,6 +95,8 @@
     pub verdict: AdmitVerdict,
     /// The loads of servers as the peer knows them.
     pub loads: Vec<SharedLoad>,
+    /// The chain of the turn that the admitted one continues, if the peer has it.
+    pub chain: Option<Chain>,
 }
 
 /// What the account of a program says.
@@ -111,6 +117,8 @@
     pub grant_id: GrantId,
     /// Tokens that were handed to the caller.
     pub spent_tokens: u64,
+    /// The turn, if it is durable, with its chain for the turns that follow.
+    pub kept: Option<(TurnId, Chain)>,
 }
 
 const ADMIT_PATH: &str = "/programs/admit";
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -200,7 +200,7 @@
             Some(PeerCall::Relay(call)) => peers::relay_answer(gateway.store.relay(*call).await),
             Some(PeerCall::Admit(request)) => gateway.budgets.answer(request).await.encode(),
             Some(PeerCall::Settle(report)) => {
-                gateway.budgets.record(&report);
+                gateway.budgets.record(report);
                 status(StatusCode::OK)
             }
             None => status(StatusCode::NOT_FOUND),
@@ -245,17 +245,19 @@
         let directory = Rc::new(Directory::new(&settings, relays));
         let servers = Rc::new(Servers::new(settings.failure_domain.clone()));
         let ledger = Ledger::new(store.clone(), writer.clone(), directory.writer_id());
+        let history = History::new(store.clone(), writer.clone(), settings.row_limit_bytes);
         let budgets = Budgets::new(
             ledger.clone(),
             http.clone(),
             directory.clone(),
             servers.clone(),
+            history.cache(),
         );
         let gateway = Rc::new(Gateway {
             timer: timer.clone(),
             budgets,
             http,
-            history: History::new(store.clone(), writer.clone(), settings.row_limit_bytes),
+            history,
             servers,
             directory,
             routes: RefCell::default(),
--- a/src/request/gateway/refusal.rs
+++ b/src/request/gateway/refusal.rs
@@ -13,7 +13,7 @@
 
 /// Shortest and longest time after which callers come back during an outage of the store. A longer
 /// one would keep callers away after the store has returned.
-const OUTAGE_DELAYS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(2));
+const OUTAGE_DELAYS: (Duration, Duration) = (Duration::from_millis(1_000), Duration::from_secs(2));
 
 /// Time after which a caller may come back, before it is spread.
 ///
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -5,6 +5,7 @@
 
 use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
+use sapphireford_platform::operator::RouteKind;
 
 use super::forward::{Forward, Forwarded, Upstream};
 use super::retry::{Failure, Next};
@@ -126,16 +127,19 @@
             self.output.push(b'\n');
         }
         self.forward.record.add_event();
-        match self.sender.send(event.raw).await {
-            Ok(()) => None,
-            Err(_) => Some(PartEnd::CallerLeft),
+        // A caller that does not read must not hold the request beyond its deadline.
+        let timer = &self.forward.gateway.timer;
+        let sent = timer.timeout_at(self.forward.deadline, self.sender.send(event.raw));
+        match sent.await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(PartEnd::CallerLeft),
+            Err(_) => Some(PartEnd::DeadlineReached),
         }
     }
 
     fn may_resume(&self) -> bool {
         let route = &self.forward.route;
-        let is_resumable =
-            route.kind == sapphireford_platform::operator::RouteKind::ResumableStream;
+        let is_resumable = route.kind == RouteKind::ResumableStream;
         is_resumable && self.forward.attempts.sent + 1 < route.max_attempts
     }
 
@@ -181,16 +185,23 @@
                 &self.output,
                 deadline,
             );
-            if let Err(error) = saved.await {
-                return self
-                    .break_off(&format!("the turn is not durable: {error}"))
-                    .await;
+            match saved.await {
+                Ok(chain) => {
+                    if let Some(reservation) = &self.reservation {
+                        reservation.keep(turn.turn_id, chain);
+                    }
+                }
+                Err(error) => {
+                    let reason = format!("the turn is not durable: {error}");
+                    return self.break_off(&reason).await;
+                }
             }
         }
         self.sender.end();
         self.forward.record.finish(200, "ok");
     }
 
+    /// Breaks the answer off, so that it does not look complete.
     async fn break_off(self, reason: &str) {
         self.forward
             .record
--- a/src/request/gateway/turn.rs
+++ b/src/request/gateway/turn.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use futures_util::future::try_join;
 use sapphireford_platform::headers::CallHeaders;
 use sapphireford_platform::operator::RouteRecord;
 
@@ -40,7 +39,8 @@
     Error::new(ErrorKind::PlatformUnavailable, message).with_cause(error)
 }
 
-/// Reserves the tokens of a turn and reads its history.
+/// Reserves the tokens of a turn and reads its history. The gateway that looks after the program
+/// often has the history in memory, so the store is read only if it does not.
 pub async fn prepare(
     gateway: &Gateway,
     route: &RouteRecord,
@@ -52,8 +52,13 @@
     if route.keeps_history && !gateway.store.is_available() {
         return Err(store_failure(StoreError::Outage));
     }
-    let reserved = reserve(gateway, budget, deadline);
-    let (reservation, chain) = try_join(reserved, load(gateway, route, headers, deadline)).await?;
+    let previous = headers.previous_turn_id.as_deref();
+    let previous = previous.filter(|_| route.keeps_history);
+    let (reservation, known_chain) = reserve(gateway, budget, previous, deadline).await?;
+    let chain = match known_chain {
+        Some(chain) => Some(Rc::new(chain)),
+        None => load(gateway, route, headers, deadline).await?,
+    };
     let body = match &chain {
         Some(chain) if !chain.text.is_empty() => {
             Bytes::from([chain.text.as_slice(), &input].concat())
@@ -87,14 +92,16 @@
 async fn reserve(
     gateway: &Gateway,
     budget: Option<TurnBudget>,
+    previous_turn_id: Option<&str>,
     deadline: Instant,
-) -> Result<Option<Reservation>> {
+) -> Result<(Option<Reservation>, Option<Chain>)> {
     let Some(budget) = budget else {
-        return Ok(None);
+        return Ok((None, None));
     };
     let budget_tokens = budget.budget_tokens;
-    match gateway.budgets.reserve(budget, deadline).await {
-        Ok(Outcome::Reserved(reservation)) => Ok(Some(reservation)),
+    let budgets = &gateway.budgets;
+    match budgets.reserve(budget, previous_turn_id, deadline).await {
+        Ok(Outcome::Reserved(reservation, chain)) => Ok((Some(reservation), chain)),
         Ok(Outcome::Exceeded { spent_tokens }) => {
             let message =
                 format!("the program has used {spent_tokens} of its {budget_tokens} tokens");
--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -78,3 +78,33 @@
     servers[5].load = 0;
     assert_eq!(by_load(1, &servers), Some(5));
 }
+
+/// Guards against prompts that cross failure domains without need, and against a queue in the own
+/// domain while the others have places.
+#[test]
+fn programs_stay_in_a_large_failure_domain_until_its_servers_are_loaded() {
+    for program in 0..100 {
+        let mut servers = candidates(|_| 200);
+        for candidate in servers.iter_mut().take(8) {
+            candidate.is_near = true;
+        }
+        let near = by_affinity(program, &servers).expect("a server");
+        assert!(near < 8);
+        for candidate in servers.iter_mut().take(8) {
+            candidate.load = 1_200;
+        }
+        assert_eq!(by_affinity(program, &servers), Some(8));
+    }
+}
+
+/// Guards against few servers that carry a whole failure domain: bursts of programs queue there, and
+/// programs that leave compute their prefixes again.
+#[test]
+fn programs_share_the_servers_of_all_domains_where_each_has_few() {
+    let mut servers = candidates(|_| 200);
+    for candidate in servers.iter_mut().take(3) {
+        candidate.is_near = true;
+    }
+    let far = (0..100).filter(|program| by_affinity(*program, &servers) >= Some(3));
+    assert!(far.count() > 40);
+}
--- a/tests/gateway_state.rs
+++ b/tests/gateway_state.rs
@@ -64,6 +64,42 @@
     assert_eq!(runs_of(&site.engines, &id).len(), 0);
 }
 
+/// Guards against a conversation that stops because the store is away between two of its turns: the
+/// gateway that looks after the program has its chain.
+#[test]
+fn a_chain_is_read_from_a_peer_while_the_store_cannot_be_read() {
+    let site = GatewaySite::start(2);
+    let mut previous: Option<String> = None;
+    let mut body = String::new();
+    for round in 0..6 {
+        let id = new_id();
+        let input = format!("in {round} ");
+        let turn = Turn {
+            path: "/chat/a",
+            id: &id,
+            previous: previous.as_deref(),
+            input: &input,
+            ..Turn::default()
+        };
+        body.push_str(&input);
+        let reads = || {
+            site.store.stats()["calls"]["/rows-get"]
+                .as_u64()
+                .unwrap_or(0)
+        };
+        let before = reads();
+        let data = turn.run(&site.gateways[round % 2]);
+        // The reads of the heartbeats go on meanwhile.
+        assert!(reads() - before <= 3, "the chain was read from the store");
+        body = chained(&body, &data, "");
+        previous = Some(id);
+        // The report to the gateway that looks after the program follows the end of the stream.
+        thread::sleep(Duration::from_millis(20));
+    }
+    let reads = site.store.stats()["calls"]["/rows-get conversation-turns"].clone();
+    assert_eq!(reads, json!(null), "a chain was read from the store");
+}
+
 /// Guards against spending beyond the budget, also through another gateway after a kill.
 #[test]
 fn a_program_is_stopped_at_its_budget() {
