--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -75,8 +75,6 @@
     expires: Option<Instant>,
 }
 
-/// Idle connections kept for one address.
-const IDLE_CONNECTIONS_PER_ADDRESS: usize = 64;
 /// A connection is not used again this long before the server may close it, because the request and
 /// the close could cross.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
@@ -89,6 +87,8 @@
     /// Time without traffic after which a connection is probed, and time between two probes. A
     /// connection that does not answer `KEEPALIVE_PROBES` of them is closed. `None` sends no probes.
     pub keepalive: Option<Duration>,
+    /// Idle connections kept for one address.
+    pub idle_per_address: usize,
 }
 
 /// Unanswered probes after which a connection is closed.
@@ -99,6 +99,7 @@
         Self {
             connect_time: Duration::from_secs(2),
             keepalive: None,
+            idle_per_address: 64,
         }
     }
 }
@@ -272,13 +273,14 @@
         idle_time: Option<Duration>,
     ) {
         let pool = self.pool.clone();
+        let idle_limit = self.limits.idle_per_address;
         monoio::spawn(async move {
             if sender.ready().await.is_err() {
                 return;
             }
             let mut pool = pool.borrow_mut();
             let idle = pool.entry(address).or_default();
-            if idle.len() < IDLE_CONNECTIONS_PER_ADDRESS {
+            if idle.len() < idle_limit {
                 let usable = idle_time.map(|time| time.saturating_sub(IDLE_MARGIN));
                 let expires = usable.map(|time| Instant::now() + time);
                 idle.push(IdleConnection { sender, expires });
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -63,6 +63,9 @@
 const CLIENT_LIMITS: ClientLimits = ClientLimits {
     connect_time: Duration::from_millis(400),
     keepalive: Some(Duration::from_secs(1)),
+    // All gateways share the connections that a server accepts. Those of a gateway that loses power
+    // count at the server until it notices.
+    idle_per_address: 4,
 };
 /// Idle connections of callers stay open for longer than operators let callers keep them.
 const CALLER_IDLE_TIME: Duration = Duration::from_secs(90);
