--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -56,11 +56,6 @@
         self.record.borrow().address
     }
 
-    /// Requests of this gateway that the server is processing.
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight.get()
-    }
-
     /// Counts a request until the guard is dropped.
     pub fn start_request(self: &Rc<Self>) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
@@ -287,11 +282,6 @@
         }
     }
 
-    /// Whether any server is known.
-    pub fn is_empty(&self) -> bool {
-        self.by_id.borrow().is_empty()
-    }
-
     /// The servers of a service.
     pub fn of_service(&self, service: &str) -> Vec<Rc<Server>> {
         let by_id = self.by_id.borrow();
