Remember the backend server that completed a program's last turn

Cause: a program that left its first server under load went back to it as soon as the load there fell, and computed the newer part of its prefix again, then left again. The ranking alone does not know where the prefix is.

Change: the gateway that looks after a program keeps the server that completed its last turn. It learns it with the report of the spending, and tells it with the admission of the next turn. Placement puts that server first; the ranking stays for first turns and after a change of the looking-after gateway.

--- a/src/process/gateway/budget.rs
+++ b/src/process/gateway/budget.rs
@@ -15,6 +15,7 @@
 use super::servers::Servers;
 use super::store::{Result, StoreError};
 use crate::connection::http_client::HttpClient;
+use crate::ids::BackendServerId;
 
 /// Longest time for the answer of a peer that does not need the store. A peer that takes longer is
 /// not asked for `SUSPECT_TIME`.
@@ -54,8 +55,8 @@
 
 /// How a turn was admitted.
 pub enum Outcome {
-    /// The turn may run. The chain that it continues comes with it if a peer has it.
-    Reserved(Reservation, Option<Chain>),
+    /// The turn may run.
+    Reserved(Box<Admitted>),
     /// The budget is spent; the turn must not run.
     Exceeded {
         /// Tokens that count as spent.
@@ -63,6 +64,23 @@
     },
 }
 
+/// A turn that may run, with what the gateway that looks after its program knows.
+pub struct Admitted {
+    /// Holds the tokens of the turn.
+    pub reservation: Reservation,
+    /// The chain that the turn continues, if a peer has it.
+    pub chain: Option<Chain>,
+    /// The server that completed the last turn of the program.
+    pub prefix_holder: Option<BackendServerId>,
+}
+
+/// The answer of the gateway that looks after a program.
+struct Answer {
+    admission: Admission,
+    chain: Option<Chain>,
+    prefix_holder: Option<BackendServerId>,
+}
+
 impl Budgets {
     /// Makes an admission that uses the ledger of this gateway and those of its peers.
     pub fn new(
@@ -93,18 +111,23 @@
         deadline: Instant,
     ) -> Result<Outcome> {
         let keeper = self.keeper_of(&turn.program_id);
-        let admission = match keeper {
+        let answer = match keeper {
             Keeper::Own => None,
             Keeper::Peer(peer) => self.ask(peer, &turn, previous_turn_id, deadline).await?,
         };
-        let (keeper, admission, chain) = match admission {
-            Some((admission, chain)) => (keeper, admission, chain),
+        let (keeper, answer) = match answer {
+            Some(answer) => (keeper, answer),
             None => {
                 let ledger = &self.shared.ledger;
-                (Keeper::Own, ledger.admit(&turn, deadline).await?, None)
+                let answer = Answer {
+                    admission: ledger.admit(&turn, deadline).await?,
+                    chain: None,
+                    prefix_holder: ledger.prefix_holder(&turn.program_id),
+                };
+                (Keeper::Own, answer)
             }
         };
-        match admission {
+        match answer.admission {
             Admission::Granted(grant_id) => {
                 let reservation = Reservation {
                     budgets: self.clone(),
@@ -112,9 +135,14 @@
                     program_id: turn.program_id,
                     grant_id,
                     spent_tokens: Cell::new(0),
+                    completed_by: RefCell::default(),
                     kept: RefCell::default(),
                 };
-                Ok(Outcome::Reserved(reservation, chain))
+                Ok(Outcome::Reserved(Box::new(Admitted {
+                    reservation,
+                    chain: answer.chain,
+                    prefix_holder: answer.prefix_holder,
+                })))
             }
             Admission::Exceeded { spent_tokens } => Ok(Outcome::Exceeded { spent_tokens }),
         }
@@ -137,7 +165,7 @@
         turn: &TurnBudget,
         previous_turn_id: Option<&str>,
         deadline: Instant,
-    ) -> Result<Option<(Admission, Option<Chain>)>> {
+    ) -> Result<Option<Answer>> {
         let left = deadline.saturating_duration_since(Instant::now());
         let request = AdmitRequest {
             turn: turn.clone(),
@@ -157,9 +185,15 @@
             let servers = &self.shared.servers;
             servers.merge_loads(&answer.loads, Instant::now());
         }
-        match answer.map(|answer| (answer.verdict, answer.chain)) {
-            Some((AdmitVerdict::Admission(admission), chain)) => Ok(Some((admission, chain))),
-            Some((AdmitVerdict::StoreUnavailable, _)) => Err(StoreError::Outage),
+        match answer {
+            Some(answer) => match answer.verdict {
+                AdmitVerdict::Admission(admission) => Ok(Some(Answer {
+                    admission,
+                    chain: answer.chain,
+                    prefix_holder: answer.prefix_holder.map(BackendServerId::from),
+                })),
+                AdmitVerdict::StoreUnavailable => Err(StoreError::Outage),
+            },
             None => {
                 log::info!(peer:% = peer, program_id = turn.program_id;
                     "peer did not admit a turn in time, counting at this gateway");
@@ -207,17 +241,25 @@
         let chains = self.shared.chains.borrow();
         let previous = request.previous_turn_id;
         let chain = previous.and_then(|previous| chains.get(&previous));
+        let prefix_holder = self.shared.ledger.prefix_holder(&request.turn.program_id);
         AdmitAnswer {
             verdict,
             loads: self.shared.servers.shared_loads(Instant::now()),
             chain: chain.map(|chain| (*chain).clone()),
+            prefix_holder: prefix_holder.map(|id| id.to_string()),
         }
     }
 
     /// Records what a peer reports.
     pub fn record(&self, report: SettleRequest) {
         let ledger = &self.shared.ledger;
-        ledger.settle(&report.program_id, report.grant_id, report.spent_tokens);
+        let completed_by = report.completed_by.map(BackendServerId::from);
+        ledger.settle(
+            &report.program_id,
+            report.grant_id,
+            report.spent_tokens,
+            completed_by,
+        );
         if let Some((turn_id, chain)) = report.kept {
             let mut chains = self.shared.chains.borrow_mut();
             chains.insert(turn_id, Rc::new(chain));
@@ -232,6 +274,8 @@
     program_id: String,
     grant_id: GrantId,
     spent_tokens: Cell<u64>,
+    /// The server, once the turn is complete.
+    completed_by: RefCell<Option<BackendServerId>>,
     /// The turn once it is durable.
     kept: RefCell<Option<(TurnId, Rc<Chain>)>>,
 }
@@ -242,6 +286,11 @@
         self.spent_tokens.set(self.spent_tokens.get() + tokens);
     }
 
+    /// Records the server that has completed the turn, so that the next one may go there.
+    pub fn complete(&self, server_id: BackendServerId) {
+        self.completed_by.replace(Some(server_id));
+    }
+
     /// Records that the turn is durable, so that the gateway that looks after the program has its
     /// chain for the next turn.
     pub fn keep(&self, turn_id: TurnId, chain: Rc<Chain>) {
@@ -258,6 +307,7 @@
             program_id: std::mem::take(&mut self.program_id),
             grant_id: self.grant_id,
             spent_tokens: self.spent_tokens.get(),
+            completed_by: self.completed_by.take().map(|id| id.to_string()),
             kept: kept.map(|(turn_id, chain)| (turn_id, (*chain).clone())),
         };
         self.budgets.settle(self.keeper, report);
--- a/src/process/gateway/ledger.rs
+++ b/src/process/gateway/ledger.rs
@@ -17,6 +17,7 @@
 use super::account::{Account, GrantId, Verdict};
 use super::store::{Result, Store, StoreError};
 use super::writer::StoreWriter;
+use crate::ids::BackendServerId;
 use crate::process::notify::Notify;
 
 const TABLE: &str = "program-spending";
@@ -54,6 +55,8 @@
     account: RefCell<Account>,
     /// The rows of this account, with their tokens.
     rows: RefCell<Vec<(RowKey, u64)>>,
+    /// The server that completed the last turn, which has the prefix of the next one in its cache.
+    prefix_holder: RefCell<Option<BackendServerId>>,
     /// Whether an extension is in progress.
     is_extending: Cell<bool>,
     changed: Notify,
@@ -125,10 +128,25 @@
         }
     }
 
-    /// Records what an admitted turn has spent.
-    pub fn settle(&self, program_id: &str, grant_id: GrantId, spent_tokens: u64) {
+    /// The server that completed the last turn of a program, if that was a short time ago.
+    pub fn prefix_holder(&self, program_id: &str) -> Option<BackendServerId> {
+        let holdings = self.book.holdings.borrow();
+        holdings.get(program_id)?.prefix_holder.borrow().clone()
+    }
+
+    /// Records what an admitted turn has spent, and the server that completed it.
+    pub fn settle(
+        &self,
+        program_id: &str,
+        grant_id: GrantId,
+        spent_tokens: u64,
+        completed_by: Option<BackendServerId>,
+    ) {
         let holding = self.book.holdings.borrow().get(program_id).cloned();
         if let Some(holding) = holding {
+            if completed_by.is_some() {
+                holding.prefix_holder.replace(completed_by);
+            }
             let now = Instant::now();
             holding
                 .account
@@ -170,6 +188,7 @@
             Rc::new(Holding {
                 account: RefCell::new(Account::new(turn.budget_tokens, Instant::now())),
                 rows: RefCell::default(),
+                prefix_holder: RefCell::default(),
                 is_extending: Cell::new(false),
                 changed: Notify::default(),
             })
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -97,6 +97,8 @@
     pub loads: Vec<SharedLoad>,
     /// The chain of the turn that the admitted one continues, if the peer has it.
     pub chain: Option<Chain>,
+    /// The server that completed the last turn of the program, if the peer knows it.
+    pub prefix_holder: Option<String>,
 }
 
 /// What the account of a program says.
@@ -117,6 +119,8 @@
     pub grant_id: GrantId,
     /// Tokens that were handed to the caller.
     pub spent_tokens: u64,
+    /// The server that completed the turn.
+    pub completed_by: Option<String>,
     /// The turn, if it is durable, with its chain for the turns that follow.
     pub kept: Option<(TurnId, Chain)>,
 }
--- a/src/process/gateway/placement.rs
+++ b/src/process/gateway/placement.rs
@@ -1,8 +1,8 @@
 //! The choice of a backend server for a request.
 //!
-//! Gateways choose without asking each other. Model calls of one program go to the same server, which
-//! has their prefix in its cache: all gateways rank the servers for a program in the same order. A
-//! server is passed over for one further down in that order only if that one is less loaded by
+//! Model calls of one program go to the same server, which has their prefix in its cache. The gateway
+//! that looks after the program remembers the server; where nobody does, all gateways rank the
+//! servers for a program in the same order. A server is passed over for one further down in that order only if that one is less loaded by
 //! [`SPILL_LOAD_PERMILLE`] for each place between them. So a burst of programs on one server does not
 //! queue while others are free, and under general overload programs stay where their prefixes are.
 //! The order is the same in all failure domains, because the callers of a program may move.
@@ -35,12 +35,19 @@
     rendezvous_weight(key, candidate.server_id)
 }
 
-/// The server for a request whose prefix is likely cached where earlier requests with the same key
-/// went.
-pub fn by_affinity(key: u64, candidates: &[Candidate<'_>]) -> Option<usize> {
+/// The server for a request with a cached prefix: `prefix_holder` if it is known, otherwise the one
+/// where earlier requests with the same key went.
+pub fn by_prefix(
+    key: u64,
+    prefix_holder: Option<&str>,
+    candidates: &[Candidate<'_>],
+) -> Option<usize> {
     let all = candidates.iter().enumerate();
     let mut ranked: Vec<_> = all.filter(|(_, candidate)| candidate.is_allowed).collect();
-    ranked.sort_by_key(|(_, candidate)| Reverse(rank(key, candidate)));
+    ranked.sort_by_cached_key(|(_, candidate)| {
+        let is_holder = prefix_holder == Some(candidate.server_id);
+        Reverse((is_holder, rank(key, candidate)))
+    });
     let costs = ranked
         .iter()
         .enumerate()
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -55,6 +55,7 @@
             PreparedTurn {
                 body: input,
                 reservation: None,
+                prefix_holder: None,
                 record: None,
             }
         };
@@ -69,6 +70,7 @@
             uri: head.uri,
             body: prepared.body,
             deadline,
+            prefix_holder: prepared.prefix_holder,
             record: record.clone(),
             attempts: Attempts::default(),
             tried: Vec::new(),
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -17,6 +17,7 @@
 use super::retry::{self, Attempts, Failure, Next};
 use crate::connection::http_client::{ClientError, read_all};
 use crate::error::{Error, ErrorKind, Result};
+use crate::ids::BackendServerId;
 use crate::process::gateway::placement;
 use crate::process::gateway::running::Gateway;
 use crate::process::gateway::servers::{InFlight, Server};
@@ -46,6 +47,8 @@
     pub body: Bytes,
     /// When the request must have its final answer.
     pub deadline: Instant,
+    /// The server that has the start of the prompt in its cache, if it is known.
+    pub prefix_holder: Option<BackendServerId>,
     /// The log of the request.
     pub record: Rc<RequestRecord>,
     /// The attempts so far.
@@ -148,7 +151,11 @@
             .collect();
         let is_engine = service.is_some_and(|service| service.engine.is_some());
         let chosen = if is_engine {
-            placement::by_affinity(self.affinity_key(), &candidates)
+            placement::by_prefix(
+                self.affinity_key(),
+                self.prefix_holder.as_deref(),
+                &candidates,
+            )
         } else {
             placement::by_load(rand::rng().random(), &candidates)
         }?;
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -197,6 +197,9 @@
                 }
             }
         }
+        if let Some(reservation) = &self.reservation {
+            reservation.complete(self.upstream.server.id.clone());
+        }
         self.sender.end();
         self.forward.record.finish(200, "ok");
     }
--- a/src/request/gateway/turn.rs
+++ b/src/request/gateway/turn.rs
@@ -8,7 +8,8 @@
 use sapphireford_platform::operator::RouteRecord;
 
 use crate::error::{Error, ErrorKind, Result};
-use crate::process::gateway::budget::{Outcome, Reservation};
+use crate::ids::BackendServerId;
+use crate::process::gateway::budget::{Admitted, Outcome, Reservation};
 use crate::process::gateway::history::{Chain, Lookup};
 use crate::process::gateway::ledger::TurnBudget;
 use crate::process::gateway::running::Gateway;
@@ -20,6 +21,8 @@
     pub body: Bytes,
     /// Holds the tokens of the turn; absent if the program has no budget.
     pub reservation: Option<Reservation>,
+    /// The server that has the start of the prompt in its cache, if it is known.
+    pub prefix_holder: Option<BackendServerId>,
     /// Set if the turn must be kept once it is complete.
     pub record: Option<TurnToKeep>,
 }
@@ -54,7 +57,15 @@
     }
     let previous = headers.previous_turn_id.as_deref();
     let previous = previous.filter(|_| route.keeps_history);
-    let (reservation, known_chain) = reserve(gateway, budget, previous, deadline).await?;
+    let admitted = reserve(gateway, budget, previous, deadline).await?;
+    let (reservation, known_chain, prefix_holder) = match admitted {
+        Some(admitted) => (
+            Some(admitted.reservation),
+            admitted.chain,
+            admitted.prefix_holder,
+        ),
+        None => (None, None, None),
+    };
     let chain = match known_chain {
         Some(chain) => Some(Rc::new(chain)),
         None => load(gateway, route, headers, deadline).await?,
@@ -76,6 +87,7 @@
     Ok(PreparedTurn {
         body,
         reservation,
+        prefix_holder,
         record,
     })
 }
@@ -94,14 +106,14 @@
     budget: Option<TurnBudget>,
     previous_turn_id: Option<&str>,
     deadline: Instant,
-) -> Result<(Option<Reservation>, Option<Chain>)> {
+) -> Result<Option<Box<Admitted>>> {
     let Some(budget) = budget else {
-        return Ok((None, None));
+        return Ok(None);
     };
     let budget_tokens = budget.budget_tokens;
     let budgets = &gateway.budgets;
     match budgets.reserve(budget, previous_turn_id, deadline).await {
-        Ok(Outcome::Reserved(reservation, chain)) => Ok((Some(reservation), chain)),
+        Ok(Outcome::Reserved(admitted)) => Ok(Some(admitted)),
         Ok(Outcome::Exceeded { spent_tokens }) => {
             let message =
                 format!("the program has used {spent_tokens} of its {budget_tokens} tokens");
