Speak the store's published protocol from entries too

Cause: the entry had a protocol of its own for rows and objects, and a stand-in of its own for it, beside the store of the users' platform that the gateway uses. Nothing serves that protocol outside the tests.

Change: the client of entries uses the formats of the crate platform, which gains conditions of transactions and objects. All rows of entries are in one partition of one table. Rows that are not JSON are skipped in a scan, as undecodable ones were. standin-store is part of standin-platform, which also refuses transactions outside the limits. Ranges of objects had no user and are removed.

--- a/crates/standin/src/harness.rs
+++ b/crates/standin/src/harness.rs
@@ -6,6 +6,7 @@
 mod process;
 mod proxy;
 mod site;
+pub mod table;
 
 use std::time::{Duration, Instant};
 
--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -135,7 +135,7 @@
         let ip = next_ip();
         let folder = std::env::temp_dir().join(format!("sapphireford-gateways-{ip}"));
         fs::create_dir_all(&folder).expect("a temporary folder can be made");
-        let store = Process::start("standin-store", &["--listen", &format!("{ip}:0")]);
+        let store = Process::start("standin-platform", &["--listen", &format!("{ip}:0")]);
         let mut site = Self {
             store,
             engines: Vec::new(),
--- /dev/null
+++ b/crates/standin/src/platform/rows.rs
@@ -0,0 +1,351 @@
+//! The rows of the platform's store: transactions, ranges and the change feed.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use hyper::{Response, StatusCode};
+use indexmap::IndexMap;
+use sapphireford::connection::body::Body;
+use sapphireford::connection::http_server::json_response;
+use sapphireford::process::notify::Notify;
+use sapphireford::process::timer::TimerService;
+use sapphireford_platform::store::TRANSACTION_ROWS;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::answer;
+
+/// Table, partition and key.
+type RowName = (String, String, String);
+
+struct StoredRow {
+    /// In base64.
+    value: String,
+    version: u64,
+}
+
+struct Change {
+    version: u64,
+    name: RowName,
+    /// `None` for a row that was removed.
+    value: Option<String>,
+}
+
+/// All rows and their changes.
+#[derive(Default)]
+pub struct Rows {
+    /// Sorted, because a range answers in the order of keys.
+    rows: RefCell<BTreeMap<RowName, StoredRow>>,
+    changes: RefCell<VecDeque<Change>>,
+    version: Cell<u64>,
+    /// Changes up to this version are no longer known.
+    forgotten: Cell<u64>,
+    changed: Notify,
+}
+
+/// A row that a test writes or removes; it may be of any table.
+#[derive(Debug, Deserialize)]
+pub struct ControlRow {
+    table: String,
+    key: String,
+    #[serde(default)]
+    value: Value,
+}
+
+#[derive(Deserialize)]
+struct Condition {
+    table: String,
+    part: String,
+    key: String,
+    #[serde(rename = "rowVersion")]
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct RowChange {
+    table: String,
+    part: String,
+    key: String,
+    value: Option<String>,
+}
+
+/// The body of a transaction.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Transaction {
+    #[serde(default)]
+    expected: Vec<Condition>,
+    #[serde(default)]
+    writes: Vec<RowChange>,
+    #[serde(default)]
+    remove: Vec<RowChange>,
+    #[serde(default)]
+    cross_shard: bool,
+}
+
+impl Transaction {
+    /// The key of the first row that it changes.
+    pub fn first_key(&self) -> &str {
+        let mut changes = self.writes.iter().chain(&self.remove);
+        changes.next().map_or("", |change| &change.key)
+    }
+}
+
+/// How a transaction ended.
+pub enum Transacted {
+    /// It took effect.
+    Done(Response<Body>),
+    /// A condition did not hold.
+    Conflict(Response<Body>),
+    /// It is not one that the store accepts.
+    Invalid(Response<Body>),
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct RowAnswer {
+    table: String,
+    part: String,
+    key: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<String>,
+    row_version: u64,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    deleted: bool,
+}
+
+impl RowAnswer {
+    fn new(name: &RowName, value: Option<&String>, version: u64) -> Self {
+        let (table, part, key) = name.clone();
+        Self {
+            table,
+            part,
+            key,
+            value: value.cloned(),
+            row_version: version,
+            deleted: value.is_none(),
+        }
+    }
+}
+
+/// Rows in one answer.
+const PAGE_ROWS: usize = 500;
+/// Changes that are kept for the feed.
+const HISTORY_CHANGES: usize = 10_000;
+
+impl Rows {
+    /// Number of rows of all tables.
+    pub fn len(&self) -> usize {
+        self.rows.borrow().len()
+    }
+
+    /// Number of rows of each table.
+    pub fn by_table(&self) -> IndexMap<String, usize> {
+        let mut tables = IndexMap::new();
+        for (table, _, _) in self.rows.borrow().keys() {
+            *tables.entry(table.clone()).or_default() += 1;
+        }
+        tables
+    }
+
+    /// Writes a row as the operator or the registration of servers does.
+    pub fn put(&self, row: &ControlRow) {
+        let text = match &row.value {
+            Value::String(text) => text.clone(),
+            other => other.to_string(),
+        };
+        let name = (row.table.clone(), String::new(), row.key.clone());
+        self.write(vec![(name, Some(STANDARD.encode(text)))]);
+    }
+
+    /// Removes a row as the operator or the registration of servers does.
+    pub fn remove(&self, row: &ControlRow) {
+        let name = (row.table.clone(), String::new(), row.key.clone());
+        self.write(vec![(name, None)]);
+    }
+
+    /// Forgets the change history.
+    pub fn compact(&self) {
+        self.forgotten.set(self.version.get());
+        self.changes.borrow_mut().clear();
+        self.changed.notify();
+    }
+
+    /// The newest version.
+    pub fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    fn write(&self, changes: Vec<(RowName, Option<String>)>) -> u64 {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        let mut rows = self.rows.borrow_mut();
+        let mut history = self.changes.borrow_mut();
+        for (name, value) in changes {
+            match &value {
+                Some(value) => {
+                    let value = value.clone();
+                    rows.insert(name.clone(), StoredRow { value, version });
+                }
+                None => {
+                    rows.remove(&name);
+                }
+            }
+            history.push_back(Change {
+                version,
+                name,
+                value,
+            });
+        }
+        while history.len() > HISTORY_CHANGES
+            && let Some(oldest) = history.pop_front()
+        {
+            self.forgotten.set(oldest.version);
+        }
+        self.changed.notify();
+        version
+    }
+
+    /// Performs a transaction.
+    pub fn transact(&self, transaction: Transaction) -> Transacted {
+        let changes = || transaction.writes.iter().chain(&transaction.remove);
+        let refused = |status, message| Transacted::Invalid(answer::refused(status, message));
+        if changes().any(|change| change.table == "op" || change.table == "servers") {
+            return refused(StatusCode::FORBIDDEN, "the table is not the system's");
+        }
+        if transaction.expected.len() + changes().count() > TRANSACTION_ROWS {
+            return refused(StatusCode::BAD_REQUEST, "too many entries");
+        }
+        let conditioned = transaction.expected.iter().map(|row| row.part.as_str());
+        let mut partitions: Vec<&str> = changes()
+            .map(|change| change.part.as_str())
+            .chain(conditioned)
+            .collect();
+        partitions.sort_unstable();
+        partitions.dedup();
+        if partitions.len() > 1 && !transaction.cross_shard {
+            return refused(StatusCode::BAD_REQUEST, "several partitions");
+        }
+        if let Some(response) = self.failed_condition(&transaction.expected) {
+            return Transacted::Conflict(response);
+        }
+        let writes = transaction.writes.into_iter().map(|change| {
+            let name = (change.table, change.part, change.key);
+            (name, Some(change.value.unwrap_or_default()))
+        });
+        let removals = transaction.remove.into_iter().map(|change| {
+            let name = (change.table, change.part, change.key);
+            (name, None)
+        });
+        let version = self.write(writes.chain(removals).collect());
+        Transacted::Done(answer::ok(&json!({ "rowVersion": version, "nowMs": 0 })))
+    }
+
+    fn failed_condition(&self, conditions: &[Condition]) -> Option<Response<Body>> {
+        let rows = self.rows.borrow();
+        let mut is_met = true;
+        let mut found = Vec::new();
+        for condition in conditions {
+            let name = (
+                condition.table.clone(),
+                condition.part.clone(),
+                condition.key.clone(),
+            );
+            let row = rows.get(&name);
+            is_met &= row.map_or(0, |row| row.version) == condition.version;
+            found.extend(row.map(|row| RowAnswer::new(&name, Some(&row.value), row.version)));
+        }
+        let body = json!({ "rows": found, "rowVersion": self.version.get(), "nowMs": 0 });
+        (!is_met).then(|| json_response(StatusCode::PRECONDITION_FAILED, &body))
+    }
+
+    /// Answers with a range of rows.
+    pub fn get(&self, query: &IndexMap<String, String>) -> Response<Body> {
+        let text = |name: &str| query.get(name).cloned().unwrap_or_default();
+        let (table, part, from) = (text("table"), text("part"), text("from"));
+        let target = query.get("target");
+        let limit = query.get("limit").and_then(|limit| limit.parse().ok());
+        let limit = limit.unwrap_or(PAGE_ROWS);
+        let rows = self.rows.borrow();
+        let start = (table.clone(), part.clone(), from);
+        let in_range = rows
+            .range(start..)
+            .take_while(|((row_table, row_part, key), _)| {
+                let is_same = *row_table == table && *row_part == part;
+                is_same && target.is_none_or(|target| key < target)
+            });
+        let mut found: Vec<RowAnswer> = in_range
+            .take(limit + 1)
+            .map(|(name, row)| RowAnswer::new(name, Some(&row.value), row.version))
+            .collect();
+        let has_more = found.len() > limit;
+        found.truncate(limit);
+        answer::ok(&json!({
+            "rows": found, "hasMore": has_more, "rowVersion": self.version.get(), "nowMs": 0,
+        }))
+    }
+
+    /// Waits for changes of a table and answers with them.
+    pub async fn feed(
+        &self,
+        query: &IndexMap<String, String>,
+        timer: &TimerService,
+    ) -> Response<Body> {
+        let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
+        let table = query.get("table").cloned().unwrap_or_default();
+        let after = number("after").unwrap_or(0);
+        let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
+        let is_news = || {
+            let changes = self.changes.borrow();
+            let mut new = changes.iter().filter(|change| change.version > after);
+            new.any(|change| change.name.0 == table) || after < self.forgotten.get()
+        };
+        // Without news, the answer is empty at the end of the wait.
+        let _ = timer.timeout(wait, self.changed.until(is_news)).await;
+        if after < self.forgotten.get() {
+            return answer::refused(StatusCode::GONE, "the history is gone");
+        }
+        let changes = self.changes.borrow();
+        let new = changes
+            .iter()
+            .filter(|change| change.version > after && change.name.0 == table);
+        let rows: Vec<RowAnswer> = new
+            .map(|change| RowAnswer::new(&change.name, change.value.as_ref(), change.version))
+            .collect();
+        answer::ok(&json!({ "rows": rows, "rowVersion": self.version.get(), "nowMs": 0 }))
+    }
+}
+
+/// The parameters of a query.
+pub fn parse_query(query: &str) -> IndexMap<String, String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .map(|(name, value)| (name.to_string(), decode_percent(value)))
+        .collect()
+}
+
+/// Decodes the escapes of a part of a URI.
+pub fn decode_percent(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        let code = tail
+            .get(..2)
+            .and_then(|code| std::str::from_utf8(code).ok());
+        let code = code.and_then(|code| u8::from_str_radix(code, 16).ok());
+        match (first, code) {
+            (b'%', Some(byte)) => {
+                bytes.push(byte);
+                rest = &tail[2..];
+            }
+            _ => {
+                bytes.push(*first);
+                rest = tail;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- a/src/connection/platform.rs
+++ b/src/connection/platform.rs
@@ -1,20 +1,29 @@
-//! The client of the platform: transactional table, object store and list of VMs.
+//! The client of the platform for entries: transactional table, object store and list of VMs.
+//!
+//! Rows and objects lie in the platform's store, in the formats of the crate `sapphireford-platform`. All
+//! rows are in one partition of one table, so that a commit is one transaction of one partition.
 //!
 //! A commit whose acknowledgement is lost may have taken effect. [`CommitOutcome::Unknown`] says so;
 //! whoever commits resolves it by reading the rows again.
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::ops::Range;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::header::{RANGE, RETRY_AFTER};
-use hyper::{Method, Request, Response, StatusCode};
+use futures_util::stream::{self, StreamExt, TryStreamExt};
+use hyper::header::RETRY_AFTER;
+use hyper::{Request, Response, StatusCode, Uri};
+use sapphireford_platform::FormatError;
+use sapphireford_platform::store::{
+    self as format, RowCondition, RowKey, RowPage, RowWrite, StoreAnswer, TRANSACTION_ROWS,
+    TransactionAnswer,
+};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::connection::http_client::{ClientError, HttpClient};
+use crate::error::chain;
 use crate::process::timer::TimerService;
 
 /// The result of a call to the platform.
@@ -29,6 +38,14 @@
     Status(u16, String),
     /// The answer could not be decoded.
     Decode(serde_json::Error),
+    /// A message of the store could not be encoded or decoded.
+    Format(FormatError),
+}
+
+impl From<FormatError> for PlatformError {
+    fn from(error: FormatError) -> Self {
+        PlatformError::Format(error)
+    }
 }
 
 impl fmt::Display for PlatformError {
@@ -41,7 +58,7 @@
                     "the platform answered with status {status}: {body}"
                 )
             }
-            PlatformError::Decode(_) => {
+            PlatformError::Decode(_) | PlatformError::Format(_) => {
                 formatter.write_str("the answer of the platform is not what its protocol says")
             }
         }
@@ -54,6 +71,7 @@
             PlatformError::Client(error) => Some(error),
             PlatformError::Status(..) => None,
             PlatformError::Decode(error) => Some(error),
+            PlatformError::Format(error) => Some(error),
         }
     }
 }
@@ -135,35 +153,44 @@
     pub state: VmState,
 }
 
-#[derive(Serialize, Deserialize)]
-struct Rows {
-    rows: Vec<Row>,
-}
-
-#[derive(Deserialize)]
-struct Versions {
-    versions: Vec<u64>,
-}
-
 #[derive(Deserialize)]
 struct Vms {
     vms: Vec<Vm>,
 }
 
-#[derive(Serialize)]
-struct ReadBody<'a> {
-    keys: &'a [String],
+/// Changes of rows that fit into one commit besides the row of the entry: each one is a condition
+/// and a write of the transaction.
+pub const CHANGES_PER_COMMIT: usize = TRANSACTION_ROWS / 2 - 1;
+/// The table of all rows.
+const TABLE: &str = "entry-state";
+/// Reads in progress for one call of [`PlatformClient::read`].
+const PARALLEL_READS: usize = 16;
+
+fn row_key(key: &str) -> RowKey {
+    RowKey {
+        table: TABLE,
+        partition: String::new(),
+        key: key.to_string(),
+    }
 }
 
-#[derive(Serialize)]
-struct ScanBody<'a> {
-    prefix: &'a str,
+fn row_of(row: format::Row) -> Result<Row> {
+    let Some(value) = row.value else {
+        return Ok(missing_row(&row.key));
+    };
+    Ok(Row {
+        key: row.key,
+        version: row.version,
+        value: serde_json::from_slice(&value).map_err(PlatformError::Decode)?,
+    })
 }
 
-#[derive(Serialize)]
-struct CommitBody<'a> {
-    checks: &'a [Check],
-    writes: &'a [Write],
+fn missing_row(key: &str) -> Row {
+    Row {
+        key: key.to_string(),
+        version: 0,
+        value: serde_json::Value::Null,
+    }
 }
 
 /// Longest answer read from the platform.
@@ -192,81 +219,124 @@
         self.http.timer()
     }
 
-    /// Reads rows; a row that does not exist has version 0.
+    /// Reads rows; a row that does not exist has version 0. The first row is read before the
+    /// others, so a commit that it shows is in the others as well.
     pub async fn read(&self, keys: &[String]) -> Result<Vec<Row>> {
-        Ok(self
-            .post::<_, Rows>("/table/read", &ReadBody { keys })
-            .await?
-            .rows)
+        let Some((first, others)) = keys.split_first() else {
+            return Ok(Vec::new());
+        };
+        let mut rows = vec![self.read_one(first).await?];
+        let reads = others.iter().map(|key| self.read_one(key));
+        let reads = stream::iter(reads).buffered(PARALLEL_READS);
+        rows.extend(reads.try_collect::<Vec<_>>().await?);
+        Ok(rows)
     }
 
     /// Reads one row.
     pub async fn read_one(&self, key: &str) -> Result<Row> {
-        let rows = self.read(&[key.to_string()]).await?;
-        let missing = || PlatformError::Status(200, format!("the row `{key}` is missing"));
-        rows.into_iter().next().ok_or_else(missing)
+        let request = format::read_one_request(&row_key(key))?;
+        let page = page(&self.call(request).await?)?;
+        let row = page.rows.into_iter().find(|row| row.key == key);
+        row.map_or_else(|| Ok(missing_row(key)), row_of)
     }
 
-    /// Reads all rows whose key starts with `prefix`, in the order of their keys.
+    /// Reads all rows whose key starts with `prefix`, in the order of their keys. Rows that cannot be
+    /// decoded are skipped.
     pub async fn scan(&self, prefix: &str) -> Result<Vec<Row>> {
-        Ok(self
-            .post::<_, Rows>("/table/scan", &ScanBody { prefix })
-            .await?
-            .rows)
+        let mut rows = Vec::new();
+        let mut after: Option<String> = None;
+        loop {
+            let request = format::read_request(TABLE, "", prefix, after.as_deref())?;
+            let page = page(&self.call(request).await?)?;
+            after = page.rows.last().map(|row| row.key.clone());
+            for row in page.rows {
+                let key = row.key.clone();
+                match row_of(row) {
+                    Ok(row) => rows.push(row),
+                    Err(error) => log::warn!(row = key; "row skipped: {}", chain(&error)),
+                }
+            }
+            if !page.has_more {
+                return Ok(rows);
+            }
+        }
     }
 
     /// Makes all writes at once if all checks hold.
     pub async fn commit(&self, checks: &[Check], writes: &[Write]) -> Result<CommitOutcome> {
-        let body = CommitBody { checks, writes };
-        let body = serde_json::to_vec(&body).map_err(PlatformError::Decode)?;
-        let response = match self
-            .call(Method::POST, "/table/commit", body.into(), None)
-            .await
-        {
+        let conditions: Vec<RowCondition> = checks
+            .iter()
+            .map(|check| RowCondition {
+                row: row_key(&check.key),
+                version: check.version,
+            })
+            .collect();
+        let changes: Vec<RowWrite> = writes
+            .iter()
+            .map(|write| RowWrite {
+                row: row_key(&write.key),
+                value: write.value.as_ref().map(|value| value.to_string().into()),
+            })
+            .collect();
+        let request = format::transaction_request(&conditions, &changes)?;
+        let response = match self.call(request).await {
             Ok(response) => response,
             Err(PlatformError::Client(error)) if !error.is_not_sent() => {
                 return Ok(CommitOutcome::Unknown(PlatformError::Client(error)));
             }
             Err(error) => return Err(error),
         };
-        match response.status() {
-            StatusCode::OK => Ok(CommitOutcome::Committed(
-                decode::<Versions>(&response)?.versions,
-            )),
-            StatusCode::CONFLICT => Ok(CommitOutcome::Conflict(decode::<Rows>(&response)?.rows)),
-            _ => Err(status_error(&response)),
+        match format::decode_transaction(&response)? {
+            TransactionAnswer::Done(version) => {
+                let versions = writes.iter().map(|write| match write.value {
+                    Some(_) => version,
+                    None => 0,
+                });
+                Ok(CommitOutcome::Committed(versions.collect()))
+            }
+            TransactionAnswer::ConditionFailed(rows) => {
+                let current = |check: &Check| {
+                    let row = rows.iter().find(|row| row.key == check.key);
+                    row.map_or_else(|| Ok(missing_row(&check.key)), |row| row_of(row.clone()))
+                };
+                let rows = checks.iter().map(current).collect::<Result<Vec<_>>>()?;
+                Ok(CommitOutcome::Conflict(rows))
+            }
+            TransactionAnswer::Refused(_) => Err(status_error(&response)),
         }
     }
 
     /// Writes an object; writing the same object again is harmless.
-    pub async fn put_object(&self, key: &str, bytes: Bytes) -> Result<()> {
-        let response = self
-            .call(Method::PUT, &format!("/objects/{key}"), bytes, None)
-            .await?;
-        success(&response)
+    pub async fn put_object(&self, name: &str, bytes: Bytes) -> Result<()> {
+        let request = format::put_object_request(name, bytes)?;
+        success(&self.call(request).await?)
     }
 
-    /// Reads an object, or the part of it in `range`; `None` if there is no such object.
-    pub async fn get_object(&self, key: &str, range: Option<Range<u64>>) -> Result<Option<Bytes>> {
-        let path = format!("/objects/{key}");
-        let response = self.call(Method::GET, &path, Bytes::new(), range).await?;
-        if response.status() == StatusCode::NOT_FOUND {
-            return Ok(None);
+    /// Reads an object; `None` if there is no such object.
+    pub async fn get_object(&self, name: &str) -> Result<Option<Bytes>> {
+        let request = format::get_object_request(name)?;
+        match format::decode_object(self.call(request).await?) {
+            StoreAnswer::Done(object) => Ok(object),
+            StoreAnswer::Refused(status) => Err(refusal(status)),
+            StoreAnswer::HistoryGone => Err(refusal(StatusCode::GONE.as_u16())),
         }
-        success(&response)?;
-        Ok(Some(response.into_body()))
     }
 
     /// Deletes an object; deleting one that does not exist is harmless.
-    pub async fn delete_object(&self, key: &str) -> Result<()> {
-        let path = format!("/objects/{key}");
-        let response = self.call(Method::DELETE, &path, Bytes::new(), None).await?;
-        success(&response)
+    pub async fn delete_object(&self, name: &str) -> Result<()> {
+        let request = format::remove_object_request(name)?;
+        let response = self.call(request).await?;
+        match response.status() {
+            StatusCode::NOT_FOUND => Ok(()),
+            _ => success(&response),
+        }
     }
 
     /// Reads the list of VMs, which lags.
     pub async fn vms(&self) -> Result<Vec<Vm>> {
-        let response = self.call(Method::GET, "/vms", Bytes::new(), None).await?;
+        let mut request = Request::new(Bytes::new());
+        *request.uri_mut() = Uri::from_static("/vms");
+        let response = self.call(request).await?;
         success(&response)?;
         Ok(decode::<Vms>(&response)?.vms)
     }
@@ -293,29 +363,7 @@
         Ok(None)
     }
 
-    async fn post<B: Serialize, T: DeserializeOwned>(&self, path: &str, body: &B) -> Result<T> {
-        let body = serde_json::to_vec(body).map_err(PlatformError::Decode)?;
-        let response = self.call(Method::POST, path, body.into(), None).await?;
-        success(&response)?;
-        decode(&response)
-    }
-
-    async fn call(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-        range: Option<Range<u64>>,
-    ) -> Result<Response<Bytes>> {
-        let mut request = Request::new(body);
-        *request.method_mut() = method;
-        *request.uri_mut() = path.parse().map_err(invalid_uri)?;
-        if let Some(range) = range {
-            let text = format!("bytes={}-{}", range.start, range.end.saturating_sub(1));
-            if let Ok(value) = text.parse() {
-                request.headers_mut().insert(RANGE, value);
-            }
-        }
+    async fn call(&self, request: Request<Bytes>) -> Result<Response<Bytes>> {
         let fetch = self
             .http
             .fetch(self.address, request, self.call_time, ANSWER_LIMIT_BYTES);
@@ -323,6 +371,17 @@
     }
 }
 
+fn page(response: &Response<Bytes>) -> Result<RowPage> {
+    match format::decode_page(response)? {
+        StoreAnswer::Done(page) => Ok(page),
+        StoreAnswer::Refused(_) | StoreAnswer::HistoryGone => Err(status_error(response)),
+    }
+}
+
+fn refusal(status: u16) -> PlatformError {
+    PlatformError::Status(status, String::new())
+}
+
 fn invalid_uri(error: hyper::http::uri::InvalidUri) -> PlatformError {
     PlatformError::Client(ClientError::NotSent(error.to_string()))
 }
--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -14,7 +14,9 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::{Request, Response, StatusCode};
 use sapphireford_platform::FormatError;
-use sapphireford_platform::store::{self as format, RowKey, RowPage, RowWrite, StoreAnswer};
+use sapphireford_platform::store::{
+    self as format, RowKey, RowPage, RowWrite, StoreAnswer, TransactionAnswer,
+};
 
 use super::peers;
 use super::store_path::{StorePath, StorePaths};
@@ -152,10 +154,13 @@
     pub async fn write(&self, writes: &[RowWrite], deadline: Instant) -> Result<()> {
         let request = format::write_request(writes)?;
         let response = self.call(request, Duration::ZERO, deadline).await?;
-        match format::decode_write(&response) {
-            StoreAnswer::Done(()) => Ok(()),
-            StoreAnswer::Refused(status) => Err(StoreError::Refused(status)),
-            StoreAnswer::HistoryGone => Err(StoreError::Refused(StatusCode::GONE.as_u16())),
+        match format::decode_transaction(&response)? {
+            TransactionAnswer::Done(_) => Ok(()),
+            TransactionAnswer::Refused(status) => Err(StoreError::Refused(status)),
+            TransactionAnswer::ConditionFailed(_) => {
+                let status = StatusCode::PRECONDITION_FAILED.as_u16();
+                Err(StoreError::Refused(status))
+            }
         }
     }
 
--- a/src/process/journal/writer.rs
+++ b/src/process/journal/writer.rs
@@ -9,7 +9,9 @@
     JournalError, JournalSink, QueuedChanges, QueuedRecord, Result, Shared, SlotChange,
     SlotChangeOutcome, segment,
 };
-use crate::connection::platform::{Check, CommitOutcome, PlatformError, Row, Write};
+use crate::connection::platform::{
+    CHANGES_PER_COMMIT, Check, CommitOutcome, PlatformError, Row, Write,
+};
 use crate::process::conversation::Record;
 use crate::process::metrics::{COMMIT_SECONDS, COMMITS};
 use crate::process::recovery;
@@ -185,11 +187,19 @@
     let (records, record_receipts) = take_records(shared);
     let mut changes = Vec::new();
     let mut change_receipts = Vec::new();
-    for QueuedChanges {
-        changes: queued,
-        done,
-    } in shared.changes.borrow_mut().drain(..)
-    {
+    let mut waiting = shared.changes.borrow_mut();
+    while let Some(next) = waiting.front() {
+        // What does not fit into one transaction goes into the next commit.
+        if !changes.is_empty() && changes.len() + next.changes.len() > CHANGES_PER_COMMIT {
+            break;
+        }
+        let Some(QueuedChanges {
+            changes: queued,
+            done,
+        }) = waiting.pop_front()
+        else {
+            break;
+        };
         change_receipts.push(ChangeReceipt {
             count: queued.len(),
             done,
@@ -199,6 +209,7 @@
             outcome: None,
         }));
     }
+    drop(waiting);
     next.renewal += 1;
     next.state = shared.wanted_state.get();
     next.config_version = shared.config_version.get();
--- a/src/process/recovery.rs
+++ b/src/process/recovery.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 
 use crate::connection::platform::{
-    Check, CommitOutcome, PlatformClient, PlatformError, Result, Write,
+    CHANGES_PER_COMMIT, Check, CommitOutcome, PlatformClient, PlatformError, Result, Write,
 };
 use crate::ids::{ConversationKey, SlotId};
 use crate::process::conversation::{Conversation, Record};
@@ -61,32 +61,46 @@
     };
     let slots = slots_of(platform, &holder).await?;
     let records = read_segments(platform, row, &holder, &slots).await?;
-    let mut checks = vec![Check {
+    let unchanged = Check {
         key: entry_key(&row.entry_id),
         version,
-    }];
-    let mut writes = vec![Write::put(entry_key(&row.entry_id), &closed(row))?];
-    for (slot, (slot_row, slot_version)) in &slots {
-        let checkpoint = recover_slot(platform, slot_row, &holder, &records).await?;
-        checks.push(Check {
-            key: slot_key(*slot),
-            version: *slot_version,
-        });
-        let free = SlotRow {
-            slot: *slot,
-            holder: None,
-            checkpoint,
-            first_segment: 0,
-        };
-        writes.push(Write::put(slot_key(*slot), &free)?);
-    }
-    match platform.commit(&checks, &writes).await? {
-        CommitOutcome::Committed(_) => {
-            log::info!(entry = &*row.entry_id, slots = slots.len(); "entry recovered");
-            Ok(())
+    };
+    let held: Vec<_> = slots.iter().collect();
+    for chunk in held.chunks(CHANGES_PER_COMMIT) {
+        let mut checks = vec![unchanged.clone()];
+        let mut writes = Vec::new();
+        for (slot, (slot_row, slot_version)) in chunk {
+            let checkpoint = recover_slot(platform, slot_row, &holder, &records).await?;
+            checks.push(Check {
+                key: slot_key(**slot),
+                version: *slot_version,
+            });
+            let free = SlotRow {
+                slot: **slot,
+                holder: None,
+                checkpoint,
+                first_segment: 0,
+            };
+            writes.push(Write::put(slot_key(**slot), &free)?);
+        }
+        if !is_committed(platform.commit(&checks, &writes).await?)? {
+            return Ok(());
         }
-        // Another entry finished the same recovery.
-        CommitOutcome::Conflict(_) => Ok(()),
+    }
+    // The entry counts as closed only when all its slots are free, so whoever finds it fenced goes
+    // on with the slots that are left.
+    let close = [Write::put(entry_key(&row.entry_id), &closed(row))?];
+    if is_committed(platform.commit(&[unchanged], &close).await?)? {
+        log::info!(entry = &*row.entry_id, slots = slots.len(); "entry recovered");
+    }
+    Ok(())
+}
+
+/// Whether a commit took effect; if not, another entry does the same recovery.
+fn is_committed(outcome: CommitOutcome) -> Result<bool> {
+    match outcome {
+        CommitOutcome::Committed(_) => Ok(true),
+        CommitOutcome::Conflict(_) => Ok(false),
         CommitOutcome::Unknown(error) => Err(error),
     }
 }
@@ -158,7 +172,7 @@
 ) -> Result<(u64, Vec<Record>)> {
     let key = segment_key(holder, number);
     let bytes = platform
-        .get_object(&key, None)
+        .get_object(&key)
         .await?
         .ok_or_else(|| missing(&key))?;
     let records = segment::decode_segment(&bytes).map_err(|error| damaged(&key, &error))?;
@@ -227,7 +241,7 @@
         return Ok(SlotState::default());
     };
     let bytes = platform
-        .get_object(key, None)
+        .get_object(key)
         .await?
         .ok_or_else(|| missing(key))?;
     let checkpoint = segment::decode_checkpoint(&bytes).map_err(|error| damaged(key, &error))?;
@@ -244,7 +258,7 @@
 /// Reads a conversation that has an object of its own.
 pub async fn load_conversation(platform: &PlatformClient, key: &str) -> Result<Conversation> {
     let bytes = platform
-        .get_object(key, None)
+        .get_object(key)
         .await?
         .ok_or_else(|| missing(key))?;
     segment::decode_conversation(&bytes).map_err(|error| damaged(key, &error))
--- a/src/process/slots/manager.rs
+++ b/src/process/slots/manager.rs
@@ -17,7 +17,7 @@
 use futures_util::stream::{self, StreamExt};
 use indexmap::{IndexMap, IndexSet};
 
-use crate::connection::platform::PlatformClient;
+use crate::connection::platform::{CHANGES_PER_COMMIT, PlatformClient};
 use crate::error::chain;
 use crate::ids::{EntryId, SlotId};
 use crate::process::journal::{Journal, SlotChange, SlotChangeOutcome};
@@ -35,8 +35,6 @@
 const FORCED_RELEASE_AFTER: Duration = Duration::from_secs(10);
 /// Objects read or written at the same time.
 const PARALLEL_OBJECTS: usize = 16;
-/// Slot rows read in one request or changed in one commit.
-const CHANGES_PER_COMMIT: usize = 256;
 
 /// The slots that prefer this entry, kept while the candidates stay the same: to find them takes a
 /// hash for each slot and candidate.
--- a/src/version/store.rs
+++ b/src/version/store.rs
@@ -169,7 +169,7 @@
 
 /// Reads a merged document from its object.
 pub async fn load_object(platform: &PlatformClient, key: &str) -> Result<Merged> {
-    let object = platform.get_object(key, None).await?;
+    let object = platform.get_object(key).await?;
     let bytes = object.ok_or_else(|| StoreError::MissingObject(key.to_string()))?;
     serde_json::from_slice(&bytes).map_err(|error| StoreError::Decode(key.to_string(), error))
 }
