Share the command line of the two server processes

Cause: the entry and the gateway parsed the same options in two copies.

Change: process::command_line has the options, the help and the exit codes; each main names its settings variable, its check and its run.

--- a/src/process.rs
+++ b/src/process.rs
@@ -2,6 +2,7 @@
 
 pub mod audit;
 pub mod breaker;
+pub mod command_line;
 pub mod config_watch;
 pub mod conversation;
 pub mod entry;
