Write the last log lines before a gateway ends

Lines go through a channel to a thread of their own, and the process ended before the thread wrote them. The lines of the last requests could be lost in the same way.

--- a/src/process/logging/bounded.rs
+++ b/src/process/logging/bounded.rs
@@ -5,7 +5,7 @@
 //! dropped lines is logged once a second while there are any.
 
 use std::io::Write;
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,10 @@
 const WARNINGS_PER_SECOND: u32 = 50;
 /// Lines that wait for the writing thread; a few seconds of output.
 const QUEUE_LINES: usize = 1_000;
+/// Longest time that a process which ends waits for its last lines.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+/// Pause before a flush that found the channel full is tried again.
+const FLUSH_RETRY_PAUSE: Duration = Duration::from_millis(5);
 /// The time for which lines are counted together.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -81,11 +85,19 @@
     }
 }
 
+/// What the writing thread is to do.
+#[derive(Debug)]
+enum Output {
+    Line(Vec<u8>),
+    /// Say that all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 /// Writes JSON lines to standard output from a thread of its own.
 #[derive(Debug)]
 pub struct BoundedOutput {
     layout: JsonLayout,
-    lines: SyncSender<Vec<u8>>,
+    output: SyncSender<Output>,
     events: Mutex<LineBudget>,
     warnings: Mutex<LineBudget>,
 }
@@ -93,13 +105,13 @@
 impl BoundedOutput {
     /// Starts the thread that writes.
     pub fn start() -> std::io::Result<Self> {
-        let (lines, received) = sync_channel(QUEUE_LINES);
+        let (output, received) = sync_channel(QUEUE_LINES);
         std::thread::Builder::new()
             .name("log-output".to_string())
             .spawn(move || write_lines(&received))?;
         Ok(Self {
             layout: JsonLayout::default(),
-            lines,
+            output,
             events: Mutex::new(LineBudget::new(LINES_PER_SECOND)),
             warnings: Mutex::new(LineBudget::new(WARNINGS_PER_SECOND)),
         })
@@ -114,11 +126,17 @@
     }
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>) {
-    while let Ok(line) = lines.recv() {
-        let mut output = std::io::stdout().lock();
-        // Nobody can be told that standard output is closed.
-        let _ = output.write_all(&line).and_then(|()| output.flush());
+fn write_lines(received: &Receiver<Output>) {
+    while let Ok(next) = received.recv() {
+        match next {
+            Output::Line(line) => {
+                let mut output = std::io::stdout().lock();
+                // Nobody can be told that standard output is closed.
+                let _ = output.write_all(&line).and_then(|()| output.flush());
+            }
+            // A caller that no longer waits needs no answer.
+            Output::Flush(done) => drop(done.try_send(())),
+        }
     }
 }
 
@@ -144,7 +162,7 @@
         }
         line.extend(self.layout.format(record, diagnostics)?);
         line.push(b'\n');
-        if self.lines.try_send(line).is_err() {
+        if self.output.try_send(Output::Line(line)).is_err() {
             ::metrics::counter!(metrics::LOG_LINES_DROPPED).increment(1);
             let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
             budget.count_dropped();
@@ -152,7 +170,21 @@
         Ok(())
     }
 
+    /// Waits a short time for the lines before it. Not for the request path.
     fn flush(&self) -> Result<(), logforth::Error> {
-        Ok(())
+        let (done, is_written) = sync_channel(1);
+        let deadline = Instant::now() + FLUSH_TIME;
+        let mut flush = Output::Flush(done);
+        while let Err(TrySendError::Full(returned)) = self.output.try_send(flush) {
+            if Instant::now() >= deadline {
+                return Err(logforth::Error::new("standard output does not take lines"));
+            }
+            std::thread::sleep(FLUSH_RETRY_PAUSE);
+            flush = returned;
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        is_written
+            .recv_timeout(left)
+            .map_err(|error| logforth::Error::new("lines were not written").with_source(error))
     }
 }
