Begin conversations at a near backend server

Conversations send their whole history with each turn, three quarters of it to another domain.

Change: a conversation whose prefix no server holds begins at the first near server in its ranking that is at most half loaded. Later turns stay with the holder. Other programs keep the ranking over all domains.

--- a/src/process/gateway/placement.rs
+++ b/src/process/gateway/placement.rs
@@ -5,7 +5,8 @@
 //! servers for a program in the same order. A server is passed over for one further down in that order only if that one is less loaded by
 //! [`SPILL_LOAD_PERMILLE`] for each place between them. So a burst of programs on one server does not
 //! queue while others are free, and under general overload programs stay where their prefixes are.
-//! The order is the same in all failure domains, because the callers of a program may move.
+//! The order is the same in all failure domains, because the callers of a program may move; only a
+//! new conversation begins at a near server, unless those are loaded.
 //! Plain calls go to the least loaded server.
 
 use std::cmp::Reverse;
@@ -35,19 +36,38 @@
     rendezvous_weight(key, candidate.server_id)
 }
 
-/// The server for a request with a cached prefix: `prefix_holder` if it is known, otherwise the one
-/// where earlier requests with the same key went.
-pub fn by_prefix(
-    key: u64,
-    prefix_holder: Option<&str>,
-    candidates: &[Candidate<'_>],
-) -> Option<usize> {
+/// Load up to which a near server takes a new conversation. A burst of them is shared by the servers of
+/// all domains.
+pub const NEAR_LOAD_PERMILLE: LoadPermille = 500;
+
+/// What is known of the prefix of a model call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prefix<'a> {
+    /// Calls with the same key share a prefix.
+    pub key: u64,
+    /// The server that completed the last call with the key.
+    pub holder: Option<&'a str>,
+    /// Whether the prompts grow with each call, so that sending them to another domain costs bytes.
+    pub grows: bool,
+}
+
+/// The server for a call with a cached prefix: its holder if it is known, otherwise the one where
+/// earlier calls with the same key went. A call that begins a growing prefix goes to a near server.
+pub fn by_prefix(prefix: Prefix<'_>, candidates: &[Candidate<'_>]) -> Option<usize> {
     let all = candidates.iter().enumerate();
     let mut ranked: Vec<_> = all.filter(|(_, candidate)| candidate.is_allowed).collect();
     ranked.sort_by_cached_key(|(_, candidate)| {
-        let is_holder = prefix_holder == Some(candidate.server_id);
-        Reverse((is_holder, rank(key, candidate)))
+        let is_holder = prefix.holder == Some(candidate.server_id);
+        Reverse((is_holder, rank(prefix.key, candidate)))
     });
+    if prefix.grows && prefix.holder.is_none() {
+        let can_begin =
+            |candidate: &Candidate<'_>| candidate.is_near && candidate.load <= NEAR_LOAD_PERMILLE;
+        let near = ranked.iter().find(|(_, candidate)| can_begin(candidate));
+        if let Some((index, _)) = near {
+            return Some(*index);
+        }
+    }
     let costs = ranked
         .iter()
         .enumerate()
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -18,7 +18,7 @@
 use crate::connection::http_client::{ClientError, read_all};
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::BackendServerId;
-use crate::process::gateway::placement;
+use crate::process::gateway::placement::{self, Prefix};
 use crate::process::gateway::running::Gateway;
 use crate::process::gateway::servers::{InFlight, Server};
 use crate::process::slots::placement::hash_bytes;
@@ -151,11 +151,12 @@
             .collect();
         let is_engine = service.is_some_and(|service| service.engine.is_some());
         let chosen = if is_engine {
-            placement::by_prefix(
-                self.affinity_key(),
-                self.prefix_holder.as_deref(),
-                &candidates,
-            )
+            let prefix = Prefix {
+                key: self.affinity_key(),
+                holder: self.prefix_holder.as_deref(),
+                grows: self.route.keeps_history,
+            };
+            placement::by_prefix(prefix, &candidates)
         } else {
             placement::by_load(rand::rng().random(), &candidates)
         }?;
--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -1,6 +1,6 @@
 //! The choice of backend servers by a gateway, without a network.
 
-use sapphireford::process::gateway::placement::{Candidate, by_load, by_prefix};
+use sapphireford::process::gateway::placement::{Candidate, Prefix, by_load, by_prefix};
 
 const SERVERS: [&str; 9] = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
 
@@ -16,6 +16,15 @@
         .collect()
 }
 
+/// A prefix of which nothing is known.
+fn new(key: u64) -> Prefix<'static> {
+    Prefix {
+        key,
+        holder: None,
+        grows: false,
+    }
+}
+
 /// Guards against lost prefixes: the turns of a program must meet the same server at every gateway.
 #[test]
 fn idle_servers_are_chosen_by_the_program_alone() {
@@ -23,8 +32,8 @@
     let mut reversed = idle.clone();
     reversed.reverse();
     for program in 0..100 {
-        let first = by_prefix(program, None, &idle).map(|index| idle[index].server_id);
-        let second = by_prefix(program, None, &reversed).map(|index| reversed[index].server_id);
+        let first = by_prefix(new(program), &idle).map(|index| idle[index].server_id);
+        let second = by_prefix(new(program), &reversed).map(|index| reversed[index].server_id);
         assert_eq!(first, second);
     }
 }
@@ -38,8 +47,8 @@
     let overloaded = candidates(|index| 3_000 + 40 * index as u32);
     for program in 0..100 {
         assert_eq!(
-            by_prefix(program, None, &idle),
-            by_prefix(program, None, &overloaded)
+            by_prefix(new(program), &idle),
+            by_prefix(new(program), &overloaded)
         );
     }
 }
@@ -49,9 +58,9 @@
 fn a_program_leaves_a_server_that_is_much_more_loaded_than_the_next() {
     for program in 0..100 {
         let idle = candidates(|_| 0);
-        let home = by_prefix(program, None, &idle).expect("a server");
+        let home = by_prefix(new(program), &idle).expect("a server");
         let busy = candidates(|index| if index == home { 1_500 } else { 200 });
-        assert_ne!(by_prefix(program, None, &busy), Some(home));
+        assert_ne!(by_prefix(new(program), &busy), Some(home));
     }
 }
 
@@ -62,10 +71,10 @@
     for candidate in &mut servers {
         candidate.is_allowed = candidate.server_id == "e";
     }
-    assert_eq!(by_prefix(7, None, &servers), Some(4));
+    assert_eq!(by_prefix(new(7), &servers), Some(4));
     assert_eq!(by_load(7, &servers), Some(4));
     servers[4].is_allowed = false;
-    assert_eq!(by_prefix(7, None, &servers), None);
+    assert_eq!(by_prefix(new(7), &servers), None);
     assert_eq!(by_load(7, &servers), None);
 }
 
@@ -85,12 +94,12 @@
 fn a_program_keeps_its_server_at_gateways_of_other_failure_domains() {
     for program in 0..100 {
         let mut servers = candidates(|_| 200);
-        let home = by_prefix(program, None, &servers);
+        let home = by_prefix(new(program), &servers);
         for first in 0..servers.len() {
             for (index, candidate) in servers.iter_mut().enumerate() {
                 candidate.is_near = index >= first;
             }
-            assert_eq!(by_prefix(program, None, &servers), home);
+            assert_eq!(by_prefix(new(program), &servers), home);
         }
     }
 }
@@ -103,7 +112,7 @@
     for candidate in servers.iter_mut().take(3) {
         candidate.is_near = true;
     }
-    let far = (0..100).filter(|program| by_prefix(*program, None, &servers) >= Some(3));
+    let far = (0..100).filter(|program| by_prefix(new(*program), &servers) >= Some(3));
     assert!(far.count() > 40);
 }
 
@@ -114,11 +123,41 @@
     for program in 0..100 {
         let mut servers = candidates(|_| 500);
         for holder in 0..servers.len() {
-            let holder_id = Some(SERVERS[holder]);
-            assert_eq!(by_prefix(program, holder_id, &servers), Some(holder));
+            let held = Prefix {
+                holder: Some(SERVERS[holder]),
+                ..new(program)
+            };
+            assert_eq!(by_prefix(held, &servers), Some(holder));
             servers[holder].load = 1_500;
-            assert_ne!(by_prefix(program, holder_id, &servers), Some(holder));
+            assert_ne!(by_prefix(held, &servers), Some(holder));
             servers[holder].load = 500;
         }
     }
 }
+
+/// Guards against growing prompts that cross failure domains with each turn, and against a burst of
+/// new conversations that queues in one domain.
+#[test]
+fn a_conversation_begins_at_a_near_server_that_is_lightly_loaded() {
+    for conversation in 0..100 {
+        let mut servers = candidates(|_| 200);
+        for candidate in servers.iter_mut().skip(6) {
+            candidate.is_near = true;
+        }
+        let first = Prefix {
+            grows: true,
+            ..new(conversation)
+        };
+        assert!(by_prefix(first, &servers) >= Some(6));
+        let held = Prefix {
+            holder: Some(SERVERS[0]),
+            ..first
+        };
+        assert_eq!(by_prefix(held, &servers), Some(0));
+        for candidate in servers.iter_mut().skip(6) {
+            candidate.load = 600;
+        }
+        let unconstrained = by_prefix(new(conversation), &servers);
+        assert_eq!(by_prefix(first, &servers), unconstrained);
+    }
+}
