--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -107,7 +107,8 @@
     paths: RefCell<StorePaths>,
     /// A moving average of the time of the calls that succeed.
     typical_time: Cell<Duration>,
-    is_available: Cell<bool>,
+    /// Whether the loss of the store was logged, and not yet its return.
+    is_lost: Cell<bool>,
     relayed_calls: Cell<usize>,
 }
 
@@ -122,7 +123,7 @@
             relays,
             paths: RefCell::default(),
             typical_time: Cell::new(INITIAL_TYPICAL_TIME),
-            is_available: Cell::new(true),
+            is_lost: Cell::new(false),
             relayed_calls: Cell::new(0),
         };
         Self {
@@ -268,7 +269,7 @@
             match next.await {
                 Ok(Some((path, Ok(response)))) => {
                     self.record_overtaken(&started, path);
-                    self.note_availability(true, "");
+                    self.note_return();
                     return Ok(response);
                 }
                 Ok(Some((path, Err(error)))) => {
@@ -292,8 +293,19 @@
     }
 
     fn record_outage(&self, error: &StoreError) {
-        self.shared.paths.borrow_mut().record_outage(Instant::now());
-        self.note_availability(false, &error.to_string());
+        let now = Instant::now();
+        let mut paths = self.shared.paths.borrow_mut();
+        paths.record_outage(now);
+        if paths.is_lost(now) && !self.shared.is_lost.replace(true) {
+            let age = paths.outage_age(now).unwrap_or_default();
+            log::warn!(reason:% = error, outage_age_ms = age.as_millis() as u64; "store lost");
+        }
+    }
+
+    fn note_return(&self) {
+        if self.shared.is_lost.replace(false) {
+            log::info!("store regained");
+        }
     }
 
     async fn attempt(
@@ -387,18 +399,6 @@
         self.shared.typical_time.set(learned);
     }
 
-    /// Logs the loss and the return of the store.
-    fn note_availability(&self, is_available: bool, reason: &str) {
-        if self.shared.is_available.replace(is_available) == is_available {
-            return;
-        }
-        if is_available {
-            log::info!("store regained");
-        } else {
-            log::warn!(reason = reason; "store lost");
-        }
-    }
-
     /// The timer service that bounds the calls.
     pub fn timer(&self) -> &TimerService {
         &self.shared.timer
--- a/src/process/gateway/store_path.rs
+++ b/src/process/gateway/store_path.rs
@@ -140,6 +140,13 @@
             .is_some_and(|age| age >= SHORTEST_OUTAGE)
     }
 
+    /// Whether calls have failed for so long that the store itself counts as lost. Calls of a single
+    /// partition may fail for any time while others succeed.
+    pub fn is_lost(&self, now: Instant) -> bool {
+        self.outage_age(now)
+            .is_some_and(|age| age >= SHORTEST_ABSENCE)
+    }
+
     /// How long no call has succeeded, while calls fail.
     pub fn outage_age(&self, now: Instant) -> Option<Duration> {
         let since = self.failing_since?;
--- a/tests/gateway_store_path.rs
+++ b/tests/gateway_store_path.rs
@@ -79,3 +79,25 @@
     paths.record_outage(now);
     assert!(paths.is_available(now + Duration::from_millis(100)));
 }
+
+/// Guards against a store that is logged as lost and regained several times a second while only one of
+/// its partitions is away: 264 times in a recorded incident.
+#[test]
+fn failures_of_a_single_partition_are_no_loss_of_the_store() {
+    let mut paths = StorePaths::default();
+    let start = Instant::now();
+    for step in 0..20 {
+        let now = start + step * Duration::from_millis(100);
+        paths.record(StorePath::Direct, false, now);
+        paths.record_outage(now);
+        assert!(!paths.is_lost(now));
+        if step % 3 == 0 {
+            paths.record(StorePath::Direct, true, now);
+        }
+    }
+    for step in 20..26 {
+        let now = start + step * Duration::from_millis(100);
+        paths.record(StorePath::Direct, false, now);
+    }
+    assert!(paths.is_lost(start + Duration::from_millis(2_500)));
+}
