Bound the loads in a message between gateways

Cause: each admission carries the loads of all servers heard of within a second, in both directions.

Change: a message carries the 64 most recent loads. Sites with up to 64 servers see no difference.

Tests: the count and the choice of loads.

--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -18,6 +18,9 @@
 
 /// Time for which a reported load counts. Later, only the own requests in progress are known.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
+/// Loads in a message between gateways. All servers of a site of that size are in it; on larger ones
+/// the bytes of a message do not grow with the site.
+const SHARED_LOADS: usize = 64;
 /// A row that is missing this short a time after the store has returned may have expired in the
 /// meantime, because its server could not renew it.
 const LAPSE_WINDOW: Duration = Duration::from_millis(1_000);
@@ -241,22 +244,28 @@
         });
     }
 
-    /// The loads that are recent enough to be of use to other gateways.
+    /// The most recent loads, for other gateways.
     ///
     /// With many gateways, each one hears too seldom from each server to know its load.
     pub fn shared_loads(&self, now: Instant) -> Vec<SharedLoad> {
         let by_id = self.by_id.borrow();
         let reports = by_id.values().filter_map(|server| {
             let (load, age) = server.reported_load(now)?;
-            (age < REPORT_LIFETIME).then(|| SharedLoad {
-                server_id: server.id.to_string(),
-                running: load.running,
-                waiting: load.waiting,
-                slots: load.slots,
-                age_ms: age.as_millis() as u32,
-            })
+            (age < REPORT_LIFETIME).then_some((server, load, age))
         });
-        reports.collect()
+        let mut reports: Vec<_> = reports.collect();
+        if reports.len() > SHARED_LOADS {
+            reports.select_nth_unstable_by_key(SHARED_LOADS, |(_, _, age)| *age);
+            reports.truncate(SHARED_LOADS);
+        }
+        let shared = reports.into_iter().map(|(server, load, age)| SharedLoad {
+            server_id: server.id.to_string(),
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            age_ms: age.as_millis() as u32,
+        });
+        shared.collect()
     }
 
     /// Takes over the loads that are newer than the known ones.
--- a/tests/gateway_servers.rs
+++ b/tests/gateway_servers.rs
@@ -157,3 +157,29 @@
     let _running = [all[0].start_request(), all[0].start_request()];
     assert_eq!(servers.candidate(&all[0], 10, now).load, 1_000);
 }
+
+/// Guards against messages between gateways that grow with the site: with 3,000 servers, each
+/// admission carried the loads of hundreds of them.
+#[test]
+fn a_message_carries_the_most_recent_loads_only() {
+    let now = Instant::now();
+    let servers = Servers::new("d1".into());
+    let ids: Vec<String> = (0..200).map(|number| format!("i-{number}")).collect();
+    let rows = ids.iter().map(|id| row(id, "ready", 1)).collect();
+    servers.apply(TableChange::Snapshot(rows), None, now);
+    let loads: Vec<SharedLoad> = ids
+        .iter()
+        .enumerate()
+        .map(|(number, id)| SharedLoad {
+            server_id: id.clone(),
+            running: 1,
+            waiting: 0,
+            slots: 4,
+            age_ms: 1 + (number as u32 * 37) % 200,
+        })
+        .collect();
+    servers.merge_loads(&loads, now);
+    let shared = servers.shared_loads(now);
+    assert_eq!(shared.len(), 64);
+    assert!(shared.iter().all(|load| load.age_ms <= 64));
+}
