Test that a program stays with the server of its last turn

Two gateways and two engines: the first server refuses one turn, and the turns after it must stay at the second one, through either gateway. The test fails when placement does not use the remembered server.

--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -3,12 +3,16 @@
 #[path = "support/gateway.rs"]
 mod gateway;
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use gateway::{Turn, WAIT_LIMIT, call, new_id, runs_of, whole_data};
-use sapphireford_standin::harness::{GatewaySite, default_routes, route, wait_until};
+use sapphireford_standin::harness::{Backend, GatewaySite, default_routes, route, wait_until};
 use serde_json::json;
 
+/// Pause of a program between two turns, far above the time of a call between gateways.
+const TURN_PAUSE: Duration = Duration::from_millis(500);
+
 /// Guards against requests that are changed on their way, in either direction.
 #[test]
 fn a_request_and_its_answer_pass_unchanged() {
@@ -209,3 +213,42 @@
     };
     assert!(wait_until(WAIT_LIMIT, is_used));
 }
+
+/// Guards against prefixes that are computed twice: a program that had left its server under load
+/// went back to it afterwards, away from the newer part of its prefix.
+#[test]
+fn a_program_stays_with_the_server_of_its_last_turn() {
+    let site = GatewaySite::start(2);
+    let set_full = |engine: usize, is_full: bool| {
+        let process = &site.engines[engine].process;
+        process.control(&json!({ "full": is_full }));
+    };
+    for number in 0..4 {
+        let program = format!("p-stays-{number}");
+        let run = |gateway: usize| {
+            let id = new_id();
+            let turn = Turn {
+                id: &id,
+                program: &program,
+                ..Turn::default()
+            };
+            turn.run(&site.gateways[gateway]);
+            // The report of the turn reaches the other gateway in the pause between two turns.
+            thread::sleep(TURN_PAUSE);
+            let ran = |engine: &Backend| !runs_of(std::slice::from_ref(engine), &id).is_empty();
+            site.engines.iter().position(ran).expect("a run")
+        };
+        let home = run(0);
+        assert_eq!(run(1), home, "both gateways choose the same server");
+        set_full(home, true);
+        let refuge = run(0);
+        assert_ne!(refuge, home);
+        set_full(home, false);
+        assert_eq!(
+            run(1),
+            refuge,
+            "{program} went back to where its prefix is old"
+        );
+        assert_eq!(run(0), refuge);
+    }
+}
