Log whether a chosen server holds the prefix, and read placement as a newcomer

The log line of a request names what decided the choice of a server; the remembered server was missing. The placement page of the code is in order again, and a page of the store without rows ends a read whatever it says of more.

--- a/src/connection/platform.rs
+++ b/src/connection/platform.rs
@@ -249,6 +249,7 @@
             let request = format::read_request(TABLE, "", prefix, after.as_deref())?;
             let page = page(&self.call(request).await?)?;
             after = page.rows.last().map(|row| row.key.clone());
+            let is_last = !page.has_more || page.rows.is_empty();
             for row in page.rows {
                 let key = row.key.clone();
                 match row_of(row) {
@@ -256,7 +257,7 @@
                     Err(error) => log::warn!(row = key; "row skipped: {}", chain(&error)),
                 }
             }
-            if !page.has_more {
+            if is_last {
                 return Ok(rows);
             }
         }
--- a/src/process/gateway/placement.rs
+++ b/src/process/gateway/placement.rs
@@ -2,12 +2,14 @@
 //!
 //! Model calls of one program go to the same server, which has their prefix in its cache. The gateway
 //! that looks after the program remembers the server; where nobody does, all gateways rank the
-//! servers for a program in the same order. A server is passed over for one further down in that order only if that one is less loaded by
-//! [`SPILL_LOAD_PERMILLE`] for each place between them. So a burst of programs on one server does not
-//! queue while others are free, and under general overload programs stay where their prefixes are.
-//! The order is the same in all failure domains, because the callers of a program may move; only a
-//! new conversation begins at a near server, unless those are loaded.
-//! Plain calls go to the least loaded server.
+//! servers for a program in the same order. A server is passed over for one further down in that
+//! order only if that one is less loaded by [`SPILL_LOAD_PERMILLE`] for each place between them. So a
+//! burst of programs on one server does not queue while others are free, and under general overload
+//! programs stay where their prefixes are.
+//!
+//! The order is the same in all failure domains, because the callers of a program may move. Only a
+//! new conversation begins at a near server, unless those are loaded. Plain calls go to the least
+//! loaded server.
 
 use std::cmp::Reverse;
 
@@ -32,12 +34,8 @@
 /// Load that a server must be below the one before it in the ranking to be chosen instead. Leaving
 /// a server costs the time to compute the prefix again, which is about that of half a batch.
 pub const SPILL_LOAD_PERMILLE: LoadPermille = 500;
-fn rank(key: u64, candidate: &Candidate<'_>) -> u64 {
-    rendezvous_weight(key, candidate.server_id)
-}
-
-/// Load up to which a near server takes a new conversation. A burst of them is shared by the servers of
-/// all domains.
+/// Load up to which a near server takes a new conversation. A burst of them is shared by the servers
+/// of all domains.
 pub const NEAR_LOAD_PERMILLE: LoadPermille = 500;
 
 /// What is known of the prefix of a model call.
@@ -51,6 +49,10 @@
     pub grows: bool,
 }
 
+fn rank(key: u64, candidate: &Candidate<'_>) -> u64 {
+    rendezvous_weight(key, candidate.server_id)
+}
+
 /// The server for a call with a cached prefix: its holder if it is known, otherwise the one where
 /// earlier calls with the same key went. A call that begins a growing prefix goes to a near server.
 pub fn by_prefix(prefix: Prefix<'_>, candidates: &[Candidate<'_>]) -> Option<usize> {
--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -188,8 +188,9 @@
             let request = format::read_request(table, partition, prefix, after.as_deref())?;
             let response = self.call(request, Duration::ZERO, deadline).await?;
             let page = page(&response)?;
+            let is_last = !page.has_more || page.rows.is_empty();
             rows.extend(page.rows);
-            if !page.has_more {
+            if is_last {
                 return Ok(RowPage {
                     rows,
                     has_more: false,
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -13,7 +13,7 @@
 use sapphireford_platform::headers::{self, CallHeaders, Forwarding, REQUEST_ID};
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
-use super::record::RequestRecord;
+use super::record::{RequestRecord, ServerChoice};
 use super::retry::{self, Attempts, Failure, Next};
 use crate::connection::http_client::{ClientError, read_all};
 use crate::error::{Error, ErrorKind, Result};
@@ -161,9 +161,12 @@
             placement::by_load(rand::rng().random(), &candidates)
         }?;
         let report_age = servers[chosen].reported_load(now).map(|(_, age)| age);
-        let server_id = &servers[chosen].id;
-        self.record
-            .add_server(server_id, candidates[chosen].load, report_age);
+        self.record.add_server(&ServerChoice {
+            server_id: &servers[chosen].id,
+            load: candidates[chosen].load,
+            report_age,
+            holds_prefix: self.prefix_holder.as_ref() == Some(&servers[chosen].id),
+        });
         Some(servers[chosen].clone())
     }
 
--- a/src/request/gateway/record.rs
+++ b/src/request/gateway/record.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::VersionNumber;
+use crate::process::gateway::placement::LoadPermille;
 use crate::process::metrics;
 
 /// What decided the fate of a request; logged once, when the request has ended.
@@ -23,6 +24,19 @@
     outcome: RefCell<String>,
 }
 
+/// A chosen server and what decided the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerChoice<'a> {
+    /// Names the server.
+    pub server_id: &'a str,
+    /// Estimated load.
+    pub load: LoadPermille,
+    /// Age of the report that the estimate rests on.
+    pub report_age: Option<Duration>,
+    /// Whether the server completed the last turn of the program.
+    pub holds_prefix: bool,
+}
+
 /// The outcome of requests whose caller has left before they ended otherwise.
 const CALLER_LEFT: &str = "caller left";
 
@@ -56,10 +70,19 @@
         self.config_version.set(config_version);
     }
 
-    /// Records that the request was sent to a server, with the load that decided it.
-    pub fn add_server(&self, server_id: &str, load: u32, report_age: Option<Duration>) {
+    /// Records that the request was sent to a server.
+    pub fn add_server(&self, choice: &ServerChoice<'_>) {
+        let ServerChoice {
+            server_id,
+            load,
+            report_age,
+            holds_prefix,
+        } = choice;
         let age = report_age.map_or("none".to_string(), |age| age.as_millis().to_string());
-        let text = format!("{server_id} load={load} report_age_ms={age}");
+        let mut text = format!("{server_id} load={load} report_age_ms={age}");
+        if *holds_prefix {
+            text.push_str(" holds_prefix");
+        }
         self.servers.borrow_mut().push(text);
     }
 
