Report readiness only when a gateway knows its servers and peers

Cause: a gateway was ready once it had a configuration. Before the first read of the table of backend servers, its requests got 503 "no backend server of the route", which made six tests of gateway_requests fail now and then. Ruled out: shared loopback addresses. Two test processes with one address would fail to listen, which is another failure; next_ip now uses 15 bits of the process id, so that this cannot happen below 32,768 process ids. Change: a gateway is ready, and answers requests, when it has read the configuration, the servers and the other gateways.

--- a/crates/standin/src/harness/site.rs
+++ b/crates/standin/src/harness/site.rs
@@ -400,13 +400,13 @@
 /// Returns a loopback address for a site or a gateway: the second and third octets come from the
 /// process id, the last one from a counter.
 ///
-/// Addresses are not unique between processes whose ids are equal in bits 0 to 7 and 9 to 15, nor
-/// after the first 254 addresses of a process.
+/// Addresses are not unique between processes whose ids are equal in the lowest 15 bits, nor after
+/// the first 254 addresses of a process.
 pub(super) fn next_ip() -> Ipv4Addr {
     let pid = std::process::id();
     let site = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
     // The second octet is odd, so that no address is in 127.0.0.0/16. The last one is not 0 or 255.
-    Ipv4Addr::new(127, (pid >> 8) as u8 | 1, pid as u8, site.clamp(1, 254))
+    Ipv4Addr::new(127, (pid >> 7) as u8 | 1, pid as u8, site.clamp(1, 254))
 }
 
 fn operator_status(address: SocketAddr) -> Option<Value> {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -139,7 +139,7 @@
         }
         Outage::Hang => return response::hang().await,
     }
-    let delay = state.faults.borrow().delay;
+    let delay = state.faults.borrow().call_delay(query.get("table"));
     state.timer.sleep(delay).await;
     state.route(&request, &query).await
 }
--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -28,6 +28,10 @@
 pub struct Control {
     /// Delay before each call takes effect, in milliseconds.
     pub delay_ms: Option<u64>,
+    /// Delay before each read or feed call of `delayed_table` takes effect, in milliseconds.
+    pub table_delay_ms: Option<u64>,
+    /// The table whose reads `table_delay_ms` delays.
+    pub delayed_table: Option<String>,
     /// Outage of all calls, until it is set to `none`.
     pub outage: Option<Outage>,
     /// Number of commits that take effect and whose connection is then aborted without a response.
@@ -61,7 +65,9 @@
 
 /// Failures to inject and the settings that stay in force.
 pub struct Faults {
-    pub delay: Duration,
+    delay: Duration,
+    table_delay: Duration,
+    delayed_table: Option<String>,
     pub outage: Outage,
     hang_commits: bool,
     commit_filter: String,
@@ -78,6 +84,8 @@
     fn default() -> Self {
         Self {
             delay: Duration::ZERO,
+            table_delay: Duration::ZERO,
+            delayed_table: None,
             outage: Outage::None,
             hang_commits: false,
             commit_filter: String::new(),
@@ -96,6 +104,10 @@
         if let Some(delay_ms) = control.delay_ms {
             self.delay = Duration::from_millis(delay_ms);
         }
+        if let Some(delay_ms) = control.table_delay_ms {
+            self.table_delay = Duration::from_millis(delay_ms);
+        }
+        self.delayed_table = control.delayed_table.or(self.delayed_table.take());
         if let Some(outage) = control.outage {
             self.outage = outage;
         }
@@ -118,6 +130,15 @@
         }
     }
 
+    /// Returns the delay before a call takes effect that names `table` in its query.
+    pub fn call_delay(&self, table: Option<&String>) -> Duration {
+        let is_delayed_table = table.is_some() && table == self.delayed_table.as_ref();
+        match is_delayed_table {
+            true => self.delay + self.table_delay,
+            false => self.delay,
+        }
+    }
+
     /// Returns whether a commit hangs before it takes effect.
     pub fn should_hang_commit(&self, first_key: &str) -> bool {
         self.hang_commits && self.matches_filter(first_key)
--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -104,6 +104,11 @@
         self.leaving.notify();
     }
 
+    /// Whether the rows of the other gateways have been read.
+    pub fn is_loaded(&self) -> bool {
+        self.last_read.get().is_some()
+    }
+
     /// Whether this gateway is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.own.borrow().is_leaving
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -147,8 +147,14 @@
         configs.for_each(|row| self.apply_config(row));
     }
 
+    /// Whether this gateway knows what it needs to serve a request: the configuration, the backend
+    /// servers and the other gateways. It has then reached the store as well.
+    pub fn is_informed(&self) -> bool {
+        self.routes.borrow().is_some() && self.servers.is_loaded() && self.directory.is_loaded()
+    }
+
     fn is_ready(&self) -> bool {
-        self.routes.borrow().is_some() && !self.directory.is_leaving() && !self.is_stopped.get()
+        self.is_informed() && !self.directory.is_leaving() && !self.is_stopped.get()
     }
 
     /// Whether lookups may return this gateway to callers.
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -152,6 +152,8 @@
 #[derive(Default)]
 pub struct Servers {
     by_id: RefCell<IndexMap<BackendServerId, Rc<Server>>>,
+    /// Whether the table of servers has been read.
+    is_loaded: Cell<bool>,
     own_failure_domain: Option<FailureDomainId>,
 }
 
@@ -160,15 +162,22 @@
     pub fn new(own_failure_domain: FailureDomainId) -> Self {
         Self {
             by_id: RefCell::default(),
+            is_loaded: Cell::new(false),
             own_failure_domain: Some(own_failure_domain),
         }
     }
 
+    /// Whether the table of servers has been read.
+    pub fn is_loaded(&self) -> bool {
+        self.is_loaded.get()
+    }
+
     /// Applies a change of the server table. `store_recovered_at` is when the store last recovered
     /// from an outage, `None` if there was none.
     pub fn apply(&self, change: TableChange, store_recovered_at: Option<Instant>, now: Instant) {
         match change {
             TableChange::Snapshot(rows) => {
+                self.is_loaded.set(true);
                 let is_listed = |id: &BackendServerId| rows.iter().any(|row| *row.key == **id);
                 let missing: Vec<_> = self
                     .by_id
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -39,8 +39,10 @@
         call: CallHeaders,
         record: Rc<RequestRecord>,
     ) -> Result<Response<Body>> {
-        let routes = self.gateway.routes().ok_or_else(|| {
-            let message = "this gateway has no configuration yet; retry at another gateway";
+        let routes = self.gateway.routes();
+        let routes = routes.filter(|_| self.gateway.is_informed()).ok_or_else(|| {
+            let message = "this gateway has not read its configuration, the backend servers and \
+                           the other gateways yet; retry at another gateway";
             Error::new(ErrorKind::NotReady, message)
         })?;
         let route = find_route(&routes, &request)?;
