Bound what a backend server can send before and in an answer

Cause: the HTTP library reads for as long as bytes arrive, so a server that sent interim responses without end kept the only thread of the process: no other request, timer or readiness check ran. Long bodies had a limit each but none together: 12 endless bodies took 211 MB, more than the 88 MB of the smallest VMs. Change: connections of both programs, as client and as server, let other tasks run after 16 reads (FairIo); the head of a response with its interim responses is limited to 256 KiB; long bodies share a budget of 24 MiB.

--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -20,9 +20,9 @@
 /// Host name that all routes match.
 pub const HOST: &str = "site.example";
 /// Service whose backend servers are model engines.
-const ENGINE_SERVICE: &str = "llm";
+pub const ENGINE_SERVICE: &str = "llm";
 /// Service whose backend servers are not model engines.
-const PLAIN_SERVICE: &str = "app";
+pub const PLAIN_SERVICE: &str = "app";
 /// Value of `chunkTokens` of the engine service: tokens in each event of a stream.
 pub const TOKENS_PER_EVENT: u64 = 9;
 
@@ -180,14 +180,27 @@
 
     /// Writes the row of a backend server with `state`, such as `ready` or `draining`.
     pub fn register(&self, server: &BackendServer, state: &str) {
+        self.register_address(&server.id, server.service, server.proxy.address(), state);
+    }
+
+    /// Writes the row of a backend server that a test runs itself.
+    pub fn register_address(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
         let value = json!({
-            "service": server.service, "address": server.proxy.address(), "zone": "d1",
+            "service": service, "address": address, "zone": "d1",
             "version": "v1", "slots": 16, "state": state, "coldRemainingMs": 0, "seq": 0, "born": 1,
         });
-        let put = json!({ "table": "servers", "key": server.id, "value": value });
+        let put = json!({ "table": "servers", "key": id, "value": value });
         self.store.control(&json!({ "put": put }));
     }
 
+    /// Removes the rows of all backend servers of a service.
+    pub fn deregister_service(&self, service: &str) {
+        let servers = self.engines.iter().chain(&self.plain_servers);
+        for server in servers.filter(|server| server.service == service) {
+            self.deregister(server);
+        }
+    }
+
     /// Removes the row of a backend server.
     pub fn deregister(&self, server: &BackendServer) {
         let row = json!({ "table": "servers", "key": server.id });
--- a/src/caller/turn.rs
+++ b/src/caller/turn.rs
@@ -14,7 +14,7 @@
 
 use crate::caller::attempts::{Attempts, Failure};
 use crate::caller::{CallError, MAX_ANSWER_BYTES, Result};
-use crate::connection::http_client::{ClientError, read_body};
+use crate::connection::http_client::ClientError;
 use crate::connection::sse::{Event, Parser};
 use crate::error::{ErrorBody, ErrorDetail};
 use crate::request::api::{
@@ -168,7 +168,7 @@
             }
             Ok(response) => {
                 let status = response.status();
-                let body = read_body(response.into_body(), MAX_ANSWER_BYTES);
+                let body = http.read_body(response.into_body(), MAX_ANSWER_BYTES);
                 match http.timer().timeout(attempts.attempt_timeout(), body).await {
                     Ok(Ok(body)) => Failure::from_error_answer(status, &body),
                     Ok(Err(error)) => Failure::Client(error),
--- a/src/connection/engine.rs
+++ b/src/connection/engine.rs
@@ -21,7 +21,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::connection::http_client::{ClientError, HttpClient, read_body};
+use crate::connection::http_client::{ClientError, HttpClient};
 use crate::connection::sse;
 use crate::ids::{FencingNumber, ModelId};
 use crate::process::timer::{Sleep, TimerService};
@@ -342,7 +342,9 @@
 
     async fn read_refusal(&self, response: Response<Incoming>) -> EngineError {
         let status = response.status().as_u16();
-        let body = read_body(response.into_body(), MAX_REFUSAL_BODY_BYTES);
+        let body = self
+            .http
+            .read_body(response.into_body(), MAX_REFUSAL_BODY_BYTES);
         let body = match self.http.timer().timeout(BODY_DRAIN_TIMEOUT, body).await {
             Ok(Ok(body)) => body_excerpt(&body),
             // The body only explains the error; the status is sufficient to handle it.
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -13,8 +13,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
@@ -24,6 +24,8 @@
 use monoio::net::TcpStream;
 use monoio_compat::hyper::MonoioIo;
 
+use crate::connection::body_buffer::BodyBudget;
+use crate::connection::fair_io::{FairIo, HeadAllowance};
 use crate::process::timer::TimerService;
 
 /// The result of a request.
@@ -70,12 +72,17 @@
 
 impl std::error::Error for ClientError {}
 
-type Sender = SendRequest<Full<Bytes>>;
+/// An open connection to a server.
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    head: HeadAllowance,
+}
+
 type Pool = Rc<RefCell<IndexMap<SocketAddr, Vec<IdleConnection>>>>;
 
 /// A connection in the pool.
 struct IdleConnection {
-    sender: Sender,
+    connection: Connection,
     /// The connection is not used from this time on; `None` if the server gave no idle timeout.
     expires: Option<Instant>,
 }
@@ -96,6 +103,8 @@
     pub max_idle_per_address: usize,
 }
 
+/// Longest head of a response, interim responses included.
+const RESPONSE_HEAD_LIMIT_BYTES: usize = 256 << 10;
 /// Unanswered TCP keep-alive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
@@ -109,10 +118,14 @@
     }
 }
 
-/// An HTTP client. Clones share the pool of idle connections.
+/// Most bytes of long response bodies in memory at the same time.
+const BODY_BUDGET_BYTES: usize = 24 << 20;
+
+/// An HTTP client. Clones share the pool of idle connections and the budget of response bodies.
 #[derive(Clone)]
 pub struct HttpClient {
     pool: Pool,
+    bodies: BodyBudget,
     timer: TimerService,
     limits: ClientLimits,
 }
@@ -127,6 +140,7 @@
     pub fn with_limits(timer: TimerService, limits: ClientLimits) -> Self {
         Self {
             pool: Pool::default(),
+            bodies: BodyBudget::new(BODY_BUDGET_BYTES),
             timer,
             limits,
         }
@@ -165,8 +179,15 @@
     ) -> Result<Response<Incoming>> {
         let deadline = Instant::now() + timeout;
         let mut request = prepare(address, request);
-        while let Some(sender) = self.take_idle(address) {
-            let sent = self.send_on(address, sender, request, deadline, timeout, &is_expected);
+        while let Some(connection) = self.take_idle(address) {
+            let sent = self.send_on(
+                address,
+                connection,
+                request,
+                deadline,
+                timeout,
+                &is_expected,
+            );
             match sent.await {
                 Ok(response) => return Ok(response),
                 Err((error, None)) => return Err(error),
@@ -175,8 +196,15 @@
                 Err((_, Some(unsent))) => request = unsent,
             }
         }
-        let sender = self.connect(address, deadline).await?;
-        let sent = self.send_on(address, sender, request, deadline, timeout, &is_expected);
+        let connection = self.connect(address, deadline).await?;
+        let sent = self.send_on(
+            address,
+            connection,
+            request,
+            deadline,
+            timeout,
+            &is_expected,
+        );
         sent.await.map_err(|(error, _)| error)
     }
 
@@ -193,26 +221,32 @@
         let (head, body) = self.send(address, request, timeout).await?.into_parts();
         let body = self
             .timer
-            .timeout_at(deadline, read_body(body, body_limit_bytes))
+            .timeout_at(deadline, self.read_body(body, body_limit_bytes))
             .await
             .map_err(|_| ClientError::TimedOut(timeout))??;
         Ok(Response::from_parts(head, body))
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    /// Reads the whole body of a response; one that exceeds `limit_bytes` is an error.
+    pub async fn read_body(&self, body: Incoming, limit_bytes: usize) -> Result<Bytes> {
+        let read = self.bodies.read(body, limit_bytes).await;
+        read.map_err(|error| ClientError::Interrupted(error.to_string()))
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut pool = self.pool.borrow_mut();
         let idle = pool.get_mut(&address)?;
         let now = Instant::now();
-        while let Some(connection) = idle.pop() {
-            let is_expired = connection.expires.is_some_and(|expires| expires <= now);
-            if connection.sender.is_ready() && !is_expired {
-                return Some(connection.sender);
+        while let Some(idle) = idle.pop() {
+            let is_expired = idle.expires.is_some_and(|expires| expires <= now);
+            if idle.connection.sender.is_ready() && !is_expired {
+                return Some(idle.connection);
             }
         }
         None
     }
 
-    async fn connect(&self, address: SocketAddr, deadline: Instant) -> Result<Sender> {
+    async fn connect(&self, address: SocketAddr, deadline: Instant) -> Result<Connection> {
         let deadline = deadline.min(Instant::now() + self.limits.connect_timeout);
         let not_sent =
             |reason: String| ClientError::NotSent(format!("connect to {address}: {reason}"));
@@ -233,7 +267,9 @@
         let io = stream
             .into_poll_io()
             .map_err(|error| not_sent(error.to_string()))?;
-        let (sender, connection) = hyper::client::conn::http1::handshake(MonoioIo::new(io))
+        let head = HeadAllowance::default();
+        let io = MonoioIo::new(FairIo::new(io, head.clone()));
+        let (sender, connection) = hyper::client::conn::http1::handshake(io)
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         monoio::spawn(async move {
@@ -241,19 +277,20 @@
                 log::debug!("connection to {address} failed: {error}");
             }
         });
-        Ok(sender)
+        Ok(Connection { sender, head })
     }
 
     async fn send_on(
         &self,
         address: SocketAddr,
-        mut sender: Sender,
+        mut connection: Connection,
         request: Request<Full<Bytes>>,
         deadline: Instant,
         timeout: Duration,
         is_expected: &impl Fn(&HeaderMap) -> bool,
     ) -> std::result::Result<Response<Incoming>, (ClientError, Option<Request<Full<Bytes>>>)> {
-        let sending = sender.try_send_request(request);
+        connection.head.start(RESPONSE_HEAD_LIMIT_BYTES);
+        let sending = connection.sender.try_send_request(request);
         let response = match self.timer.timeout_at(deadline, sending).await {
             Err(_) => return Err((ClientError::TimedOut(timeout), None)),
             Ok(Ok(response)) => response,
@@ -267,24 +304,25 @@
                 return Err((error, unsent));
             }
         };
+        connection.head.end();
         if !is_expected(response.headers()) {
             return Err((ClientError::Mismatched, None));
         }
         let idle_timeout = advertised_idle_timeout(response.headers());
-        self.return_to_pool_when_idle(address, sender, idle_timeout);
+        self.return_to_pool_when_idle(address, connection, idle_timeout);
         Ok(response)
     }
 
     fn return_to_pool_when_idle(
         &self,
         address: SocketAddr,
-        mut sender: Sender,
+        mut connection: Connection,
         idle_timeout: Option<Duration>,
     ) {
         let pool = self.pool.clone();
         let max_idle = self.limits.max_idle_per_address;
         monoio::spawn(async move {
-            if sender.ready().await.is_err() {
+            if connection.sender.ready().await.is_err() {
                 return;
             }
             let mut pool = pool.borrow_mut();
@@ -292,7 +330,10 @@
             if idle.len() < max_idle {
                 let usable = idle_timeout.map(|time| time.saturating_sub(IDLE_EXPIRY_MARGIN));
                 let expires = usable.map(|time| Instant::now() + time);
-                idle.push(IdleConnection { sender, expires });
+                idle.push(IdleConnection {
+                    connection,
+                    expires,
+                });
             }
         });
     }
@@ -315,19 +356,3 @@
     }
     Request::from_parts(head, Full::new(body))
 }
-
-/// Reads a whole body; one that exceeds `limit_bytes` is an error.
-pub async fn read_body(mut body: Incoming, limit_bytes: usize) -> Result<Bytes> {
-    let mut buffer = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| ClientError::Interrupted(error.to_string()))?;
-        if let Ok(data) = frame.into_data() {
-            if buffer.len() + data.len() > limit_bytes {
-                let reason = format!("the answer is longer than {limit_bytes} bytes");
-                return Err(ClientError::Interrupted(reason));
-            }
-            buffer.extend_from_slice(&data);
-        }
-    }
-    Ok(buffer.freeze())
-}
--- a/src/connection/http_server.rs
+++ b/src/connection/http_server.rs
@@ -13,9 +13,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::future::{Either, select};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::service::service_fn;
@@ -26,6 +25,8 @@
 use serde::Serialize;
 
 use crate::connection::body::Body;
+use crate::connection::body_buffer::{BodyBudget, BodyError};
+use crate::connection::fair_io::{FairIo, HeadAllowance};
 use crate::error::{Error, ErrorKind};
 use crate::process::notify::Notify;
 use crate::process::timer::TimerService;
@@ -71,8 +72,12 @@
     fn handle(&self, request: Request<Bytes>) -> impl Future<Output = Response<Body>>;
 }
 
-#[derive(Default)]
+/// Most bytes of long request bodies in memory at the same time.
+const BODY_BUDGET_BYTES: usize = 24 << 20;
+
 struct ServerState {
+    /// Bounds the request bodies of all connections together.
+    bodies: BodyBudget,
     /// Whether each connection is closed after its next response.
     is_keep_alive_disabled: Cell<bool>,
     is_stopping: Cell<bool>,
@@ -83,6 +88,19 @@
     changed: Notify,
 }
 
+impl Default for ServerState {
+    fn default() -> Self {
+        Self {
+            bodies: BodyBudget::new(BODY_BUDGET_BYTES),
+            is_keep_alive_disabled: Cell::default(),
+            is_stopping: Cell::default(),
+            is_listener_closed: Cell::default(),
+            open_connections: Cell::default(),
+            changed: Notify::default(),
+        }
+    }
+}
+
 impl ServerState {
     async fn wait_for_stop(&self) {
         self.changed.until(|| self.is_stopping.get()).await;
@@ -257,13 +275,15 @@
     state: &ServerState,
 ) -> std::result::Result<(), ConnectionError> {
     stream.set_nodelay(true)?;
-    let io = MonoioIo::new(stream.into_poll_io()?);
+    let io = FairIo::new(stream.into_poll_io()?, HeadAllowance::default());
+    let io = MonoioIo::new(io);
     let request_timer = timer.clone();
     let service = service_fn(|request| {
         let handler = handler.clone();
         let timer = request_timer.clone();
+        let bodies = state.bodies.clone();
         async move {
-            let mut response = handle_request(request, limits, timer, handler).await;
+            let mut response = handle_request(request, limits, timer, bodies, handler).await;
             if state.is_keep_alive_disabled.get() {
                 let headers = response.headers_mut();
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -296,15 +316,19 @@
     request: Request<Incoming>,
     limits: HttpLimits,
     timer: TimerService,
+    bodies: BodyBudget,
     handler: Rc<H>,
 ) -> Response<Body> {
     let (head, body) = request.into_parts();
     let body = match timer
-        .timeout(limits.body_timeout, read_body(body, limits.max_body_bytes))
+        .timeout(
+            limits.body_timeout,
+            bodies.read(body, limits.max_body_bytes),
+        )
         .await
     {
         Ok(Ok(body)) => body,
-        Ok(Err(error)) => return error_response(&error),
+        Ok(Err(error)) => return error_response(&body_error(error)),
         Err(_) => {
             let message = format!(
                 "the request body did not arrive within {} ms; send it again",
@@ -316,21 +340,20 @@
     handler.handle(Request::from_parts(head, body)).await
 }
 
-async fn read_body(mut body: Incoming, limit_bytes: usize) -> crate::error::Result<Bytes> {
-    let mut buffer = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            Error::new(ErrorKind::BadRequest, "the request body is incomplete").with_cause(error)
-        })?;
-        if let Ok(data) = frame.into_data() {
-            if buffer.len() + data.len() > limit_bytes {
-                let message = format!("the request body is longer than {limit_bytes} bytes");
-                return Err(Error::new(ErrorKind::BodyTooLarge, message));
-            }
-            buffer.extend_from_slice(&data);
+fn body_error(error: BodyError) -> Error {
+    match error {
+        BodyError::Broken(cause) => {
+            Error::new(ErrorKind::BadRequest, "the request body is incomplete").with_cause(cause)
+        }
+        BodyError::TooLong(limit_bytes) => {
+            let message = format!("the request body is longer than {limit_bytes} bytes");
+            Error::new(ErrorKind::BodyTooLarge, message)
+        }
+        BodyError::BudgetExhausted => {
+            let message = "too many long request bodies are being read; retry later";
+            Error::new(ErrorKind::Overloaded, message)
         }
     }
-    Ok(buffer.freeze())
 }
 
 /// Converts an error into the response defined for its kind in [`crate::error`].
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -19,7 +19,7 @@
 
 use super::record::{RequestRecord, ServerChoice};
 use super::retry::{self, AttemptCounts, AttemptFailure, RetryDecision};
-use crate::connection::http_client::{ClientError, read_body};
+use crate::connection::http_client::ClientError;
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::BackendServerId;
 use crate::process::gateway::placement::{self, Prefix};
@@ -265,7 +265,7 @@
             };
             return AttemptOutcome::Answered(ServerResponse::Stream(head, upstream));
         }
-        let read = read_body(body, ANSWER_LIMIT_BYTES);
+        let read = self.gateway.http.read_body(body, ANSWER_LIMIT_BYTES);
         let timer = &self.gateway.timer;
         let body = match timer.timeout_at(self.deadline, read).await {
             Ok(Ok(body)) => body,
