Send no new requests to a server that says it leaves

Cause: servers state in all their answers that they are about to stop (Server-Leaving). The gateway ignored it and used them until their row said so, which it does not while the store is away. Change: the header counts at once, in the head of an answer or stream and in a refusal, for that start of the server only. Gateways exchange it with the admissions of turns, and a gateway that starts asks three peers before it is ready. The lists follow the messages between gateways, so that earlier builds still understand them.

--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -85,6 +85,8 @@
     unsigned: bool,
     /// Rejects all requests without executing them.
     full: bool,
+    /// States in all responses that the server is about to stop.
+    leaving: bool,
     /// Returns status 500 after execution; streams are not affected.
     fail: bool,
 }
@@ -147,15 +149,16 @@
 impl State {
     async fn serve(self: &Rc<Self>, request: Request<Bytes>) -> Response<Body> {
         let headers = request.headers();
+        let request_id = header_text(headers, "request-id");
         if header_text(headers, "expect-instance").is_some_and(|id| id != self.id) {
-            return self.not_executed(StatusCode::MISDIRECTED_REQUEST);
+            return self.not_executed(StatusCode::MISDIRECTED_REQUEST, request_id.as_deref());
         }
-        let Some(request_id) = header_text(headers, "request-id") else {
-            return self.not_executed(StatusCode::BAD_REQUEST);
+        let Some(request_id) = request_id else {
+            return self.not_executed(StatusCode::BAD_REQUEST, None);
         };
         let control = *self.control.borrow();
         if control.full || self.running.get() >= self.slots {
-            return self.not_executed(StatusCode::SERVICE_UNAVAILABLE);
+            return self.not_executed(StatusCode::SERVICE_UNAVAILABLE, Some(&request_id));
         }
         self.running.set(self.running.get() + 1);
         let running_guard = RunningGuard(self.clone());
@@ -224,18 +227,27 @@
         };
         insert("request-id", request_id);
         insert("server-load", &load);
+        if control.leaving {
+            insert("server-leaving", "1");
+        }
         if !control.unsigned {
             insert("server-signature", &format!("{}.{request_id}", self.id));
         }
     }
 
-    fn not_executed(&self, status: StatusCode) -> Response<Body> {
+    fn not_executed(&self, status: StatusCode, request_id: Option<&str>) -> Response<Body> {
         let mut response = response::empty(status);
         let headers = response.headers_mut();
         headers.insert("not-executed", HeaderValue::from_static("1"));
         if let Ok(id) = self.id.parse() {
             headers.insert("instance-id", id);
         }
+        if let Some(Ok(request_id)) = request_id.map(str::parse) {
+            headers.insert("request-id", request_id);
+        }
+        if self.control.borrow().leaving {
+            headers.insert("server-leaving", HeaderValue::from_static("1"));
+        }
         response
     }
 }
--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -185,9 +185,24 @@
 
     /// Writes the row of a backend server that a test runs itself.
     pub fn register_address(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
+        self.put_server(id, service, address, state, 1);
+    }
+
+    /// Writes the row of a backend server as after a restart with the same id and address.
+    pub fn register_restarted(&self, server: &BackendServer) {
+        self.put_server(
+            &server.id,
+            server.service,
+            server.proxy.address(),
+            "ready",
+            2,
+        );
+    }
+
+    fn put_server(&self, id: &str, service: &str, address: SocketAddr, state: &str, born: u64) {
         let value = json!({
-            "service": service, "address": address, "zone": "d1",
-            "version": "v1", "slots": 16, "state": state, "coldRemainingMs": 0, "seq": 0, "born": 1,
+            "service": service, "address": address, "zone": "d1", "version": "v1", "slots": 16,
+            "state": state, "coldRemainingMs": 0, "seq": 0, "born": born,
         });
         let put = json!({ "table": "servers", "key": id, "value": value });
         self.store.control(&json!({ "put": put }));
--- a/src/process/gateway/budget.rs
+++ b/src/process/gateway/budget.rs
@@ -195,18 +195,24 @@
         };
         let timeout = (PEER_TIMEOUT + PEER_STORE_TIMEOUT).min(time_left);
         let http = &self.shared.http;
+        let servers = &self.shared.servers;
         let response = http
-            .fetch(peer, request.encode(), timeout, RESPONSE_LIMIT_BYTES)
+            .fetch(
+                peer,
+                request.encode(&servers.leaving()),
+                timeout,
+                RESPONSE_LIMIT_BYTES,
+            )
             .await;
         let response = response
             .ok()
             .and_then(|response| AdmitResponse::decode(&response));
-        if let Some(response) = &response {
-            let servers = &self.shared.servers;
+        if let Some((response, leaving)) = &response {
             servers.merge_loads(&response.loads, Instant::now());
+            servers.merge_leaving(leaving);
         }
         match response {
-            Some(response) => match response.result {
+            Some((response, _)) => match response.result {
                 AdmitResult::Admission(admission) => Ok(Some(AccountAnswer {
                     admission,
                     chain: response.chain,
--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -232,14 +232,14 @@
             }
         }
         drop(known);
-        self.update_relays(now);
+        self.relays.replace(self.live_peers(now));
     }
 
-    fn update_relays(&self, now: Instant) {
+    /// The peer addresses of the other live gateways.
+    pub fn live_peers(&self, now: Instant) -> Vec<SocketAddr> {
         let known = self.known.borrow();
         let live = known.values().filter(|known| self.is_live(known, now));
-        let addresses = live.map(|known| known.row.peer_address);
-        self.relays.replace(addresses.collect());
+        live.map(|known| known.row.peer_address).collect()
     }
 
     fn next_heartbeat(&self) -> Option<RowWrite> {
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -10,12 +10,13 @@
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use super::account::GrantId;
 use super::history::{TurnChain, TurnId};
 use super::ledger::{Admission, TurnBudget};
-use super::servers::SharedLoad;
+use super::servers::{LeavingServer, SharedLoad};
 use crate::connection::body::Body;
 
 /// Path prefix of relayed store calls; the path of the store follows.
@@ -133,6 +134,8 @@
     pub persisted_turn: Option<(TurnId, TurnChain)>,
 }
 
+/// Path of the servers that are about to stop.
+const LEAVING_PATH: &str = "/servers/leaving";
 const ADMIT_PATH: &str = "/programs/admit";
 const SETTLE_PATH: &str = "/programs/settle";
 
@@ -145,10 +148,49 @@
     request
 }
 
+/// A message that is followed by the servers that its sender knows to be leaving.
+///
+/// They are appended, not a field, because gateways of earlier builds ignore what follows the
+/// message and send none.
+fn with_leaving(message: &impl Serialize, leaving: &[LeavingServer]) -> Bytes {
+    // The encoding of these types cannot fail.
+    let mut body = postcard::to_stdvec(message).unwrap_or_default();
+    body.extend(postcard::to_stdvec(leaving).unwrap_or_default());
+    Bytes::from(body)
+}
+
+fn split_leaving<T: DeserializeOwned>(body: &[u8]) -> Option<(T, Vec<LeavingServer>)> {
+    let (message, rest) = postcard::take_from_bytes(body).ok()?;
+    Some((message, postcard::from_bytes(rest).unwrap_or_default()))
+}
+
+/// Asks a peer which servers it knows to be leaving.
+pub fn leaving_request() -> Request<Bytes> {
+    let mut request = Request::new(Bytes::new());
+    *request.uri_mut() = Uri::from_static(LEAVING_PATH);
+    request
+}
+
+/// Encodes the response to [`leaving_request`].
+pub fn leaving_response(leaving: &[LeavingServer]) -> Response<Body> {
+    Response::new(Body::full(with_leaving(&(), leaving)))
+}
+
+/// Decodes the response to [`leaving_request`]; empty if the peer does not know the call.
+pub fn decode_leaving(response: &Response<Bytes>) -> Vec<LeavingServer> {
+    if response.status() != StatusCode::OK {
+        return Vec::new();
+    }
+    let message: Option<((), _)> = split_leaving(response.body());
+    message.map(|((), leaving)| leaving).unwrap_or_default()
+}
+
 impl AdmitRequest {
-    /// Encodes the HTTP request to a peer.
-    pub fn encode(&self) -> Request<Bytes> {
-        post(ADMIT_PATH, self)
+    /// Encodes the HTTP request to a peer, with the servers that this gateway knows to be leaving.
+    pub fn encode(&self, leaving: &[LeavingServer]) -> Request<Bytes> {
+        let mut request = post(ADMIT_PATH, &());
+        *request.body_mut() = with_leaving(self, leaving);
+        request
     }
 }
 
@@ -160,16 +202,16 @@
 }
 
 impl AdmitResponse {
-    /// Encodes the HTTP response to a peer.
-    pub fn encode(&self) -> Response<Body> {
-        let body = postcard::to_stdvec(self).unwrap_or_default();
-        Response::new(Body::full(body))
+    /// Encodes the HTTP response to a peer, with the servers that this gateway knows to be leaving.
+    pub fn encode(&self, leaving: &[LeavingServer]) -> Response<Body> {
+        Response::new(Body::full(with_leaving(self, leaving)))
     }
 
-    /// Decodes the response of a peer; `None` if the status is not 200 or the body is malformed.
-    pub fn decode(response: &Response<Bytes>) -> Option<Self> {
+    /// Decodes the response of a peer and the servers that the peer knows to be leaving; `None` if
+    /// the status is not 200 or the body is malformed.
+    pub fn decode(response: &Response<Bytes>) -> Option<(Self, Vec<LeavingServer>)> {
         let is_ok = response.status() == StatusCode::OK;
-        is_ok.then(|| postcard::from_bytes(response.body()).ok())?
+        is_ok.then(|| split_leaving(response.body()))?
     }
 }
 
@@ -177,18 +219,20 @@
 pub enum PeerCall {
     /// A store call to relay.
     Relay(Box<RelayedCall>),
-    /// A turn to admit.
-    Admit(AdmitRequest),
+    /// A turn to admit, and the servers that the peer knows to be leaving.
+    Admit(AdmitRequest, Vec<LeavingServer>),
     /// A turn to settle.
     Settle(SettleRequest),
+    /// The peer asks for the servers that are leaving.
+    ListLeaving,
 }
 
 /// Decodes a call of another gateway; `None` if the path is unknown or the message is malformed.
 pub fn decode_call(request: Request<Bytes>) -> Option<PeerCall> {
     match request.uri().path() {
-        ADMIT_PATH => postcard::from_bytes(request.body())
-            .ok()
-            .map(PeerCall::Admit),
+        ADMIT_PATH => split_leaving(request.body())
+            .map(|(request, leaving)| PeerCall::Admit(request, leaving)),
+        LEAVING_PATH => Some(PeerCall::ListLeaving),
         SETTLE_PATH => postcard::from_bytes(request.body())
             .ok()
             .map(PeerCall::Settle),
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -11,7 +11,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use hyper::{Request, Response, StatusCode};
+use rand::seq::SliceRandom;
 use sapphireford_platform::directory::{
     Lookup, LookupAnswer, MAX_ADDRESSES, READY_PATH, RESOLVE_PATH,
 };
@@ -85,6 +87,15 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 /// Interval of the maintenance task.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
+/// Peers that a gateway asks at its start which servers are leaving, and the timeout of the call. A
+/// server may have said so to an earlier start of this gateway only, so the answer is an attempt to
+/// learn it, and a gateway starts without it.
+const START_QUESTION_PEERS: usize = 3;
+const START_QUESTION_TIMEOUT: Duration = Duration::from_millis(200);
+/// Interval at which the start checks whether the tables have been read.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Largest list of leaving servers that is accepted from a peer.
+const LEAVING_LIMIT_BYTES: usize = 1 << 20;
 /// Time without a successful call to the store after which this gateway is not returned to callers.
 const STORE_CONTACT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -107,6 +118,8 @@
     routes: RefCell<Option<Rc<RouteTable>>>,
     metrics: Metrics,
     lookup_ttl: Duration,
+    /// Whether the peers have been asked which servers are leaving.
+    has_asked_peers: Cell<bool>,
     is_stopped: Cell<bool>,
 }
 
@@ -150,7 +163,11 @@
     /// Whether this gateway knows what it needs to serve a request: the configuration, the backend
     /// servers and the other gateways. It has then reached the store as well.
     pub fn is_informed(&self) -> bool {
-        self.routes.borrow().is_some() && self.servers.is_loaded() && self.directory.is_loaded()
+        self.routes.borrow().is_some() && self.has_read_tables() && self.has_asked_peers.get()
+    }
+
+    fn has_read_tables(&self) -> bool {
+        self.servers.is_loaded() && self.directory.is_loaded()
     }
 
     fn is_ready(&self) -> bool {
@@ -209,11 +226,16 @@
         let gateway = &self.0;
         match peers::decode_call(request) {
             Some(PeerCall::Relay(call)) => peers::relay_response(gateway.store.relay(*call).await),
-            Some(PeerCall::Admit(request)) => gateway.budgets.handle_admit(request).await.encode(),
+            Some(PeerCall::Admit(request, leaving)) => {
+                gateway.servers.merge_leaving(&leaving);
+                let response = gateway.budgets.handle_admit(request).await;
+                response.encode(&gateway.servers.leaving())
+            }
             Some(PeerCall::Settle(report)) => {
                 gateway.budgets.apply_settlement(report);
                 status(StatusCode::OK)
             }
+            Some(PeerCall::ListLeaving) => peers::leaving_response(&gateway.servers.leaving()),
             None => status(StatusCode::NOT_FOUND),
         }
     }
@@ -274,6 +296,7 @@
             routes: RefCell::default(),
             metrics,
             lookup_ttl: LOOKUP_TTL.min(settings.lookup_lifetime_limit),
+            has_asked_peers: Cell::new(false),
             is_stopped: Cell::new(false),
             store,
         });
@@ -398,6 +421,31 @@
         .map_err(|error| StartError::Listen(setting, address, error))
 }
 
+/// Asks some peers which servers are leaving, before the first request is served.
+async fn learn_leaving_servers(gateway: Rc<Gateway>) {
+    while !gateway.has_read_tables() {
+        gateway.timer.sleep(START_POLL_INTERVAL).await;
+    }
+    let mut peers = gateway.directory.live_peers(Instant::now());
+    peers.shuffle(&mut rand::rng());
+    peers.truncate(START_QUESTION_PEERS);
+    let questions = peers.into_iter().map(|peer| {
+        let request = peers::leaving_request();
+        let http = &gateway.http;
+        http.fetch(peer, request, START_QUESTION_TIMEOUT, LEAVING_LIMIT_BYTES)
+    });
+    for response in join_all(questions).await {
+        match response {
+            Ok(response) => {
+                let leaving = peers::decode_leaving(&response);
+                gateway.servers.merge_leaving(&leaving);
+            }
+            Err(error) => log::info!("peer did not say which servers are leaving: {error}"),
+        }
+    }
+    gateway.has_asked_peers.set(true);
+}
+
 fn start_background_tasks(gateway: &Rc<Gateway>, writer: &StoreWriter, ledger: &Ledger) {
     let store = gateway.store.clone();
     let config_gateway = gateway.clone();
@@ -411,6 +459,7 @@
             .servers
             .apply(change, store_recovered_at, Instant::now());
     }));
+    monoio::spawn(learn_leaving_servers(gateway.clone()));
     let directory = gateway.directory.clone();
     monoio::spawn(directory::run_heartbeats(directory, store, writer.clone()));
     let maintenance_gateway = gateway.clone();
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -45,6 +45,9 @@
     /// Requests that this gateway has sent since the report was made.
     sent_since_report: Cell<u32>,
     breaker: RefCell<CircuitBreaker>,
+    /// Whether the server has said in an answer that it is about to stop. This start of the server
+    /// takes no new requests from then on, whatever its row says.
+    is_leaving: Cell<bool>,
     /// When the server is deregistered unless its row is renewed. Set while the row is missing
     /// after an outage of the store.
     renewal_deadline: Cell<Option<Instant>>,
@@ -59,6 +62,7 @@
             report: Cell::new(None),
             sent_since_report: Cell::new(0),
             breaker: RefCell::default(),
+            is_leaving: Cell::new(false),
             renewal_deadline: Cell::new(None),
         }
     }
@@ -95,6 +99,13 @@
         self.breaker.borrow_mut().record_failure(Instant::now());
     }
 
+    /// Records that the server is about to stop, as it said in an answer.
+    pub fn record_leaving(&self) {
+        if !self.is_leaving.replace(true) {
+            log::info!(server = &*self.id; "backend server is leaving, it gets no new requests");
+        }
+    }
+
     /// The most recent load report and its age, or `None` if the server has not reported yet.
     pub fn reported_load(&self, now: Instant) -> Option<(ReportedLoad, Duration)> {
         let (load, at) = self.report.get()?;
@@ -119,7 +130,8 @@
     fn is_eligible(&self, connection_limit: u32, now: Instant) -> bool {
         let is_ready = self.record.borrow().state == ServerState::Ready;
         let own = self.in_flight.get();
-        is_ready && own < connection_limit && self.breaker.borrow().allows(now, u32::MAX, own)
+        let is_available = is_ready && !self.is_leaving.get();
+        is_available && own < connection_limit && self.breaker.borrow().allows(now, u32::MAX, own)
     }
 }
 
@@ -148,6 +160,15 @@
     pub age_ms: u32,
 }
 
+/// A start of a server that has said that it is about to stop, as gateways tell each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingServer {
+    /// Key of the server's row.
+    pub server_id: String,
+    /// When the server started. A later start under the same key is not leaving.
+    pub started_unix_ms: Option<u64>,
+}
+
 /// The registered backend servers of all services.
 #[derive(Default)]
 pub struct Servers {
@@ -234,7 +255,8 @@
         };
         let recovered_at =
             store_recovered_at.filter(|at| now.saturating_duration_since(*at) < ROW_EXPIRY_WINDOW);
-        let is_draining = server.record.borrow().state == ServerState::Draining;
+        let is_draining =
+            server.is_leaving.get() || server.record.borrow().state == ServerState::Draining;
         if let Some(recovered_at) = recovered_at
             && !is_draining
         {
@@ -305,6 +327,31 @@
         }
     }
 
+    /// The registered servers that have said that they are about to stop.
+    pub fn leaving(&self) -> Vec<LeavingServer> {
+        let by_id = self.by_id.borrow();
+        let leaving = by_id.values().filter(|server| server.is_leaving.get());
+        let leaving = leaving.map(|server| LeavingServer {
+            server_id: server.id.to_string(),
+            started_unix_ms: server.record.borrow().started_unix_ms,
+        });
+        leaving.collect()
+    }
+
+    /// Adopts what another gateway has heard from servers that are about to stop.
+    pub fn merge_leaving(&self, leaving: &[LeavingServer]) {
+        let by_id = self.by_id.borrow();
+        for told in leaving {
+            let server = by_id.get(told.server_id.as_str());
+            let is_same_start = |server: &&Rc<Server>| {
+                server.record.borrow().started_unix_ms == told.started_unix_ms
+            };
+            if let Some(server) = server.filter(is_same_start) {
+                server.record_leaving();
+            }
+        }
+    }
+
     /// The registered servers of a service, including those that take no requests at the moment.
     pub fn for_service(&self, service: &str) -> Vec<Rc<Server>> {
         let by_id = self.by_id.borrow();
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -240,6 +240,15 @@
             server.record_load(load);
         }
         let status = response.status();
+        // At an address that was assigned again, another server answers, whose state is its own.
+        let is_addressee = status != StatusCode::MISDIRECTED_REQUEST
+            && answer
+                .server_id
+                .as_deref()
+                .is_none_or(|id| id == &*server.id);
+        if answer.is_leaving && is_addressee {
+            server.record_leaving();
+        }
         let was_not_executed = answer.is_not_executed || status == StatusCode::MISDIRECTED_REQUEST;
         if was_not_executed {
             let reason = format!("refused with status {}", status.as_u16());
