Find live gateways by gossip, and wait when the store limits its rate

The heartbeats (246 a second) and the registrations of 100 backend servers (83 a second) share the unnamed partition, which takes 250 writes a second. A call that got 429 on all paths counted as an outage. Change: gateways register in a partition of their own, when they start and leave, and tell each other in their failure domain which are live. A call that gets 429 on two paths is repeated for up to a second, and is no outage.

--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -139,6 +139,9 @@
         }
         Outage::Hang => return response::hang().await,
     }
+    if state.faults.borrow_mut().should_limit_rate() {
+        return response::error(StatusCode::TOO_MANY_REQUESTS, "too many calls");
+    }
     let delay = state.faults.borrow().call_delay(query.get("table"));
     state.timer.sleep(delay).await;
     state.route(&request, &query).await
--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -32,6 +32,8 @@
     pub table_delay_ms: Option<u64>,
     /// The table whose reads `table_delay_ms` delays.
     pub delayed_table: Option<String>,
+    /// Number of calls that are refused with status 429.
+    pub rate_limited_calls: Option<u64>,
     /// Outage of all calls, until it is set to `none`.
     pub outage: Option<Outage>,
     /// Number of commits that take effect and whose connection is then aborted without a response.
@@ -69,6 +71,7 @@
     table_delay: Duration,
     delayed_table: Option<String>,
     pub outage: Outage,
+    rate_limited_calls_left: u64,
     hang_commits: bool,
     commit_filter: String,
     pub refuse_weights: bool,
@@ -87,6 +90,7 @@
             table_delay: Duration::ZERO,
             delayed_table: None,
             outage: Outage::None,
+            rate_limited_calls_left: 0,
             hang_commits: false,
             commit_filter: String::new(),
             refuse_weights: false,
@@ -111,6 +115,9 @@
         if let Some(outage) = control.outage {
             self.outage = outage;
         }
+        if let Some(count) = control.rate_limited_calls {
+            self.rate_limited_calls_left = count;
+        }
         if let Some(is_hanging) = control.hang_commits {
             self.hang_commits = is_hanging;
         }
@@ -130,6 +137,13 @@
         }
     }
 
+    /// Returns whether a call is refused with status 429, and counts it.
+    pub fn should_limit_rate(&mut self) -> bool {
+        let is_limited = self.rate_limited_calls_left > 0;
+        self.rate_limited_calls_left -= u64::from(is_limited);
+        is_limited
+    }
+
     /// Returns the delay before a call takes effect that names `table` in its query.
     pub fn call_delay(&self, table: Option<&String>) -> Duration {
         let is_delayed_table = table.is_some() && table == self.delayed_table.as_ref();
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -17,6 +17,7 @@
 pub mod account;
 pub mod budget;
 pub mod directory;
+pub mod gossip;
 pub mod history;
 pub mod ledger;
 pub mod peers;
--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -1,44 +1,56 @@
 //! The directory of live gateways, from which lookups of callers are answered and owners are
 //! chosen.
 //!
-//! Each gateway writes a row with a counter that it increments at every heartbeat, and reads the
-//! rows of the others. A gateway whose counter has not changed for about three heartbeat intervals
-//! is no longer returned to callers. Only time in which the own reads of the store succeed counts,
-//! so that an outage of the store does not make the other gateways appear dead.
+//! Each gateway registers in a row of the store, which changes only when the gateway starts or
+//! leaves. Which gateways are live, they tell each other: each has a counter that it increments in
+//! every round of the [`gossip`](super::gossip), and a gateway whose counter has not advanced for
+//! [`LIVE_TIMEOUT`] is no longer returned to callers. So the load of the store does not grow with
+//! the square of the number of gateways, and gateways that die during an outage of the store are
+//! noticed.
+//!
+//! The gossip stays within a failure domain, so what a gateway sends and keeps up to date grows
+//! with its domain. The gateways of other domains are asked only while the own domain has too few.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use sapphireford_platform::store::{Row, RowKey, RowWrite};
 use serde::{Deserialize, Serialize};
 
+use super::gossip::{GossipRequest, GossipResponse, Heartbeat};
 use super::settings::GatewaySettings;
-use super::store::{RelayAddresses, Store};
-use super::writer::StoreWriter;
+use super::store::RelayAddresses;
 use crate::ids::EntryId;
 use crate::process::notify::Notify;
 use crate::process::slots::placement::{hash_bytes, rendezvous_weight};
 use crate::process::timer::unix_ms;
 
-const TABLE: &str = "gateways";
-/// Shortest and longest interval between two heartbeats, and between two reads of all rows. A dead
-/// gateway is returned to callers for up to five intervals: one until its last heartbeat is read,
-/// and four until a read finds the counter too old. Callers may be sent to it for at most seven
-/// seconds.
-const HEARTBEAT_INTERVAL_BOUNDS: (Duration, Duration) =
-    (Duration::from_millis(1_000), Duration::from_millis(1_200));
-/// Part of the interval for each known gateway, which bounds the store calls of large sites.
-const HEARTBEAT_INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(12);
-/// A gateway whose counter has not changed for this many tenths of the interval counts as dead.
-const TTL_INTERVAL_TENTHS: u32 = 32;
+/// Table of the rows by which gateways register.
+pub const TABLE: &str = "gateways";
+/// Partition of these rows. Backend servers write to the unnamed one, which the store serializes
+/// like any other.
+pub const PARTITION: &str = "registrations";
+/// A gateway whose counter has not advanced for this time counts as dead. A counter reaches all
+/// gateways of a domain of 60 within four rounds of the gossip, so this allows for lost messages.
+/// Callers may be sent to a dead gateway for six seconds on sites of any size.
+pub const LIVE_TIMEOUT: Duration = Duration::from_millis(3_200);
 /// Live gateways that a failure domain needs for its callers and keys to be assigned to them only.
 const MIN_SAME_DOMAIN_GATEWAYS: usize = 2;
-/// Timeout of a read of all rows.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
+/// Live gateways that are asked in a round of the gossip. With two, a counter needs few rounds, and
+/// a gateway of a domain of 60 sends about 4 KB a second.
+const GOSSIP_FANOUT: usize = 2;
+/// One more gateway is asked for this many live ones, so that large domains need no more rounds.
+const GATEWAYS_PER_EXTRA_FANOUT: usize = 100;
+/// Share of the rounds in which a gateway that does not seem live is asked as well. It lets two
+/// parts of a domain find each other again after they were separated.
+const RECONNECT_PROBABILITY: f64 = 0.125;
+/// Time for which a gateway that leaves is told of in the gossip.
+const LEAVING_TOLD_FOR: Duration = Duration::from_secs(10);
 /// Rows of gateways that stopped or died this long ago are removed.
 const ROW_RETENTION: Duration = Duration::from_secs(600);
 
@@ -55,23 +67,40 @@
     pub is_leaving: bool,
     /// When the gateway started, in Unix milliseconds. Distinguishes two starts under one id.
     pub started_unix_ms: u64,
-    /// Counter that is incremented at every heartbeat.
-    pub heartbeat: u64,
 }
 
 struct KnownGateway {
     row: GatewayRow,
-    /// When the row was last seen to change, by the local clock. Moved forward by the time in which
-    /// reads failed.
-    last_changed: Instant,
+    /// Identifies this start of the gateway in the gossip.
+    start_hash: u64,
+    /// The highest counter heard of; 0 before the first one.
+    counter: u64,
+    /// When the counter was last heard to advance, by the local clock.
+    last_advanced: Instant,
+}
+
+impl KnownGateway {
+    fn new(id: &str, row: GatewayRow, now: Instant) -> Self {
+        Self {
+            start_hash: start_hash(id, row.started_unix_ms),
+            row,
+            counter: 0,
+            last_advanced: now,
+        }
+    }
 }
 
 /// The gateways that this one knows, and its own row.
 pub struct Directory {
     own_id: EntryId,
     own: RefCell<GatewayRow>,
+    own_counter: Cell<u64>,
     known: RefCell<IndexMap<EntryId, KnownGateway>>,
-    last_read: Cell<Option<Instant>>,
+    /// Whether the rows of the other gateways have been read.
+    is_loaded: Cell<bool>,
+    /// When this gateway last had contact with a peer or the store. Nothing is known of the others
+    /// after that, so they do not age.
+    last_contact: Cell<Option<Instant>>,
     relays: RelayAddresses,
     leaving: Notify,
 }
@@ -86,27 +115,33 @@
             failure_domain: settings.failure_domain.to_string(),
             is_leaving: false,
             started_unix_ms: unix_ms(),
-            heartbeat: 0,
         };
         Self {
             own_id: settings.entry_id.clone(),
             own: RefCell::new(own),
+            own_counter: Cell::new(1),
             known: RefCell::default(),
-            last_read: Cell::new(None),
+            is_loaded: Cell::new(false),
+            last_contact: Cell::new(None),
             relays,
             leaving: Notify::default(),
         }
     }
 
-    /// Marks this gateway as leaving and triggers a heartbeat that publishes it.
+    /// Marks this gateway as leaving and triggers a round of the gossip that publishes it.
     pub fn leave(&self) {
         self.own.borrow_mut().is_leaving = true;
         self.leaving.notify();
     }
 
+    /// Notified when this gateway begins to leave.
+    pub fn leaving(&self) -> &Notify {
+        &self.leaving
+    }
+
     /// Whether the rows of the other gateways have been read.
     pub fn is_loaded(&self) -> bool {
-        self.last_read.get().is_some()
+        self.is_loaded.get()
     }
 
     /// Whether this gateway is shutting down.
@@ -114,13 +149,18 @@
         self.own.borrow().is_leaving
     }
 
-    /// The number of gateways that take requests, at least 1.
+    /// The number of gateways that take requests, at least 1. Those of other failure domains are
+    /// counted by their rows.
     pub fn live_count(&self) -> u32 {
         let now = Instant::now();
+        let own = self.own.borrow();
         let known = self.known.borrow();
-        let others = known.values().filter(|known| self.is_live(known, now));
-        let others = others.count() as u32;
-        others + u32::from(!self.is_leaving()).max(u32::from(others == 0))
+        let is_counted = |known: &&KnownGateway| {
+            let is_other_domain = known.row.failure_domain != own.failure_domain;
+            self.is_live(known, now) || (is_other_domain && !known.row.is_leaving)
+        };
+        let others = known.values().filter(is_counted).count() as u32;
+        others + u32::from(!own.is_leaving).max(u32::from(others == 0))
     }
 
     /// The addresses for callers in a failure domain: those of the gateways in that domain if
@@ -176,114 +216,246 @@
         (id != &*self.own_id).then_some(row.peer_address)
     }
 
-    /// Interval between two heartbeats, which grows with the number of known gateways.
-    pub fn heartbeat_interval(&self) -> Duration {
-        let known = self.known.borrow().len() as u32;
-        let (shortest, longest) = HEARTBEAT_INTERVAL_BOUNDS;
-        (HEARTBEAT_INTERVAL_PER_GATEWAY * known).clamp(shortest, longest)
+    /// The peer addresses of the other live gateways.
+    pub fn live_peers(&self, now: Instant) -> Vec<SocketAddr> {
+        let known = self.known.borrow();
+        let live = known.values().filter(|known| self.is_live(known, now));
+        live.map(|known| known.row.peer_address).collect()
     }
 
     fn is_live(&self, known: &KnownGateway, now: Instant) -> bool {
-        // Rows age only up to the last successful read: nothing is known of the time after it.
-        let observed_until = self.last_read.get().unwrap_or(now);
-        let unchanged_for = observed_until.saturating_duration_since(known.last_changed);
-        let ttl = self.heartbeat_interval() * TTL_INTERVAL_TENTHS / 10;
-        !known.row.is_leaving && unchanged_for < ttl
+        // Counters age only up to the last contact: nothing is known of the time after it.
+        let observed_until = self
+            .last_contact
+            .get()
+            .map_or(now, |contact| contact.min(now));
+        let unchanged_for = observed_until.saturating_duration_since(known.last_advanced);
+        !known.row.is_leaving && unchanged_for < LIVE_TIMEOUT
     }
 
-    /// Applies the rows of a successful read.
+    /// Records that this gateway had contact with a peer or the store. After a time without any
+    /// contact, the other gateways get the time to be heard of again.
+    pub fn record_contact(&self, now: Instant) {
+        let last_contact = self.last_contact.get();
+        if last_contact.is_some_and(|last| last >= now) {
+            return;
+        }
+        self.last_contact.set(Some(now));
+        let gap = last_contact.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
+        if gap >= LIVE_TIMEOUT {
+            for known in self.known.borrow_mut().values_mut() {
+                known.last_advanced += gap;
+            }
+        }
+    }
+
+    /// Applies the rows of a read of the table.
     pub fn apply(&self, rows: &[Row], now: Instant) {
-        let interval = self.heartbeat_interval();
+        self.is_loaded.set(true);
+        self.record_contact(now);
         let mut known = self.known.borrow_mut();
-        // Time in which reads failed does not count, so that the others can show a new heartbeat.
-        let last_read = self.last_read.replace(Some(now));
-        let gap = last_read.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
-        let unobserved = gap.saturating_sub(2 * interval);
-        for known in known.values_mut() {
-            known.last_changed += unobserved;
-        }
-        known.retain(|id, _| rows.iter().any(|row| *row.key == **id));
+        // A row that is missing was removed, unless the gateway is so new that others told of it.
+        known.retain(|id, known| {
+            self.is_live(known, now) || rows.iter().any(|row| *row.key == **id)
+        });
+        let known_before = known.len();
         for row in rows.iter().filter(|row| *row.key != *self.own_id) {
             let Some(value) = &row.value else { continue };
-            let decoded: GatewayRow = match serde_json::from_slice(value) {
-                Ok(decoded) => decoded,
+            match serde_json::from_slice(value) {
+                Ok(decoded) => learn_row(&mut known, &row.key, decoded, now),
                 Err(error) => {
                     log::warn!(gateway = row.key; "gateway row skipped, it could not be decoded: {error}");
-                    continue;
-                }
-            };
-            match known.get_mut(row.key.as_str()) {
-                Some(known) if known.row == decoded => {}
-                Some(known) => {
-                    if known.row.is_leaving != decoded.is_leaving {
-                        log::info!(gateway = row.key, is_leaving = decoded.is_leaving; "gateway changed its leaving state");
-                    }
-                    known.row = decoded;
-                    known.last_changed = now;
-                }
-                None => {
-                    log::info!(gateway = row.key; "gateway added to the directory");
-                    let added = KnownGateway {
-                        row: decoded,
-                        last_changed: now,
-                    };
-                    known.insert(row.key.as_str().into(), added);
                 }
             }
         }
+        let added = known.len() - known_before;
+        if added > 0 {
+            log::info!(added = added, known = known.len(); "gateways added to the directory");
+        }
         drop(known);
         self.relays.replace(self.live_peers(now));
     }
 
-    /// The peer addresses of the other live gateways.
-    pub fn live_peers(&self, now: Instant) -> Vec<SocketAddr> {
+    /// Starts a round of the gossip: increments the own counter and selects the gateways to ask.
+    pub fn start_round(&self, rng: &mut impl Rng, now: Instant) -> Vec<SocketAddr> {
+        self.own_counter.set(self.own_counter.get() + 1);
+        let own = self.own.borrow();
         let known = self.known.borrow();
-        let live = known.values().filter(|known| self.is_live(known, now));
-        live.map(|known| known.row.peer_address).collect()
+        let same_domain = known
+            .values()
+            .filter(|known| known.row.failure_domain == own.failure_domain);
+        let (live, silent): (Vec<_>, Vec<_>) = same_domain
+            .filter(|known| !known.row.is_leaving)
+            .partition(|known| self.is_live(known, now));
+        let needs_other_domains = live.len() + 1 < MIN_SAME_DOMAIN_GATEWAYS;
+        let fanout = GOSSIP_FANOUT + live.len() / GATEWAYS_PER_EXTRA_FANOUT;
+        let mut asked = live.into_iter().choose_multiple(rng, fanout);
+        if asked.is_empty() || rng.random_bool(RECONNECT_PROBABILITY) {
+            asked.extend(silent.into_iter().choose(rng));
+        }
+        if needs_other_domains {
+            let mut by_domain: IndexMap<&str, Vec<&KnownGateway>> = IndexMap::new();
+            let others = known.values().filter(|known| {
+                known.row.failure_domain != own.failure_domain && !known.row.is_leaving
+            });
+            for other in others {
+                let domain = by_domain.entry(&other.row.failure_domain).or_default();
+                domain.push(other);
+            }
+            let one_each = by_domain.into_values();
+            asked.extend(one_each.filter_map(|domain| domain.into_iter().choose(rng)));
+        }
+        asked.iter().map(|known| known.row.peer_address).collect()
     }
 
-    fn next_heartbeat(&self) -> Option<RowWrite> {
-        let mut own = self.own.borrow_mut();
-        own.heartbeat += 1;
-        let value = match serde_json::to_vec(&*own) {
-            Ok(value) => value,
-            Err(error) => {
-                log::error!("heartbeat skipped, own gateway row could not be encoded: {error}");
-                return None;
-            }
+    /// The counters of the live gateways of the own failure domain, and of this gateway.
+    fn heartbeats(&self, now: Instant) -> Vec<Heartbeat> {
+        let own = self.own.borrow();
+        let known = self.known.borrow();
+        let told = known.values().filter(|known| {
+            let is_same_domain = known.row.failure_domain == own.failure_domain;
+            let unchanged_for = now.saturating_duration_since(known.last_advanced);
+            let is_leaving = known.row.is_leaving && unchanged_for < LEAVING_TOLD_FOR;
+            is_same_domain && known.counter > 0 && (is_leaving || self.is_live(known, now))
+        });
+        let told = told.map(|known| Heartbeat {
+            start_hash: known.start_hash,
+            counter: known.counter,
+            is_leaving: known.row.is_leaving,
+        });
+        let own = Heartbeat {
+            start_hash: start_hash(&self.own_id, own.started_unix_ms),
+            counter: self.own_counter.get(),
+            is_leaving: own.is_leaving,
         };
-        Some(RowWrite {
-            row: self.row_key(&self.own_id),
-            value: Some(Bytes::from(value)),
-        })
+        std::iter::once(own).chain(told).collect()
     }
 
-    fn row_key(&self, id: &str) -> RowKey {
-        RowKey {
-            table: TABLE,
-            partition: String::new(),
-            key: id.to_string(),
+    /// The question that this gateway asks in a round.
+    pub fn gossip_request(&self, now: Instant) -> GossipRequest {
+        GossipRequest {
+            gateway_id: self.own_id.to_string(),
+            row: self.own.borrow().clone(),
+            heartbeats: self.heartbeats(now),
         }
     }
 
-    /// Removals of the rows of gateways that stopped longer ago than `ROW_RETENTION`.
-    fn expired_rows(&self) -> Vec<RowWrite> {
-        let now_ms = unix_ms();
-        let retention_ms = ROW_RETENTION.as_millis() as u64;
+    /// Learns from the question of a peer, and answers it.
+    pub fn handle_gossip(&self, request: &GossipRequest, now: Instant) -> GossipResponse {
+        self.record_contact(now);
+        if *request.gateway_id != *self.own_id {
+            let mut known = self.known.borrow_mut();
+            learn_row(&mut known, &request.gateway_id, request.row.clone(), now);
+        }
+        self.learn_heartbeats(&request.heartbeats, now);
+        self.relays.replace(self.live_peers(now));
+        let heartbeats = request.heartbeats.iter();
+        let told: IndexSet<u64> = heartbeats.map(|heartbeat| heartbeat.start_hash).collect();
+        let own = self.own.borrow();
+        let known = self.known.borrow();
+        let unknown_to_peer = known.iter().filter(|(_, known)| {
+            let is_same_domain = known.row.failure_domain == own.failure_domain;
+            is_same_domain && self.is_live(known, now) && !told.contains(&known.start_hash)
+        });
+        let rows = unknown_to_peer.map(|(id, known)| (id.to_string(), known.row.clone()));
+        GossipResponse {
+            rows: rows.collect(),
+            heartbeats: self.heartbeats(now),
+        }
+    }
+
+    /// Learns from the answer of a peer.
+    pub fn apply_gossip(&self, response: GossipResponse, now: Instant) {
+        self.record_contact(now);
+        {
+            let mut known = self.known.borrow_mut();
+            for (id, row) in response.rows {
+                if *id != *self.own_id {
+                    learn_row(&mut known, &id, row, now);
+                }
+            }
+        }
+        self.learn_heartbeats(&response.heartbeats, now);
+        self.relays.replace(self.live_peers(now));
+    }
+
+    fn learn_heartbeats(&self, heartbeats: &[Heartbeat], now: Instant) {
+        let told: IndexMap<u64, &Heartbeat> = heartbeats
+            .iter()
+            .map(|heartbeat| (heartbeat.start_hash, heartbeat))
+            .collect();
+        for (id, known) in self.known.borrow_mut().iter_mut() {
+            let Some(heartbeat) = told.get(&known.start_hash) else {
+                continue;
+            };
+            if heartbeat.counter > known.counter {
+                known.counter = heartbeat.counter;
+                known.last_advanced = now;
+            }
+            if heartbeat.is_leaving && !known.row.is_leaving {
+                known.row.is_leaving = true;
+                log::info!(gateway = &**id; "gateway is leaving");
+            }
+        }
+    }
+
+    /// The write of the own row.
+    pub fn registration(&self) -> Option<RowWrite> {
+        match serde_json::to_vec(&*self.own.borrow()) {
+            Ok(value) => Some(RowWrite {
+                row: row_key(&self.own_id),
+                value: Some(Bytes::from(value)),
+            }),
+            Err(error) => {
+                log::error!("registration skipped, own gateway row could not be encoded: {error}");
+                None
+            }
+        }
+    }
+
+    /// Removals of the rows of gateways of the own failure domain that stopped longer ago than
+    /// `ROW_RETENTION`.
+    pub fn expired_rows(&self, now: Instant) -> Vec<RowWrite> {
+        let own = self.own.borrow();
         let known = self.known.borrow();
         let expired = known.iter().filter(|(_, known)| {
-            let is_unchanged = known.last_changed.elapsed() > ROW_RETENTION;
-            is_unchanged && now_ms.saturating_sub(known.row.started_unix_ms) > retention_ms
+            let unchanged_for = now.saturating_duration_since(known.last_advanced);
+            known.row.failure_domain == own.failure_domain && unchanged_for > ROW_RETENTION
         });
-        expired
-            .map(|(id, _)| RowWrite {
-                row: self.row_key(id),
-                value: None,
-            })
-            .collect()
+        let removals = expired.map(|(id, _)| RowWrite {
+            row: row_key(id),
+            value: None,
+        });
+        removals.collect()
+    }
+}
+
+/// Adds a gateway, or replaces the row of an earlier start of it.
+fn learn_row(known: &mut IndexMap<EntryId, KnownGateway>, id: &str, row: GatewayRow, now: Instant) {
+    match known.get_mut(id) {
+        Some(known) if known.row.started_unix_ms > row.started_unix_ms => {}
+        Some(known) if known.row.started_unix_ms == row.started_unix_ms => {
+            known.row.is_leaving |= row.is_leaving;
+        }
+        Some(known) => *known = KnownGateway::new(id, row, now),
+        None => {
+            known.insert(id.into(), KnownGateway::new(id, row, now));
+        }
+    }
+}
+
+fn row_key(id: &str) -> RowKey {
+    RowKey {
+        table: TABLE,
+        partition: PARTITION.to_string(),
+        key: id.to_string(),
     }
 }
 
+fn start_hash(id: &str, started_unix_ms: u64) -> u64 {
+    rendezvous_weight(started_unix_ms, id)
+}
+
 /// Returns only the items for which `is_same_domain` holds if there are enough, otherwise all.
 fn prefer_same_domain<T>(all: Vec<T>, is_same_domain: impl Fn(&T) -> bool) -> Vec<T> {
     let same_domain_count = all
@@ -297,35 +469,3 @@
         .filter(|candidate| is_same_domain(candidate))
         .collect()
 }
-
-/// Writes the own row and reads all rows at every heartbeat interval until the process ends.
-pub async fn run_heartbeats(directory: Rc<Directory>, store: Store, writer: StoreWriter) {
-    let timer = store.timer().clone();
-    loop {
-        let started = Instant::now();
-        let seen_changes = directory.leaving.changes();
-        let interval = directory.heartbeat_interval();
-        if let Some(heartbeat) = directory.next_heartbeat() {
-            let deadline = started + interval;
-            if let Err(error) = writer.write(heartbeat, deadline).await {
-                log::debug!("heartbeat could not be written: {error}");
-            }
-        }
-        match store
-            .read_all(TABLE, "", "", Instant::now() + READ_TIMEOUT)
-            .await
-        {
-            Ok(page) => {
-                directory.apply(&page.rows, Instant::now());
-                for removal in directory.expired_rows() {
-                    writer.write_deferred(removal);
-                }
-            }
-            Err(error) => log::debug!("gateway rows could not be read: {error}"),
-        }
-        let next_round = started + interval;
-        // A gateway that starts to leave publishes it at once, without waiting for the interval.
-        let changed = directory.leaving.changed_since(seen_changes);
-        let _ = timer.timeout_at(next_round, changed).await;
-    }
-}
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::account::GrantId;
+use super::gossip::{GossipRequest, GossipResponse};
 use super::history::{TurnChain, TurnId};
 use super::ledger::{Admission, TurnBudget};
 use super::servers::{LeavingServer, SharedLoad};
@@ -134,6 +135,7 @@
     pub persisted_turn: Option<(TurnId, TurnChain)>,
 }
 
+const GOSSIP_PATH: &str = "/gateways/gossip";
 /// Path of the servers that are about to stop.
 const LEAVING_PATH: &str = "/servers/leaving";
 const ADMIT_PATH: &str = "/programs/admit";
@@ -164,6 +166,23 @@
     Some((message, postcard::from_bytes(rest).unwrap_or_default()))
 }
 
+/// Encodes a question of the gossip.
+pub fn gossip_request(request: &GossipRequest) -> Request<Bytes> {
+    post(GOSSIP_PATH, request)
+}
+
+/// Encodes the answer to a question of the gossip.
+pub fn gossip_response(response: &GossipResponse) -> Response<Body> {
+    let body = postcard::to_stdvec(response).unwrap_or_default();
+    Response::new(Body::full(body))
+}
+
+/// Decodes the answer of a peer; `None` if the status is not 200 or the body is malformed.
+pub fn decode_gossip(response: &Response<Bytes>) -> Option<GossipResponse> {
+    let is_ok = response.status() == StatusCode::OK;
+    is_ok.then(|| postcard::from_bytes(response.body()).ok())?
+}
+
 /// Asks a peer which servers it knows to be leaving.
 pub fn leaving_request() -> Request<Bytes> {
     let mut request = Request::new(Bytes::new());
@@ -225,6 +244,8 @@
     Settle(SettleRequest),
     /// The peer asks for the servers that are leaving.
     ListLeaving,
+    /// A question of the gossip.
+    Gossip(GossipRequest),
 }
 
 /// Decodes a call of another gateway; `None` if the path is unknown or the message is malformed.
@@ -232,6 +253,9 @@
     match request.uri().path() {
         ADMIT_PATH => split_leaving(request.body())
             .map(|(request, leaving)| PeerCall::Admit(request, leaving)),
+        GOSSIP_PATH => postcard::from_bytes(request.body())
+            .ok()
+            .map(PeerCall::Gossip),
         LEAVING_PATH => Some(PeerCall::ListLeaving),
         SETTLE_PATH => postcard::from_bytes(request.body())
             .ok()
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -21,7 +21,8 @@
 use sapphireford_platform::store::{OPERATOR_TABLE, Row, SERVER_TABLE};
 
 use super::budget::AdmissionController;
-use super::directory::{self, Directory};
+use super::directory::Directory;
+use super::gossip;
 use super::history::History;
 use super::ledger::Ledger;
 use super::peers::{self, PeerCall};
@@ -97,7 +98,7 @@
 /// Largest list of leaving servers that is accepted from a peer.
 const LEAVING_LIMIT_BYTES: usize = 1 << 20;
 /// Time without a successful call to the store after which this gateway is not returned to callers.
-const STORE_CONTACT_TIMEOUT: Duration = Duration::from_millis(2_500);
+const STORE_CONTACT_TIMEOUT: Duration = Duration::from_millis(3_500);
 
 /// State shared by all requests of a gateway.
 pub struct Gateway {
@@ -235,6 +236,10 @@
                 gateway.budgets.apply_settlement(report);
                 status(StatusCode::OK)
             }
+            Some(PeerCall::Gossip(request)) => {
+                let response = gateway.directory.handle_gossip(&request, Instant::now());
+                peers::gossip_response(&response)
+            }
             Some(PeerCall::ListLeaving) => peers::leaving_response(&gateway.servers.leaving()),
             None => status(StatusCode::NOT_FOUND),
         }
@@ -461,7 +466,9 @@
     }));
     monoio::spawn(learn_leaving_servers(gateway.clone()));
     let directory = gateway.directory.clone();
-    monoio::spawn(directory::run_heartbeats(directory, store, writer.clone()));
+    let registrations = gossip::run_registrations(directory.clone(), store.clone(), writer.clone());
+    monoio::spawn(registrations);
+    monoio::spawn(gossip::run_rounds(directory, gateway.http.clone(), store));
     let maintenance_gateway = gateway.clone();
     let ledger = ledger.clone();
     monoio::spawn(async move {
--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::{Request, Response, StatusCode};
+use rand::Rng;
 use sapphireford_platform::FormatError;
 use sapphireford_platform::store::{
     self as format, RowKey, RowPage, RowWrite, StoreAnswer, TransactionAnswer,
@@ -59,6 +60,13 @@
     }
 }
 
+impl StoreError {
+    /// Whether the store refused the call because of the rate of calls.
+    fn is_rate_limit(&self) -> bool {
+        matches!(self, StoreError::Refused(status) if *status == StatusCode::TOO_MANY_REQUESTS)
+    }
+}
+
 impl std::error::Error for StoreError {
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
@@ -78,6 +86,16 @@
 const ANSWER_LIMIT_BYTES: usize = 4 << 20;
 /// Timeout of a call on one path, without the time for which a feed call waits for changes.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which a call is repeated while the store has reached the limit of its rate. The store
+/// refuses calls for which a partition would need more than a second, so a second later it has
+/// room, or the load does not fit at all.
+const RATE_LIMIT_PATIENCE: Duration = Duration::from_millis(1_000);
+/// Shortest and longest delay before such a call is repeated, before jitter. Each refusal doubles
+/// the delay.
+const RATE_LIMIT_DELAY_RANGE: (Duration, Duration) =
+    (Duration::from_millis(40), Duration::from_millis(320));
+/// Paths on which a call is refused because of the rate before it is delayed.
+const RATE_LIMITED_PATHS_PER_CALL: usize = 2;
 /// A call is also attempted on the next path (hedged) when it has taken this many times the typical
 /// latency.
 const HEDGE_FACTOR: u32 = 4;
@@ -244,12 +262,36 @@
         answer.ok()
     }
 
+    /// Makes a call, and repeats it for a while if the store has reached the limit of its rate. That
+    /// is no outage: the call may be made a little later.
+    async fn call(
+        &self,
+        request: Request<Bytes>,
+        wait: Duration,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>> {
+        let patience_end = deadline.min(Instant::now() + RATE_LIMIT_PATIENCE);
+        let mut delay = RATE_LIMIT_DELAY_RANGE.0;
+        loop {
+            let result = self.call_on_all_paths(&request, wait, deadline).await;
+            let jittered = delay.mul_f64(rand::rng().random_range(0.5..1.5));
+            match result {
+                Err(error) if error.is_rate_limit() && Instant::now() + jittered < patience_end => {
+                    log::debug!("store call is repeated: {error}");
+                    self.shared.timer.sleep(jittered).await;
+                    delay = (delay * 2).min(RATE_LIMIT_DELAY_RANGE.1);
+                }
+                result => return result,
+            }
+        }
+    }
+
     /// Attempts a call on one path after the other until one answers. The next path is tried when
     /// an attempt fails or exceeds the hedge delay. Earlier attempts stay in flight and may still
     /// succeed: a lost response and a late one are treated alike.
-    async fn call(
+    async fn call_on_all_paths(
         &self,
-        request: Request<Bytes>,
+        request: &Request<Bytes>,
         wait: Duration,
         deadline: Instant,
     ) -> Result<Response<Bytes>> {
@@ -259,15 +301,21 @@
         let mut started: Vec<StorePath> = Vec::new();
         let mut in_flight = FuturesUnordered::new();
         let mut last_error = StoreError::Outage;
+        let mut rate_limited_paths = 0;
         loop {
-            if Instant::now() >= deadline {
+            // The limit of a single VM does not apply to its peers; that of all VMs does, and more
+            // attempts would only add to their calls.
+            let is_limited = rate_limited_paths >= RATE_LIMITED_PATHS_PER_CALL;
+            if Instant::now() >= deadline || is_limited {
                 break;
             }
             if let Some(path) = plan.next() {
                 started.push(path);
-                in_flight.push(self.attempt(path, clone_request(&request), wait, deadline));
+                in_flight.push(self.attempt(path, clone_request(request), wait, deadline));
             } else if in_flight.is_empty() {
-                self.record_total_failure(&last_error);
+                if rate_limited_paths == 0 {
+                    self.record_total_failure(&last_error);
+                }
                 break;
             }
             let hedge_at = match plan.len() {
@@ -284,7 +332,10 @@
                 Ok(Some((path, Err(error)))) => {
                     log::debug!(path:? = path; "store call failed: {error}");
                     started.retain(|other| *other != path);
-                    last_error = error;
+                    rate_limited_paths += usize::from(error.is_rate_limit());
+                    if !last_error.is_rate_limit() {
+                        last_error = error;
+                    }
                 }
                 Ok(None) | Err(_) => {}
             }
