Keep unusual values and unexpected errors from ending a process

Cause: a deadline header of 1e300, a route time-out of that size, or a keep-alive time-out of 2^64-1 s of a backend server panicked in the conversion or on the clock. The release profile aborts on a panic, so one message ended a gateway with all its requests. Token counts near 2^64 overflowed. A streamed body whose producer was dropped ended as complete.

--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -204,7 +204,7 @@
             _running_guard: running_guard,
             index,
             body: request.into_body(),
-            first_id: last_event_id.map_or(1, |id| id + 1),
+            first_id: last_event_id.map_or(1, |id| id.saturating_add(1)),
             last_id: events,
             control,
         };
@@ -283,6 +283,7 @@
             }
             self.state.records.borrow_mut()[self.index].events += 1;
         }
+        sender.end();
         self.state.records.borrow_mut()[self.index].is_finished = true;
     }
 }
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -167,6 +167,8 @@
         state.record_end(outcome);
         if outcome == CallOutcome::Broken {
             client.sender.abort().await;
+        } else {
+            client.sender.end();
         }
     }
 
--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -67,6 +67,11 @@
         self.address(DIRECTORY_PORT)
     }
 
+    /// Address for the calls of other gateways.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.address(PEER_PORT)
+    }
+
     /// Address of `GET /metrics`.
     pub fn metrics_address(&self) -> SocketAddr {
         self.address(METRICS_PORT)
@@ -218,7 +223,12 @@
 
     /// Removes the row of a backend server.
     pub fn deregister(&self, server: &BackendServer) {
-        let row = json!({ "table": "servers", "key": server.id });
+        self.deregister_id(&server.id);
+    }
+
+    /// Removes the row of a backend server with this id.
+    pub fn deregister_id(&self, id: &str) {
+        let row = json!({ "table": "servers", "key": id });
         self.store.control(&json!({ "remove": row }));
     }
 
--- a/src/connection/body.rs
+++ b/src/connection/body.rs
@@ -46,7 +46,8 @@
     _closed_guard: oneshot::Receiver<()>,
 }
 
-/// The producing half of a streamed body. Dropping it ends the body.
+/// The producing half of a streamed body. Dropping it without [`BodySender::end`] aborts the body, so
+/// that a response whose producer fails does not look complete.
 pub struct BodySender {
     chunks: mpsc::Sender<Result<Bytes>>,
     closed_signal: oneshot::Sender<()>,
@@ -90,11 +91,7 @@
     /// Ends the body with an error, so that the reader can detect the incomplete response. Does not
     /// wait for the reader.
     pub async fn abort(self) {
-        // Each sender of the channel has a reserved slot, so a new one can send even if the channel
-        // is full.
-        let mut chunks = self.chunks.clone();
-        // Fails only if the reader was dropped.
-        let _ = chunks.try_send(Err(Aborted));
+        drop(self);
     }
 
     /// Completes when the reader was dropped.
@@ -108,6 +105,17 @@
     }
 }
 
+impl Drop for BodySender {
+    fn drop(&mut self) {
+        if self.chunks.is_closed() {
+            return;
+        }
+        // Each sender of the channel has a reserved slot, so a new one can send even if the channel
+        // is full. It fails only if the reader was dropped.
+        let _ = self.chunks.clone().try_send(Err(Aborted));
+    }
+}
+
 impl BodyReceiver {
     /// Returns the next chunk, or `None` at the end.
     pub async fn next(&mut self) -> Option<Result<Bytes>> {
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -329,7 +329,8 @@
             let idle = pool.entry(address).or_default();
             if idle.len() < max_idle {
                 let usable = idle_timeout.map(|time| time.saturating_sub(IDLE_EXPIRY_MARGIN));
-                let expires = usable.map(|time| Instant::now() + time);
+                // A timeout beyond the range of the clock is none.
+                let expires = usable.and_then(|time| Instant::now().checked_add(time));
                 idle.push(IdleConnection {
                     connection,
                     expires,
--- a/src/connection/http_server.rs
+++ b/src/connection/http_server.rs
@@ -29,6 +29,7 @@
 use crate::connection::fair_io::{FairIo, HeadAllowance};
 use crate::error::{Error, ErrorKind};
 use crate::process::notify::Notify;
+use crate::process::task;
 use crate::process::timer::TimerService;
 
 /// The result of opening a listener.
@@ -231,7 +232,8 @@
     handler: Rc<H>,
     state: Rc<ServerState>,
 ) {
-    if let Err(error) = serve_connection(stream, limits, timer, handler, &state).await {
+    let serving = serve_connection(stream, limits, timer, handler, &state);
+    if let Some(Err(error)) = task::isolate("connection", serving).await {
         log::debug!("connection failed: {error}");
     }
     state.open_connections.set(state.open_connections.get() - 1);
--- a/src/process.rs
+++ b/src/process.rs
@@ -20,4 +20,5 @@
 pub mod settings;
 pub mod shutdown;
 pub mod slots;
+pub mod task;
 pub mod timer;
--- a/src/process/gateway/account.rs
+++ b/src/process/gateway/account.rs
@@ -80,7 +80,13 @@
     /// Tokens of settled turns, and the most that turns in flight may spend.
     fn spent_tokens(&self) -> u64 {
         let in_flight = self.in_flight.values().map(|grant| grant.max_tokens);
-        self.settled_tokens + in_flight.sum::<u64>()
+        in_flight.fold(self.settled_tokens, u64::saturating_add)
+    }
+
+    /// The reservations of all gateways, with `added_tokens` more.
+    fn reserved_total(&self, added_tokens: u64) -> u64 {
+        let own_tokens = self.reserved_tokens.saturating_add(added_tokens);
+        self.other_gateways_tokens.saturating_add(own_tokens)
     }
 
     /// Admits a turn that must end by `deadline`, if the reservation covers it.
@@ -91,16 +97,16 @@
         self.last_used = now;
         self.largest_turn_tokens = self.largest_turn_tokens.max(max_tokens);
         let spent_tokens = self.spent_tokens();
-        let total_tokens = self.other_gateways_tokens + spent_tokens;
+        let total_tokens = self.other_gateways_tokens.saturating_add(spent_tokens);
         if total_tokens >= self.budget_tokens {
             return Decision::Exceeded {
                 spent_tokens: total_tokens,
             };
         }
-        let needed_tokens = spent_tokens + max_tokens;
+        let needed_tokens = spent_tokens.saturating_add(max_tokens);
         if needed_tokens > self.reserved_tokens {
             return Decision::NeedsTokens(
-                needed_tokens - self.reserved_tokens + self.reserve_ahead_tokens(),
+                (needed_tokens - self.reserved_tokens).saturating_add(self.reserve_ahead_tokens()),
             );
         }
         let grant_id = self.next_grant_id;
@@ -117,7 +123,7 @@
     }
 
     fn reserve_ahead_tokens(&self) -> u64 {
-        let ahead_tokens = RESERVE_AHEAD_TURNS * self.largest_turn_tokens;
+        let ahead_tokens = self.largest_turn_tokens.saturating_mul(RESERVE_AHEAD_TURNS);
         ahead_tokens.min(self.budget_tokens / RESERVE_AHEAD_BUDGET_DIVISOR)
     }
 
@@ -126,9 +132,8 @@
     pub fn tokens_to_reserve_ahead(&self) -> Option<u64> {
         let unspent_tokens = self.reserved_tokens.saturating_sub(self.spent_tokens());
         let ahead_tokens = self.reserve_ahead_tokens();
-        let is_covered =
-            self.other_gateways_tokens + self.reserved_tokens + ahead_tokens <= self.budget_tokens;
-        let is_low = unspent_tokens < MIN_RESERVED_TURNS * self.largest_turn_tokens;
+        let is_covered = self.reserved_total(ahead_tokens) <= self.budget_tokens;
+        let is_low = unspent_tokens < self.largest_turn_tokens.saturating_mul(MIN_RESERVED_TURNS);
         (is_low && is_covered).then_some(ahead_tokens)
     }
 
@@ -143,15 +148,15 @@
     ) -> u64 {
         self.other_gateways_tokens = other_gateways_tokens;
         let spent_tokens = self.spent_tokens();
-        let reserved_total = self.reserved_tokens + added_tokens;
-        let total_tokens = other_gateways_tokens + reserved_total;
+        let reserved_total = self.reserved_tokens.saturating_add(added_tokens);
+        let total_tokens = other_gateways_tokens.saturating_add(reserved_total);
         if total_tokens <= self.budget_tokens {
             self.reserved_tokens = reserved_total;
             return 0;
         }
         // Beyond the budget, only the turn to be admitted is covered, if it may run at all.
-        let may_run = other_gateways_tokens + spent_tokens < self.budget_tokens;
-        let needed_tokens = spent_tokens + if may_run { max_tokens } else { 0 };
+        let may_run = other_gateways_tokens.saturating_add(spent_tokens) < self.budget_tokens;
+        let needed_tokens = spent_tokens.saturating_add(if may_run { max_tokens } else { 0 });
         let retained_tokens = needed_tokens.clamp(self.reserved_tokens, reserved_total);
         self.reserved_tokens = retained_tokens;
         reserved_total - retained_tokens
@@ -161,7 +166,8 @@
     /// `max_tokens` stay charged.
     pub fn settle(&mut self, grant_id: GrantId, spent_tokens: u64, now: Instant) {
         if let Some(grant) = self.in_flight.shift_remove(&grant_id) {
-            self.settled_tokens += spent_tokens.min(grant.max_tokens);
+            let spent_tokens = spent_tokens.min(grant.max_tokens);
+            self.settled_tokens = self.settled_tokens.saturating_add(spent_tokens);
             self.last_used = now;
         }
     }
@@ -172,11 +178,11 @@
         self.in_flight.retain(|_, grant| {
             let is_expired = grant.expires_at <= now;
             if is_expired {
-                expired_tokens += grant.max_tokens;
+                expired_tokens = grant.max_tokens.saturating_add(expired_tokens);
             }
             !is_expired
         });
-        self.settled_tokens += expired_tokens;
+        self.settled_tokens = self.settled_tokens.saturating_add(expired_tokens);
     }
 
     /// The unused tokens of the reservation; `None` if a turn is in flight, or if the account was
--- a/src/process/gateway/ledger.rs
+++ b/src/process/gateway/ledger.rs
@@ -256,7 +256,7 @@
         let mut own_rows = program.rows.borrow_mut();
         let is_own = |key: &str| key == row.key || own_rows.iter().any(|(own, _)| own.key == key);
         let others = page.rows.iter().filter(|row| !is_own(&row.key));
-        let other_gateways_tokens = others.map(decode_tokens).sum();
+        let other_gateways_tokens = others.map(decode_tokens).fold(0, u64::saturating_add);
         let account = &mut program.account.borrow_mut();
         let returned_tokens = account.extend(added_tokens, other_gateways_tokens, max_tokens);
         let retained_tokens = added_tokens - returned_tokens;
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -81,6 +81,8 @@
         "Scans of the entry rows, by `outcome`.";
     describe_counter PEER_REQUESTS = "sapphireford_peer_requests_total", Count,
         "Requests sent to peers, by `kind` and `outcome`.";
+    describe_counter TASK_PANICS = "sapphireford_task_panics_total", Count,
+        "Tasks that ended by an unexpected error, by `task`; each is logged.";
     describe_counter INVARIANT_VIOLATIONS = "sapphireford_invariant_violations_total", Count,
         "Invariant violations, by `invariant`; any violation is a bug in this program.";
     describe_counter STORE_CALLS = "sapphireford_store_calls_total", Count,
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -299,7 +299,7 @@
                 log::info!("response of the lease holder was interrupted: {error}");
                 return sender.abort().await;
             }
-            None => return,
+            None => return sender.end(),
         }
     }
 }
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -20,6 +20,7 @@
 use crate::connection::http_server::Handler;
 use crate::error::{Error, ErrorKind, Result};
 use crate::process::gateway::running::Gateway;
+use crate::process::task;
 use crate::version::route_table::RouteTable;
 
 /// Handles the HTTP requests of callers.
@@ -86,7 +87,7 @@
             }
             ServerResponse::Stream(head, upstream) => {
                 let (sender, body) = Body::stream();
-                let task = StreamTask {
+                let stream = StreamTask {
                     tokens_per_event: tokens_per_event(&forwarder),
                     forwarder,
                     upstream,
@@ -96,7 +97,7 @@
                     last_event_id,
                     output: Vec::new(),
                 };
-                monoio::spawn(task.run());
+                monoio::spawn(task::isolate("stream", stream.run()));
                 Ok(Response::from_parts(head, body))
             }
         }
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -125,7 +125,7 @@
             if id <= last {
                 return None;
             }
-            if id > last + 1 {
+            if id > last.saturating_add(1) {
                 let reason = format!("gap in the stream: event {id} follows event {last}");
                 return Some(ServerStreamEnd::ServerFailed(reason));
             }
--- a/src/request/turn.rs
+++ b/src/request/turn.rs
@@ -441,7 +441,6 @@
             Ok(()) => {}
             Err(error) => {
                 output.fail(error).await;
-                output.sender.end();
                 // Until the event is durable or the lease is lost, the slot is not released and the
                 // lock of the thread stays held.
                 let _ = receipt.durable().await;
--- a/src/request/turn/output.rs
+++ b/src/request/turn/output.rs
@@ -83,6 +83,7 @@
     pub(super) async fn finish(&mut self, event: &DoneEvent) {
         sse::append_event(&mut self.pending, EVENT_DONE, event);
         self.flush().await;
+        self.sender.end();
     }
 
     /// Whether the buffer has events and accepts more before the next flush.
@@ -110,6 +111,7 @@
                     .increment(1);
                 sse::append_event(&mut self.pending, EVENT_ERROR, &error.to_body());
                 self.flush().await;
+                self.sender.end();
             }
         }
     }
--- a/tests/body.rs
+++ b/tests/body.rs
@@ -34,3 +34,18 @@
     }
     assert!(received >= sent);
 }
+
+/// Guards against a stream that looks complete although its producer ended by an unexpected error.
+#[test]
+fn a_dropped_sender_does_not_complete_the_stream() {
+    let (mut sender, body) = Body::stream();
+    let Body::Stream(mut reader) = body else {
+        panic!("the body is no stream");
+    };
+    let sent = sender.send(Bytes::from_static(b"chunk")).now_or_never();
+    assert!(sent.is_some_and(|sent| sent.is_ok()));
+    drop(sender);
+    let mut next = || reader.next().now_or_never().flatten();
+    assert!(matches!(next(), Some(Ok(_))));
+    assert!(matches!(next(), Some(Err(_))));
+}
