Do not take late answers or signs of life for what they are not

Cause: a refusal without a request id was accepted on a reused connection, where it may be the late copy of an earlier one; the request that it was taken for had run and was reported as not executed. A stalled stream that sent a byte now and then was not resumed elsewhere until its deadline, and an event in small chunks was searched from its beginning with each. Change: an answer without the id counts on a fresh connection only. The splitter keeps where its last line begins.

--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -76,6 +76,8 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     head: HeadAllowance,
+    /// Whether it has carried a request before. Bytes of an earlier response may still arrive.
+    is_reused: bool,
 }
 
 type Pool = Rc<RefCell<IndexMap<SocketAddr, Vec<IdleConnection>>>>;
@@ -164,18 +166,20 @@
         request: Request<Bytes>,
         timeout: Duration,
     ) -> Result<Response<Incoming>> {
-        self.send_matched(address, request, timeout, |_| true).await
+        self.send_matched(address, request, timeout, |_, _| true)
+            .await
     }
 
-    /// Like [`HttpClient::send`], for servers that may answer late or twice. If `is_expected`
-    /// returns false for the headers of the answer, the request fails with
-    /// [`ClientError::Mismatched`] and the connection is closed.
+    /// Like [`HttpClient::send`], for servers that may answer late or twice. `is_expected` gets the
+    /// headers of the answer, and whether its connection has carried a request before. If it
+    /// returns false, the request fails with [`ClientError::Mismatched`] and the connection is
+    /// closed.
     pub async fn send_matched(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
         timeout: Duration,
-        is_expected: impl Fn(&HeaderMap) -> bool,
+        is_expected: impl Fn(&HeaderMap, bool) -> bool,
     ) -> Result<Response<Incoming>> {
         let deadline = Instant::now() + timeout;
         let mut request = prepare(address, request);
@@ -277,7 +281,11 @@
                 log::debug!("connection to {address} failed: {error}");
             }
         });
-        Ok(Connection { sender, head })
+        Ok(Connection {
+            sender,
+            head,
+            is_reused: false,
+        })
     }
 
     async fn send_on(
@@ -287,7 +295,7 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
         timeout: Duration,
-        is_expected: &impl Fn(&HeaderMap) -> bool,
+        is_expected: &impl Fn(&HeaderMap, bool) -> bool,
     ) -> std::result::Result<Response<Incoming>, (ClientError, Option<Request<Full<Bytes>>>)> {
         connection.head.start(RESPONSE_HEAD_LIMIT_BYTES);
         let sending = connection.sender.try_send_request(request);
@@ -305,7 +313,7 @@
             }
         };
         connection.head.end();
-        if !is_expected(response.headers()) {
+        if !is_expected(response.headers(), connection.is_reused) {
             return Err((ClientError::Mismatched, None));
         }
         let idle_timeout = advertised_idle_timeout(response.headers());
@@ -321,6 +329,7 @@
     ) {
         let pool = self.pool.clone();
         let max_idle = self.limits.max_idle_per_address;
+        connection.is_reused = true;
         monoio::spawn(async move {
             if connection.sender.ready().await.is_err() {
                 return;
--- a/src/connection/sse.rs
+++ b/src/connection/sse.rs
@@ -132,6 +132,9 @@
 pub struct EventSplitter {
     /// Bytes after the last complete event.
     buffer: BytesMut,
+    /// Where the first line begins that has not been seen completely. A long event that arrives in
+    /// small chunks would otherwise be searched from its beginning with each of them.
+    line_start: usize,
 }
 
 impl EventSplitter {
@@ -142,35 +145,33 @@
         }
         self.buffer.extend_from_slice(chunk);
         let mut events = Vec::new();
-        while let Some(length) = event_length(&self.buffer) {
+        while let Some(length) = self.event_length() {
             let raw = self.buffer.split_to(length).freeze();
+            self.line_start = 0;
             events.push(parse_raw_event(raw));
         }
         Ok(events)
     }
 
+    /// The length of the first event, including the empty line that ends it; `None` if incomplete.
+    fn event_length(&mut self) -> Option<usize> {
+        loop {
+            let rest = &self.buffer[self.line_start..];
+            let line_length = rest.iter().position(|byte| *byte == b'\n')?;
+            let is_empty = matches!(&rest[..line_length], b"" | b"\r");
+            self.line_start += line_length + 1;
+            if is_empty {
+                return Some(self.line_start);
+            }
+        }
+    }
+
     /// Whether no incomplete event is buffered.
     pub fn is_at_event_boundary(&self) -> bool {
         self.buffer.is_empty()
     }
 }
 
-/// The length of the first event, including the empty line that ends it; `None` if incomplete.
-fn event_length(buffer: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (position, byte) in buffer.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buffer[line_start..position];
-        if line.is_empty() || line == b"\r" {
-            return Some(position + 1);
-        }
-        line_start = position + 1;
-    }
-    None
-}
-
 fn parse_raw_event(raw: Bytes) -> RawEvent {
     let mut id = None;
     let mut data: Option<Vec<u8>> = None;
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -213,9 +213,14 @@
             time_left,
         );
         let request_id = self.call.request_id.as_deref();
-        let matches_request = |headers: &HeaderMap| {
-            let echoed = headers.get(REQUEST_ID).and_then(|id| id.to_str().ok());
-            echoed.is_none() || echoed == request_id
+        let matches_request = |headers: &HeaderMap, is_reused: bool| {
+            match headers.get(REQUEST_ID).and_then(|id| id.to_str().ok()) {
+                // On a connection that was in use before, this may be a late copy of the answer to
+                // an earlier request. A refusal among them would say falsely that this one did not
+                // run.
+                None => !is_reused,
+                echoed => echoed == request_id,
+            }
         };
         let http = &self.gateway.http;
         let sent = http.send_matched(server.address(), request, head_timeout, matches_request);
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -76,9 +76,11 @@
     /// Forwards the events of the current server until its stream ends or fails.
     async fn forward_server_stream(&mut self) -> ServerStreamEnd {
         let mut splitter = EventSplitter::default();
+        // Only events count: a stalled server may still send a byte now and then.
+        let mut last_event_at = Instant::now();
         loop {
             let stall_deadline = match self.can_resume() {
-                true => self.forwarder.deadline.min(Instant::now() + STALL_TIMEOUT),
+                true => self.forwarder.deadline.min(last_event_at + STALL_TIMEOUT),
                 false => self.forwarder.deadline,
             };
             let timer = self.forwarder.gateway.timer.clone();
@@ -113,6 +115,7 @@
                 Err(error) => return ServerStreamEnd::ServerFailed(error.to_string()),
             };
             for event in events {
+                last_event_at = Instant::now();
                 if let Some(end) = self.forward_event(event).await {
                     return end;
                 }
