Give each call of a tool, service or engine its own connection

Cause: the answers of tools, services and engines do not say which call they belong to. A service that sent a second copy of an answer on a connection that was in use again gave the next caller of an entry the answer of another call. Change: entries call tools, services and engine completions on a connection of their own; control calls to engines still share connections. Test servers that ended a streamed body by dropping its sender now end it explicitly.

--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -112,6 +112,16 @@
         ));
     }
 
+    /// Requests a graceful shutdown (SIGTERM); returns without waiting for it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the gateway has been killed and not started again.
+    pub fn terminate(&self) {
+        let process = self.process.as_ref().expect("the gateway is running");
+        process.terminate();
+    }
+
     /// Kills the process (SIGKILL).
     pub fn kill(&mut self) {
         self.process = None;
--- a/src/connection/engine.rs
+++ b/src/connection/engine.rs
@@ -223,7 +223,10 @@
 /// A client for model engines; clones share the connections.
 #[derive(Clone)]
 pub struct EngineClient {
+    /// For control calls, whose answers are views that the next call replaces.
     http: HttpClient,
+    /// For completions, which must get their own answers.
+    completion_http: HttpClient,
     control_timeout: Duration,
 }
 
@@ -232,6 +235,7 @@
     /// request other than a completion.
     pub fn new(http: HttpClient, control_timeout: Duration) -> Self {
         Self {
+            completion_http: http.without_reuse(),
             http,
             control_timeout,
         }
@@ -253,7 +257,7 @@
         })?;
         let request = post("/v1/chat/completions", body);
         let response = self
-            .http
+            .completion_http
             .send(address, request, limits.head_timeout)
             .await?;
         if !response.status().is_success() {
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -148,6 +148,21 @@
         }
     }
 
+    /// A client that opens a connection for each request, with the same limits and body budget.
+    ///
+    /// For servers whose answers do not tell which request they belong to: a second, late copy of
+    /// an answer on a connection that is in use again would be taken for the next answer.
+    pub fn without_reuse(&self) -> Self {
+        Self {
+            pool: Pool::default(),
+            limits: ClientLimits {
+                max_idle_per_address: 0,
+                ..self.limits
+            },
+            ..self.clone()
+        }
+    }
+
     /// Closes the idle connections to an address. Requests in flight are not affected.
     pub fn close_idle(&self, address: SocketAddr) {
         self.pool.borrow_mut().swap_remove(&address);
--- a/src/connection/tool.rs
+++ b/src/connection/tool.rs
@@ -108,7 +108,8 @@
 /// Length to which the body of an error response is truncated for the error message.
 const MAX_ERROR_MESSAGE_BYTES: usize = 4 << 10;
 
-/// A client for tool services; clones share the connections.
+/// A client for tool services. Each call has a connection of its own, because the answers do not
+/// tell which call they belong to.
 #[derive(Clone)]
 pub struct ToolClient {
     http: HttpClient,
@@ -119,7 +120,7 @@
     /// Creates a client that waits at most `status_timeout` for each status query.
     pub fn new(http: HttpClient, status_timeout: Duration) -> Self {
         Self {
-            http,
+            http: http.without_reuse(),
             status_timeout,
         }
     }
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -90,8 +90,9 @@
     pub timer: TimerService,
     /// Client of the platform's table, object store and list of VMs.
     pub platform: PlatformClient,
-    /// Connection pool for services; the clients of platform, engines and tools share it.
-    pub http: HttpClient,
+    /// Client of the services. Each call has a connection of its own, because the answers do not
+    /// tell which call they belong to.
+    pub service_http: HttpClient,
     /// Persists the events of the slots that this entry holds, and renews its lease.
     pub journal: Journal,
     /// The slots that this entry holds, with their conversations.
@@ -258,7 +259,7 @@
             settings,
             timer,
             platform,
-            http,
+            service_http: http.without_reuse(),
             journal,
             slots,
             slot_manager,
--- a/src/request/service_call.rs
+++ b/src/request/service_call.rs
@@ -94,7 +94,7 @@
     let mut last_error = None;
     for index in 0..count {
         let address = service.addresses[(first + index) % count];
-        let sent = entry.http.fetch(
+        let sent = entry.service_http.fetch(
             address,
             request.clone(),
             service.timeout,
--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -112,6 +112,7 @@
         }
         let done = json!({"request_id": "r", "turn": 1, "prompt_tokens": 5, "cached_tokens": 0, "output_tokens": 3, "cost_micros": 8, "spent_micros": 8, "remaining_micros": 92, "finish_reason": "stop"});
         let _ = sender.send(sse::encode_event(EVENT_DONE, &done)).await;
+        sender.end();
     });
     Response::new(body)
 }
--- a/tests/engine_client.rs
+++ b/tests/engine_client.rs
@@ -73,6 +73,7 @@
                     let _ = sender.send(stream.slice(..at)).await;
                     timer.sleep(Duration::from_millis(1)).await;
                     let _ = sender.send(stream.slice(at..)).await;
+                    sender.end();
                 });
             }
             Answer::AbortAt(at) => {
@@ -84,6 +85,7 @@
             Answer::EndAt(at) => {
                 monoio::spawn(async move {
                     let _ = sender.send(stream.slice(..at)).await;
+                    sender.end();
                 });
             }
         }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -140,7 +140,7 @@
             let received = timer.timeout(TIMEOUT, body.next()).await.unwrap();
             assert_eq!(received.unwrap().unwrap(), chunk);
         }
-        drop(pair.body_sender);
+        pair.body_sender.end();
         assert!(body.next().await.is_none());
     });
 }
--- a/tests/support/keep_alive_connection.rs
+++ b/tests/support/keep_alive_connection.rs
@@ -1,6 +1,8 @@
 //! An HTTP/1.1 client connection that is reused for consecutive requests. The harness client opens
 //! a connection for each request.
 
+#![allow(dead_code)]
+
 use std::io::{BufRead, BufReader, Error, ErrorKind, Read, Result, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
