Recognise a restarted gateway whose clock was set back

Cause: a start of a gateway counted as later only if its start time was later. After a clock that was set back and a restart, the others ignored the new registration, so the gateway was never live again for them. Found by reading; clocks jump on the deployments. Change: what a gateway says of itself, or the store of it, replaces another start in any order; what a third gateway says only if it is later or the known start is dead. Result: the new case of tests/gateway_gossip.rs failed before.

--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -253,21 +253,22 @@
     pub fn apply(&self, rows: &[Row], now: Instant) {
         self.is_loaded.set(true);
         self.record_contact(now);
-        let mut known = self.known.borrow_mut();
         // A row that is missing was removed, unless the gateway is so new that others told of it.
-        known.retain(|id, known| {
-            self.is_live(known, now) || rows.iter().any(|row| *row.key == **id)
-        });
+        let is_listed = |id: &EntryId| rows.iter().any(|row| *row.key == **id);
+        let mut known = self.known.borrow_mut();
+        known.retain(|id, known| self.is_live(known, now) || is_listed(id));
         let known_before = known.len();
-        for row in rows.iter().filter(|row| *row.key != *self.own_id) {
+        drop(known);
+        for row in rows {
             let Some(value) = &row.value else { continue };
             match serde_json::from_slice(value) {
-                Ok(decoded) => learn_row(&mut known, &row.key, decoded, now),
+                Ok(decoded) => self.learn_registration(&row.key, decoded, Source::Original, now),
                 Err(error) => {
                     log::warn!(gateway = row.key; "gateway row skipped, it could not be decoded: {error}");
                 }
             }
         }
+        let known = self.known.borrow();
         let added = known.len() - known_before;
         if added > 0 {
             log::info!(added = added, known = known.len(); "gateways added to the directory");
@@ -343,10 +344,8 @@
     /// Learns from the question of a peer, and answers it.
     pub fn handle_gossip(&self, request: &GossipRequest, now: Instant) -> GossipResponse {
         self.record_contact(now);
-        if *request.gateway_id != *self.own_id {
-            let mut known = self.known.borrow_mut();
-            learn_row(&mut known, &request.gateway_id, request.row.clone(), now);
-        }
+        let (id, row) = (&request.gateway_id, request.row.clone());
+        self.learn_registration(id, row, Source::Original, now);
         self.learn_heartbeats(&request.heartbeats, now);
         self.relays.replace(self.live_peers(now));
         let heartbeats = request.heartbeats.iter();
@@ -367,18 +366,36 @@
     /// Learns from the answer of a peer.
     pub fn apply_gossip(&self, response: GossipResponse, now: Instant) {
         self.record_contact(now);
-        {
-            let mut known = self.known.borrow_mut();
-            for (id, row) in response.rows {
-                if *id != *self.own_id {
-                    learn_row(&mut known, &id, row, now);
-                }
-            }
+        for (id, row) in response.rows {
+            self.learn_registration(&id, row, Source::Peer, now);
         }
         self.learn_heartbeats(&response.heartbeats, now);
         self.relays.replace(self.live_peers(now));
     }
 
+    /// Adds a gateway, or replaces the registration of another start of it. Start times alone do not
+    /// tell which of two starts is the later one, because the clock of a VM may be set back.
+    fn learn_registration(&self, id: &str, row: GatewayRow, source: Source, now: Instant) {
+        if *id == *self.own_id {
+            return;
+        }
+        let mut known = self.known.borrow_mut();
+        match known.get_mut(id) {
+            Some(known) if known.row.started_unix_ms == row.started_unix_ms => {
+                known.row.is_leaving |= row.is_leaving;
+            }
+            Some(known) => {
+                let is_later = row.started_unix_ms > known.row.started_unix_ms;
+                if source == Source::Original || is_later || !self.is_live(known, now) {
+                    *known = KnownGateway::new(id, row, now);
+                }
+            }
+            None => {
+                known.insert(id.into(), KnownGateway::new(id, row, now));
+            }
+        }
+    }
+
     fn learn_heartbeats(&self, heartbeats: &[Heartbeat], now: Instant) {
         let told: IndexMap<u64, &Heartbeat> = heartbeats
             .iter()
@@ -430,18 +447,13 @@
     }
 }
 
-/// Adds a gateway, or replaces the row of an earlier start of it.
-fn learn_row(known: &mut IndexMap<EntryId, KnownGateway>, id: &str, row: GatewayRow, now: Instant) {
-    match known.get_mut(id) {
-        Some(known) if known.row.started_unix_ms > row.started_unix_ms => {}
-        Some(known) if known.row.started_unix_ms == row.started_unix_ms => {
-            known.row.is_leaving |= row.is_leaving;
-        }
-        Some(known) => *known = KnownGateway::new(id, row, now),
-        None => {
-            known.insert(id.into(), KnownGateway::new(id, row, now));
-        }
-    }
+/// Where a registration was learned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// The gateway itself, or the store.
+    Original,
+    /// A peer that has learned it before. It may be that of an earlier start.
+    Peer,
 }
 
 fn row_key(id: &str) -> RowKey {
--- a/tests/gateway_gossip.rs
+++ b/tests/gateway_gossip.rs
@@ -11,6 +11,7 @@
 use sapphireford::process::gateway::directory::Directory;
 use sapphireford::process::gateway::gossip::ROUND_INTERVAL;
 use sapphireford::process::gateway::settings::{GatewaySettings, RawGatewaySettings};
+use sapphireford::process::slots::placement::rendezvous_weight;
 use sapphireford_platform::store::Row;
 use serde_json::json;
 use yare::parameterized;
@@ -271,3 +272,32 @@
     domain.run_for(Duration::from_secs(20), |_| {});
     assert_eq!(domain.returned_by(2, "a"), 1);
 }
+
+/// Guards against a gateway that stays unknown after a restart because the clock of its VM was set
+/// back: its start looks earlier than the one that the others know.
+#[test]
+fn a_gateway_whose_clock_was_set_back_is_live_after_its_restart() {
+    let other = new_directory(1, "a");
+    let observer = new_directory(2, "a");
+    let mut now = Instant::now();
+    let mut request = other.gossip_request(now);
+    observer.handle_gossip(&request, now);
+    let dead_since = now;
+    while now.duration_since(dead_since) < DEAD_GATEWAY_LIMIT {
+        now += ROUND_INTERVAL;
+        observer.record_contact(now);
+    }
+    let is_returned = |now| {
+        let addresses = observer.caller_addresses("a", true, now);
+        addresses.contains(&caller_address(1))
+    };
+    assert!(!is_returned(now));
+    request.row.started_unix_ms -= 60_000;
+    request.heartbeats[0].start_hash = rendezvous_weight(request.row.started_unix_ms, "g-1");
+    for _ in 0..20 {
+        observer.handle_gossip(&request, now);
+        assert!(is_returned(now));
+        now += ROUND_INTERVAL;
+        request.heartbeats[0].counter += 1;
+    }
+}
