Refuse at once when the store refuses every call, and start without peers

Cause: with every call refused with 429, as when the store turns a VM away, each turn was repeated for a second before it got 503: 970 ms in the test, late for the caller. And a gateway that starts while the registrations alone cannot be read would never be ready.

--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -11,7 +11,8 @@
 //!   conversations.
 //! - [`peers`] defines the calls between gateways.
 //! - [`servers`] is the registry of backend servers and their load; [`placement`] chooses one.
-//! - [`directory`] tracks the other gateways and answers the lookups of callers.
+//! - [`directory`] tracks the other gateways and answers the lookups of callers; by the [`gossip`],
+//!   the gateways of a failure domain tell each other that they are live.
 //! - [`running`] starts and stops the process with the [`settings`].
 
 pub mod account;
--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -96,7 +96,7 @@
     own: RefCell<GatewayRow>,
     own_counter: Cell<u64>,
     known: RefCell<IndexMap<EntryId, KnownGateway>>,
-    /// Whether the rows of the other gateways have been read.
+    /// Whether the rows of the other gateways have been read, or a peer has told of them.
     is_loaded: Cell<bool>,
     /// When this gateway last had contact with a peer or the store. Nothing is known of the others
     /// after that, so they do not age.
@@ -139,7 +139,7 @@
         &self.leaving
     }
 
-    /// Whether the rows of the other gateways have been read.
+    /// Whether the rows of the other gateways have been read, or a peer has told of them.
     pub fn is_loaded(&self) -> bool {
         self.is_loaded.get()
     }
@@ -365,6 +365,7 @@
 
     /// Learns from the answer of a peer.
     pub fn apply_gossip(&self, response: GossipResponse, now: Instant) {
+        self.is_loaded.set(true);
         self.record_contact(now);
         for (id, row) in response.rows {
             self.learn_registration(&id, row, Source::Peer, now);
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -93,6 +93,9 @@
 /// learn it, and a gateway starts without it.
 const START_QUESTION_PEERS: usize = 3;
 const START_QUESTION_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for which a gateway that knows the backend servers waits for the other gateways. The store
+/// may be unavailable in part; a gateway serves correctly without its peers.
+const REGISTRATION_PATIENCE: Duration = Duration::from_secs(2);
 /// Interval at which the start checks whether the tables have been read.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Largest list of leaving servers that is accepted from a peer.
@@ -162,13 +165,10 @@
     }
 
     /// Whether this gateway knows what it needs to serve a request: the configuration, the backend
-    /// servers and the other gateways. It has then reached the store as well.
+    /// servers and, if they can be learned, the other gateways. It has then reached the store as
+    /// well.
     pub fn is_informed(&self) -> bool {
-        self.routes.borrow().is_some() && self.has_read_tables() && self.has_asked_peers.get()
-    }
-
-    fn has_read_tables(&self) -> bool {
-        self.servers.is_loaded() && self.directory.is_loaded()
+        self.routes.borrow().is_some() && self.servers.is_loaded() && self.has_asked_peers.get()
     }
 
     fn is_ready(&self) -> bool {
@@ -428,9 +428,16 @@
 
 /// Asks some peers which servers are leaving, before the first request is served.
 async fn learn_leaving_servers(gateway: Rc<Gateway>) {
-    while !gateway.has_read_tables() {
+    while !gateway.servers.is_loaded() {
         gateway.timer.sleep(START_POLL_INTERVAL).await;
     }
+    let patience_end = Instant::now() + REGISTRATION_PATIENCE;
+    while !gateway.directory.is_loaded() && Instant::now() < patience_end {
+        gateway.timer.sleep(START_POLL_INTERVAL).await;
+    }
+    if !gateway.directory.is_loaded() {
+        log::warn!("serving without the other gateways: their registrations could not be read");
+    }
     let mut peers = gateway.directory.live_peers(Instant::now());
     peers.shuffle(&mut rand::rng());
     peers.truncate(START_QUESTION_PEERS);
--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -276,7 +276,11 @@
             let result = self.call_on_all_paths(&request, wait, deadline).await;
             let jittered = delay.mul_f64(rand::rng().random_range(0.5..1.5));
             match result {
-                Err(error) if error.is_rate_limit() && Instant::now() + jittered < patience_end => {
+                Err(error)
+                    if error.is_rate_limit()
+                        && self.is_available()
+                        && Instant::now() + jittered < patience_end =>
+                {
                     log::debug!("store call is repeated: {error}");
                     self.shared.timer.sleep(jittered).await;
                     delay = (delay * 2).min(RATE_LIMIT_DELAY_RANGE.1);
@@ -301,6 +305,7 @@
         let mut started: Vec<StorePath> = Vec::new();
         let mut in_flight = FuturesUnordered::new();
         let mut last_error = StoreError::Outage;
+        let mut has_failed = false;
         let mut rate_limited_paths = 0;
         loop {
             // The limit of a single VM does not apply to its peers; that of all VMs does, and more
@@ -313,9 +318,6 @@
                 started.push(path);
                 in_flight.push(self.attempt(path, clone_request(request), wait, deadline));
             } else if in_flight.is_empty() {
-                if rate_limited_paths == 0 {
-                    self.record_total_failure(&last_error);
-                }
                 break;
             }
             let hedge_at = match plan.len() {
@@ -332,6 +334,7 @@
                 Ok(Some((path, Err(error)))) => {
                     log::debug!(path:? = path; "store call failed: {error}");
                     started.retain(|other| *other != path);
+                    has_failed = true;
                     rate_limited_paths += usize::from(error.is_rate_limit());
                     if !last_error.is_rate_limit() {
                         last_error = error;
@@ -340,6 +343,11 @@
                 Ok(None) | Err(_) => {}
             }
         }
+        // Under a limit, some calls succeed. If none does, it is an outage like any other.
+        let is_in_outage = || self.shared.paths.borrow().is_in_outage(Instant::now());
+        if has_failed && in_flight.is_empty() && (rate_limited_paths == 0 || is_in_outage()) {
+            self.record_total_failure(&last_error);
+        }
         Err(last_error)
     }
 
--- a/tests/gateway_readiness.rs
+++ b/tests/gateway_readiness.rs
@@ -56,3 +56,21 @@
         .expect("seconds");
     assert!(delay_s < 0.1, "retry-after is {delay_s} s");
 }
+
+/// Guards against a site that stays down while the store cannot deliver the registrations of the
+/// gateways: all gateways start at once, and each serves without the others.
+#[test]
+fn gateways_serve_without_registrations_after_a_while() {
+    let mut site = GatewaySite::start(2);
+    site.gateways.iter_mut().for_each(|gateway| gateway.kill());
+    // Longer than a gateway waits for the answer to a read.
+    site.store
+        .control(&json!({ "delayed_table": "gateways", "table_delay_ms": 60_000 }));
+    site.gateways.iter_mut().for_each(|gateway| gateway.start());
+    for gateway in &site.gateways {
+        assert!(wait_until(Duration::from_secs(5), || gateway.is_ready()));
+        let answer =
+            caller_request("GET", "/ping/a", &new_request_id()).send(gateway.caller_address());
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+}
