--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -13,7 +13,8 @@
 //! - [`servers`] is the registry of backend servers and their load; [`placement`] chooses one.
 //! - [`directory`] tracks the other gateways and answers the lookups of callers; by the [`gossip`],
 //!   the gateways of a failure domain tell each other that they are live.
-//! - [`running`] starts and stops the process with the [`settings`].
+//! - [`running`] starts and stops the process with the [`settings`]; [`start`] has what a gateway
+//!   learns from its peers before it is ready.
 
 pub mod account;
 pub mod budget;
@@ -26,6 +27,7 @@
 pub mod running;
 pub mod servers;
 pub mod settings;
+pub mod start;
 pub mod store;
 pub mod store_path;
 pub mod watch;
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -11,9 +11,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_util::future::join_all;
 use hyper::{Request, Response, StatusCode};
-use rand::seq::SliceRandom;
 use sapphireford_platform::directory::{
     Lookup, LookupAnswer, MAX_ADDRESSES, READY_PATH, RESOLVE_PATH,
 };
@@ -28,6 +26,7 @@
 use super::peers::{self, PeerCall};
 use super::servers::Servers;
 use super::settings::GatewaySettings;
+use super::start;
 use super::store::Store;
 use super::watch::{TableChange, watch_table};
 use super::writer::StoreWriter;
@@ -88,19 +87,8 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 /// Interval of the maintenance task.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
-/// Peers that a gateway asks at its start which servers are leaving, and the timeout of the call. A
-/// server may have said so to an earlier start of this gateway only, so the answer is an attempt to
-/// learn it, and a gateway starts without it.
-const START_QUESTION_PEERS: usize = 3;
-const START_QUESTION_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time for which a gateway that knows the backend servers waits for the other gateways. The store
-/// may be unavailable in part; a gateway serves correctly without its peers.
-const REGISTRATION_PATIENCE: Duration = Duration::from_secs(2);
-/// Interval at which the start checks whether the tables have been read.
-const START_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Largest list of leaving servers that is accepted from a peer.
-const LEAVING_LIMIT_BYTES: usize = 1 << 20;
 /// Time without a successful call to the store after which this gateway is not returned to callers.
+/// Without requests, only the calls of the change feeds show contact, which last two seconds.
 const STORE_CONTACT_TIMEOUT: Duration = Duration::from_millis(3_500);
 
 /// State shared by all requests of a gateway.
@@ -171,6 +159,11 @@
         self.routes.borrow().is_some() && self.servers.is_loaded() && self.has_asked_peers.get()
     }
 
+    /// Records that the peers have been asked, or cannot be learned in time.
+    pub fn record_peers_asked(&self) {
+        self.has_asked_peers.set(true);
+    }
+
     fn is_ready(&self) -> bool {
         self.is_informed() && !self.directory.is_leaving() && !self.is_stopped.get()
     }
@@ -426,38 +419,6 @@
         .map_err(|error| StartError::Listen(setting, address, error))
 }
 
-/// Asks some peers which servers are leaving, before the first request is served.
-async fn learn_leaving_servers(gateway: Rc<Gateway>) {
-    while !gateway.servers.is_loaded() {
-        gateway.timer.sleep(START_POLL_INTERVAL).await;
-    }
-    let patience_end = Instant::now() + REGISTRATION_PATIENCE;
-    while !gateway.directory.is_loaded() && Instant::now() < patience_end {
-        gateway.timer.sleep(START_POLL_INTERVAL).await;
-    }
-    if !gateway.directory.is_loaded() {
-        log::warn!("serving without the other gateways: their registrations could not be read");
-    }
-    let mut peers = gateway.directory.live_peers(Instant::now());
-    peers.shuffle(&mut rand::rng());
-    peers.truncate(START_QUESTION_PEERS);
-    let questions = peers.into_iter().map(|peer| {
-        let request = peers::leaving_request();
-        let http = &gateway.http;
-        http.fetch(peer, request, START_QUESTION_TIMEOUT, LEAVING_LIMIT_BYTES)
-    });
-    for response in join_all(questions).await {
-        match response {
-            Ok(response) => {
-                let leaving = peers::decode_leaving(&response);
-                gateway.servers.merge_leaving(&leaving);
-            }
-            Err(error) => log::info!("peer did not say which servers are leaving: {error}"),
-        }
-    }
-    gateway.has_asked_peers.set(true);
-}
-
 fn start_background_tasks(gateway: &Rc<Gateway>, writer: &StoreWriter, ledger: &Ledger) {
     let store = gateway.store.clone();
     let config_gateway = gateway.clone();
@@ -471,7 +432,7 @@
             .servers
             .apply(change, store_recovered_at, Instant::now());
     }));
-    monoio::spawn(learn_leaving_servers(gateway.clone()));
+    monoio::spawn(start::learn_from_peers(gateway.clone()));
     let directory = gateway.directory.clone();
     let registrations = gossip::run_registrations(directory.clone(), store.clone(), writer.clone());
     monoio::spawn(registrations);
