--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -9,7 +9,7 @@
 //! noticed.
 //!
 //! The gossip stays within a failure domain, so what a gateway sends and keeps up to date grows
-//! with its domain. The gateways of other domains are asked only while the own domain has too few.
+//! with its domain. The gateways of other domains are contacted only while the own domain has too few.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -41,13 +41,13 @@
 pub const LIVE_TIMEOUT: Duration = Duration::from_millis(3_200);
 /// Live gateways that a failure domain needs for its callers and keys to be assigned to them only.
 const MIN_SAME_DOMAIN_GATEWAYS: usize = 2;
-/// Live gateways that are asked in a round of the gossip. With two, a counter needs few rounds, and
-/// a gateway of a domain of 60 sends about 8 KB a second: 4 questions and 4 answers of 13 bytes for
+/// Live gateways that are contacted in a round of the gossip. With two, a counter needs few rounds, and
+/// a gateway of a domain of 60 sends about 8 KB a second: 4 requests and 4 responses of 13 bytes for
 /// each counter, with their heads.
 const GOSSIP_FANOUT: usize = 2;
-/// One more gateway is asked for this many live ones, so that large domains need no more rounds.
+/// One more gateway is contacted for this many live ones, so that large domains need no more rounds.
 const GATEWAYS_PER_EXTRA_FANOUT: usize = 100;
-/// Share of the rounds in which a gateway that does not seem live is asked as well. It lets two
+/// Share of the rounds in which a gateway that does not seem live is contacted as well. It lets two
 /// parts of a domain find each other again after they were separated.
 const RECONNECT_PROBABILITY: f64 = 0.125;
 /// Time for which a gateway that leaves is told of in the gossip.
@@ -278,7 +278,7 @@
         self.relays.replace(self.live_peers(now));
     }
 
-    /// Starts a round of the gossip: increments the own counter and selects the gateways to ask.
+    /// Starts a round of the gossip: increments the own counter and selects the gateways to contact.
     pub fn start_round(&self, rng: &mut impl Rng, now: Instant) -> Vec<SocketAddr> {
         self.own_counter.set(self.own_counter.get() + 1);
         let own = self.own.borrow();
@@ -291,9 +291,9 @@
             .partition(|known| self.is_live(known, now));
         let needs_other_domains = live.len() + 1 < MIN_SAME_DOMAIN_GATEWAYS;
         let fanout = GOSSIP_FANOUT + live.len() / GATEWAYS_PER_EXTRA_FANOUT;
-        let mut asked = live.into_iter().choose_multiple(rng, fanout);
-        if asked.is_empty() || rng.random_bool(RECONNECT_PROBABILITY) {
-            asked.extend(silent.into_iter().choose(rng));
+        let mut contacted = live.into_iter().choose_multiple(rng, fanout);
+        if contacted.is_empty() || rng.random_bool(RECONNECT_PROBABILITY) {
+            contacted.extend(silent.into_iter().choose(rng));
         }
         if needs_other_domains {
             let mut by_domain: IndexMap<&str, Vec<&KnownGateway>> = IndexMap::new();
@@ -305,9 +305,12 @@
                 domain.push(other);
             }
             let one_each = by_domain.into_values();
-            asked.extend(one_each.filter_map(|domain| domain.into_iter().choose(rng)));
+            contacted.extend(one_each.filter_map(|domain| domain.into_iter().choose(rng)));
         }
-        asked.iter().map(|known| known.row.peer_address).collect()
+        contacted
+            .iter()
+            .map(|known| known.row.peer_address)
+            .collect()
     }
 
     /// The counters of the live gateways of the own failure domain, and of this gateway.
@@ -333,7 +336,7 @@
         std::iter::once(own).chain(told).collect()
     }
 
-    /// The question that this gateway asks in a round.
+    /// The request that this gateway sends in a round.
     pub fn gossip_request(&self, now: Instant) -> GossipRequest {
         GossipRequest {
             gateway_id: self.own_id.to_string(),
@@ -342,7 +345,7 @@
         }
     }
 
-    /// Learns from the question of a peer, and answers it.
+    /// Learns from the request of a peer, and responds to it.
     pub fn handle_gossip(&self, request: &GossipRequest, now: Instant) -> GossipResponse {
         self.record_contact(now);
         let (id, row) = (&request.gateway_id, request.row.clone());
@@ -364,7 +367,7 @@
         }
     }
 
-    /// Learns from the answer of a peer.
+    /// Learns from the response of a peer.
     pub fn apply_gossip(&self, response: GossipResponse, now: Instant) {
         self.is_loaded.set(true);
         self.record_contact(now);
--- a/src/process/gateway/gossip.rs
+++ b/src/process/gateway/gossip.rs
@@ -19,10 +19,10 @@
 
 /// Interval between two rounds.
 pub const ROUND_INTERVAL: Duration = Duration::from_millis(500);
-/// Timeout of a question, which leaves a round time to end before the next one.
-const QUESTION_TIMEOUT: Duration = Duration::from_millis(400);
-/// Largest answer accepted from a peer: some hundred gateways with their rows.
-const ANSWER_LIMIT_BYTES: usize = 256 << 10;
+/// Timeout of a request, so that a round ends before the next one begins.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
+/// Largest response accepted from a peer: some hundred gateways with their rows.
+const RESPONSE_LIMIT_BYTES: usize = 256 << 10;
 /// Timeout of the writes and reads of registrations.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay before a failed write or read of registrations is repeated.
@@ -56,7 +56,7 @@
     pub heartbeats: Vec<Heartbeat>,
 }
 
-/// The answer to a [`GossipRequest`].
+/// The response to a [`GossipRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GossipResponse {
     /// Ids and registrations of live gateways whose counters the request did not have.
@@ -75,34 +75,36 @@
         if let Some(success) = store.last_success() {
             directory.record_contact(success);
         }
-        let asked = directory.start_round(&mut rand::rng(), started);
-        ask_all(&directory, &http, asked).await;
+        let peers = directory.start_round(&mut rand::rng(), started);
+        send_to_all(&directory, &http, peers).await;
         // A gateway that starts to leave publishes it at once, without waiting for the next round.
         let changed = directory.leaving().changed_since(seen_changes);
         let _ = timer.timeout_at(started + ROUND_INTERVAL, changed).await;
         if directory.is_leaving() && !was_leaving {
             let all = directory.live_peers(Instant::now());
-            ask_all(&directory, &http, all).await;
+            send_to_all(&directory, &http, all).await;
         }
     }
 }
 
-async fn ask_all(directory: &Directory, http: &HttpClient, peers: Vec<SocketAddr>) {
+async fn send_to_all(directory: &Directory, http: &HttpClient, peers: Vec<SocketAddr>) {
     let request = directory.gossip_request(Instant::now());
-    let questions = peers.into_iter().map(|peer| {
+    let exchanges = peers.into_iter().map(|peer| {
         let request = peers::gossip_request(&request);
         async move {
-            let answer = http
-                .fetch(peer, request, QUESTION_TIMEOUT, ANSWER_LIMIT_BYTES)
+            let response = http
+                .fetch(peer, request, REQUEST_TIMEOUT, RESPONSE_LIMIT_BYTES)
                 .await;
-            match answer.map(|answer| peers::decode_gossip(&answer)) {
+            match response.map(|response| peers::decode_gossip(&response)) {
                 Ok(Some(response)) => directory.apply_gossip(response, Instant::now()),
-                Ok(None) => log::warn!(peer:% = peer; "gossip answer skipped, it is not valid"),
-                Err(error) => log::debug!(peer:% = peer; "peer did not answer the gossip: {error}"),
+                Ok(None) => log::warn!(peer:% = peer; "gossip response skipped, it is not valid"),
+                Err(error) => {
+                    log::debug!(peer:% = peer; "peer did not respond to the gossip: {error}")
+                }
             }
         }
     });
-    join_all(questions).await;
+    join_all(exchanges).await;
 }
 
 /// Registers this gateway in the store, and reads the registrations of the others at times.
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -166,18 +166,18 @@
     Some((message, postcard::from_bytes(rest).unwrap_or_default()))
 }
 
-/// Encodes a question of the gossip.
+/// Encodes a gossip request.
 pub fn gossip_request(request: &GossipRequest) -> Request<Bytes> {
     post(GOSSIP_PATH, request)
 }
 
-/// Encodes the answer to a question of the gossip.
+/// Encodes the response to a gossip request.
 pub fn gossip_response(response: &GossipResponse) -> Response<Body> {
     let body = postcard::to_stdvec(response).unwrap_or_default();
     Response::new(Body::full(body))
 }
 
-/// Decodes the answer of a peer; `None` if the status is not 200 or the body is malformed.
+/// Decodes the response of a peer to a gossip request; `None` if the status is not 200 or the body is malformed.
 pub fn decode_gossip(response: &Response<Bytes>) -> Option<GossipResponse> {
     let is_ok = response.status() == StatusCode::OK;
     is_ok.then(|| postcard::from_bytes(response.body()).ok())?
@@ -244,7 +244,7 @@
     Settle(SettleRequest),
     /// The peer asks for the servers that are leaving.
     ListLeaving,
-    /// A question of the gossip.
+    /// A gossip request.
     Gossip(GossipRequest),
 }
 
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -10,10 +10,10 @@
 use super::running::Gateway;
 
 /// Peers that a gateway asks at its start which servers are leaving, and the timeout of the call. A
-/// server may have said so to an earlier start of this gateway only, so the answer is an attempt to
-/// learn it, and a gateway starts without it.
-const START_QUESTION_PEERS: usize = 3;
-const START_QUESTION_TIMEOUT: Duration = Duration::from_millis(200);
+/// server may have said so to an earlier start of this gateway only, so a gateway tries to learn it,
+/// and starts without it if no peer responds.
+const LEAVING_QUERY_PEERS: usize = 3;
+const LEAVING_QUERY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time for which a gateway that knows the backend servers waits for the other gateways. The store
 /// may be unavailable in part; a gateway serves correctly without its peers.
 const REGISTRATION_PATIENCE: Duration = Duration::from_secs(2);
@@ -37,13 +37,13 @@
     }
     let mut peers = gateway.directory.live_peers(Instant::now());
     peers.shuffle(&mut rand::rng());
-    peers.truncate(START_QUESTION_PEERS);
-    let questions = peers.into_iter().map(|peer| {
+    peers.truncate(LEAVING_QUERY_PEERS);
+    let queries = peers.into_iter().map(|peer| {
         let request = peers::leaving_request();
         let http = &gateway.http;
-        http.fetch(peer, request, START_QUESTION_TIMEOUT, LEAVING_LIMIT_BYTES)
+        http.fetch(peer, request, LEAVING_QUERY_TIMEOUT, LEAVING_LIMIT_BYTES)
     });
-    for response in join_all(questions).await {
+    for response in join_all(queries).await {
         match response {
             Ok(response) => {
                 let leaving = peers::decode_leaving(&response);
