--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use sapphireford_platform::answer::ReportedLoad;
+use sapphireford_platform::answer::{RateLimitStatement, ReportedLoad};
 use sapphireford_platform::server::{self, ServerRecord, ServerState};
 use sapphireford_platform::store::Row;
 use serde::{Deserialize, Serialize};
@@ -48,6 +48,8 @@
     /// Whether the server has said in an answer that it is about to stop. This start of the server
     /// takes no new requests from then on, whatever its row says.
     is_leaving: Cell<bool>,
+    /// Requests a second that the server takes from all gateways together; `None` without a limit.
+    limit_per_s: Cell<Option<f64>>,
     /// When the server is deregistered unless its row is renewed. Set while the row is missing
     /// after an outage of the store.
     renewal_deadline: Cell<Option<Instant>>,
@@ -63,6 +65,7 @@
             sent_since_report: Cell::new(0),
             breaker: RefCell::default(),
             is_leaving: Cell::new(false),
+            limit_per_s: Cell::new(None),
             renewal_deadline: Cell::new(None),
         }
     }
@@ -106,6 +109,22 @@
         }
     }
 
+    /// Records the limit of the request rate that the server stated in an answer.
+    pub fn record_rate_limit(&self, statement: RateLimitStatement) {
+        let limit_per_s = match statement {
+            RateLimitStatement::Unlimited => None,
+            RateLimitStatement::PerSecond(limit_per_s) => Some(limit_per_s),
+            RateLimitStatement::Invalid => {
+                log::warn!(server = &*self.id; "backend server stated a rate limit that is not a number, the last valid statement applies");
+                return;
+            }
+        };
+        let previous = self.limit_per_s.replace(limit_per_s);
+        if previous != limit_per_s {
+            log::info!(server = &*self.id, limit_per_s:? = limit_per_s, previous:? = previous; "backend server changed the limit of its request rate");
+        }
+    }
+
     /// The most recent load report and its age, or `None` if the server has not reported yet.
     pub fn reported_load(&self, now: Instant) -> Option<(ReportedLoad, Duration)> {
         let (load, at) = self.report.get()?;
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -251,8 +251,11 @@
                 .server_id
                 .as_deref()
                 .is_none_or(|id| id == &*server.id);
-        if answer.is_leaving && is_addressee {
-            server.record_leaving();
+        if is_addressee {
+            server.record_rate_limit(answer.rate_limit);
+            if answer.is_leaving {
+                server.record_leaving();
+            }
         }
         let was_not_executed = answer.is_not_executed || status == StatusCode::MISDIRECTED_REQUEST;
         if was_not_executed {
