--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -87,6 +87,8 @@
     full: bool,
     /// States in all responses that the server is about to stop.
     leaving: bool,
+    /// States in all responses that the server takes this many requests a second; it takes all.
+    limit_per_s: Option<f64>,
     /// Returns status 500 after execution; streams are not affected.
     fail: bool,
 }
@@ -230,6 +232,9 @@
         if control.leaving {
             insert("server-leaving", "1");
         }
+        if let Some(limit_per_s) = control.limit_per_s {
+            insert("server-limit", &limit_per_s.to_string());
+        }
         if !control.unsigned {
             insert("server-signature", &format!("{}.{request_id}", self.id));
         }
@@ -245,9 +250,13 @@
         if let Some(Ok(request_id)) = request_id.map(str::parse) {
             headers.insert("request-id", request_id);
         }
-        if self.control.borrow().leaving {
+        let control = self.control.borrow();
+        if control.leaving {
             headers.insert("server-leaving", HeaderValue::from_static("1"));
         }
+        if let Some(Ok(limit)) = control.limit_per_s.map(|limit| limit.to_string().parse()) {
+            headers.insert("server-limit", limit);
+        }
         response
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -143,6 +143,8 @@
     DeadlineExceeded => 504, "deadline_exceeded", Unknown, NO_RETRY;
     /// A bug in this program.
     Internal => 500, "internal", Unknown, NO_RETRY;
+    /// The backend servers limit their request rates, and the limits are used up.
+    RateLimited => 503, "rate_limited", No, SHORT_RETRY_DELAY;
 }
 
 macro_rules! causes {
@@ -194,6 +196,9 @@
     pub message: String,
     /// The error that led to this one. Its text is appended to the message in answers.
     pub cause: Option<Cause>,
+    /// Delay before the caller may send the request again, if it is known better than from the
+    /// kind.
+    pub retry_after: Option<Duration>,
 }
 
 impl Error {
@@ -203,9 +208,16 @@
             kind,
             message: message.into(),
             cause: None,
+            retry_after: None,
         }
     }
 
+    /// Sets the delay before the caller may send the request again.
+    pub fn with_retry_after(mut self, delay: Duration) -> Self {
+        self.retry_after = Some(delay);
+        self
+    }
+
     /// Sets the error that led to this one.
     pub fn with_cause(mut self, cause: impl Into<Cause>) -> Self {
         self.cause = Some(cause.into());
@@ -220,7 +232,10 @@
                 kind: answer.name.to_string(),
                 message: chain(self),
                 ran: answer.ran,
-                retry_after_ms: answer.retry_after.map(|delay| delay.as_millis() as u64),
+                retry_after_ms: self
+                    .retry_after
+                    .or(answer.retry_after)
+                    .map(|delay| delay.as_millis() as u64),
             },
         }
     }
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -10,13 +10,16 @@
 //!   [`account`] is the token account of one program. [`history`] stores the turns of
 //!   conversations.
 //! - [`peers`] defines the calls between gateways.
-//! - [`servers`] is the registry of backend servers and their load; [`placement`] chooses one.
+//! - [`servers`] is the registry of backend servers, each a [`server`] with its load; [`placement`] chooses one.
+//! - [`rate_limits`] keeps the rates that servers limit, with the gateway that owns the
+//!   [`allowance`] of a server.
 //! - [`directory`] tracks the other gateways and answers the lookups of callers; by the [`gossip`],
 //!   the gateways of a failure domain tell each other that they are live.
 //! - [`running`] starts and stops the process with the [`settings`]; [`start`] has what a gateway
 //!   learns from its peers before it is ready.
 
 pub mod account;
+pub mod allowance;
 pub mod budget;
 pub mod directory;
 pub mod gossip;
@@ -24,7 +27,9 @@
 pub mod ledger;
 pub mod peers;
 pub mod placement;
+pub mod rate_limits;
 pub mod running;
+pub mod server;
 pub mod servers;
 pub mod settings;
 pub mod start;
--- a/src/process/gateway/budget.rs
+++ b/src/process/gateway/budget.rs
@@ -199,7 +199,7 @@
         let response = http
             .fetch(
                 peer,
-                request.encode(&servers.leaving()),
+                request.encode(&servers.notices(Instant::now())),
                 timeout,
                 RESPONSE_LIMIT_BYTES,
             )
@@ -207,9 +207,9 @@
         let response = response
             .ok()
             .and_then(|response| AdmitResponse::decode(&response));
-        if let Some((response, leaving)) = &response {
+        if let Some((response, notices)) = &response {
             servers.merge_loads(&response.loads, Instant::now());
-            servers.merge_leaving(leaving);
+            servers.merge_notices(notices, Instant::now());
         }
         match response {
             Some((response, _)) => match response.result {
--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -30,6 +30,10 @@
 use crate::process::slots::placement::{hash_bytes, rendezvous_weight};
 use crate::process::timer::unix_ms;
 
+pub use allowance_owner::AllowanceOwner;
+
+mod allowance_owner;
+
 /// Table of the rows by which gateways register.
 pub const TABLE: &str = "gateways";
 /// Partition of these rows. Backend servers write to the unnamed one, which the store serializes
@@ -52,6 +56,8 @@
 const RECONNECT_PROBABILITY: f64 = 0.125;
 /// Time for which a gateway that leaves is told of in the gossip.
 const LEAVING_TOLD_FOR: Duration = Duration::from_secs(10);
+/// Time between two rounds of the gossip after which the process counts as paused.
+const PAUSE_THRESHOLD: Duration = Duration::from_millis(1_600);
 /// Rows of gateways that stopped or died this long ago are removed.
 const ROW_RETENTION: Duration = Duration::from_secs(600);
 
@@ -104,6 +110,10 @@
     last_contact: Cell<Option<Instant>>,
     relays: RelayAddresses,
     leaving: Notify,
+    /// When the last round of the gossip began; `None` before the first one.
+    last_round: Cell<Option<Instant>>,
+    /// When the rounds began, or began again after a pause of the process.
+    rounds_since: Cell<Option<Instant>>,
 }
 
 impl Directory {
@@ -126,6 +136,8 @@
             last_contact: Cell::new(None),
             relays,
             leaving: Notify::default(),
+            last_round: Cell::new(None),
+            rounds_since: Cell::new(None),
         }
     }
 
@@ -217,6 +229,11 @@
         (id != &*self.own_id).then_some(row.peer_address)
     }
 
+    /// Learns the registration of a gateway that a peer has named.
+    pub fn learn_from_peer(&self, id: &str, row: GatewayRow, now: Instant) {
+        self.learn_registration(id, row, Source::Peer, now);
+    }
+
     /// The peer addresses of the other live gateways.
     pub fn live_peers(&self, now: Instant) -> Vec<SocketAddr> {
         let known = self.known.borrow();
@@ -281,6 +298,12 @@
     /// Starts a round of the gossip: increments the own counter and selects the gateways to contact.
     pub fn start_round(&self, rng: &mut impl Rng, now: Instant) -> Vec<SocketAddr> {
         self.own_counter.set(self.own_counter.get() + 1);
+        let last_round = self.last_round.replace(Some(now));
+        let was_paused =
+            last_round.is_none_or(|last| now.saturating_duration_since(last) >= PAUSE_THRESHOLD);
+        if was_paused {
+            self.rounds_since.set(Some(now));
+        }
         let own = self.own.borrow();
         let known = self.known.borrow();
         let same_domain = known
--- a/src/process/gateway/gossip.rs
+++ b/src/process/gateway/gossip.rs
@@ -13,6 +13,7 @@
 
 use super::directory::{Directory, GatewayRow, PARTITION, TABLE};
 use super::peers;
+use super::servers::Servers;
 use super::store::Store;
 use super::writer::StoreWriter;
 use crate::connection::http_client::HttpClient;
@@ -66,7 +67,14 @@
 }
 
 /// Runs the rounds of the gossip until the process ends.
-pub async fn run_rounds(directory: Rc<Directory>, http: HttpClient, store: Store) {
+///
+/// The messages also carry what the gateways have heard from the backend servers.
+pub async fn run_rounds(
+    directory: Rc<Directory>,
+    servers: Rc<Servers>,
+    http: HttpClient,
+    store: Store,
+) {
     let timer = store.timer().clone();
     loop {
         let started = Instant::now();
@@ -76,27 +84,36 @@
             directory.record_contact(success);
         }
         let peers = directory.start_round(&mut rand::rng(), started);
-        send_to_all(&directory, &http, peers).await;
+        send_to_all(&directory, &servers, &http, peers).await;
         // A gateway that starts to leave publishes it at once, without waiting for the next round.
         let changed = directory.leaving().changed_since(seen_changes);
         let _ = timer.timeout_at(started + ROUND_INTERVAL, changed).await;
         if directory.is_leaving() && !was_leaving {
             let all = directory.live_peers(Instant::now());
-            send_to_all(&directory, &http, all).await;
+            send_to_all(&directory, &servers, &http, all).await;
         }
     }
 }
 
-async fn send_to_all(directory: &Directory, http: &HttpClient, peers: Vec<SocketAddr>) {
+async fn send_to_all(
+    directory: &Directory,
+    servers: &Servers,
+    http: &HttpClient,
+    peers: Vec<SocketAddr>,
+) {
     let request = directory.gossip_request(Instant::now());
+    let notices = servers.notices(Instant::now());
     let exchanges = peers.into_iter().map(|peer| {
-        let request = peers::gossip_request(&request);
+        let request = peers::gossip_request(&request, &notices);
         async move {
             let response = http
                 .fetch(peer, request, REQUEST_TIMEOUT, RESPONSE_LIMIT_BYTES)
                 .await;
             match response.map(|response| peers::decode_gossip(&response)) {
-                Ok(Some(response)) => directory.apply_gossip(response, Instant::now()),
+                Ok(Some((response, notices))) => {
+                    servers.merge_notices(&notices, Instant::now());
+                    directory.apply_gossip(response, Instant::now());
+                }
                 Ok(None) => log::warn!(peer:% = peer; "gossip response skipped, it is not valid"),
                 Err(error) => {
                     log::debug!(peer:% = peer; "peer did not respond to the gossip: {error}")
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -17,6 +17,8 @@
 use super::gossip::{GossipRequest, GossipResponse};
 use super::history::{TurnChain, TurnId};
 use super::ledger::{Admission, TurnBudget};
+use super::rate_limits::{AllowanceRequest, AllowanceResponse};
+use super::server::RateLimitReport;
 use super::servers::{LeavingServer, SharedLoad};
 use crate::connection::body::Body;
 
@@ -136,8 +138,9 @@
 }
 
 const GOSSIP_PATH: &str = "/gateways/gossip";
-/// Path of the servers that are about to stop.
-const LEAVING_PATH: &str = "/servers/leaving";
+/// Path of what a gateway has heard from backend servers; named after its first list.
+const NOTICES_PATH: &str = "/servers/leaving";
+const ALLOWANCE_PATH: &str = "/servers/allowance";
 const ADMIT_PATH: &str = "/programs/admit";
 const SETTLE_PATH: &str = "/programs/settle";
 
@@ -150,66 +153,107 @@
     request
 }
 
-/// A message that is followed by the servers that its sender knows to be leaving.
+/// What a gateway has heard from backend servers, told to its peers with other messages.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServerNotices {
+    /// Servers that have said that they are about to stop.
+    pub leaving: Vec<LeavingServer>,
+    /// The last statements on rate limits.
+    pub rate_limits: Vec<RateLimitReport>,
+}
+
+/// Encodes a message followed by notices.
 ///
 /// They are appended, not a field, because gateways of earlier builds ignore what follows the
-/// message and send none.
-fn with_leaving(message: &impl Serialize, leaving: &[LeavingServer]) -> Bytes {
+/// message and send none, or only the first list.
+fn with_notices(message: &impl Serialize, notices: &ServerNotices) -> Bytes {
     // The encoding of these types cannot fail.
     let mut body = postcard::to_stdvec(message).unwrap_or_default();
-    body.extend(postcard::to_stdvec(leaving).unwrap_or_default());
+    body.extend(postcard::to_stdvec(&notices.leaving).unwrap_or_default());
+    body.extend(postcard::to_stdvec(&notices.rate_limits).unwrap_or_default());
     Bytes::from(body)
 }
 
-fn split_leaving<T: DeserializeOwned>(body: &[u8]) -> Option<(T, Vec<LeavingServer>)> {
+fn split_notices<T: DeserializeOwned>(body: &[u8]) -> Option<(T, ServerNotices)> {
     let (message, rest) = postcard::take_from_bytes(body).ok()?;
-    Some((message, postcard::from_bytes(rest).unwrap_or_default()))
+    let (leaving, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+    let notices = ServerNotices {
+        leaving,
+        rate_limits: postcard::from_bytes(rest).unwrap_or_default(),
+    };
+    Some((message, notices))
+}
+
+fn post_with_notices(
+    path: &'static str,
+    message: &impl Serialize,
+    notices: &ServerNotices,
+) -> Request<Bytes> {
+    let mut request = post(path, &());
+    *request.body_mut() = with_notices(message, notices);
+    request
 }
 
 /// Encodes a gossip request.
-pub fn gossip_request(request: &GossipRequest) -> Request<Bytes> {
-    post(GOSSIP_PATH, request)
+pub fn gossip_request(request: &GossipRequest, notices: &ServerNotices) -> Request<Bytes> {
+    post_with_notices(GOSSIP_PATH, request, notices)
 }
 
 /// Encodes the response to a gossip request.
-pub fn gossip_response(response: &GossipResponse) -> Response<Body> {
-    let body = postcard::to_stdvec(response).unwrap_or_default();
-    Response::new(Body::full(body))
+pub fn gossip_response(response: &GossipResponse, notices: &ServerNotices) -> Response<Body> {
+    Response::new(Body::full(with_notices(response, notices)))
 }
 
-/// Decodes the response of a peer to a gossip request; `None` if the status is not 200 or the body is malformed.
-pub fn decode_gossip(response: &Response<Bytes>) -> Option<GossipResponse> {
+/// Decodes the response of a peer to a gossip request; `None` if the status is not 200 or the body
+/// is malformed.
+pub fn decode_gossip(response: &Response<Bytes>) -> Option<(GossipResponse, ServerNotices)> {
     let is_ok = response.status() == StatusCode::OK;
-    is_ok.then(|| postcard::from_bytes(response.body()).ok())?
+    is_ok.then(|| split_notices(response.body()))?
 }
 
-/// Asks a peer which servers it knows to be leaving.
-pub fn leaving_request() -> Request<Bytes> {
+/// Asks a peer what it has heard from the backend servers.
+pub fn notices_request() -> Request<Bytes> {
     let mut request = Request::new(Bytes::new());
-    *request.uri_mut() = Uri::from_static(LEAVING_PATH);
+    *request.uri_mut() = Uri::from_static(NOTICES_PATH);
     request
 }
 
-/// Encodes the response to [`leaving_request`].
-pub fn leaving_response(leaving: &[LeavingServer]) -> Response<Body> {
-    Response::new(Body::full(with_leaving(&(), leaving)))
+/// Encodes the response to [`notices_request`].
+pub fn notices_response(notices: &ServerNotices) -> Response<Body> {
+    Response::new(Body::full(with_notices(&(), notices)))
 }
 
-/// Decodes the response to [`leaving_request`]; empty if the peer does not know the call.
-pub fn decode_leaving(response: &Response<Bytes>) -> Vec<LeavingServer> {
+/// Decodes the response to [`notices_request`]; empty if the peer does not know the call.
+pub fn decode_notices(response: &Response<Bytes>) -> ServerNotices {
     if response.status() != StatusCode::OK {
-        return Vec::new();
+        return ServerNotices::default();
     }
-    let message: Option<((), _)> = split_leaving(response.body());
-    message.map(|((), leaving)| leaving).unwrap_or_default()
+    let message: Option<((), _)> = split_notices(response.body());
+    message.map(|((), notices)| notices).unwrap_or_default()
+}
+
+/// Encodes a request to the owner of an allowance.
+pub fn allowance_request(request: &AllowanceRequest) -> Request<Bytes> {
+    post(ALLOWANCE_PATH, request)
+}
+
+/// Encodes the response of the owner of an allowance.
+pub fn allowance_response(response: &AllowanceResponse) -> Response<Body> {
+    let body = postcard::to_stdvec(response).unwrap_or_default();
+    Response::new(Body::full(body))
+}
+
+/// Decodes the response of the owner of an allowance; `None` if the status is not 200 or the body
+/// is malformed.
+pub fn decode_allowance(response: &Response<Bytes>) -> Option<AllowanceResponse> {
+    let is_ok = response.status() == StatusCode::OK;
+    is_ok.then(|| postcard::from_bytes(response.body()).ok())?
 }
 
 impl AdmitRequest {
-    /// Encodes the HTTP request to a peer, with the servers that this gateway knows to be leaving.
-    pub fn encode(&self, leaving: &[LeavingServer]) -> Request<Bytes> {
-        let mut request = post(ADMIT_PATH, &());
-        *request.body_mut() = with_leaving(self, leaving);
-        request
+    /// Encodes the HTTP request to a peer, with what this gateway has heard from servers.
+    pub fn encode(&self, notices: &ServerNotices) -> Request<Bytes> {
+        post_with_notices(ADMIT_PATH, self, notices)
     }
 }
 
@@ -221,16 +265,16 @@
 }
 
 impl AdmitResponse {
-    /// Encodes the HTTP response to a peer, with the servers that this gateway knows to be leaving.
-    pub fn encode(&self, leaving: &[LeavingServer]) -> Response<Body> {
-        Response::new(Body::full(with_leaving(self, leaving)))
+    /// Encodes the HTTP response to a peer, with what this gateway has heard from servers.
+    pub fn encode(&self, notices: &ServerNotices) -> Response<Body> {
+        Response::new(Body::full(with_notices(self, notices)))
     }
 
-    /// Decodes the response of a peer and the servers that the peer knows to be leaving; `None` if
-    /// the status is not 200 or the body is malformed.
-    pub fn decode(response: &Response<Bytes>) -> Option<(Self, Vec<LeavingServer>)> {
+    /// Decodes the response of a peer and what the peer has heard from servers; `None` if the
+    /// status is not 200 or the body is malformed.
+    pub fn decode(response: &Response<Bytes>) -> Option<(Self, ServerNotices)> {
         let is_ok = response.status() == StatusCode::OK;
-        is_ok.then(|| split_leaving(response.body()))?
+        is_ok.then(|| split_notices(response.body()))?
     }
 }
 
@@ -238,25 +282,29 @@
 pub enum PeerCall {
     /// A store call to relay.
     Relay(Box<RelayedCall>),
-    /// A turn to admit, and the servers that the peer knows to be leaving.
-    Admit(AdmitRequest, Vec<LeavingServer>),
+    /// A turn to admit, and what the peer has heard from servers.
+    Admit(AdmitRequest, ServerNotices),
     /// A turn to settle.
     Settle(SettleRequest),
-    /// The peer asks for the servers that are leaving.
-    ListLeaving,
-    /// A gossip request.
-    Gossip(GossipRequest),
+    /// The peer asks what this gateway has heard from servers.
+    ListNotices,
+    /// A gossip request, and what the peer has heard from servers.
+    Gossip(GossipRequest, ServerNotices),
+    /// The peer asks for a request to a server with a rate limit.
+    Allowance(AllowanceRequest),
 }
 
 /// Decodes a call of another gateway; `None` if the path is unknown or the message is malformed.
 pub fn decode_call(request: Request<Bytes>) -> Option<PeerCall> {
     match request.uri().path() {
-        ADMIT_PATH => split_leaving(request.body())
-            .map(|(request, leaving)| PeerCall::Admit(request, leaving)),
-        GOSSIP_PATH => postcard::from_bytes(request.body())
+        ADMIT_PATH => split_notices(request.body())
+            .map(|(request, notices)| PeerCall::Admit(request, notices)),
+        GOSSIP_PATH => split_notices(request.body())
+            .map(|(request, notices)| PeerCall::Gossip(request, notices)),
+        NOTICES_PATH => Some(PeerCall::ListNotices),
+        ALLOWANCE_PATH => postcard::from_bytes(request.body())
             .ok()
-            .map(PeerCall::Gossip),
-        LEAVING_PATH => Some(PeerCall::ListLeaving),
+            .map(PeerCall::Allowance),
         SETTLE_PATH => postcard::from_bytes(request.body())
             .ok()
             .map(PeerCall::Settle),
--- a/src/process/gateway/placement.rs
+++ b/src/process/gateway/placement.rs
@@ -9,7 +9,11 @@
 //!
 //! The ranking does not depend on the failure domain, because the callers of a program may move.
 //! Only a new conversation starts at a server of the gateway's own failure domain, unless all of
-//! these are loaded. Calls to services without a prefix cache go to the least loaded server.
+//! these are loaded.
+//!
+//! While some servers limit their request rates, the others may get more than they can process.
+//! [`exclude_loaded`] then keeps programs that have begun going, and refuses new ones at once
+//! instead of letting all of them queue. Calls to services without a prefix cache go to the least loaded server.
 
 use std::cmp::Reverse;
 
@@ -39,6 +43,13 @@
 /// burst of new conversations is shared by the servers of all failure domains.
 pub const SAME_DOMAIN_LOAD_LIMIT_PERMILLE: LoadPermille = 500;
 
+/// Load at which a server has no free slot, and takes no first turn of a program while others limit
+/// their rates.
+const FIRST_TURN_LOAD_LIMIT_PERMILLE: LoadPermille = 1_000;
+/// Load at which a server has a batch waiting, and takes no later turn of a program while others
+/// limit their rates. A turn that waits longer is late.
+const LATER_TURN_LOAD_LIMIT_PERMILLE: LoadPermille = 2_000;
+
 /// The cached prefix that a model call can reuse.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Prefix<'a> {
@@ -51,6 +62,18 @@
     pub is_growing: bool,
 }
 
+/// Makes servers ineligible that are too loaded for a turn while other servers limit their request
+/// rates. `has_begun` says whether the program has completed a turn.
+pub fn exclude_loaded(candidates: &mut [Candidate<'_>], has_begun: bool) {
+    let load_limit = match has_begun {
+        true => LATER_TURN_LOAD_LIMIT_PERMILLE,
+        false => FIRST_TURN_LOAD_LIMIT_PERMILLE,
+    };
+    for candidate in candidates {
+        candidate.is_eligible &= candidate.load < load_limit;
+    }
+}
+
 fn ranking_weight(key: u64, candidate: &Candidate<'_>) -> u64 {
     rendezvous_weight(key, candidate.server_id)
 }
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -24,6 +24,7 @@
 use super::history::History;
 use super::ledger::Ledger;
 use super::peers::{self, PeerCall};
+use super::rate_limits::RateLimits;
 use super::servers::Servers;
 use super::settings::GatewaySettings;
 use super::start;
@@ -105,12 +106,14 @@
     pub history: History,
     /// Registry of the backend servers.
     pub servers: Rc<Servers>,
+    /// Keeps the request rates that backend servers limit.
+    pub rate_limits: RateLimits,
     /// Directory of the live gateways.
     pub directory: Rc<Directory>,
     routes: RefCell<Option<Rc<RouteTable>>>,
     metrics: Metrics,
     lookup_ttl: Duration,
-    /// Whether the peers have been asked which servers are leaving.
+    /// Whether the peers have been asked what they have heard from the servers.
     has_asked_peers: Cell<bool>,
     is_stopped: Cell<bool>,
 }
@@ -220,20 +223,27 @@
         let gateway = &self.0;
         match peers::decode_call(request) {
             Some(PeerCall::Relay(call)) => peers::relay_response(gateway.store.relay(*call).await),
-            Some(PeerCall::Admit(request, leaving)) => {
-                gateway.servers.merge_leaving(&leaving);
+            Some(PeerCall::Admit(request, notices)) => {
+                gateway.servers.merge_notices(&notices, Instant::now());
                 let response = gateway.budgets.handle_admit(request).await;
-                response.encode(&gateway.servers.leaving())
+                response.encode(&gateway.servers.notices(Instant::now()))
             }
             Some(PeerCall::Settle(report)) => {
                 gateway.budgets.apply_settlement(report);
                 status(StatusCode::OK)
             }
-            Some(PeerCall::Gossip(request)) => {
-                let response = gateway.directory.handle_gossip(&request, Instant::now());
-                peers::gossip_response(&response)
+            Some(PeerCall::Gossip(request, notices)) => {
+                let now = Instant::now();
+                gateway.servers.merge_notices(&notices, now);
+                let response = gateway.directory.handle_gossip(&request, now);
+                peers::gossip_response(&response, &gateway.servers.notices(now))
+            }
+            Some(PeerCall::ListNotices) => {
+                peers::notices_response(&gateway.servers.notices(Instant::now()))
+            }
+            Some(PeerCall::Allowance(request)) => {
+                peers::allowance_response(&gateway.rate_limits.handle(request))
             }
-            Some(PeerCall::ListLeaving) => peers::leaving_response(&gateway.servers.leaving()),
             None => status(StatusCode::NOT_FOUND),
         }
     }
@@ -284,12 +294,14 @@
             servers.clone(),
             history.cache(),
         );
+        let rate_limits = RateLimits::new(http.clone(), directory.clone(), servers.clone());
         let gateway = Rc::new(Gateway {
             timer: timer.clone(),
             budgets,
             http,
             history,
             servers,
+            rate_limits,
             directory,
             routes: RefCell::default(),
             metrics,
@@ -436,7 +448,9 @@
     let directory = gateway.directory.clone();
     let registrations = gossip::run_registrations(directory.clone(), store.clone(), writer.clone());
     monoio::spawn(registrations);
-    monoio::spawn(gossip::run_rounds(directory, gateway.http.clone(), store));
+    let servers = gateway.servers.clone();
+    let http = gateway.http.clone();
+    monoio::spawn(gossip::run_rounds(directory, servers, http, store));
     let maintenance_gateway = gateway.clone();
     let ledger = ledger.clone();
     monoio::spawn(async move {
@@ -444,6 +458,7 @@
         loop {
             ticks.tick().await;
             maintenance_gateway.servers.remove_expired(Instant::now());
+            maintenance_gateway.rate_limits.remove_idle(Instant::now());
             ledger.close_idle(Instant::now());
             maintenance_gateway.metrics.run_upkeep();
         }
--- /dev/null
+++ b/src/process/gateway/server.rs
@@ -0,0 +1,254 @@
+//! A registered backend server: its registration, its load, and what it has stated in its answers.
+//!
+//! The load is estimated from the server's own reports, from the reports that other gateways
+//! received, and from the requests that this gateway has in flight.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use sapphireford_platform::answer::{RateLimitStatement, ReportedLoad};
+use sapphireford_platform::server::{ServerRecord, ServerState};
+use serde::{Deserialize, Serialize};
+
+use super::allowance::{REQUEST_CLASSES, RequestClass};
+use super::placement::LoadPermille;
+use crate::ids::BackendServerId;
+use crate::process::breaker::CircuitBreaker;
+
+/// Time for which a load report is used. After that, the load is estimated only from the requests
+/// that this gateway has in flight.
+pub(super) const LOAD_REPORT_TTL: Duration = Duration::from_millis(1_000);
+/// Longest delay after which a caller is told to come back because of a rate limit. Callers that
+/// wait longer have given up.
+const MAX_RETURN_DELAY: Duration = Duration::from_secs(4);
+
+/// A registered backend server. A restart under the same row key creates a new value.
+pub struct Server {
+    /// Key of the server's row.
+    pub id: BackendServerId,
+    pub(super) record: RefCell<ServerRecord>,
+    in_flight: Cell<u32>,
+    pub(super) report: Cell<Option<(ReportedLoad, Instant)>>,
+    /// Requests that this gateway has sent since the report was made.
+    sent_since_report: Cell<u32>,
+    breaker: RefCell<CircuitBreaker>,
+    /// Whether the server has said in an answer that it is about to stop. This start of the server
+    /// takes no new requests from then on, whatever its row says.
+    pub(super) is_leaving: Cell<bool>,
+    /// The last statement on the rate limit that this gateway has heard of, in an answer or from a
+    /// peer; `None` if the server has never stated a limit.
+    rate_limit: Cell<Option<RateLimitObservation>>,
+    /// For each request class, until when the allowance of the server is used up.
+    exhausted_until: Cell<[Option<Instant>; REQUEST_CLASSES]>,
+    /// The last time at which a refused caller was told to come back; see
+    /// [`Server::schedule_return`].
+    last_return_at: Cell<Option<Instant>>,
+    /// When the server is deregistered unless its row is renewed. Set while the row is missing
+    /// after an outage of the store.
+    pub(super) renewal_deadline: Cell<Option<Instant>>,
+}
+
+impl Server {
+    pub(super) fn new(id: &str, record: ServerRecord) -> Self {
+        Self {
+            id: id.into(),
+            record: RefCell::new(record),
+            in_flight: Cell::new(0),
+            report: Cell::new(None),
+            sent_since_report: Cell::new(0),
+            breaker: RefCell::default(),
+            is_leaving: Cell::new(false),
+            rate_limit: Cell::new(None),
+            exhausted_until: Cell::default(),
+            last_return_at: Cell::new(None),
+            renewal_deadline: Cell::new(None),
+        }
+    }
+
+    /// The address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.record.borrow().address
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    pub fn start_request(self: &Rc<Self>) -> InFlightGuard {
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.sent_since_report.set(self.sent_since_report.get() + 1);
+        InFlightGuard(self.clone())
+    }
+
+    /// Records the load that the server reported with a response.
+    pub fn record_load(&self, load: ReportedLoad) {
+        self.set_report(load, Instant::now());
+    }
+
+    pub(super) fn set_report(&self, load: ReportedLoad, reported_at: Instant) {
+        self.report.set(Some((load, reported_at)));
+        self.sent_since_report.set(0);
+    }
+
+    /// Reports a successful request to the circuit breaker.
+    pub fn record_success(&self) {
+        self.breaker.borrow_mut().record_success(Instant::now());
+    }
+
+    /// Reports a failed request or connection to the circuit breaker.
+    pub fn record_failure(&self) {
+        self.breaker.borrow_mut().record_failure(Instant::now());
+    }
+
+    /// Records that the server is about to stop, as it said in an answer.
+    pub fn record_leaving(&self) {
+        if !self.is_leaving.replace(true) {
+            log::info!(server = &*self.id; "backend server is leaving, it gets no new requests");
+        }
+    }
+
+    /// Records the limit of the request rate that the server stated in an answer.
+    pub fn record_rate_limit(&self, statement: RateLimitStatement) {
+        let limit_per_s = match statement {
+            RateLimitStatement::Unlimited => None,
+            RateLimitStatement::PerSecond(limit_per_s) => Some(limit_per_s),
+            RateLimitStatement::Invalid => {
+                log::warn!(server = &*self.id; "backend server stated a rate limit that is not a number, the last valid statement applies");
+                return;
+            }
+        };
+        self.observe_rate_limit(limit_per_s, Instant::now());
+    }
+
+    /// Adopts a statement on the rate limit unless a later one is known.
+    pub(super) fn observe_rate_limit(&self, limit_per_s: Option<f64>, observed_at: Instant) {
+        let known = self.rate_limit.get();
+        let is_later = known.is_none_or(|known| observed_at > known.observed_at);
+        // A server that never had a limit needs no record of having none.
+        if !is_later || (known.is_none() && limit_per_s.is_none()) {
+            return;
+        }
+        self.rate_limit.set(Some(RateLimitObservation {
+            limit_per_s,
+            observed_at,
+        }));
+        let previous = known.and_then(|known| known.limit_per_s);
+        if previous != limit_per_s {
+            self.exhausted_until.take();
+            log::info!(server = &*self.id, limit_per_s:? = limit_per_s, previous:? = previous; "backend server changed the limit of its request rate");
+        }
+    }
+
+    /// The last statement on the rate limit, as gateways tell each other; `None` if there is none.
+    pub fn rate_limit_report(&self, now: Instant) -> Option<RateLimitReport> {
+        let known = self.rate_limit.get()?;
+        let age = now.saturating_duration_since(known.observed_at);
+        Some(RateLimitReport {
+            server_id: self.id.to_string(),
+            started_unix_ms: self.record.borrow().started_unix_ms,
+            limit_per_s: known.limit_per_s,
+            age_ms: age.as_millis().try_into().unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Records that the allowance of the server is used up for a request class and for all that come
+    /// after it.
+    pub fn exhaust_allowance(&self, class: RequestClass, until: Instant) {
+        let mut exhausted_until = self.exhausted_until.get();
+        for known in exhausted_until.iter_mut().skip(class) {
+            *known = (*known).max(Some(until));
+        }
+        self.exhausted_until.set(exhausted_until);
+    }
+
+    /// Until when the allowance is used up for a request class; `None` if it is not known to be.
+    fn allowance_exhausted_until(&self, class: RequestClass, now: Instant) -> Option<Instant> {
+        self.exhausted_until.get()[class].filter(|until| now < *until)
+    }
+
+    /// Whether the allowance is known to be used up for a request class.
+    pub fn is_exhausted(&self, class: RequestClass, now: Instant) -> bool {
+        self.allowance_exhausted_until(class, now).is_some()
+    }
+
+    /// When a caller whose request is refused because of the rate limit should come back, if that is
+    /// at this server: not before the allowance has room again, and not at the rate that it does not
+    /// take either.
+    pub fn return_time(&self, class: RequestClass, now: Instant) -> Option<Instant> {
+        let until = self.allowance_exhausted_until(class, now)?;
+        let limit_per_s = self.rate_limit.get()?.limit_per_s?;
+        let spacing = Duration::try_from_secs_f64(1.0 / limit_per_s).unwrap_or(MAX_RETURN_DELAY);
+        let next = self.last_return_at.get().map(|last| last + spacing);
+        let latest = now + MAX_RETURN_DELAY;
+        Some(next.map_or(until, |next| until.max(next.min(latest))))
+    }
+
+    /// Records that a refused caller was told to come back at this time.
+    pub fn schedule_return(&self, at: Instant) {
+        self.last_return_at.set(Some(at));
+    }
+
+    /// The failure domain of the server; empty if it named none.
+    pub fn failure_domain(&self) -> String {
+        self.record.borrow().failure_domain.clone()
+    }
+
+    /// The most recent load report and its age, or `None` if the server has not reported yet.
+    pub fn reported_load(&self, now: Instant) -> Option<(ReportedLoad, Duration)> {
+        let (load, at) = self.report.get()?;
+        Some((load, now.saturating_duration_since(at)))
+    }
+
+    pub(super) fn load(&self, now: Instant) -> LoadPermille {
+        let own = self.in_flight.get();
+        let reported = self.reported_load(now);
+        let reported = reported.filter(|(_, age)| *age < LOAD_REPORT_TTL);
+        let requests = match reported {
+            Some((load, _)) => {
+                let reported = load.running.saturating_add(load.waiting);
+                own.max(reported.saturating_add(self.sent_since_report.get()))
+            }
+            None => own,
+        };
+        let slots = self.record.borrow().slots.max(1);
+        requests.saturating_mul(1000) / slots
+    }
+
+    pub(super) fn is_eligible(&self, connection_limit: u32, now: Instant) -> bool {
+        let is_ready = self.record.borrow().state == ServerState::Ready;
+        let own = self.in_flight.get();
+        let is_available = is_ready && !self.is_leaving.get();
+        is_available && own < connection_limit && self.breaker.borrow().allows(now, u32::MAX, own)
+    }
+}
+
+/// Counts a request as in flight on a server until it is dropped.
+pub struct InFlightGuard(Rc<Server>);
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        let in_flight = &self.0.in_flight;
+        in_flight.set(in_flight.get() - 1);
+    }
+}
+
+/// A statement of a server on its rate limit.
+#[derive(Clone, Copy, Debug)]
+struct RateLimitObservation {
+    /// Requests a second from all gateways together; `None` if the limit has ended.
+    limit_per_s: Option<f64>,
+    observed_at: Instant,
+}
+
+/// A statement of a server on its rate limit, as gateways tell each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RateLimitReport {
+    /// Key of the server's row.
+    pub server_id: String,
+    /// When the server started. A later start under the same key has its own limit, or none.
+    pub started_unix_ms: Option<u64>,
+    /// Requests a second from all gateways together, finite and not negative; `None` if the limit
+    /// has ended.
+    pub limit_per_s: Option<f64>,
+    /// Age of the statement. The transfer time between gateways is not included.
+    pub age_ms: u32,
+}
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -1,169 +1,41 @@
-//! The registry of backend servers: their registrations, eligibility for requests, and load.
+//! The registry of backend servers, and what gateways tell each other of them.
 //!
-//! Registrations come from the server table of the store. The load of a server is estimated from
-//! its own reports, from the reports that other gateways received, and from the requests that this
-//! gateway has in flight.
+//! Registrations come from the server table of the store.
 //!
 //! A server whose row is missing right after an outage of the store stays registered for a grace
 //! period: the row may have expired only because the server could not renew it.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use sapphireford_platform::answer::{RateLimitStatement, ReportedLoad};
-use sapphireford_platform::server::{self, ServerRecord, ServerState};
+use sapphireford_platform::answer::ReportedLoad;
+use sapphireford_platform::server::{self as format, ServerRecord, ServerState};
 use sapphireford_platform::store::Row;
 use serde::{Deserialize, Serialize};
 
-use super::placement::{Candidate, LoadPermille};
+use super::peers::ServerNotices;
+use super::placement::Candidate;
+use super::server::{LOAD_REPORT_TTL, RateLimitReport, Server};
 use super::watch::TableChange;
 use crate::ids::{BackendServerId, FailureDomainId};
-use crate::process::breaker::CircuitBreaker;
 
-/// Time for which a load report is used. After that, the load is estimated only from the requests
-/// that this gateway has in flight.
-const LOAD_REPORT_TTL: Duration = Duration::from_millis(1_000);
 /// Most loads in one message between gateways. A site with up to this many servers shares all of
 /// them; on larger sites the message size stays bounded.
 const MAX_SHARED_LOADS: usize = 64;
+/// Most rate limits in one message between gateways; beyond that, the oldest statements are left
+/// out.
+const MAX_SHARED_RATE_LIMITS: usize = 128;
+/// Time for which gateways tell each other that a limit has ended. It exceeds the time in which a
+/// message reaches all gateways of a failure domain.
+const ENDED_LIMIT_TOLD_FOR: Duration = Duration::from_secs(10);
 /// A row found missing within this time after the store recovers may have expired during the
 /// outage, because its server could not renew it.
 const ROW_EXPIRY_WINDOW: Duration = Duration::from_millis(1_000);
 /// Time after the recovery of the store within which live servers have renewed their rows.
 const RENEWAL_GRACE_PERIOD: Duration = Duration::from_millis(2_000);
 
-/// A registered backend server. A restart under the same row key creates a new value.
-pub struct Server {
-    /// Key of the server's row.
-    pub id: BackendServerId,
-    record: RefCell<ServerRecord>,
-    in_flight: Cell<u32>,
-    report: Cell<Option<(ReportedLoad, Instant)>>,
-    /// Requests that this gateway has sent since the report was made.
-    sent_since_report: Cell<u32>,
-    breaker: RefCell<CircuitBreaker>,
-    /// Whether the server has said in an answer that it is about to stop. This start of the server
-    /// takes no new requests from then on, whatever its row says.
-    is_leaving: Cell<bool>,
-    /// Requests a second that the server takes from all gateways together; `None` without a limit.
-    limit_per_s: Cell<Option<f64>>,
-    /// When the server is deregistered unless its row is renewed. Set while the row is missing
-    /// after an outage of the store.
-    renewal_deadline: Cell<Option<Instant>>,
-}
-
-impl Server {
-    fn new(id: &str, record: ServerRecord) -> Self {
-        Self {
-            id: id.into(),
-            record: RefCell::new(record),
-            in_flight: Cell::new(0),
-            report: Cell::new(None),
-            sent_since_report: Cell::new(0),
-            breaker: RefCell::default(),
-            is_leaving: Cell::new(false),
-            limit_per_s: Cell::new(None),
-            renewal_deadline: Cell::new(None),
-        }
-    }
-
-    /// The address that the server listens on.
-    pub fn address(&self) -> SocketAddr {
-        self.record.borrow().address
-    }
-
-    /// Counts a request as in flight until the guard is dropped.
-    pub fn start_request(self: &Rc<Self>) -> InFlightGuard {
-        self.in_flight.set(self.in_flight.get() + 1);
-        self.sent_since_report.set(self.sent_since_report.get() + 1);
-        InFlightGuard(self.clone())
-    }
-
-    /// Records the load that the server reported with a response.
-    pub fn record_load(&self, load: ReportedLoad) {
-        self.set_report(load, Instant::now());
-    }
-
-    fn set_report(&self, load: ReportedLoad, reported_at: Instant) {
-        self.report.set(Some((load, reported_at)));
-        self.sent_since_report.set(0);
-    }
-
-    /// Reports a successful request to the circuit breaker.
-    pub fn record_success(&self) {
-        self.breaker.borrow_mut().record_success(Instant::now());
-    }
-
-    /// Reports a failed request or connection to the circuit breaker.
-    pub fn record_failure(&self) {
-        self.breaker.borrow_mut().record_failure(Instant::now());
-    }
-
-    /// Records that the server is about to stop, as it said in an answer.
-    pub fn record_leaving(&self) {
-        if !self.is_leaving.replace(true) {
-            log::info!(server = &*self.id; "backend server is leaving, it gets no new requests");
-        }
-    }
-
-    /// Records the limit of the request rate that the server stated in an answer.
-    pub fn record_rate_limit(&self, statement: RateLimitStatement) {
-        let limit_per_s = match statement {
-            RateLimitStatement::Unlimited => None,
-            RateLimitStatement::PerSecond(limit_per_s) => Some(limit_per_s),
-            RateLimitStatement::Invalid => {
-                log::warn!(server = &*self.id; "backend server stated a rate limit that is not a number, the last valid statement applies");
-                return;
-            }
-        };
-        let previous = self.limit_per_s.replace(limit_per_s);
-        if previous != limit_per_s {
-            log::info!(server = &*self.id, limit_per_s:? = limit_per_s, previous:? = previous; "backend server changed the limit of its request rate");
-        }
-    }
-
-    /// The most recent load report and its age, or `None` if the server has not reported yet.
-    pub fn reported_load(&self, now: Instant) -> Option<(ReportedLoad, Duration)> {
-        let (load, at) = self.report.get()?;
-        Some((load, now.saturating_duration_since(at)))
-    }
-
-    fn load(&self, now: Instant) -> LoadPermille {
-        let own = self.in_flight.get();
-        let reported = self.reported_load(now);
-        let reported = reported.filter(|(_, age)| *age < LOAD_REPORT_TTL);
-        let requests = match reported {
-            Some((load, _)) => {
-                let reported = load.running.saturating_add(load.waiting);
-                own.max(reported.saturating_add(self.sent_since_report.get()))
-            }
-            None => own,
-        };
-        let slots = self.record.borrow().slots.max(1);
-        requests.saturating_mul(1000) / slots
-    }
-
-    fn is_eligible(&self, connection_limit: u32, now: Instant) -> bool {
-        let is_ready = self.record.borrow().state == ServerState::Ready;
-        let own = self.in_flight.get();
-        let is_available = is_ready && !self.is_leaving.get();
-        is_available && own < connection_limit && self.breaker.borrow().allows(now, u32::MAX, own)
-    }
-}
-
-/// Counts a request as in flight on a server until it is dropped.
-pub struct InFlightGuard(Rc<Server>);
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        let in_flight = &self.0.in_flight;
-        in_flight.set(in_flight.get() - 1);
-    }
-}
-
 /// A load report of a server as gateways share it with each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SharedLoad {
@@ -244,7 +116,7 @@
             self.remove(&row.key, store_recovered_at, now);
             return;
         };
-        let record = match server::decode(value) {
+        let record = match format::decode(value) {
             Ok(record) => record,
             Err(error) => {
                 log::warn!(server = row.key, row_version = row.version; "backend server row skipped, registration could not be decoded: {error}");
@@ -346,6 +218,20 @@
         }
     }
 
+    /// What this gateway has heard from the servers, to be told to other gateways.
+    pub fn notices(&self, now: Instant) -> ServerNotices {
+        ServerNotices {
+            leaving: self.leaving(),
+            rate_limits: self.rate_limits(now),
+        }
+    }
+
+    /// Adopts what another gateway has heard from the servers.
+    pub fn merge_notices(&self, notices: &ServerNotices, now: Instant) {
+        self.merge_leaving(&notices.leaving);
+        self.merge_rate_limits(&notices.rate_limits, now);
+    }
+
     /// The registered servers that have said that they are about to stop.
     pub fn leaving(&self) -> Vec<LeavingServer> {
         let by_id = self.by_id.borrow();
@@ -371,6 +257,48 @@
         }
     }
 
+    /// A registered server; `None` if there is none with this row key.
+    pub fn get(&self, server_id: &str) -> Option<Rc<Server>> {
+        self.by_id.borrow().get(server_id).cloned()
+    }
+
+    /// The last statements of the servers on their rate limits, to be told to other gateways.
+    pub fn rate_limits(&self, now: Instant) -> Vec<RateLimitReport> {
+        let by_id = self.by_id.borrow();
+        let reports = by_id
+            .values()
+            .filter_map(|server| server.rate_limit_report(now));
+        let is_told = |report: &RateLimitReport| {
+            let age = Duration::from_millis(u64::from(report.age_ms));
+            report.limit_per_s.is_some() || age < ENDED_LIMIT_TOLD_FOR
+        };
+        let mut reports: Vec<_> = reports.filter(is_told).collect();
+        if reports.len() > MAX_SHARED_RATE_LIMITS {
+            reports.select_nth_unstable_by_key(MAX_SHARED_RATE_LIMITS, |report| report.age_ms);
+            reports.truncate(MAX_SHARED_RATE_LIMITS);
+        }
+        reports
+    }
+
+    /// Adopts what another gateway has heard of rate limits, unless a later statement is known.
+    pub fn merge_rate_limits(&self, reports: &[RateLimitReport], now: Instant) {
+        let by_id = self.by_id.borrow();
+        for report in reports {
+            let server = by_id.get(report.server_id.as_str());
+            let is_same_start = |server: &&Rc<Server>| {
+                server.record.borrow().started_unix_ms == report.started_unix_ms
+            };
+            let age = Duration::from_millis(u64::from(report.age_ms));
+            let is_valid = report
+                .limit_per_s
+                .is_none_or(|limit| limit.is_finite() && limit >= 0.0);
+            let observed_at = now.checked_sub(age).filter(|_| is_valid);
+            if let (Some(server), Some(observed_at)) = (server.filter(is_same_start), observed_at) {
+                server.observe_rate_limit(report.limit_per_s, observed_at);
+            }
+        }
+    }
+
     /// The registered servers of a service, including those that take no requests at the moment.
     pub fn for_service(&self, service: &str) -> Vec<Rc<Server>> {
         let by_id = self.by_id.borrow();
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -22,15 +22,20 @@
 use crate::connection::http_client::ClientError;
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::BackendServerId;
+use crate::process::gateway::allowance::{ProgramStage, RequestClass, request_class};
 use crate::process::gateway::placement::{self, Prefix};
 use crate::process::gateway::running::Gateway;
-use crate::process::gateway::servers::{InFlightGuard, Server};
+use crate::process::gateway::server::{InFlightGuard, Server};
 use crate::process::slots::placement::hash_bytes;
 use crate::version::route_table::{RouteTable, choose_target};
 
 /// Size limit of a response that is not a stream.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
 
+/// Shortest delay after which a caller is told to come back because of a rate limit; shorter ones
+/// are lost in the transfer.
+const MIN_RETURN_DELAY: Duration = Duration::from_millis(20);
+
 /// Forwards one request, across all of its attempts.
 pub struct RequestForwarder {
     /// State shared by all requests of the process.
@@ -98,7 +103,7 @@
             if time_left.is_zero() {
                 return Err(self.deadline_error());
             }
-            let Some(server) = self.choose_server() else {
+            let Some(server) = self.choose_permitted_server().await else {
                 return Err(self.no_server_error());
             };
             let (failure, reason) = match self.attempt(&server, time_left, last_event_id).await {
@@ -134,6 +139,25 @@
             .record_failed_attempt(failure, self.route.kind, self.route.max_attempts)
     }
 
+    /// Chooses a server, and counts the request against the rate limit of the server. A server
+    /// without allowance left is passed over for the next one.
+    async fn choose_permitted_server(&self) -> Option<Rc<Server>> {
+        // A server that is passed over is not eligible for a while, so this ends.
+        loop {
+            let server = self.choose_server()?;
+            let rate_limits = &self.gateway.rate_limits;
+            let class = self.class_at(&server);
+            if rate_limits.acquire(&server, class).await {
+                return Some(server);
+            }
+            self.record
+                .note(format!("{}: its rate limit is used up", &*server.id));
+            if Instant::now() >= self.deadline {
+                return None;
+            }
+        }
+    }
+
     /// Chooses an untried server of one of the route's services, which is drawn by weight.
     fn choose_server(&self) -> Option<Rc<Server>> {
         let random_fraction = rand::rng().random::<f64>();
@@ -143,19 +167,21 @@
         let connections = service.map_or(u32::MAX, |service| service.max_connections);
         let connection_limit = (connections / gateways).max(1);
         let servers = self.gateway.servers.for_service(&target.service);
-        let is_untried =
-            |server: &Rc<Server>| !self.tried_servers.iter().any(|tried| tried.id == server.id);
         let now = Instant::now();
-        let candidates: Vec<_> = servers
-            .iter()
-            .map(|server| {
-                let registry = &self.gateway.servers;
-                let mut candidate = registry.candidate(server, connection_limit, now);
-                candidate.is_eligible &= is_untried(server);
-                candidate
-            })
-            .collect();
         let is_engine = service.is_some_and(|service| service.engine.is_some());
+        let mut is_rate_limited = false;
+        let candidates = servers.iter().map(|server| {
+            let registry = &self.gateway.servers;
+            let mut candidate = registry.candidate(server, connection_limit, now);
+            let is_exhausted = server.is_exhausted(self.class_at(server), now);
+            is_rate_limited |= is_exhausted;
+            candidate.is_eligible &= self.is_untried(server) && !is_exhausted;
+            candidate
+        });
+        let mut candidates: Vec<_> = candidates.collect();
+        if is_engine && is_rate_limited {
+            placement::exclude_loaded(&mut candidates, self.prefix_holder.is_some());
+        }
         let chosen = if is_engine {
             let prefix = Prefix {
                 key: self.affinity_key(),
@@ -176,6 +202,36 @@
         Some(servers[chosen].clone())
     }
 
+    /// The class of this request at a server with a rate limit.
+    fn class_at(&self, server: &Server) -> RequestClass {
+        let stage = match &self.prefix_holder {
+            Some(holder) if *holder == server.id => ProgramStage::ContinuesHere,
+            Some(_) => ProgramStage::ContinuesElsewhere,
+            None => ProgramStage::Begins,
+        };
+        request_class(self.route.priority, stage)
+    }
+
+    fn is_untried(&self, server: &Server) -> bool {
+        !self.tried_servers.iter().any(|tried| tried.id == server.id)
+    }
+
+    /// The time until the caller should come back because an untried server has room again; `None`
+    /// if no server of the route has used up its allowance.
+    fn schedule_return(&self) -> Option<Duration> {
+        let now = Instant::now();
+        let targets = self.route.targets.iter();
+        let servers = targets.flat_map(|target| self.gateway.servers.for_service(&target.service));
+        let untried = servers.filter(|server| self.is_untried(server));
+        let returns = untried.filter_map(|server| {
+            let at = server.return_time(self.class_at(&server), now)?;
+            Some((at, server))
+        });
+        let (at, server) = returns.min_by_key(|(at, _)| *at)?;
+        server.schedule_return(at);
+        Some((at - now).max(MIN_RETURN_DELAY))
+    }
+
     /// The key by which placement ranks servers. Requests with the same key are expected to share a
     /// prefix.
     fn affinity_key(&self) -> u64 {
@@ -330,6 +386,10 @@
     fn no_server_error(&self) -> Error {
         if self.attempts.may_have_run {
             in_doubt_error("no other backend server accepts requests")
+        } else if let Some(delay) = self.schedule_return() {
+            let message = "the backend servers of the route limit their request rates, and the \
+                           limits are used up; retry later";
+            Error::new(ErrorKind::RateLimited, message).with_retry_after(delay)
         } else {
             let message = "no backend server of the route takes requests now; retry later";
             Error::new(ErrorKind::NoBackendServer, message)
--- a/src/request/gateway/refusal.rs
+++ b/src/request/gateway/refusal.rs
@@ -46,11 +46,14 @@
     may_retry.then(|| base_retry_delay(kind, outage_age).mul_f64(1.0 + jitter / 2.0))
 }
 
-/// The response to a request that failed with `error`. It has a `Retry-After` header only if
-/// [`retry_delay`] gives a delay.
+/// The response to a request that failed with `error`. It has a `Retry-After` header only if the
+/// error or [`retry_delay`] gives a delay.
 pub fn refusal_response(error: &Error, outage_age: Option<Duration>) -> Response<Body> {
     let mut response = error_response(error);
-    match retry_delay(error.kind, outage_age, rand::rng().random()) {
+    let delay = error
+        .retry_after
+        .or_else(|| retry_delay(error.kind, outage_age, rand::rng().random()));
+    match delay {
         Some(delay) => {
             let value = headers::retry_after(delay);
             response.headers_mut().insert(RETRY_AFTER, value);
--- a/tests/gateway_gossip.rs
+++ b/tests/gateway_gossip.rs
@@ -1,168 +1,19 @@
 //! Which gateways the others consider live, for whole failure domains, without a network.
 
-use std::cell::RefCell;
-use std::net::SocketAddr;
-use std::rc::Rc;
+#[path = "support/gateway_domain.rs"]
+mod gateway_domain;
+
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
-use sapphireford::process::gateway::directory::Directory;
+use gateway_domain::{Domain, Gateway, caller_address, new_directory, peer_address, registration};
 use sapphireford::process::gateway::gossip::ROUND_INTERVAL;
-use sapphireford::process::gateway::settings::{GatewaySettings, RawGatewaySettings};
 use sapphireford::process::slots::placement::rendezvous_weight;
 use sapphireford_platform::store::Row;
-use serde_json::json;
 use yare::parameterized;
 
 /// From the data sheets: callers may be sent to a dead gateway for the lag of the platform's own
 /// list and the shortest window after which a change counts as settled.
 const DEAD_GATEWAY_LIMIT: Duration = Duration::from_secs(3 + 3);
-/// Share of the exchanges that get lost.
-const LOSS: f64 = 0.05;
-
-struct Gateway {
-    directory: Directory,
-    /// Offset of its rounds, because gateways do not run them at the same time.
-    phase: Duration,
-    is_running: bool,
-}
-
-/// Gateways that exchange their counters in simulated time.
-struct Domain {
-    gateways: IndexMap<SocketAddr, Gateway>,
-    start: Instant,
-    now: Instant,
-    rng: StdRng,
-    /// Whether the gateways have contact with the store.
-    is_store_up: bool,
-}
-
-fn peer_address(number: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 4))
-}
-
-fn caller_address(number: usize) -> SocketAddr {
-    SocketAddr::new(peer_address(number).ip(), 1)
-}
-
-fn new_directory(number: usize, failure_domain: &str) -> Directory {
-    let ip = peer_address(number).ip();
-    let raw: RawGatewaySettings = serde_json::from_value(json!({
-        "entry_id": format!("g-{number}"), "failure_domain": failure_domain,
-        "caller_address": format!("{ip}:1"), "readiness_address": format!("{ip}:2"),
-        "directory_address": format!("{ip}:3"), "peer_address": format!("{ip}:4"),
-        "metrics_address": format!("{ip}:5"), "store_address": "10.9.0.9:1",
-    }))
-    .expect("raw settings");
-    let settings = GatewaySettings::try_from(raw).expect("checked settings");
-    Directory::new(&settings, Rc::new(RefCell::default()))
-}
-
-impl Domain {
-    /// Starts gateways of which each has read the registrations of all.
-    fn start(domains: &[(&str, usize)], seed: u64) -> Self {
-        let start = Instant::now();
-        let mut domain = Self {
-            gateways: IndexMap::new(),
-            start,
-            now: start,
-            rng: StdRng::seed_from_u64(seed),
-            is_store_up: true,
-        };
-        for (failure_domain, count) in domains {
-            for _ in 0..*count {
-                let number = domain.gateways.len() + 1;
-                let gateway = Gateway {
-                    directory: new_directory(number, failure_domain),
-                    phase: ROUND_INTERVAL.mul_f64(domain.rng.random()),
-                    is_running: true,
-                };
-                domain.gateways.insert(peer_address(number), gateway);
-            }
-        }
-        let rows: Vec<Row> = domain.gateways.values().map(registration).collect();
-        for gateway in domain.gateways.values() {
-            gateway.directory.apply(&rows, start);
-        }
-        domain
-    }
-
-    /// Runs the rounds of all gateways, and calls `check` twice a second.
-    fn run_for(&mut self, time: Duration, mut check: impl FnMut(&Self)) {
-        const STEP: Duration = Duration::from_millis(50);
-        const CHECK_STEPS: u32 = 10;
-        let end = self.now + time;
-        let mut step = 0;
-        while self.now < end {
-            let before = self.now.duration_since(self.start);
-            self.now += STEP;
-            let after = self.now.duration_since(self.start);
-            for index in 0..self.gateways.len() {
-                let rounds = |elapsed: Duration, phase: Duration| {
-                    (elapsed + phase).as_millis() / ROUND_INTERVAL.as_millis()
-                };
-                let gateway = &self.gateways[index];
-                let is_due = rounds(before, gateway.phase) < rounds(after, gateway.phase);
-                if is_due && gateway.is_running {
-                    self.run_round(index);
-                }
-            }
-            step += 1;
-            if step % CHECK_STEPS == 0 {
-                check(self);
-            }
-        }
-    }
-
-    fn run_round(&mut self, index: usize) {
-        let asker = &self.gateways[index].directory;
-        if self.is_store_up {
-            asker.record_contact(self.now);
-        }
-        for peer in asker.start_round(&mut self.rng, self.now) {
-            let peer = &self.gateways[&peer];
-            if !peer.is_running || self.rng.random_bool(LOSS) {
-                continue;
-            }
-            let request = asker.gossip_request(self.now);
-            let response = peer.directory.handle_gossip(&request, self.now);
-            asker.apply_gossip(response, self.now);
-        }
-    }
-
-    /// The running gateways whose lookups of `failure_domain` return the gateway `number`.
-    fn returned_by(&self, number: usize, failure_domain: &str) -> usize {
-        let running = self.gateways.values().filter(|gateway| gateway.is_running);
-        let returning = running.filter(|gateway| {
-            let directory = &gateway.directory;
-            let addresses = directory.caller_addresses(failure_domain, true, self.now);
-            addresses.contains(&caller_address(number))
-        });
-        returning.count()
-    }
-
-    fn running(&self) -> usize {
-        self.gateways
-            .values()
-            .filter(|gateway| gateway.is_running)
-            .count()
-    }
-
-    fn stop(&mut self, number: usize) {
-        self.gateways[&peer_address(number)].is_running = false;
-    }
-}
-
-fn registration(gateway: &Gateway) -> Row {
-    let write = gateway.directory.registration().expect("a registration");
-    Row {
-        key: write.row.key,
-        value: write.value,
-        version: 1,
-    }
-}
 
 /// Gateways of a large domain whose presence is checked, which bounds the time of a test.
 const CHECKED_GATEWAYS: usize = 8;
--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -1,7 +1,7 @@
 //! Selection of backend servers by a gateway, tested without a network.
 
 use sapphireford::process::gateway::placement::{
-    Candidate, Prefix, select_by_load, select_by_prefix,
+    Candidate, Prefix, exclude_loaded, select_by_load, select_by_prefix,
 };
 
 const SERVERS: [&str; 9] = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
@@ -175,3 +175,88 @@
         assert_eq!(select_by_prefix(first_turn, &servers), unconstrained);
     }
 }
+
+/// Servers without a rate limit that get twice the programs that they can process, because the
+/// others limit their rates; with a queue as long as three batches.
+struct OverloadedServers {
+    /// For each server, the remaining work of its turns in ms; the first `SLOTS` are processed.
+    turns: [Vec<(usize, u64)>; 2],
+}
+
+const SLOTS: usize = 16;
+const QUEUE: usize = 48;
+const TURN_MS: u64 = 250;
+const TURNS_OF_A_PROGRAM: u32 = 4;
+/// Twice the time of a program on idle servers.
+const PROGRAM_TARGET_MS: u64 = 2 * TURN_MS * TURNS_OF_A_PROGRAM as u64;
+
+impl OverloadedServers {
+    /// Places a turn; `false` if it is refused by the gateway or the server.
+    fn send(&mut self, program: usize, has_begun: bool, excludes_loaded: bool) -> bool {
+        let turns_at = |index: usize| self.turns.get(index).map_or(0, Vec::len);
+        let load = |index: usize| (turns_at(index) * 1_000 / SLOTS) as u32;
+        let mut candidates: Vec<_> = candidates(load).into_iter().take(2).collect();
+        if excludes_loaded {
+            exclude_loaded(&mut candidates, has_begun);
+        }
+        let chosen = select_by_prefix(unknown_prefix(program as u64), &candidates);
+        let server = chosen.map(|index| &mut self.turns[index]);
+        let accepting = server.filter(|turns| turns.len() < SLOTS + QUEUE);
+        accepting
+            .map(|turns| turns.push((program, TURN_MS)))
+            .is_some()
+    }
+
+    /// Processes turns for `step_ms`, and returns the programs whose turns are complete.
+    fn process(&mut self, step_ms: u64) -> Vec<usize> {
+        let mut complete = Vec::new();
+        for turns in &mut self.turns {
+            for (_, left_ms) in turns.iter_mut().take(SLOTS) {
+                *left_ms = left_ms.saturating_sub(step_ms);
+            }
+            let done = turns.iter().filter(|(_, left_ms)| *left_ms == 0);
+            complete.extend(done.map(|(program, _)| *program));
+            turns.retain(|(_, left_ms)| *left_ms > 0);
+        }
+        complete
+    }
+}
+
+/// The number of programs that end in time, of 64 that begin each second for 20 s.
+fn programs_in_time(excludes_loaded: bool) -> usize {
+    const STEP_MS: u64 = 5;
+    const ARRIVAL_INTERVAL_MS: u64 = 1_000 / 64;
+    let mut servers = OverloadedServers {
+        turns: Default::default(),
+    };
+    // For each program, when it began and how many turns are complete.
+    let mut programs: Vec<(u64, u32)> = Vec::new();
+    let mut in_time = 0;
+    for now_ms in (0..20_000).step_by(STEP_MS as usize) {
+        for program in servers.process(STEP_MS) {
+            let (began_ms, turns) = &mut programs[program];
+            *turns += 1;
+            if *turns < TURNS_OF_A_PROGRAM {
+                servers.send(program, true, excludes_loaded);
+            } else if now_ms - *began_ms <= PROGRAM_TARGET_MS {
+                in_time += 1;
+            }
+        }
+        if now_ms % ARRIVAL_INTERVAL_MS == 0 {
+            programs.push((now_ms, 0));
+            servers.send(programs.len() - 1, false, excludes_loaded);
+        }
+    }
+    in_time
+}
+
+/// Guards against programs that all end late or halfway because new ones queue with those that have
+/// begun, when rate limits leave too few servers for them.
+#[test]
+fn programs_that_have_begun_end_in_time_while_others_are_refused() {
+    // The two servers process 32 programs a second, or 640 in the time of the test.
+    let with_exclusion = programs_in_time(true);
+    let without = programs_in_time(false);
+    assert!(with_exclusion > 500, "{with_exclusion}");
+    assert!(without < with_exclusion / 2, "{without}");
+}
