Log the caller and a fingerprint of each request

The log could not show that tries with other ids and programs are the same request. Cause: not changed yet. Change: the line of a request has the address of its caller and a digest of path, caller and body.

--- a/src/connection/http_server.rs
+++ b/src/connection/http_server.rs
@@ -67,6 +67,10 @@
     }
 }
 
+/// The address that a request came from, among the extensions of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerAddress(pub SocketAddr);
+
 /// Processes the requests that a server receives.
 pub trait Handler: 'static {
     /// Processes a request whose body has been read in full.
@@ -184,7 +188,9 @@
             Either::Right(_) => break,
         };
         match accepted {
-            Ok((stream, _)) => start_connection(stream, limits, &timer, &handler, &state),
+            Ok((stream, caller)) => {
+                start_connection(stream, caller, limits, &timer, &handler, &state);
+            }
             Err(error) => {
                 log::warn!("could not accept a connection: {error}");
                 timer.sleep(ACCEPT_RETRY_DELAY).await;
@@ -194,8 +200,8 @@
     // Closing the listener resets the connections in its backlog, for which requests may already
     // have been sent.
     let accepting_backlog = async {
-        while let Ok((stream, _)) = listener.accept().await {
-            start_connection(stream, limits, &timer, &handler, &state);
+        while let Ok((stream, caller)) = listener.accept().await {
+            start_connection(stream, caller, limits, &timer, &handler, &state);
         }
     };
     let _ = timer.timeout(ACCEPT_GRACE_PERIOD, accepting_backlog).await;
@@ -206,6 +212,7 @@
 
 fn start_connection<H: Handler>(
     stream: TcpStream,
+    caller: SocketAddr,
     limits: HttpLimits,
     timer: &TimerService,
     handler: &Rc<H>,
@@ -218,6 +225,7 @@
     state.open_connections.set(state.open_connections.get() + 1);
     monoio::spawn(connection_task(
         stream,
+        caller,
         limits,
         timer.clone(),
         handler.clone(),
@@ -227,12 +235,13 @@
 
 async fn connection_task<H: Handler>(
     stream: TcpStream,
+    caller: SocketAddr,
     limits: HttpLimits,
     timer: TimerService,
     handler: Rc<H>,
     state: Rc<ServerState>,
 ) {
-    let serving = serve_connection(stream, limits, timer, handler, &state);
+    let serving = serve_connection(stream, caller, limits, timer, handler, &state);
     if let Some(Err(error)) = task::isolate("connection", serving).await {
         log::debug!("connection failed: {error}");
     }
@@ -271,6 +280,7 @@
 
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
+    caller: SocketAddr,
     limits: HttpLimits,
     timer: TimerService,
     handler: Rc<H>,
@@ -280,7 +290,8 @@
     let io = FairIo::new(stream.into_poll_io()?, HeadAllowance::default());
     let io = MonoioIo::new(io);
     let request_timer = timer.clone();
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(CallerAddress(caller));
         let handler = handler.clone();
         let timer = request_timer.clone();
         let bodies = state.bodies.clone();
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -10,6 +10,7 @@
 use sapphireford_platform::headers::CallHeaders;
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
+use super::fingerprint::RequestFingerprint;
 use super::forward::{RequestForwarder, ServerResponse};
 use super::record::RequestRecord;
 use super::refusal;
@@ -17,7 +18,7 @@
 use super::stream::StreamTask;
 use super::turn::{self, PreparedTurn};
 use crate::connection::body::Body;
-use crate::connection::http_server::Handler;
+use crate::connection::http_server::{CallerAddress, Handler};
 use crate::error::{Error, ErrorKind, Result};
 use crate::process::gateway::running::Gateway;
 use crate::process::task;
@@ -112,7 +113,14 @@
             .as_ref()
             .map(|program| program.program_id.clone());
         let request_id = call.request_id.clone().unwrap_or_default();
-        let record = Rc::new(RequestRecord::new(request_id, program_id));
+        let caller = request.extensions().get::<CallerAddress>();
+        let caller = caller.map(|CallerAddress(address)| address.ip().to_string());
+        let record = Rc::new(RequestRecord::new(
+            request_id,
+            program_id,
+            caller.unwrap_or_default(),
+            RequestFingerprint::new(&request),
+        ));
         match self.respond(request, call, record.clone()).await {
             Ok(response) => response,
             Err(error) => {
--- a/src/request/gateway/record.rs
+++ b/src/request/gateway/record.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
+use super::fingerprint::RequestFingerprint;
 use crate::ids::VersionNumber;
 use crate::process::gateway::placement::LoadPermille;
 use crate::process::metrics;
@@ -13,6 +14,8 @@
     started_at: Instant,
     request_id: String,
     program_id: Option<String>,
+    caller: String,
+    fingerprint: RequestFingerprint,
     route: RefCell<String>,
     config_version: Cell<VersionNumber>,
     servers: RefCell<Vec<String>>,
@@ -45,11 +48,18 @@
 
 impl RequestRecord {
     /// Starts the record; its times count from now.
-    pub fn new(request_id: String, program_id: Option<String>) -> Self {
+    pub fn new(
+        request_id: String,
+        program_id: Option<String>,
+        caller: String,
+        fingerprint: RequestFingerprint,
+    ) -> Self {
         Self {
             started_at: Instant::now(),
             request_id,
             program_id,
+            caller,
+            fingerprint,
             route: RefCell::default(),
             config_version: Cell::new(0),
             servers: RefCell::default(),
@@ -130,6 +140,8 @@
         log::info!(
             request_id = self.request_id,
             program_id = self.program_id.as_deref().unwrap_or(""),
+            caller = self.caller,
+            fingerprint:% = self.fingerprint,
             route = *route,
             config_version = self.config_version.get(),
             servers:? = *self.servers.borrow(),
