Refuse requests that crash the backend servers that run them

Cause: nothing outlives one try of a request, so each try crashes as many servers as its route allows. Ruled out: engines that crash by themselves (requests tried again mostly succeed) or from load (the first ones crash below 0.2). Change: a gateway that sees a crash reports the requests that were running, by digests of path, key and body. Gateways exchange the reports by gossip and at a start. Each crash is blamed on the request with the most crashes; one with the blame for 2.5 is refused for a minute. Success clears a request.

--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -25,6 +25,8 @@
 const DEFAULT_ID: &str = "i-1";
 const DEFAULT_SLOTS: usize = 16;
 const DEFAULT_EVENT_MS: u64 = 10;
+/// Exit status of a server that a request has crashed.
+const CRASH_STATUS: i32 = 70;
 
 /// Returns the command line options of `standin-backend`.
 pub fn options() -> Options {
@@ -70,7 +72,7 @@
 }
 
 /// Body of `POST /control`: the failures to inject. Each call replaces all settings.
-#[derive(Clone, Copy, Default, Deserialize)]
+#[derive(Clone, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct Control {
     /// Number of events after which the connection of a stream is aborted.
@@ -89,6 +91,8 @@
     leaving: bool,
     /// States in all responses that the server takes this many requests a second; it takes all.
     limit_per_s: Option<f64>,
+    /// Ends the process when it runs a request whose body contains this text.
+    crash_on: Option<String>,
     /// Returns status 500 after execution; streams are not affected.
     fail: bool,
 }
@@ -158,7 +162,7 @@
         let Some(request_id) = request_id else {
             return self.not_executed(StatusCode::BAD_REQUEST, None);
         };
-        let control = *self.control.borrow();
+        let control = self.control.borrow().clone();
         if control.full || self.running.get() >= self.slots {
             return self.not_executed(StatusCode::SERVICE_UNAVAILABLE, Some(&request_id));
         }
@@ -176,6 +180,12 @@
             events: 0,
             is_finished: false,
         });
+        if let Some(text) = &control.crash_on
+            && String::from_utf8_lossy(request.body()).contains(text)
+        {
+            self.timer.sleep(self.event_delay).await;
+            std::process::exit(CRASH_STATUS);
+        }
         let response_id = if control.wrong_id {
             "other"
         } else {
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -9,6 +9,7 @@
 
 use std::cell::RefCell;
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -168,6 +169,14 @@
         self.pool.borrow_mut().swap_remove(&address);
     }
 
+    /// Whether a new connection to an address is refused, which means that no process listens there.
+    /// Without an answer within `timeout` it is not known, and false.
+    pub async fn is_refused(&self, address: SocketAddr, timeout: Duration) -> bool {
+        let connecting = TcpStream::connect_addr(address);
+        let connected = self.timer.timeout(timeout, connecting).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// The timer service that enforces the timeouts.
     pub fn timer(&self) -> &TimerService {
         &self.timer
--- a/src/error.rs
+++ b/src/error.rs
@@ -145,6 +145,8 @@
     Internal => 500, "internal", Unknown, NO_RETRY;
     /// The backend servers limit their request rates, and the limits are used up.
     RateLimited => 503, "rate_limited", No, SHORT_RETRY_DELAY;
+    /// The request has crashed the backend servers that ran it, and would crash the next one.
+    CrashesServers => 502, "crashes_servers", No, NO_RETRY;
 }
 
 macro_rules! causes {
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -13,6 +13,8 @@
 //! - [`servers`] is the registry of backend servers, each a [`server`] with its load; [`placement`] chooses one.
 //! - [`rate_limits`] keeps the rates that servers limit, with the gateway that owns the
 //!   [`allowance`] of a server.
+//! - [`crash_reports`] remembers the requests, by their [`fingerprint`], that were running when servers
+//!   crashed, and refuses those that crash each server.
 //! - [`directory`] tracks the other gateways and answers the lookups of callers; by the [`gossip`],
 //!   the gateways of a failure domain tell each other that they are live.
 //! - [`running`] starts and stops the process with the [`settings`]; [`start`] has what a gateway
@@ -21,7 +23,9 @@
 pub mod account;
 pub mod allowance;
 pub mod budget;
+pub mod crash_reports;
 pub mod directory;
+pub mod fingerprint;
 pub mod gossip;
 pub mod history;
 pub mod ledger;
--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -296,7 +296,13 @@
     }
 
     /// Starts a round of the gossip: increments the own counter and selects the gateways to contact.
-    pub fn start_round(&self, rng: &mut impl Rng, now: Instant) -> Vec<SocketAddr> {
+    /// One of another failure domain is among them if `tells_other_domains`.
+    pub fn start_round(
+        &self,
+        rng: &mut impl Rng,
+        tells_other_domains: bool,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
         self.own_counter.set(self.own_counter.get() + 1);
         let last_round = self.last_round.replace(Some(now));
         let was_paused =
@@ -318,17 +324,19 @@
         if contacted.is_empty() || rng.random_bool(RECONNECT_PROBABILITY) {
             contacted.extend(silent.into_iter().choose(rng));
         }
+        let others = known.values().filter(|known| {
+            known.row.failure_domain != own.failure_domain && !known.row.is_leaving
+        });
         if needs_other_domains {
             let mut by_domain: IndexMap<&str, Vec<&KnownGateway>> = IndexMap::new();
-            let others = known.values().filter(|known| {
-                known.row.failure_domain != own.failure_domain && !known.row.is_leaving
-            });
             for other in others {
                 let domain = by_domain.entry(&other.row.failure_domain).or_default();
                 domain.push(other);
             }
             let one_each = by_domain.into_values();
             contacted.extend(one_each.filter_map(|domain| domain.into_iter().choose(rng)));
+        } else if tells_other_domains {
+            contacted.extend(others.choose(rng));
         }
         contacted
             .iter()
--- a/src/process/gateway/gossip.rs
+++ b/src/process/gateway/gossip.rs
@@ -5,10 +5,11 @@
 //! fail meanwhile. [`Directory`] holds the counters.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_util::future::join_all;
+use futures_util::future::{join_all, select};
 use serde::{Deserialize, Serialize};
 
 use super::directory::{Directory, GatewayRow, PARTITION, TABLE};
@@ -20,6 +21,8 @@
 
 /// Interval between two rounds.
 pub const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest interval between two rounds, if there is something new to tell.
+const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of a request, so that a round ends before the next one begins.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest response accepted from a peer: some hundred gateways with their rows.
@@ -79,15 +82,22 @@
     loop {
         let started = Instant::now();
         let seen_changes = directory.leaving().changes();
+        let crash_reports = &servers.crash_reports;
+        let seen_crashes = crash_reports.changed().changes();
         let was_leaving = directory.is_leaving();
         if let Some(success) = store.last_success() {
             directory.record_contact(success);
         }
-        let peers = directory.start_round(&mut rand::rng(), started);
+        let tells_other_domains = crash_reports.has_fresh(started);
+        let peers = directory.start_round(&mut rand::rng(), tells_other_domains, started);
         send_to_all(&directory, &servers, &http, peers).await;
-        // A gateway that starts to leave publishes it at once, without waiting for the next round.
-        let changed = directory.leaving().changed_since(seen_changes);
+        // A gateway that starts to leave publishes it at once, without waiting for the next round,
+        // and so does one that has seen a crash.
+        let leaving = pin!(directory.leaving().changed_since(seen_changes));
+        let crashed = pin!(crash_reports.changed().changed_since(seen_crashes));
+        let changed = select(leaving, crashed);
         let _ = timer.timeout_at(started + ROUND_INTERVAL, changed).await;
+        timer.sleep_until(started + MIN_ROUND_INTERVAL).await;
         if directory.is_leaving() && !was_leaving {
             let all = directory.live_peers(Instant::now());
             send_to_all(&directory, &servers, &http, all).await;
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::account::GrantId;
+use super::crash_reports::CrashReport;
 use super::gossip::{GossipRequest, GossipResponse};
 use super::history::{TurnChain, TurnId};
 use super::ledger::{Admission, TurnBudget};
@@ -160,26 +161,31 @@
     pub leaving: Vec<LeavingServer>,
     /// The last statements on rate limits.
     pub rate_limits: Vec<RateLimitReport>,
+    /// The requests that were running when servers crashed.
+    pub crash_reports: Vec<CrashReport>,
 }
 
 /// Encodes a message followed by notices.
 ///
 /// They are appended, not a field, because gateways of earlier builds ignore what follows the
-/// message and send none, or only the first list.
+/// message and send none, or only the first lists.
 fn with_notices(message: &impl Serialize, notices: &ServerNotices) -> Bytes {
     // The encoding of these types cannot fail.
     let mut body = postcard::to_stdvec(message).unwrap_or_default();
     body.extend(postcard::to_stdvec(&notices.leaving).unwrap_or_default());
     body.extend(postcard::to_stdvec(&notices.rate_limits).unwrap_or_default());
+    body.extend(postcard::to_stdvec(&notices.crash_reports).unwrap_or_default());
     Bytes::from(body)
 }
 
 fn split_notices<T: DeserializeOwned>(body: &[u8]) -> Option<(T, ServerNotices)> {
     let (message, rest) = postcard::take_from_bytes(body).ok()?;
     let (leaving, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+    let (rate_limits, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
     let notices = ServerNotices {
         leaving,
-        rate_limits: postcard::from_bytes(rest).unwrap_or_default(),
+        rate_limits,
+        crash_reports: postcard::from_bytes(rest).unwrap_or_default(),
     };
     Some((message, notices))
 }
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -19,7 +19,10 @@
 use sapphireford_platform::store::{OPERATOR_TABLE, Row, SERVER_TABLE};
 
 use super::budget::AdmissionController;
+use super::crash_reports::Verdict;
 use super::directory::Directory;
+use super::fingerprint::RequestIdentity;
+
 use super::gossip;
 use super::history::History;
 use super::ledger::Ledger;
@@ -34,6 +37,7 @@
 use crate::connection::body::Body;
 use crate::connection::http_client::{ClientLimits, HttpClient};
 use crate::connection::http_server::{self, Handler, HttpLimits, Server, json_response};
+use crate::error::{Error, ErrorKind};
 use crate::process::metrics::{self, Metrics};
 use crate::process::timer::TimerService;
 use crate::request::gateway::dispatch::GatewayDispatcher;
@@ -162,6 +166,26 @@
         self.routes.borrow().is_some() && self.servers.is_loaded() && self.has_asked_peers.get()
     }
 
+    /// The error for a request that crashes servers, or is suspected to; `None` if it may be sent.
+    pub fn crash_refusal(&self, identity: &RequestIdentity) -> Option<Error> {
+        match self.servers.crash_reports.verdict(identity, Instant::now()) {
+            Verdict::MayRun => None,
+            Verdict::Wait(delay) => {
+                let message = "backend servers crashed while they ran this request, and it is not \
+                               known yet whether it is the cause; retry later";
+                let error = Error::new(ErrorKind::NoBackendServer, message);
+                Some(error.with_retry_after(delay))
+            }
+            Verdict::Refused(crashes) => {
+                let message = format!(
+                    "{crashes} backend servers crashed while they ran this request, so it is not \
+                     sent to another one; do not repeat it"
+                );
+                Some(Error::new(ErrorKind::CrashesServers, message))
+            }
+        }
+    }
+
     /// Records that the peers have been asked, or cannot be learned in time.
     pub fn record_peers_asked(&self) {
         self.has_asked_peers.set(true);
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -13,9 +13,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::allowance::{REQUEST_CLASSES, RequestClass};
+use super::crash_reports::CrashId;
 use super::placement::LoadPermille;
 use crate::ids::BackendServerId;
 use crate::process::breaker::CircuitBreaker;
+use crate::process::slots::placement::rendezvous_weight;
 
 /// Time for which a load report is used. After that, the load is estimated only from the requests
 /// that this gateway has in flight.
@@ -37,6 +39,7 @@
     /// Whether the server has said in an answer that it is about to stop. This start of the server
     /// takes no new requests from then on, whatever its row says.
     pub(super) is_leaving: Cell<bool>,
+    has_crashed: Cell<bool>,
     /// The last statement on the rate limit that this gateway has heard of, in an answer or from a
     /// peer; `None` if the server has never stated a limit.
     rate_limit: Cell<Option<RateLimitObservation>>,
@@ -60,6 +63,7 @@
             sent_since_report: Cell::new(0),
             breaker: RefCell::default(),
             is_leaving: Cell::new(false),
+            has_crashed: Cell::new(false),
             rate_limit: Cell::new(None),
             exhausted_until: Cell::default(),
             last_return_at: Cell::new(None),
@@ -99,6 +103,25 @@
         self.breaker.borrow_mut().record_failure(Instant::now());
     }
 
+    /// Identifies the crash of this start of the server, the same at all gateways.
+    pub fn crash_id(&self) -> CrashId {
+        let started_unix_ms = self.record.borrow().started_unix_ms;
+        rendezvous_weight(started_unix_ms.unwrap_or_default(), &self.id)
+    }
+
+    /// Records that the server has crashed. It gets no requests for a while.
+    pub fn record_crash(&self) {
+        if !self.has_crashed.replace(true) {
+            log::info!(server = &*self.id; "backend server has crashed: it broke a connection and refuses new ones");
+            self.breaker.borrow_mut().open(Instant::now());
+        }
+    }
+
+    /// Whether this start of the server is known to have crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.has_crashed.get()
+    }
+
     /// Records that the server is about to stop, as it said in an answer.
     pub fn record_leaving(&self) {
         if !self.is_leaving.replace(true) {
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -15,6 +15,7 @@
 use sapphireford_platform::store::Row;
 use serde::{Deserialize, Serialize};
 
+use super::crash_reports::CrashReports;
 use super::peers::ServerNotices;
 use super::placement::Candidate;
 use super::server::{LOAD_REPORT_TTL, RateLimitReport, Server};
@@ -67,6 +68,8 @@
     /// Whether the table of servers has been read.
     is_loaded: Cell<bool>,
     own_failure_domain: Option<FailureDomainId>,
+    /// The requests that were running when servers crashed.
+    pub crash_reports: CrashReports,
 }
 
 impl Servers {
@@ -76,6 +79,7 @@
             by_id: RefCell::default(),
             is_loaded: Cell::new(false),
             own_failure_domain: Some(own_failure_domain),
+            crash_reports: CrashReports::default(),
         }
     }
 
@@ -163,8 +167,20 @@
         log::info!(server = id; "backend server deregistered: its row was removed");
     }
 
-    /// Deregisters the servers whose rows were not renewed in time after an outage of the store.
+    /// Whether this start of a server is registered and has not said that it leaves.
+    pub fn is_in_service(&self, server: &Rc<Server>) -> bool {
+        let by_id = self.by_id.borrow();
+        let registered = by_id.get(&server.id);
+        let is_registered = registered.is_some_and(|known| Rc::ptr_eq(known, server));
+        is_registered
+            && !server.is_leaving.get()
+            && server.record.borrow().state == ServerState::Ready
+    }
+
+    /// Deregisters the servers whose rows were not renewed in time after an outage of the store, and
+    /// forgets old reports of crashes.
     pub fn remove_expired(&self, now: Instant) {
+        self.crash_reports.remove_expired(now);
         self.by_id.borrow_mut().retain(|id, server| { let is_expired = server.renewal_deadline.get().is_some_and(|end| now >= end); if is_expired { log::info!(server = &**id; "backend server deregistered: its row was not renewed after a store outage"); } !is_expired });
     }
 
@@ -223,6 +239,7 @@
         ServerNotices {
             leaving: self.leaving(),
             rate_limits: self.rate_limits(now),
+            crash_reports: self.crash_reports.reports(now),
         }
     }
 
@@ -230,6 +247,7 @@
     pub fn merge_notices(&self, notices: &ServerNotices, now: Instant) {
         self.merge_leaving(&notices.leaving);
         self.merge_rate_limits(&notices.rate_limits, now);
+        self.crash_reports.merge(&notices.crash_reports, now);
     }
 
     /// The registered servers that have said that they are about to stop.
--- a/src/request/gateway.rs
+++ b/src/request/gateway.rs
@@ -6,10 +6,9 @@
 //! backend server and asks [`retry`] what to do after a failed attempt. [`stream`] forwards the
 //! events of a stream to the caller and resumes a broken stream at another server. [`refusal`]
 //! builds the response to a request that fails in the gateway. [`record`] collects the log line and
-//! the metrics of each request. [`fingerprint`] recognizes a request that is sent again.
+//! the metrics of each request.
 
 pub mod dispatch;
-pub mod fingerprint;
 pub mod forward;
 pub mod record;
 pub mod refusal;
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -10,7 +10,6 @@
 use sapphireford_platform::headers::CallHeaders;
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
-use super::fingerprint::RequestFingerprint;
 use super::forward::{RequestForwarder, ServerResponse};
 use super::record::RequestRecord;
 use super::refusal;
@@ -20,6 +19,7 @@
 use crate::connection::body::Body;
 use crate::connection::http_server::{CallerAddress, Handler};
 use crate::error::{Error, ErrorKind, Result};
+use crate::process::gateway::fingerprint::RequestIdentity;
 use crate::process::gateway::running::Gateway;
 use crate::process::task;
 use crate::version::route_table::RouteTable;
@@ -39,6 +39,7 @@
         &self,
         request: Request<Bytes>,
         call: CallHeaders,
+        identity: RequestIdentity,
         record: Rc<RequestRecord>,
     ) -> Result<Response<Body>> {
         let routes = self.gateway.routes();
@@ -49,6 +50,9 @@
         })?;
         let route = find_route(&routes, &request)?;
         record.set_route(&route.name, routes.version);
+        if let Some(error) = self.gateway.crash_refusal(&identity) {
+            return Err(error);
+        }
         let deadline = deadline(&route, &call, record.started_at());
         let (head, input) = request.into_parts();
         let is_stream = matches!(route.kind, RouteKind::Stream | RouteKind::ResumableStream);
@@ -78,6 +82,8 @@
             prefix_holder: prepared.prefix_holder,
             record: record.clone(),
             attempts: AttemptCounts::default(),
+            identity,
+            attempt_started_at: record.started_at(),
             tried_servers: Vec::new(),
         };
         match forwarder.send(last_event_id).await? {
@@ -115,13 +121,14 @@
         let request_id = call.request_id.clone().unwrap_or_default();
         let caller = request.extensions().get::<CallerAddress>();
         let caller = caller.map(|CallerAddress(address)| address.ip().to_string());
+        let identity = RequestIdentity::new(&request);
         let record = Rc::new(RequestRecord::new(
             request_id,
             program_id,
             caller.unwrap_or_default(),
-            RequestFingerprint::new(&request),
+            identity.exact,
         ));
-        match self.respond(request, call, record.clone()).await {
+        match self.respond(request, call, identity, record.clone()).await {
             Ok(response) => response,
             Err(error) => {
                 let status = error.kind.answer().status;
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -23,6 +23,8 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::BackendServerId;
 use crate::process::gateway::allowance::{ProgramStage, RequestClass, request_class};
+use crate::process::gateway::crash_reports::Crash;
+use crate::process::gateway::fingerprint::RequestIdentity;
 use crate::process::gateway::placement::{self, Prefix};
 use crate::process::gateway::running::Gateway;
 use crate::process::gateway::server::{InFlightGuard, Server};
@@ -32,6 +34,8 @@
 /// Size limit of a response that is not a stream.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
 
+/// Longest wait for the port of a server that may have crashed. A VM that is up answers at once.
+const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Shortest delay after which a caller is told to come back because of a rate limit; shorter ones
 /// are lost in the transfer.
 const MIN_RETURN_DELAY: Duration = Duration::from_millis(20);
@@ -62,6 +66,10 @@
     pub record: Rc<RequestRecord>,
     /// Counts of the failed attempts so far.
     pub attempts: AttemptCounts,
+    /// Recognizes the request if it comes again.
+    pub identity: RequestIdentity,
+    /// When the request was sent to the server that was chosen last.
+    pub attempt_started_at: Instant,
     /// Servers of failed attempts, whether or not the request reached them; they are not tried
     /// again.
     pub tried_servers: Vec<Rc<Server>>,
@@ -103,9 +111,13 @@
             if time_left.is_zero() {
                 return Err(self.deadline_error());
             }
+            if let Some(error) = self.crash_refusal() {
+                return Err(error);
+            }
             let Some(server) = self.choose_permitted_server().await else {
                 return Err(self.no_server_error());
             };
+            self.attempt_started_at = Instant::now();
             let (failure, reason) = match self.attempt(&server, time_left, last_event_id).await {
                 AttemptOutcome::Answered(response) => return Ok(response),
                 AttemptOutcome::ServerError(response) => {
@@ -284,6 +296,9 @@
             Ok(response) => response,
             Err(error) => {
                 server.record_failure();
+                if matches!(error, ClientError::Interrupted(_)) {
+                    self.report_if_crashed(server).await;
+                }
                 return AttemptOutcome::Failed(classify_client_error(&error), error.to_string());
             }
         };
@@ -344,12 +359,14 @@
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 server.record_failure();
+                self.report_if_crashed(server).await;
                 return AttemptOutcome::Failed(AttemptFailure::InDoubt, error.to_string());
             }
             Err(elapsed) => {
                 return AttemptOutcome::Failed(AttemptFailure::InDoubt, elapsed.to_string());
             }
         };
+        self.record_answered();
         head.headers = answer::returned_answer_headers(&head.headers);
         let response = Response::from_parts(head, body);
         match status.as_u16() {
@@ -373,6 +390,43 @@
         }
     }
 
+    /// Records that the request was running at a server that has crashed, if its connection broke
+    /// because of that: a server in service whose port is closed.
+    pub async fn report_if_crashed(&self, server: &Rc<Server>) {
+        let servers = &self.gateway.servers;
+        if !servers.is_in_service(server) {
+            return;
+        }
+        let http = &self.gateway.http;
+        let address = server.address();
+        if !server.has_crashed() && !http.is_refused(address, CRASH_PROBE_TIMEOUT).await {
+            return;
+        }
+        server.record_crash();
+        let crash = Crash {
+            id: server.crash_id(),
+            server_address: address,
+            started_at: self.attempt_started_at,
+            at: Instant::now(),
+        };
+        servers.crash_reports.record_crash(&self.identity, crash);
+    }
+
+    /// Records that a server answered the request completely, so it does not crash servers.
+    pub fn record_answered(&self) {
+        let crash_reports = &self.gateway.servers.crash_reports;
+        crash_reports.record_success(&self.identity, Instant::now());
+    }
+
+    /// The error for a request that crashes servers, or is suspected to; `None` if it may be sent.
+    fn crash_refusal(&self) -> Option<Error> {
+        let error = self.gateway.crash_refusal(&self.identity)?;
+        match self.attempts.may_have_run {
+            true => Some(in_doubt_error(&error.message)),
+            false => Some(error),
+        }
+    }
+
     fn deadline_error(&self) -> Error {
         if self.attempts.may_have_run {
             let message = "the request was not answered before its deadline";
--- a/src/request/gateway/record.rs
+++ b/src/request/gateway/record.rs
@@ -3,8 +3,8 @@
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
-use super::fingerprint::RequestFingerprint;
 use crate::ids::VersionNumber;
+use crate::process::gateway::fingerprint::Fingerprint;
 use crate::process::gateway::placement::LoadPermille;
 use crate::process::metrics;
 
@@ -15,7 +15,7 @@
     request_id: String,
     program_id: Option<String>,
     caller: String,
-    fingerprint: RequestFingerprint,
+    fingerprint: Fingerprint,
     route: RefCell<String>,
     config_version: Cell<VersionNumber>,
     servers: RefCell<Vec<String>>,
@@ -52,7 +52,7 @@
         request_id: String,
         program_id: Option<String>,
         caller: String,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
     ) -> Self {
         Self {
             started_at: Instant::now(),
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -161,6 +161,9 @@
     /// Resumes the stream at another server; the error is the reason why it cannot be resumed.
     async fn resume(&mut self, reason: String) -> std::result::Result<(), String> {
         self.upstream.server.record_failure();
+        self.forwarder
+            .report_if_crashed(&self.upstream.server)
+            .await;
         self.forwarder
             .record
             .note(format!("{}: {reason}", &*self.upstream.server.id));
@@ -194,6 +197,7 @@
     /// ends only when the turn is durable, because the caller may send the next turn immediately
     /// through another gateway.
     async fn complete(mut self) {
+        self.forwarder.record_answered();
         if let Some(turn) = self.unsaved_turn.take() {
             let history = &self.forwarder.gateway.history;
             let deadline = self.forwarder.deadline;
--- a/tests/support/gateway_domain.rs
+++ b/tests/support/gateway_domain.rs
@@ -117,7 +117,7 @@
         if self.is_store_up {
             asker.record_contact(self.now);
         }
-        for peer in asker.start_round(&mut self.rng, self.now) {
+        for peer in asker.start_round(&mut self.rng, false, self.now) {
             let peer = &self.gateways[&peer];
             if !peer.is_running || self.rng.random_bool(LOSS) {
                 continue;
