--- a/tests/gateway_crashing_requests.rs
+++ b/tests/gateway_crashing_requests.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
-use gateway::{WAIT_TIMEOUT, caller_request, new_request_id};
+use gateway::{Turn, WAIT_TIMEOUT, caller_request, new_request_id, recorded_runs};
 use sapphireford_standin::harness::{
     Answer, GatewayProcess, GatewaySite, HttpRequest, PLAIN_SERVICE, Process, wait_until,
 };
@@ -177,3 +177,53 @@
     }
     assert_eq!(send(gateway, "innocent").status, 200);
 }
+
+/// Guards against a turn whose bytes change when it is sent again: each server gets the inputs and
+/// outputs of the chain and then the new input, also on tries that break.
+#[test]
+fn a_turn_that_breaks_servers_is_sent_with_the_bytes_of_its_chain() {
+    let site = GatewaySite::start(2);
+    let turn = |id: &str, previous: Option<&str>, input: &str, gateway: usize| {
+        let turn = Turn {
+            path: "/chat/a",
+            id,
+            program: "p-bytes",
+            previous,
+            input,
+            ..Turn::default()
+        };
+        let mut stream = turn.open(&site.gateways[gateway]).expect("an answer");
+        stream.remaining_events()
+    };
+    let mut chain = String::new();
+    let mut previous: Option<String> = None;
+    for number in 0..4 {
+        let input = format!("input {number};");
+        let sent = format!("{chain}{input}");
+        for engine in &site.engines {
+            engine.process.control(&json!({ "cut_after_events": 0 }));
+        }
+        let mut ids: Vec<String> = (0..3).map(|_| new_request_id()).collect();
+        for (try_number, id) in ids.iter().enumerate() {
+            let broken = turn(id, previous.as_deref(), &input, try_number % 2);
+            assert!(broken.is_err(), "the stream is complete");
+        }
+        for engine in &site.engines {
+            engine.process.control(&json!({}));
+        }
+        let id = new_request_id();
+        let events = turn(&id, previous.as_deref(), &input, number % 2);
+        let outputs = events.expect("a complete stream").into_iter();
+        let output: String = outputs.map(|event| format!("{}\n", event.data)).collect();
+        ids.push(id.clone());
+        for id in &ids {
+            let runs = recorded_runs(&site.engines, id);
+            assert!(!runs.is_empty(), "turn {number}, request {id}");
+            for run in runs {
+                assert_eq!(run["body"], sent.as_str(), "turn {number}, request {id}");
+            }
+        }
+        chain = sent + &output;
+        previous = Some(id);
+    }
+}
