Know the loads of engines on large sites while servers limit their rates

Cause: new programs are refused only at engines that are known to be full, and most gateways of a large site have no report that is younger than a second. Change: while a server limits its rate, loads are told in the gossip and used for four seconds.

--- a/src/process/gateway/gossip.rs
+++ b/src/process/gateway/gossip.rs
@@ -112,7 +112,7 @@
     peers: Vec<SocketAddr>,
 ) {
     let request = directory.gossip_request(Instant::now());
-    let notices = servers.notices(Instant::now());
+    let notices = servers.gossip_notices(Instant::now());
     let exchanges = peers.into_iter().map(|peer| {
         let request = peers::gossip_request(&request, &notices);
         async move {
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -163,6 +163,8 @@
     pub rate_limits: Vec<RateLimitReport>,
     /// The requests that were running when servers crashed.
     pub crash_reports: Vec<CrashReport>,
+    /// Loads of servers; empty in messages that have them elsewhere.
+    pub loads: Vec<SharedLoad>,
 }
 
 /// Encodes a message followed by notices.
@@ -175,6 +177,7 @@
     body.extend(postcard::to_stdvec(&notices.leaving).unwrap_or_default());
     body.extend(postcard::to_stdvec(&notices.rate_limits).unwrap_or_default());
     body.extend(postcard::to_stdvec(&notices.crash_reports).unwrap_or_default());
+    body.extend(postcard::to_stdvec(&notices.loads).unwrap_or_default());
     Bytes::from(body)
 }
 
@@ -182,10 +185,12 @@
     let (message, rest) = postcard::take_from_bytes(body).ok()?;
     let (leaving, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
     let (rate_limits, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+    let (crash_reports, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
     let notices = ServerNotices {
         leaving,
         rate_limits,
-        crash_reports: postcard::from_bytes(rest).unwrap_or_default(),
+        crash_reports,
+        loads: postcard::from_bytes(rest).unwrap_or_default(),
     };
     Some((message, notices))
 }
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -260,7 +260,7 @@
                 let now = Instant::now();
                 gateway.servers.merge_notices(&notices, now);
                 let response = gateway.directory.handle_gossip(&request, now);
-                peers::gossip_response(&response, &gateway.servers.notices(now))
+                peers::gossip_response(&response, &gateway.servers.gossip_notices(now))
             }
             Some(PeerCall::ListNotices) => {
                 peers::notices_response(&gateway.servers.notices(Instant::now()))
@@ -481,7 +481,7 @@
         let mut ticks = maintenance_gateway.timer.subscribe(MAINTENANCE_INTERVAL);
         loop {
             ticks.tick().await;
-            maintenance_gateway.servers.remove_expired(Instant::now());
+            maintenance_gateway.servers.maintain(Instant::now());
             maintenance_gateway.rate_limits.remove_idle(Instant::now());
             ledger.close_idle(Instant::now());
             maintenance_gateway.metrics.run_upkeep();
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -22,6 +22,10 @@
 /// Time for which a load report is used. After that, the load is estimated only from the requests
 /// that this gateway has in flight.
 pub(super) const LOAD_REPORT_TTL: Duration = Duration::from_millis(1_000);
+/// Time for which a load report is used while servers limit their request rates. An overload lasts
+/// for seconds then, and on a large site most gateways know only reports that are older than
+/// [`LOAD_REPORT_TTL`].
+pub(super) const OVERLOAD_REPORT_TTL: Duration = Duration::from_secs(4);
 /// Longest delay after which a caller is told to come back because of a rate limit. Callers that
 /// wait longer have given up.
 const MAX_RETURN_DELAY: Duration = Duration::from_secs(4);
@@ -173,6 +177,12 @@
         })
     }
 
+    /// Whether the server limits its request rate.
+    pub fn has_rate_limit(&self) -> bool {
+        let known = self.rate_limit.get();
+        known.is_some_and(|known| known.limit_per_s.is_some())
+    }
+
     /// Records that the allowance of the server is used up for a request class and for all that come
     /// after it.
     pub fn exhaust_allowance(&self, class: RequestClass, until: Instant) {
@@ -221,10 +231,10 @@
         Some((load, now.saturating_duration_since(at)))
     }
 
-    pub(super) fn load(&self, now: Instant) -> LoadPermille {
+    pub(super) fn load(&self, report_ttl: Duration, now: Instant) -> LoadPermille {
         let own = self.in_flight.get();
         let reported = self.reported_load(now);
-        let reported = reported.filter(|(_, age)| *age < LOAD_REPORT_TTL);
+        let reported = reported.filter(|(_, age)| *age < report_ttl);
         let requests = match reported {
             Some((load, _)) => {
                 let reported = load.running.saturating_add(load.waiting);
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -18,7 +18,7 @@
 use super::crash_reports::CrashReports;
 use super::peers::ServerNotices;
 use super::placement::Candidate;
-use super::server::{LOAD_REPORT_TTL, RateLimitReport, Server};
+use super::server::{LOAD_REPORT_TTL, OVERLOAD_REPORT_TTL, RateLimitReport, Server};
 use super::watch::TableChange;
 use crate::ids::{BackendServerId, FailureDomainId};
 
@@ -68,6 +68,8 @@
     /// Whether the table of servers has been read.
     is_loaded: Cell<bool>,
     own_failure_domain: Option<FailureDomainId>,
+    /// Whether a server limited its request rate at the last [`Servers::maintain`].
+    has_rate_limits: Cell<bool>,
     /// The requests that were running when servers crashed.
     pub crash_reports: CrashReports,
 }
@@ -79,6 +81,7 @@
             by_id: RefCell::default(),
             is_loaded: Cell::new(false),
             own_failure_domain: Some(own_failure_domain),
+            has_rate_limits: Cell::new(false),
             crash_reports: CrashReports::default(),
         }
     }
@@ -177,10 +180,14 @@
             && server.record.borrow().state == ServerState::Ready
     }
 
-    /// Deregisters the servers whose rows were not renewed in time after an outage of the store, and
-    /// forgets old reports of crashes.
-    pub fn remove_expired(&self, now: Instant) {
+    /// Deregisters the servers whose rows were not renewed in time after an outage of the store,
+    /// forgets old reports of crashes, and checks whether servers limit their request rates. Called
+    /// several times a second.
+    pub fn maintain(&self, now: Instant) {
         self.crash_reports.remove_expired(now);
+        let is_limited = |server: &Rc<Server>| server.has_rate_limit();
+        let has_rate_limits = self.by_id.borrow().values().any(is_limited);
+        self.has_rate_limits.set(has_rate_limits);
         self.by_id.borrow_mut().retain(|id, server| { let is_expired = server.renewal_deadline.get().is_some_and(|end| now >= end); if is_expired { log::info!(server = &**id; "backend server deregistered: its row was not renewed after a store outage"); } !is_expired });
     }
 
@@ -191,7 +198,7 @@
         let by_id = self.by_id.borrow();
         let reports = by_id.values().filter_map(|server| {
             let (load, age) = server.reported_load(now)?;
-            (age < LOAD_REPORT_TTL).then_some((server, load, age))
+            (age < self.load_report_ttl()).then_some((server, load, age))
         });
         let mut reports: Vec<_> = reports.collect();
         if reports.len() > MAX_SHARED_LOADS {
@@ -240,14 +247,26 @@
             leaving: self.leaving(),
             rate_limits: self.rate_limits(now),
             crash_reports: self.crash_reports.reports(now),
+            loads: Vec::new(),
         }
     }
 
+    /// What is told in the gossip: the notices, and the loads while servers limit their rates. The
+    /// admissions of turns exchange the loads at other times, which is enough without an overload.
+    pub fn gossip_notices(&self, now: Instant) -> ServerNotices {
+        let mut notices = self.notices(now);
+        if self.has_rate_limits.get() {
+            notices.loads = self.shared_loads(now);
+        }
+        notices
+    }
+
     /// Adopts what another gateway has heard from the servers.
     pub fn merge_notices(&self, notices: &ServerNotices, now: Instant) {
         self.merge_leaving(&notices.leaving);
         self.merge_rate_limits(&notices.rate_limits, now);
         self.crash_reports.merge(&notices.crash_reports, now);
+        self.merge_loads(&notices.loads, now);
     }
 
     /// The registered servers that have said that they are about to stop.
@@ -280,6 +299,13 @@
         self.by_id.borrow().get(server_id).cloned()
     }
 
+    fn load_report_ttl(&self) -> Duration {
+        match self.has_rate_limits.get() {
+            true => OVERLOAD_REPORT_TTL,
+            false => LOAD_REPORT_TTL,
+        }
+    }
+
     /// The last statements of the servers on their rate limits, to be told to other gateways.
     pub fn rate_limits(&self, now: Instant) -> Vec<RateLimitReport> {
         let by_id = self.by_id.borrow();
@@ -339,7 +365,7 @@
         let own_failure_domain = self.own_failure_domain.as_deref();
         Candidate {
             server_id: &server.id,
-            load: server.load(now),
+            load: server.load(self.load_report_ttl(), now),
             is_eligible: server.is_eligible(connection_limit, now),
             is_same_domain: own_failure_domain == Some(domain.as_str()),
         }
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -107,10 +107,6 @@
     /// last stream event that the caller has received.
     pub async fn send(&mut self, last_event_id: Option<u64>) -> Result<ServerResponse> {
         loop {
-            let time_left = self.deadline.saturating_duration_since(Instant::now());
-            if time_left.is_zero() {
-                return Err(self.deadline_error());
-            }
             if let Some(error) = self.crash_refusal() {
                 return Err(error);
             }
@@ -118,6 +114,12 @@
                 return Err(self.no_server_error());
             };
             self.attempt_started_at = Instant::now();
+            let time_left = self
+                .deadline
+                .saturating_duration_since(self.attempt_started_at);
+            if time_left.is_zero() {
+                return Err(self.deadline_error());
+            }
             let (failure, reason) = match self.attempt(&server, time_left, last_event_id).await {
                 AttemptOutcome::Answered(response) => return Ok(response),
                 AttemptOutcome::ServerError(response) => {
@@ -164,9 +166,6 @@
             }
             self.record
                 .note(format!("{}: its rate limit is used up", &*server.id));
-            if Instant::now() >= self.deadline {
-                return None;
-            }
         }
     }
 
--- a/tests/gateway_servers.rs
+++ b/tests/gateway_servers.rs
@@ -4,6 +4,7 @@
 
 use sapphireford::process::gateway::servers::{Servers, SharedLoad};
 use sapphireford::process::gateway::watch::TableChange;
+use sapphireford_platform::answer::RateLimitStatement;
 use sapphireford_platform::store::Row;
 
 fn server_row(id: &str, state: &str, version: u64) -> Row {
@@ -80,7 +81,7 @@
         Some(recovered_at),
         registered_at,
     );
-    servers.remove_expired(recovered_at + Duration::from_millis(2_100));
+    servers.maintain(recovered_at + Duration::from_millis(2_100));
     assert_eq!(server_ids(&servers), ["i-1"]);
 }
 
@@ -145,6 +146,37 @@
     assert_eq!(servers.candidate(&all[0], 10, later).load, 0);
 }
 
+/// Guards against overloaded servers that look free on a large site, where a gateway hears of each
+/// server every few seconds, while other servers limit their rates.
+#[test]
+fn loads_are_used_longer_while_a_server_limits_its_rate() {
+    let now = Instant::now();
+    let servers = two_ready_servers(now);
+    let load = SharedLoad {
+        server_id: "i-1".to_string(),
+        running: 4,
+        waiting: 4,
+        slots: 4,
+        age_ms: 0,
+    };
+    servers.merge_loads(&[load], now);
+    let later = now + Duration::from_secs(3);
+    let load_permille = || {
+        let all = servers.for_service("llm");
+        servers.candidate(&all[0], 10, later).load
+    };
+    assert_eq!(load_permille(), 0);
+    let limited = servers.get("i-2").expect("a server");
+    limited.record_rate_limit(RateLimitStatement::PerSecond(2.0));
+    servers.maintain(later);
+    assert_eq!(load_permille(), 2_000);
+    assert_eq!(servers.gossip_notices(later).loads.len(), 1);
+    limited.record_rate_limit(RateLimitStatement::Unlimited);
+    servers.maintain(later);
+    assert_eq!(load_permille(), 0);
+    assert!(servers.gossip_notices(later).loads.is_empty());
+}
+
 /// Guards against a thundering herd on a server between two of its load reports.
 #[test]
 fn requests_sent_since_the_last_report_add_to_the_load() {
