Keep a request refused when further crashes are reported

Cause: a gateway keeps the last eight crashes of a request. Reports of runs that overlap do not count, but displaced those that do, so the count fell below three. Change: crashes that do not count are displaced first. Result: gateway_crash_reports::further_crashes_do_not_clear_a_request failed before and passes.

--- a/src/process/gateway/crash_reports.rs
+++ b/src/process/gateway/crash_reports.rs
@@ -103,6 +103,23 @@
         crashes
     }
 
+    /// Removes a crash, if possible one that does not count. The number of those that count must not
+    /// fall when a further one is reported.
+    fn remove_least_evidence(&mut self) {
+        let counted = self.counted();
+        let is_counted = |recorded: &RecordedCrash| {
+            let mut counted = counted.iter();
+            counted.any(|other| other.crash.id == recorded.crash.id)
+        };
+        let by_evidence = self.crashes.iter().enumerate();
+        let least = by_evidence
+            .min_by_key(|(_, recorded)| (is_counted(recorded), recorded.crash.at))
+            .map(|(index, _)| index);
+        if let Some(index) = least {
+            self.crashes.swap_remove(index);
+        }
+    }
+
     fn last_event(&self) -> Option<Instant> {
         let last_crash = self.crashes.iter().map(|recorded| recorded.crash.at).max();
         last_crash.max(self.succeeded_at)
@@ -200,17 +217,14 @@
     /// Adds a crash unless it is known; returns whether it was added.
     fn add_crash(&self, fingerprint: Fingerprint, recorded: RecordedCrash) -> bool {
         let mut histories = self.histories.borrow_mut();
-        let crashes = &mut histories.entry(fingerprint).or_default().crashes;
-        if crashes
-            .iter()
-            .any(|known| known.crash.id == recorded.crash.id)
-        {
+        let history = histories.entry(fingerprint).or_default();
+        let mut known = history.crashes.iter();
+        if known.any(|known| known.crash.id == recorded.crash.id) {
             return false;
         }
-        crashes.push(recorded);
-        if crashes.len() > MAX_CRASHES {
-            crashes.sort_by_key(|recorded| recorded.crash.at);
-            crashes.remove(0);
+        history.crashes.push(recorded);
+        if history.crashes.len() > MAX_CRASHES {
+            history.remove_least_evidence();
         }
         true
     }
--- a/src/process/gateway/directory/allowance_owner.rs
+++ b/src/process/gateway/directory/allowance_owner.rs
@@ -9,12 +9,14 @@
 
 /// Time after which all gateways of a failure domain have heard of a change in it.
 const SETTLING_PERIOD: Duration = Duration::from_millis(2_000);
+
 /// The gateway that owns the allowance of a backend server with a rate limit.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AllowanceOwner {
     /// This gateway.
     Own,
-    /// A peer. Its own address is the first one; the others would take its place, in this order.
+    /// A peer: the first address is that of the owner. The others would take its place, in this
+    /// order.
     Peers(Vec<SocketAddr>),
 }
 
--- a/tests/gateway_crash_reports.rs
+++ b/tests/gateway_crash_reports.rs
@@ -193,6 +193,33 @@
     assert!(reports.is_empty());
 }
 
+/// Guards against a refused request that runs again because reports of overlapping runs, as a large
+/// site has many of them, displace those that count.
+#[test]
+fn further_crashes_do_not_clear_a_request() {
+    let mut crashes = Crashes::new();
+    let request = identity("a");
+    let gateways = [(); 2].map(|()| CrashReports::default());
+    for server in 0..4 {
+        gateways[0].record_crash(&request, crashes.crash_at(server));
+    }
+    for number in 0..40 {
+        let mut crash = crashes.crash_at(number);
+        crashes.now -= SECOND - SECOND / 100;
+        crash.at = crashes.now;
+        crash.started_at = crash.at - SECOND;
+        gateways[usize::from(number % 2)].record_crash(&request, crash);
+        let later = crashes.now + SECOND;
+        for (from, to) in [(0, 1), (1, 0)] {
+            gateways[to].merge(&gateways[from].reports(later), later);
+        }
+        for reports in &gateways {
+            let verdict = reports.verdict(&request, later);
+            assert!(matches!(verdict, Verdict::Refused(_)), "{verdict:?}");
+        }
+    }
+}
+
 /// Guards against memory that grows with the requests that crashes interrupt, and against a guilty
 /// request that is forgotten for innocent ones.
 #[test]
