Probe a server again that has answered since it crashed

A server that recovers under the same registration stayed marked as crashed, so a connection that broke later would have counted as a crash without a probe. A complete answer ends the mark.

--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -10,11 +10,12 @@
 //!   [`account`] is the token account of one program. [`history`] stores the turns of
 //!   conversations.
 //! - [`peers`] defines the calls between gateways.
-//! - [`servers`] is the registry of backend servers, each a [`server`] with its load; [`placement`] chooses one.
+//! - [`servers`] is the registry of backend servers, each a [`server`] with its load; [`placement`]
+//!   chooses one.
 //! - [`rate_limits`] keeps the rates that servers limit, with the gateway that owns the
 //!   [`allowance`] of a server.
-//! - [`crash_reports`] remembers the requests, by their [`fingerprint`], that were running when servers
-//!   crashed, and refuses those that crash each server.
+//! - [`crash_reports`] remembers the requests, by their [`fingerprint`], that were running when
+//!   servers crashed, and refuses those that crash each server.
 //! - [`directory`] tracks the other gateways and answers the lookups of callers; by the [`gossip`],
 //!   the gateways of a failure domain tell each other that they are live.
 //! - [`running`] starts and stops the process with the [`settings`]; [`start`] has what a gateway
--- a/src/process/gateway/placement.rs
+++ b/src/process/gateway/placement.rs
@@ -12,8 +12,9 @@
 //! these are loaded.
 //!
 //! While some servers limit their request rates, the others may get more than they can process.
-//! [`exclude_loaded`] then keeps programs that have begun going, and refuses new ones at once
-//! instead of letting all of them queue. Calls to services without a prefix cache go to the least loaded server.
+//! [`exclude_loaded`] then keeps new programs from queueing with those that have begun.
+//!
+//! Calls to services without a prefix cache go to the least loaded server.
 
 use std::cmp::Reverse;
 
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -43,6 +43,7 @@
     /// Whether the server has said in an answer that it is about to stop. This start of the server
     /// takes no new requests from then on, whatever its row says.
     pub(super) is_leaving: Cell<bool>,
+    /// Whether the server broke a connection and refused a new one, and has not answered since.
     has_crashed: Cell<bool>,
     /// The last statement on the rate limit that this gateway has heard of, in an answer or from a
     /// peer; `None` if the server has never stated a limit.
@@ -99,6 +100,7 @@
 
     /// Reports a successful request to the circuit breaker.
     pub fn record_success(&self) {
+        self.has_crashed.set(false);
         self.breaker.borrow_mut().record_success(Instant::now());
     }
 
@@ -121,7 +123,7 @@
         }
     }
 
-    /// Whether this start of the server is known to have crashed.
+    /// Whether the server has crashed and has not answered since.
     pub fn has_crashed(&self) -> bool {
         self.has_crashed.get()
     }
@@ -203,9 +205,9 @@
         self.allowance_exhausted_until(class, now).is_some()
     }
 
-    /// When a caller whose request is refused because of the rate limit should come back, if that is
-    /// at this server: not before the allowance has room again, and not at the rate that it does not
-    /// take either.
+    /// When a caller that is refused because of the rate limit should come back to this server;
+    /// `None` if its allowance has room. It is after the time at which the allowance has room again,
+    /// and callers do not come back faster than the limit.
     pub fn return_time(&self, class: RequestClass, now: Instant) -> Option<Instant> {
         let until = self.allowance_exhausted_until(class, now)?;
         let limit_per_s = self.rate_limit.get()?.limit_per_s?;
