Log the versions of servers and the streams that callers resume

The logs of streams joined from two software versions did not show the version of the servers, nor which attempt a caller resumes, so a resumption by the gateway and one by the caller looked alike.

--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -222,6 +222,11 @@
         self.last_return_at.set(Some(at));
     }
 
+    /// The version of the server's software.
+    pub fn version(&self) -> String {
+        self.record.borrow().version.clone()
+    }
+
     /// The failure domain of the server; empty if it named none.
     pub fn failure_domain(&self) -> String {
         self.record.borrow().failure_domain.clone()
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -136,12 +136,12 @@
         {
             known.renewal_deadline.set(None);
             if *known.record.borrow() != record {
-                log::info!(server = row.key, row_version = row.version, state:? = record.state; "backend server registration changed: state, slots, warm-up or failure domain");
+                log::info!(server = row.key, row_version = row.version, state:? = record.state; "backend server registration changed: state, slots, warm-up, version or failure domain");
                 known.record.replace(record);
             }
             return;
         }
-        log::info!(server = row.key, service = record.service, row_version = row.version, state:? = record.state; "backend server registered");
+        log::info!(server = row.key, service = record.service, version = record.version, row_version = row.version, state:? = record.state; "backend server registered");
         let server = Server::new(&row.key, record);
         by_id.insert(server.id.clone(), Rc::new(server));
     }
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -128,6 +128,9 @@
             caller.unwrap_or_default(),
             identity.exact,
         ));
+        if let Some(last_event_id) = call.last_event_id {
+            record.set_resumed_stream(call.resumed_request_id.as_deref(), last_event_id);
+        }
         match self.respond(request, call, identity, record.clone()).await {
             Ok(response) => response,
             Err(error) => {
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -206,6 +206,7 @@
         let report_age = servers[chosen].reported_load(now).map(|(_, age)| age);
         self.record.add_server(&ServerChoice {
             server_id: &servers[chosen].id,
+            version: &servers[chosen].version(),
             load: candidates[chosen].load,
             report_age,
             holds_prefix: self.prefix_holder.as_ref() == Some(&servers[chosen].id),
--- a/src/request/gateway/record.rs
+++ b/src/request/gateway/record.rs
@@ -23,6 +23,8 @@
     /// Time from arrival until the turn was admitted by the ledger and its history was read.
     prepared_after: Cell<Option<Duration>>,
     first_event_after: Cell<Option<Duration>>,
+    /// The stream that the request resumes, as the caller names it.
+    resumed_stream: RefCell<String>,
     events: Cell<u64>,
     /// The status sent to the caller; 0 until [`RequestRecord::finish`].
     status: Cell<u16>,
@@ -34,6 +36,8 @@
 pub struct ServerChoice<'a> {
     /// The id under which the server is registered.
     pub server_id: &'a str,
+    /// The version of its software.
+    pub version: &'a str,
     /// The estimated load at the time of the choice.
     pub load: LoadPermille,
     /// Age of the load report behind the estimate; `None` if the server has not reported.
@@ -66,6 +70,7 @@
             notes: RefCell::default(),
             prepared_after: Cell::new(None),
             first_event_after: Cell::new(None),
+            resumed_stream: RefCell::default(),
             events: Cell::new(0),
             status: Cell::new(0),
             outcome: RefCell::new(UNFINISHED_OUTCOME.to_string()),
@@ -83,16 +88,25 @@
         self.config_version.set(config_version);
     }
 
+    /// Sets the stream that the request resumes: the attempt that brought its first event, and the
+    /// last event that the caller has received.
+    pub fn set_resumed_stream(&self, request_id: Option<&str>, last_event_id: u64) {
+        let request_id = request_id.unwrap_or("unnamed");
+        let text = format!("{request_id} after event {last_event_id}");
+        self.resumed_stream.replace(text);
+    }
+
     /// Adds a server that was chosen for an attempt.
     pub fn add_server(&self, choice: &ServerChoice<'_>) {
         let ServerChoice {
             server_id,
+            version,
             load,
             report_age,
             holds_prefix,
         } = choice;
         let age = report_age.map_or("none".to_string(), |age| age.as_millis().to_string());
-        let mut text = format!("{server_id} load={load} report_age_ms={age}");
+        let mut text = format!("{server_id} version={version} load={load} report_age_ms={age}");
         if *holds_prefix {
             text.push_str(" holds_prefix");
         }
@@ -148,6 +162,7 @@
             notes:? = *self.notes.borrow(),
             prepared_ms = millis_or_minus_one(self.prepared_after.get()),
             first_event_ms = millis_or_minus_one(self.first_event_after.get()),
+            resumes = *self.resumed_stream.borrow(),
             events = self.events.get(),
             total_ms = elapsed.as_millis() as u64,
             status = self.status.get(),
--- a/tests/gateway_malformed_messages.rs
+++ b/tests/gateway_malformed_messages.rs
@@ -154,8 +154,8 @@
     empty = { json!({}) },
     other_types = { json!({ "service": 5, "address": [], "slots": "x", "state": null }) },
     unknown_state = { json!({ "service": "app", "address": "127.0.0.1:1", "slots": 1, "state": "resting" }) },
-    no_slots = { json!({ "service": "app", "address": "127.0.0.1:1", "slots": 0, "state": "draining" }) },
-    huge_numbers = { json!({ "service": "app", "address": "127.0.0.1:1", "slots": 4294967295u32,
+    no_slots = { json!({ "service": "app", "address": "127.0.0.1:1", "version": "v1", "slots": 0, "state": "draining" }) },
+    huge_numbers = { json!({ "service": "app", "address": "127.0.0.1:1", "version": "v1", "slots": 4294967295u32,
                              "state": "draining", "coldRemainingMs": 1e300, "born": u64::MAX }) },
 )]
 fn invalid_rows_of_servers_are_skipped(value: serde_json::Value) {
