--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -23,6 +23,8 @@
 pub const ENGINE_SERVICE: &str = "llm";
 /// Service whose backend servers are not model engines.
 pub const PLAIN_SERVICE: &str = "app";
+/// Software version of the backend servers of a new site.
+pub const FIRST_VERSION: &str = "v1";
 /// Value of `chunkTokens` of the engine service: tokens in each event of a stream.
 pub const TOKENS_PER_EVENT: u64 = 9;
 
@@ -34,6 +36,8 @@
     pub proxy: Proxy,
     id: String,
     service: &'static str,
+    /// Version of its software, as in its row.
+    version: &'static str,
 }
 
 /// A gateway, which may be stopped; its addresses stay the same over restarts.
@@ -166,9 +170,9 @@
             config_version: 0,
         };
         for index in 0..2 {
-            let engine = site.start_backend_server(&format!("e-{index}"), ENGINE_SERVICE);
-            site.engines.push(engine);
-            let plain_server = site.start_backend_server(&format!("p-{index}"), PLAIN_SERVICE);
+            site.add_engine(FIRST_VERSION);
+            let id = format!("p-{index}");
+            let plain_server = site.start_backend_server(&id, PLAIN_SERVICE, FIRST_VERSION);
             site.plain_servers.push(plain_server);
         }
         site.configure(default_routes());
@@ -179,7 +183,19 @@
         site
     }
 
-    fn start_backend_server(&self, id: &str, service: &'static str) -> BackendServer {
+    /// Starts and registers another engine, whose software has this version.
+    pub fn add_engine(&mut self, version: &'static str) {
+        let id = format!("e-{}", self.engines.len());
+        let engine = self.start_backend_server(&id, ENGINE_SERVICE, version);
+        self.engines.push(engine);
+    }
+
+    fn start_backend_server(
+        &self,
+        id: &str,
+        service: &'static str,
+        version: &'static str,
+    ) -> BackendServer {
         let listen = format!("{}:0", self.ip);
         let process = Process::start("standin-backend", &["--listen", &listen, "--id", id]);
         let proxy = Proxy::start(self.ip, process.address());
@@ -188,6 +204,7 @@
             proxy,
             id: id.to_string(),
             service,
+            version,
         };
         self.register(&server, "ready");
         server
@@ -195,12 +212,19 @@
 
     /// Writes the row of a backend server with `state`, such as `ready` or `draining`.
     pub fn register(&self, server: &BackendServer, state: &str) {
-        self.register_address(&server.id, server.service, server.proxy.address(), state);
+        self.put_server(
+            &server.id,
+            server.service,
+            server.version,
+            server.proxy.address(),
+            state,
+            1,
+        );
     }
 
     /// Writes the row of a backend server that a test runs itself.
     pub fn register_address(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
-        self.put_server(id, service, address, state, 1);
+        self.put_server(id, service, FIRST_VERSION, address, state, 1);
     }
 
     /// Writes the row of a backend server as after a restart with the same id and address.
@@ -208,15 +232,24 @@
         self.put_server(
             &server.id,
             server.service,
+            server.version,
             server.proxy.address(),
             "ready",
             2,
         );
     }
 
-    fn put_server(&self, id: &str, service: &str, address: SocketAddr, state: &str, born: u64) {
+    fn put_server(
+        &self,
+        id: &str,
+        service: &str,
+        version: &str,
+        address: SocketAddr,
+        state: &str,
+        born: u64,
+    ) {
         let value = json!({
-            "service": service, "address": address, "zone": "d1", "version": "v1", "slots": 16,
+            "service": service, "address": address, "zone": "d1", "version": version, "slots": 16,
             "state": state, "coldRemainingMs": 0, "seq": 0, "born": born,
         });
         let put = json!({ "table": "servers", "key": id, "value": value });
