Keep a stream at the software version that began it

Cause: a gateway knew neither the version of a server nor that of a stream. When it resumed a stream, and when a caller took one up, any server was chosen. Class of fault: state that is needed to continue work (where it began) lived in no place that outlives the process, and was not even part of the decision.

Now the origin of a stream, its service and version, is a constraint of placement. It is in the store before the stream is sent to a server: the transaction that opens a program's account creates the row with the origin of the program's streams, and only a stream that begins elsewhere has a row of its own. A take-up reads these rows, so it is placed right after the kill of all gateways as well. If the origin is unknown or has no server, the take-up is refused at once.

The entry, the other front door, does not have the fault: it sends a turn again only while no token has arrived, and has no take-up.

--- a/src/error.rs
+++ b/src/error.rs
@@ -147,6 +147,8 @@
     RateLimited => 503, "rate_limited", No, SHORT_RETRY_DELAY;
     /// The request has crashed the backend servers that ran it, and would crash the next one.
     CrashesServers => 502, "crashes_servers", No, NO_RETRY;
+    /// The stream cannot be resumed; the request may be sent anew.
+    CannotResume => 503, "cannot_resume", No, NO_RETRY;
 }
 
 macro_rules! causes {
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -9,6 +9,7 @@
 //! - [`budget`] admits turns with the [`ledger`] of the gateway that owns their program;
 //!   [`account`] is the token account of one program. [`history`] stores the turns of
 //!   conversations.
+//! - [`stream_origins`] knows which software version began a stream.
 //! - [`peers`] defines the calls between gateways.
 //! - [`servers`] is the registry of backend servers, each a [`server`] with its load; [`placement`]
 //!   chooses one.
@@ -40,5 +41,6 @@
 pub mod start;
 pub mod store;
 pub mod store_path;
+pub mod stream_origins;
 pub mod watch;
 pub mod writer;
--- a/src/process/gateway/budget.rs
+++ b/src/process/gateway/budget.rs
@@ -20,6 +20,7 @@
 use super::peers::{AdmitRequest, AdmitResponse, AdmitResult, SettleRequest};
 use super::servers::Servers;
 use super::store::{Result, StoreError};
+use super::stream_origins::StreamOrigin;
 use crate::connection::http_client::HttpClient;
 use crate::ids::BackendServerId;
 
@@ -81,6 +82,9 @@
     /// The server that completed the last turn of the program and is likely to have the prefix of
     /// the prompt in its cache; `None` if it is not known.
     pub prefix_holder: Option<BackendServerId>,
+    /// Where the streams of the program begin that have no row of their own; `None` if it is not
+    /// known.
+    pub stream_origin: Option<StreamOrigin>,
 }
 
 /// The answer of the account that admits a turn, at this gateway or at a peer.
@@ -88,6 +92,19 @@
     admission: Admission,
     chain: Option<TurnChain>,
     prefix_holder: Option<BackendServerId>,
+    stream_origin: Option<StreamOrigin>,
+}
+
+/// A turn that asks for admission.
+pub struct TurnAdmission<'a> {
+    /// The turn and the budget of its program.
+    pub turn: TurnBudget,
+    /// The turn that it continues, if there is one with a stored history.
+    pub previous_turn_id: Option<&'a str>,
+    /// Where the turn will begin if it can be resumed later, as far as that can be predicted.
+    pub proposed_origin: Option<StreamOrigin>,
+    /// When the turn must have ended.
+    pub deadline: Instant,
 }
 
 impl AdmissionController {
@@ -113,30 +130,29 @@
         }
     }
 
-    /// Reserves the tokens of a turn that must end by `deadline`. The account owner also returns
-    /// the chain of `previous_turn_id` if it has it cached and this gateway has not.
-    pub async fn reserve(
-        &self,
-        turn: TurnBudget,
-        previous_turn_id: Option<&str>,
-        deadline: Instant,
-    ) -> Result<ReservationOutcome> {
-        let location = self.account_location(&turn.program_id);
+    /// Reserves the tokens of a turn. The account owner also returns the chain of the previous turn
+    /// if it has it cached and this gateway has not.
+    pub async fn reserve(&self, admission: TurnAdmission<'_>) -> Result<ReservationOutcome> {
+        let location = self.account_location(&admission.turn.program_id);
         let answer = match location {
             AccountLocation::Local => None,
-            AccountLocation::Peer(peer) => {
-                self.admit_at_peer(peer, &turn, previous_turn_id, deadline)
-                    .await?
-            }
+            AccountLocation::Peer(peer) => self.admit_at_peer(peer, &admission).await?,
         };
+        let TurnAdmission {
+            turn,
+            proposed_origin,
+            deadline,
+            ..
+        } = admission;
         let (location, answer) = match answer {
             Some(answer) => (location, answer),
             None => {
                 let ledger = &self.shared.ledger;
                 let answer = AccountAnswer {
-                    admission: ledger.admit(&turn, deadline).await?,
+                    admission: ledger.admit(&turn, proposed_origin, deadline).await?,
                     chain: None,
                     prefix_holder: ledger.prefix_holder(&turn.program_id),
+                    stream_origin: ledger.stream_origin(&turn.program_id),
                 };
                 (AccountLocation::Local, answer)
             }
@@ -156,6 +172,7 @@
                     reservation,
                     chain: answer.chain,
                     prefix_holder: answer.prefix_holder,
+                    stream_origin: answer.stream_origin,
                 })))
             }
             Admission::Exceeded { spent_tokens } => {
@@ -180,10 +197,14 @@
     async fn admit_at_peer(
         &self,
         peer: SocketAddr,
-        turn: &TurnBudget,
-        previous_turn_id: Option<&str>,
-        deadline: Instant,
+        admission: &TurnAdmission<'_>,
     ) -> Result<Option<AccountAnswer>> {
+        let TurnAdmission {
+            turn,
+            previous_turn_id,
+            proposed_origin,
+            deadline,
+        } = admission;
         let time_left = deadline.saturating_duration_since(Instant::now());
         let request = AdmitRequest {
             turn: turn.clone(),
@@ -192,6 +213,7 @@
             previous_turn_id: previous_turn_id
                 .filter(|id| self.shared.chains.borrow().get(id).is_none())
                 .map(str::to_string),
+            proposed_origin: *proposed_origin,
         };
         let timeout = (PEER_TIMEOUT + PEER_STORE_TIMEOUT).min(time_left);
         let http = &self.shared.http;
@@ -217,6 +239,7 @@
                     admission,
                     chain: response.chain,
                     prefix_holder: response.prefix_holder.map(BackendServerId::from),
+                    stream_origin: response.stream_origin,
                 })),
                 AdmitResult::StoreUnavailable => Err(StoreError::Outage),
             },
@@ -255,7 +278,9 @@
         let now = Instant::now();
         let deadline = now + Duration::from_millis(request.time_left_ms);
         self.shared.servers.merge_loads(&request.loads, now);
-        let result = match self.shared.ledger.admit(&request.turn, deadline).await {
+        let ledger = &self.shared.ledger;
+        let admission = ledger.admit(&request.turn, request.proposed_origin, deadline);
+        let result = match admission.await {
             Ok(admission) => AdmitResult::Admission(admission),
             Err(error) => {
                 log::debug!(program_id = request.turn.program_id; "failed to admit a turn for a peer: {error}");
@@ -265,12 +290,13 @@
         let chains = self.shared.chains.borrow();
         let previous = request.previous_turn_id;
         let chain = previous.and_then(|previous| chains.get(&previous));
-        let prefix_holder = self.shared.ledger.prefix_holder(&request.turn.program_id);
+        let prefix_holder = ledger.prefix_holder(&request.turn.program_id);
         AdmitResponse {
             result,
             loads: self.shared.servers.shared_loads(Instant::now()),
             chain: chain.map(|chain| (*chain).clone()),
             prefix_holder: prefix_holder.map(|id| id.to_string()),
+            stream_origin: ledger.stream_origin(&request.turn.program_id),
         }
     }
 
--- a/src/process/gateway/ledger.rs
+++ b/src/process/gateway/ledger.rs
@@ -16,7 +16,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::account::{Account, Decision, GrantId};
-use super::store::{Result, Store, StoreError};
+use super::store::{Creation, Result, Store, StoreError};
+use super::stream_origins::{self, StreamOrigin};
 use super::writer::StoreWriter;
 use crate::ids::BackendServerId;
 use crate::process::notify::Notify;
@@ -58,6 +59,9 @@
     rows: RefCell<Vec<(RowKey, u64)>>,
     /// The server that completed the last turn and has the prefix of the next one in its cache.
     prefix_holder: RefCell<Option<BackendServerId>>,
+    /// The origin of the program's streams that have no row of their own, as it is in the store;
+    /// `None` if it is not known.
+    stream_origin: Cell<Option<StreamOrigin>>,
     /// At most one extension of an account is in flight.
     is_extending: Cell<bool>,
     /// Notified when an extension has ended.
@@ -94,8 +98,14 @@
         }
     }
 
-    /// Admits a turn that must end by `deadline`.
-    pub async fn admit(&self, turn: &TurnBudget, deadline: Instant) -> Result<Admission> {
+    /// Admits a turn that must end by `deadline`. If the account is opened for it, the streams of the
+    /// program get `proposed_origin` unless they have one; `None` if the turn cannot be resumed.
+    pub async fn admit(
+        &self,
+        turn: &TurnBudget,
+        proposed_origin: Option<StreamOrigin>,
+        deadline: Instant,
+    ) -> Result<Admission> {
         let program = self.program_state(turn);
         loop {
             let now = Instant::now();
@@ -124,15 +134,13 @@
                 let _ = timer.timeout_at(deadline, changed).await;
                 continue;
             }
-            let program_id = &turn.program_id;
-            self.extend(
-                program_id,
-                &program,
-                needed_tokens,
-                turn.max_tokens,
-                deadline,
-            )
-            .await?;
+            let extension = Extension {
+                added_tokens: needed_tokens,
+                max_tokens: turn.max_tokens,
+                proposed_origin,
+            };
+            self.extend(&turn.program_id, &program, extension, deadline)
+                .await?;
         }
     }
 
@@ -143,6 +151,12 @@
         programs.get(program_id)?.prefix_holder.borrow().clone()
     }
 
+    /// The origin of the program's streams that have no row of their own; `None` if it is not known.
+    pub fn stream_origin(&self, program_id: &str) -> Option<StreamOrigin> {
+        let programs = self.shared.programs.borrow();
+        programs.get(program_id)?.stream_origin.get()
+    }
+
     /// Settles an admitted turn with the tokens it has spent. `completed_by` is the server that
     /// completed the turn, `None` if it did not complete.
     pub fn settle(
@@ -200,6 +214,7 @@
                 account: RefCell::new(Account::new(turn.budget_tokens, Instant::now())),
                 rows: RefCell::default(),
                 prefix_holder: RefCell::default(),
+                stream_origin: Cell::new(None),
                 is_extending: Cell::new(false),
                 changed: Notify::default(),
             })
@@ -222,7 +237,12 @@
         let program = program.clone();
         monoio::spawn(async move {
             let deadline = Instant::now() + BACKGROUND_EXTENSION_TIMEOUT;
-            let extended = ledger.extend(&program_id, &program, tokens, 0, deadline);
+            let extension = Extension {
+                added_tokens: tokens,
+                max_tokens: 0,
+                proposed_origin: None,
+            };
+            let extended = ledger.extend(&program_id, &program, extension, deadline);
             if let Err(error) = extended.await {
                 log::debug!(program_id = program_id;
                     "failed to extend a reservation in the background: {error}");
@@ -230,16 +250,19 @@
         });
     }
 
-    /// Reserves `added_tokens` more tokens, then reads what other gateways have reserved.
-    /// `max_tokens` are those of the turn that waits, 0 if none does.
+    /// Reserves more tokens, then reads what other gateways have reserved.
     async fn extend(
         &self,
         program_id: &str,
         program: &Rc<ProgramState>,
-        added_tokens: u64,
-        max_tokens: u64,
+        extension: Extension,
         deadline: Instant,
     ) -> Result<()> {
+        let Extension {
+            added_tokens,
+            max_tokens,
+            proposed_origin,
+        } = extension;
         let _guard = ExtensionGuard::start(program);
         let mut pending = PendingRow {
             writer: &self.shared.writer,
@@ -248,7 +271,14 @@
         };
         let row = pending.row.clone();
         let write = encode_row(row.clone(), added_tokens);
-        self.shared.writer.write_once(write, deadline).await?;
+        let proposed_origin = proposed_origin.filter(|_| program.stream_origin.get().is_none());
+        match proposed_origin {
+            Some(origin) => {
+                self.write_with_origin(program_id, program, write, origin, deadline)
+                    .await?;
+            }
+            None => self.shared.writer.write_once(write, deadline).await?,
+        }
         let store = &self.shared.store;
         let read = store.read_all(TABLE, &row.partition, "", deadline);
         let page = read.await?;
@@ -269,6 +299,31 @@
         Ok(())
     }
 
+    /// Writes a spending row, and with it the origin of the program's streams if they have none.
+    async fn write_with_origin(
+        &self,
+        program_id: &str,
+        program: &ProgramState,
+        write: RowWrite,
+        origin: StreamOrigin,
+        deadline: Instant,
+    ) -> Result<()> {
+        let origin_row = stream_origins::program_row(program_id, origin);
+        let spending_row = std::slice::from_ref(&write);
+        let store = &self.shared.store;
+        match store.create(origin_row, spending_row, deadline).await? {
+            Creation::Created => {
+                program.stream_origin.set(Some(origin));
+                Ok(())
+            }
+            Creation::Exists(value) => {
+                let known = stream_origins::decode_program_origin(&value);
+                program.stream_origin.set(known);
+                self.shared.writer.write_once(write, deadline).await
+            }
+        }
+    }
+
     /// Overwrites the rows of an account, the newest first, so that they reserve `unused_tokens`
     /// less.
     fn return_tokens(&self, program: &ProgramState, mut unused_tokens: u64) {
@@ -300,6 +355,15 @@
     }
 }
 
+/// An extension of the reservation of an account.
+struct Extension {
+    added_tokens: u64,
+    /// The most tokens of the turn that waits, 0 if none does.
+    max_tokens: u64,
+    /// The origin of the program's streams if they have none yet.
+    proposed_origin: Option<StreamOrigin>,
+}
+
 /// A row that may become durable even if its write fails or is cancelled. Dropping it sets the row
 /// to 0 tokens unless the account counts them.
 struct PendingRow<'a> {
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -21,6 +21,7 @@
 use super::rate_limits::{AllowanceRequest, AllowanceResponse};
 use super::server::RateLimitReport;
 use super::servers::{LeavingServer, SharedLoad};
+use super::stream_origins::StreamOrigin;
 use crate::connection::body::Body;
 
 /// Path prefix of relayed store calls; the path of the store follows.
@@ -97,6 +98,10 @@
     /// The turn that this one continues; `None` if there is none, or if the requesting gateway has
     /// its chain cached.
     pub previous_turn_id: Option<TurnId>,
+    /// Where the streams of the program begin, unless that is known already. Appended to the message
+    /// like the notices.
+    #[serde(skip)]
+    pub proposed_origin: Option<StreamOrigin>,
 }
 
 /// The response to an [`AdmitRequest`].
@@ -111,6 +116,10 @@
     pub chain: Option<TurnChain>,
     /// The id of the server that completed the last turn of the program; `None` if it is not known.
     pub prefix_holder: Option<String>,
+    /// Where the streams of the program begin that have no row of their own; `None` if it is not
+    /// known. Appended to the message like the notices.
+    #[serde(skip)]
+    pub stream_origin: Option<StreamOrigin>,
 }
 
 /// The result of an admission at a peer.
@@ -169,6 +178,8 @@
 
 /// Encodes a message followed by notices.
 ///
+/// Further fields may follow.
+///
 /// They are appended, not a field, because gateways of earlier builds ignore what follows the
 /// message and send none, or only the first lists.
 fn with_notices(message: &impl Serialize, notices: &ServerNotices) -> Bytes {
@@ -182,17 +193,24 @@
 }
 
 fn split_notices<T: DeserializeOwned>(body: &[u8]) -> Option<(T, ServerNotices)> {
+    let (message, notices, _) = split_message(body)?;
+    Some((message, notices))
+}
+
+/// Decodes a message, the notices and what follows them.
+fn split_message<T: DeserializeOwned>(body: &[u8]) -> Option<(T, ServerNotices, &[u8])> {
     let (message, rest) = postcard::take_from_bytes(body).ok()?;
     let (leaving, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
     let (rate_limits, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
     let (crash_reports, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+    let (loads, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
     let notices = ServerNotices {
         leaving,
         rate_limits,
         crash_reports,
-        loads: postcard::from_bytes(rest).unwrap_or_default(),
+        loads,
     };
-    Some((message, notices))
+    Some((message, notices, rest))
 }
 
 fn post_with_notices(
@@ -264,7 +282,16 @@
 impl AdmitRequest {
     /// Encodes the HTTP request to a peer, with what this gateway has heard from servers.
     pub fn encode(&self, notices: &ServerNotices) -> Request<Bytes> {
-        post_with_notices(ADMIT_PATH, self, notices)
+        let mut request = post_with_notices(ADMIT_PATH, self, notices);
+        let body = request.body_mut();
+        *body = with_origin(body, self.proposed_origin);
+        request
+    }
+
+    fn decode(body: &[u8]) -> Option<(Self, ServerNotices)> {
+        let (mut request, notices, rest) = split_message::<Self>(body)?;
+        request.proposed_origin = postcard::from_bytes(rest).unwrap_or_default();
+        Some((request, notices))
     }
 }
 
@@ -278,17 +305,28 @@
 impl AdmitResponse {
     /// Encodes the HTTP response to a peer, with what this gateway has heard from servers.
     pub fn encode(&self, notices: &ServerNotices) -> Response<Body> {
-        Response::new(Body::full(with_notices(self, notices)))
+        let body = with_notices(self, notices);
+        Response::new(Body::full(with_origin(&body, self.stream_origin)))
     }
 
     /// Decodes the response of a peer and what the peer has heard from servers; `None` if the
     /// status is not 200 or the body is malformed.
     pub fn decode(response: &Response<Bytes>) -> Option<(Self, ServerNotices)> {
+        let body = response.body();
         let is_ok = response.status() == StatusCode::OK;
-        is_ok.then(|| split_notices(response.body()))?
+        let (mut answer, notices, rest) = is_ok.then(|| split_message::<Self>(body))??;
+        answer.stream_origin = postcard::from_bytes(rest).unwrap_or_default();
+        Some((answer, notices))
     }
 }
 
+/// Appends an origin to a message with notices. Gateways of earlier builds ignore it.
+fn with_origin(body: &[u8], origin: Option<StreamOrigin>) -> Bytes {
+    // The encoding of this type cannot fail.
+    let origin = postcard::to_stdvec(&origin).unwrap_or_default();
+    Bytes::from([body, &origin].concat())
+}
+
 /// A decoded call of another gateway.
 pub enum PeerCall {
     /// A store call to relay.
@@ -308,7 +346,7 @@
 /// Decodes a call of another gateway; `None` if the path is unknown or the message is malformed.
 pub fn decode_call(request: Request<Bytes>) -> Option<PeerCall> {
     match request.uri().path() {
-        ADMIT_PATH => split_notices(request.body())
+        ADMIT_PATH => AdmitRequest::decode(request.body())
             .map(|(request, notices)| PeerCall::Admit(request, notices)),
         GOSSIP_PATH => split_notices(request.body())
             .map(|(request, notices)| PeerCall::Gossip(request, notices)),
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -32,6 +32,7 @@
 use super::settings::GatewaySettings;
 use super::start;
 use super::store::Store;
+use super::stream_origins::StreamOrigins;
 use super::watch::{TableChange, watch_table};
 use super::writer::StoreWriter;
 use crate::connection::body::Body;
@@ -108,6 +109,8 @@
     pub budgets: AdmissionController,
     /// Reads and writes the turns of conversations.
     pub history: History,
+    /// Reads and writes which software version began a stream.
+    pub stream_origins: StreamOrigins,
     /// Registry of the backend servers.
     pub servers: Rc<Servers>,
     /// Keeps the request rates that backend servers limit.
@@ -324,6 +327,7 @@
             budgets,
             http,
             history,
+            stream_origins: StreamOrigins::new(store.clone(), writer.clone()),
             servers,
             rate_limits,
             directory,
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -15,6 +15,7 @@
 use super::allowance::{REQUEST_CLASSES, RequestClass};
 use super::crash_reports::CrashId;
 use super::placement::LoadPermille;
+use super::stream_origins::{StreamOrigin, stream_origin};
 use crate::ids::BackendServerId;
 use crate::process::breaker::CircuitBreaker;
 use crate::process::slots::placement::rendezvous_weight;
@@ -227,6 +228,12 @@
         self.record.borrow().version.clone()
     }
 
+    /// Where a stream begins that this server runs.
+    pub fn stream_origin(&self) -> StreamOrigin {
+        let record = self.record.borrow();
+        stream_origin(&record.service, &record.version)
+    }
+
     /// The failure domain of the server; empty if it named none.
     pub fn failure_domain(&self) -> String {
         self.record.borrow().failure_domain.clone()
--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -17,7 +17,7 @@
 use rand::Rng;
 use sapphireford_platform::FormatError;
 use sapphireford_platform::store::{
-    self as format, RowKey, RowPage, RowWrite, StoreAnswer, TransactionAnswer,
+    self as format, RowCondition, RowKey, RowPage, RowWrite, StoreAnswer, TransactionAnswer,
 };
 
 use super::peers;
@@ -82,6 +82,16 @@
     }
 }
 
+/// The outcome of [`Store::create`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Creation {
+    /// The row is new, and the others are written.
+    Created,
+    /// The row exists with this value, so nothing is written. A call whose response was lost may
+    /// have created it.
+    Exists(Bytes),
+}
+
 /// Longest response read from the store. The store itself limits a page to 1 MB before encoding.
 const ANSWER_LIMIT_BYTES: usize = 4 << 20;
 /// Timeout of a call on one path, without the time for which a feed call waits for changes.
@@ -189,6 +199,32 @@
         }
     }
 
+    /// Creates a row unless it exists, and writes other rows of its partition, in one transaction.
+    pub async fn create(
+        &self,
+        new_row: RowWrite,
+        others: &[RowWrite],
+        deadline: Instant,
+    ) -> Result<Creation> {
+        let condition = RowCondition {
+            row: new_row.row.clone(),
+            version: 0,
+        };
+        let key = new_row.row.key.clone();
+        let writes = [&[new_row], others].concat();
+        let request = format::transaction_request(&[condition], &writes)?;
+        let response = self.call(request, Duration::ZERO, deadline).await?;
+        match format::decode_transaction(&response)? {
+            TransactionAnswer::Committed(_) => Ok(Creation::Created),
+            TransactionAnswer::Refused(status) => Err(StoreError::Refused(status)),
+            TransactionAnswer::ConditionFailed(rows) => {
+                let existing = rows.into_iter().find(|row| row.key == key);
+                let value = existing.and_then(|row| row.value);
+                Ok(Creation::Exists(value.unwrap_or_default()))
+            }
+        }
+    }
+
     /// Reads one row; `None` if it does not exist.
     pub async fn read_row(&self, row: &RowKey, deadline: Instant) -> Result<Option<Bytes>> {
         let request = format::read_row_request(row)?;
--- a/src/request/gateway.rs
+++ b/src/request/gateway.rs
@@ -3,13 +3,15 @@
 //!
 //! [`dispatch`] looks up the route of a request. For streams, [`turn`] reserves the tokens of the
 //! turn and prepends the conversation history to its input. [`forward`] sends the request to a
-//! backend server and asks [`retry`] what to do after a failed attempt. [`stream`] forwards the
+//! backend server, by [`origin`] only to one whose events fit together with those that the caller
+//! has, and asks [`retry`] what to do after a failed attempt. [`stream`] forwards the
 //! events of a stream to the caller and resumes a broken stream at another server. [`refusal`]
 //! builds the response to a request that fails in the gateway. [`record`] collects the log line and
 //! the metrics of each request.
 
 pub mod dispatch;
 pub mod forward;
+pub mod origin;
 pub mod record;
 pub mod refusal;
 pub mod retry;
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -11,14 +11,16 @@
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
 use super::forward::{RequestForwarder, ServerResponse};
+use super::origin::OriginConstraint;
 use super::record::RequestRecord;
 use super::refusal;
 use super::retry::AttemptCounts;
 use super::stream::StreamTask;
-use super::turn::{self, PreparedTurn};
+use super::turn::{self, UnsavedTurn};
 use crate::connection::body::Body;
 use crate::connection::http_server::{CallerAddress, Handler};
 use crate::error::{Error, ErrorKind, Result};
+use crate::process::gateway::budget::Reservation;
 use crate::process::gateway::fingerprint::RequestIdentity;
 use crate::process::gateway::running::Gateway;
 use crate::process::task;
@@ -55,20 +57,20 @@
         }
         let deadline = deadline(&route, &call, record.started_at());
         let (head, input) = request.into_parts();
-        let is_stream = matches!(route.kind, RouteKind::Stream | RouteKind::ResumableStream);
-        let prepared = if is_stream {
-            let prepared = turn::prepare(&self.gateway, &route, &call, input, deadline).await?;
-            record.mark_prepared();
-            prepared
-        } else {
-            PreparedTurn {
-                body: input,
-                reservation: None,
-                prefix_holder: None,
-                unsaved_turn: None,
+        let last_event_id = call.last_event_id;
+        let origins = &self.gateway.stream_origins;
+        let origin = match (route.kind, last_event_id) {
+            (RouteKind::ResumableStream, None) => OriginConstraint::for_new_stream(&call),
+            (RouteKind::ResumableStream, Some(_)) => {
+                OriginConstraint::for_resumed_stream(&call, origins, deadline).await?
+            }
+            (RouteKind::Stream, Some(_)) => {
+                let message = "streams of this route cannot be resumed; send the request without \
+                               `Last-Event-Id` to begin it anew";
+                return Err(Error::new(ErrorKind::CannotResume, message));
             }
+            _ => OriginConstraint::default(),
         };
-        let last_event_id = call.last_event_id;
         let mut forwarder = RequestForwarder {
             gateway: self.gateway.clone(),
             routes,
@@ -77,15 +79,24 @@
             caller_headers: head.headers,
             method: head.method,
             uri: head.uri,
-            body: prepared.body,
+            body: input,
             deadline,
-            prefix_holder: prepared.prefix_holder,
+            prefix_holder: None,
+            origin,
             record: record.clone(),
             attempts: AttemptCounts::default(),
             identity,
             attempt_started_at: record.started_at(),
             tried_servers: Vec::new(),
         };
+        let is_stream = matches!(
+            forwarder.route.kind,
+            RouteKind::Stream | RouteKind::ResumableStream
+        );
+        let (reservation, unsaved_turn) = match is_stream {
+            true => self.prepare_turn(&mut forwarder).await?,
+            false => (None, None),
+        };
         match forwarder.send(last_event_id).await? {
             ServerResponse::Buffered(response) => {
                 let (head, body) = response.into_parts();
@@ -99,8 +110,8 @@
                     forwarder,
                     upstream,
                     sender,
-                    reservation: prepared.reservation,
-                    unsaved_turn: prepared.unsaved_turn,
+                    reservation,
+                    unsaved_turn,
                     last_event_id,
                     output: Vec::new(),
                 };
@@ -109,6 +120,31 @@
             }
         }
     }
+
+    /// Reserves the tokens of a turn and completes its request with the history of the conversation.
+    async fn prepare_turn(
+        &self,
+        forwarder: &mut RequestForwarder,
+    ) -> Result<(Option<Reservation>, Option<UnsavedTurn>)> {
+        let is_new = forwarder.call.last_event_id.is_none();
+        let may_be_resumed = is_new && forwarder.route.kind == RouteKind::ResumableStream;
+        let proposed_origin = may_be_resumed.then(|| forwarder.predict_origin()).flatten();
+        let input = std::mem::take(&mut forwarder.body);
+        let prepared = turn::prepare(
+            &self.gateway,
+            &forwarder.route,
+            &forwarder.call,
+            input,
+            proposed_origin,
+            forwarder.deadline,
+        );
+        let prepared = prepared.await?;
+        forwarder.record.mark_prepared();
+        forwarder.body = prepared.body;
+        forwarder.prefix_holder = prepared.prefix_holder;
+        forwarder.origin.program_origin = prepared.stream_origin;
+        Ok((prepared.reservation, prepared.unsaved_turn))
+    }
 }
 
 impl Handler for GatewayDispatcher {
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -15,8 +15,9 @@
 use rand::Rng;
 use sapphireford_platform::answer::{self, AnswerHeaders};
 use sapphireford_platform::headers::{self, CallHeaders, Forwarding, REQUEST_ID};
-use sapphireford_platform::operator::{RouteKind, RouteRecord};
+use sapphireford_platform::operator::{RouteKind, RouteRecord, RouteTarget};
 
+use super::origin::OriginConstraint;
 use super::record::{RequestRecord, ServerChoice};
 use super::retry::{self, AttemptCounts, AttemptFailure, RetryDecision};
 use crate::connection::http_client::ClientError;
@@ -25,9 +26,10 @@
 use crate::process::gateway::allowance::{ProgramStage, RequestClass, request_class};
 use crate::process::gateway::crash_reports::Crash;
 use crate::process::gateway::fingerprint::RequestIdentity;
-use crate::process::gateway::placement::{self, Prefix};
+use crate::process::gateway::placement::{self, LoadPermille, Prefix};
 use crate::process::gateway::running::Gateway;
 use crate::process::gateway::server::{InFlightGuard, Server};
+use crate::process::gateway::stream_origins::StreamOrigin;
 use crate::process::slots::placement::hash_bytes;
 use crate::version::route_table::{RouteTable, choose_target};
 
@@ -62,6 +64,8 @@
     pub deadline: Instant,
     /// The server that has the prefix of the prompt in its cache, if known.
     pub prefix_holder: Option<BackendServerId>,
+    /// Keeps a stream at the software version that began it.
+    pub origin: OriginConstraint,
     /// Collects the log line and the metrics of the request.
     pub record: Rc<RequestRecord>,
     /// Counts of the failed attempts so far.
@@ -93,6 +97,12 @@
     Stream(Parts, ServerStream),
 }
 
+/// A server that placement has selected, and the load that it estimated.
+struct SelectedServer {
+    server: Rc<Server>,
+    load: LoadPermille,
+}
+
 /// The outcome of one attempt at one server.
 enum AttemptOutcome {
     Answered(ServerResponse),
@@ -113,6 +123,12 @@
             let Some(server) = self.choose_permitted_server().await else {
                 return Err(self.no_server_error());
             };
+            if let Err(error) = self.record_origin(&server).await {
+                return Err(match self.attempts.may_have_run {
+                    true => in_doubt_error(&error.message),
+                    false => error,
+                });
+            }
             self.attempt_started_at = Instant::now();
             let time_left = self
                 .deadline
@@ -148,6 +164,13 @@
         }
     }
 
+    /// Makes known where a new stream may begin, before it is sent to a server.
+    async fn record_origin(&mut self, server: &Server) -> Result<()> {
+        let origins = &self.gateway.stream_origins;
+        let origin = server.stream_origin();
+        self.origin.record(origin, origins, self.deadline).await
+    }
+
     fn record_failed_attempt(&mut self, failure: AttemptFailure) -> RetryDecision {
         self.attempts
             .record_failed_attempt(failure, self.route.kind, self.route.max_attempts)
@@ -169,10 +192,45 @@
         }
     }
 
-    /// Chooses an untried server of one of the route's services, which is drawn by weight.
+    /// Where the request is likely to begin; `None` if no server takes it.
+    pub fn predict_origin(&self) -> Option<StreamOrigin> {
+        let choice = self.select_server()?;
+        Some(choice.server.stream_origin())
+    }
+
+    /// Chooses an untried server, and adds the choice to the record.
     fn choose_server(&self) -> Option<Rc<Server>> {
-        let random_fraction = rand::rng().random::<f64>();
-        let target = choose_target(&self.route.targets, random_fraction)?;
+        let SelectedServer { server, load } = self.select_server()?;
+        let report_age = server.reported_load(Instant::now()).map(|(_, age)| age);
+        self.record.add_server(&ServerChoice {
+            server_id: &server.id,
+            version: &server.version(),
+            load,
+            report_age,
+            holds_prefix: self.prefix_holder.as_ref() == Some(&server.id),
+        });
+        Some(server)
+    }
+
+    /// The service that gets the request: that which began the stream, if the caller has events of
+    /// it, otherwise one of the route's services, drawn by weight.
+    fn select_target(&self) -> Option<&RouteTarget> {
+        let targets = &self.route.targets;
+        let Some(required) = self.origin.required() else {
+            return choose_target(targets, rand::rng().random::<f64>());
+        };
+        let began_stream = |target: &&RouteTarget| {
+            let servers = self.gateway.servers.for_service(&target.service);
+            servers
+                .iter()
+                .any(|server| server.stream_origin() == required)
+        };
+        targets.iter().find(began_stream)
+    }
+
+    /// Selects an untried server that the stream may be sent to.
+    fn select_server(&self) -> Option<SelectedServer> {
+        let target = self.select_target()?;
         let service = self.routes.service(&target.service);
         let gateways = self.gateway.directory.live_count();
         let connections = service.map_or(u32::MAX, |service| service.max_connections);
@@ -180,13 +238,18 @@
         let servers = self.gateway.servers.for_service(&target.service);
         let now = Instant::now();
         let is_engine = service.is_some_and(|service| service.engine.is_some());
+        let can_record_origin = self.gateway.stream_origins.can_record();
         let mut is_rate_limited = false;
         let candidates = servers.iter().map(|server| {
             let registry = &self.gateway.servers;
             let mut candidate = registry.candidate(server, connection_limit, now);
             let is_exhausted = server.is_exhausted(self.class_at(server), now);
             is_rate_limited |= is_exhausted;
-            candidate.is_eligible &= self.is_untried(server) && !is_exhausted;
+            let fits = || {
+                self.origin
+                    .allows(server.stream_origin(), can_record_origin)
+            };
+            candidate.is_eligible &= self.is_untried(server) && !is_exhausted && fits();
             candidate
         });
         let mut candidates: Vec<_> = candidates.collect();
@@ -203,15 +266,10 @@
         } else {
             placement::select_by_load(rand::rng().random(), &candidates)
         }?;
-        let report_age = servers[chosen].reported_load(now).map(|(_, age)| age);
-        self.record.add_server(&ServerChoice {
-            server_id: &servers[chosen].id,
-            version: &servers[chosen].version(),
+        Some(SelectedServer {
+            server: servers[chosen].clone(),
             load: candidates[chosen].load,
-            report_age,
-            holds_prefix: self.prefix_holder.as_ref() == Some(&servers[chosen].id),
-        });
-        Some(servers[chosen].clone())
+        })
     }
 
     /// The class of this request at a server with a rate limit.
@@ -427,6 +485,17 @@
         }
     }
 
+    /// Whether the stream must continue at a software version that no server in service has.
+    fn is_origin_gone(&self) -> bool {
+        let Some(required) = self.origin.required() else {
+            return false;
+        };
+        let registry = &self.gateway.servers;
+        let targets = self.route.targets.iter();
+        let mut servers = targets.flat_map(|target| registry.for_service(&target.service));
+        !servers.any(|server| server.stream_origin() == required && registry.is_in_service(&server))
+    }
+
     fn deadline_error(&self) -> Error {
         if self.attempts.may_have_run {
             let message = "the request was not answered before its deadline";
@@ -440,6 +509,10 @@
     fn no_server_error(&self) -> Error {
         if self.attempts.may_have_run {
             in_doubt_error("no other backend server accepts requests")
+        } else if self.is_origin_gone() {
+            let message = "no server of the software version that began the stream is in service; \
+                           send the request without `Last-Event-Id` to begin it anew";
+            Error::new(ErrorKind::CannotResume, message)
         } else if let Some(delay) = self.schedule_return() {
             let message = "the backend servers of the route limit their request rates, and the \
                            limits are used up; retry later";
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -2,7 +2,8 @@
 //!
 //! Events of resumable streams are numbered. After a resumption, events that the caller already has
 //! are skipped, and a gap in the numbers counts as a failure of the server, so the caller receives
-//! each event once and in order.
+//! each event once and in order. It is resumed only at a server of the software version that began
+//! it, because the output of two versions does not fit together.
 
 use std::pin::pin;
 use std::time::{Duration, Instant};
@@ -134,6 +135,8 @@
             }
         }
         self.last_event_id = event.id.or(self.last_event_id);
+        let origin = self.upstream.server.stream_origin();
+        self.forwarder.origin.require(origin);
         if let Some(reservation) = &self.reservation {
             reservation.spend(self.tokens_per_event);
         }
--- a/src/request/gateway/turn.rs
+++ b/src/request/gateway/turn.rs
@@ -10,11 +10,14 @@
 
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::BackendServerId;
-use crate::process::gateway::budget::{AdmittedTurn, Reservation, ReservationOutcome};
+use crate::process::gateway::budget::{
+    AdmittedTurn, Reservation, ReservationOutcome, TurnAdmission,
+};
 use crate::process::gateway::history::{Lookup, TurnChain};
 use crate::process::gateway::ledger::TurnBudget;
 use crate::process::gateway::running::Gateway;
 use crate::process::gateway::store::StoreError;
+use crate::process::gateway::stream_origins::StreamOrigin;
 
 /// A turn that is ready to be sent to a server.
 pub struct PreparedTurn {
@@ -24,6 +27,9 @@
     pub reservation: Option<Reservation>,
     /// The server that has the prefix of the prompt in its cache, if known.
     pub prefix_holder: Option<BackendServerId>,
+    /// Where the streams of the program begin that have no row of their own; `None` if it is not
+    /// known.
+    pub stream_origin: Option<StreamOrigin>,
     /// What to save when the turn is complete; `None` if the route keeps no history or the request
     /// has no id.
     pub unsaved_turn: Option<UnsavedTurn>,
@@ -52,6 +58,7 @@
     route: &RouteRecord,
     headers: &CallHeaders,
     input: Bytes,
+    proposed_origin: Option<StreamOrigin>,
     deadline: Instant,
 ) -> Result<PreparedTurn> {
     let budget = turn_budget(headers);
@@ -60,14 +67,21 @@
     }
     let previous = headers.previous_turn_id.as_deref();
     let previous = previous.filter(|_| route.has_stored_history);
-    let admitted = reserve_budget(gateway, budget, previous, deadline).await?;
-    let (reservation, owner_chain, prefix_holder) = match admitted {
+    let admission = budget.map(|turn| TurnAdmission {
+        turn,
+        previous_turn_id: previous,
+        proposed_origin,
+        deadline,
+    });
+    let admitted = reserve_budget(gateway, admission).await?;
+    let (reservation, owner_chain, prefix_holder, stream_origin) = match admitted {
         Some(admitted) => (
             Some(admitted.reservation),
             admitted.chain,
             admitted.prefix_holder,
+            admitted.stream_origin,
         ),
-        None => (None, None, None),
+        None => (None, None, None, None),
     };
     let chain = match owner_chain {
         Some(chain) => Some(Rc::new(chain)),
@@ -91,6 +105,7 @@
         body,
         reservation,
         prefix_holder,
+        stream_origin,
         unsaved_turn,
     })
 }
@@ -106,16 +121,13 @@
 
 async fn reserve_budget(
     gateway: &Gateway,
-    budget: Option<TurnBudget>,
-    previous_turn_id: Option<&str>,
-    deadline: Instant,
+    admission: Option<TurnAdmission<'_>>,
 ) -> Result<Option<Box<AdmittedTurn>>> {
-    let Some(budget) = budget else {
+    let Some(admission) = admission else {
         return Ok(None);
     };
-    let budget_tokens = budget.budget_tokens;
-    let budgets = &gateway.budgets;
-    match budgets.reserve(budget, previous_turn_id, deadline).await {
+    let budget_tokens = admission.turn.budget_tokens;
+    match gateway.budgets.reserve(admission).await {
         Ok(ReservationOutcome::Reserved(admitted)) => Ok(Some(admitted)),
         Ok(ReservationOutcome::Exceeded { spent_tokens }) => {
             let message =
--- a/tests/gateway_stream_versions.rs
+++ b/tests/gateway_stream_versions.rs
@@ -209,8 +209,9 @@
     for program in &programs {
         turn(&new_request_id(), program).run(&site.gateways[0]);
     }
-    let first_version = [0, 1].map(|index| &site.engines[index]);
-    first_version.map(|engine| site.register(engine, "draining"));
+    for engine in &site.engines {
+        site.register(engine, "draining");
+    }
     site.add_engine("v2");
     site.add_engine("v2");
     thread::sleep(REGISTRATION_TIME);
