Refuse to resume a turn that is stored

A stored turn lacked the events before it was taken up, on a route that is resumable and has a stored history: the gateway that continues the stream has only the events from there on.

The take-up is refused at once, as the turn must be stored whole; the caller can begin it anew. gateway_stream_versions::a_turn_is_not_stored_without_the_events_ before_it_was_taken_up failed before and passes now.

--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -59,18 +59,7 @@
         let (head, input) = request.into_parts();
         let last_event_id = call.last_event_id;
         let origins = &self.gateway.stream_origins;
-        let origin = match (route.kind, last_event_id) {
-            (RouteKind::ResumableStream, None) => OriginConstraint::for_new_stream(&call),
-            (RouteKind::ResumableStream, Some(_)) => {
-                OriginConstraint::for_resumed_stream(&call, origins, deadline).await?
-            }
-            (RouteKind::Stream, Some(_)) => {
-                let message = "streams of this route cannot be resumed; send the request without \
-                               `Last-Event-Id` to begin it anew";
-                return Err(Error::new(ErrorKind::CannotResume, message));
-            }
-            _ => OriginConstraint::default(),
-        };
+        let origin = OriginConstraint::new(&route, &call, origins, deadline).await?;
         let mut forwarder = RequestForwarder {
             gateway: self.gateway.clone(),
             routes,
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -17,7 +17,7 @@
 use sapphireford_platform::headers::{self, CallHeaders, Forwarding, REQUEST_ID};
 use sapphireford_platform::operator::{RouteKind, RouteRecord, RouteTarget};
 
-use super::origin::OriginConstraint;
+use super::origin::{self, OriginConstraint};
 use super::record::{RequestRecord, ServerChoice};
 use super::retry::{self, AttemptCounts, AttemptFailure, RetryDecision};
 use crate::connection::http_client::ClientError;
@@ -510,9 +510,8 @@
         if self.attempts.may_have_run {
             in_doubt_error("no other backend server accepts requests")
         } else if self.is_origin_gone() {
-            let message = "no server of the software version that began the stream is in service; \
-                           send the request without `Last-Event-Id` to begin it anew";
-            Error::new(ErrorKind::CannotResume, message)
+            let reason = "no server of the software version that began the stream is in service";
+            origin::cannot_resume_error(reason)
         } else if let Some(delay) = self.schedule_return() {
             let message = "the backend servers of the route limit their request rates, and the \
                            limits are used up; retry later";
--- a/src/request/gateway/origin.rs
+++ b/src/request/gateway/origin.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use sapphireford_platform::headers::CallHeaders;
+use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
 use crate::error::{Error, ErrorKind, Result};
 use crate::process::gateway::store::StoreError;
@@ -22,8 +23,31 @@
 }
 
 impl OriginConstraint {
+    /// The constraint of a request. Fails if the request resumes a stream that cannot be resumed.
+    pub async fn new(
+        route: &RouteRecord,
+        call: &CallHeaders,
+        origins: &StreamOrigins,
+        deadline: Instant,
+    ) -> Result<Self> {
+        match (route.kind, call.last_event_id) {
+            (RouteKind::ResumableStream, None) => Ok(Self::for_new_stream(call)),
+            // Without the events that the caller has, the turn would be stored in part.
+            (RouteKind::ResumableStream, Some(_)) if route.has_stored_history => {
+                Err(cannot_resume_error("turns of this route are stored whole"))
+            }
+            (RouteKind::ResumableStream, Some(_)) => {
+                Self::for_resumed_stream(call, origins, deadline).await
+            }
+            (RouteKind::Stream, Some(_)) => Err(cannot_resume_error(
+                "streams of this route cannot be resumed",
+            )),
+            _ => Ok(Self::default()),
+        }
+    }
+
     /// The constraint of a new stream that may be resumed later.
-    pub fn for_new_stream(call: &CallHeaders) -> Self {
+    fn for_new_stream(call: &CallHeaders) -> Self {
         let request_id = call.request_id.as_deref();
         Self {
             stream: request_id.map(|id| StreamKey::new(account_program(call), id)),
@@ -32,7 +56,7 @@
     }
 
     /// Reads where the stream began that a caller takes up, and fails if that is unknown.
-    pub async fn for_resumed_stream(
+    async fn for_resumed_stream(
         call: &CallHeaders,
         origins: &StreamOrigins,
         deadline: Instant,
@@ -48,9 +72,8 @@
                 ..Self::default()
             }),
             Ok(None) => {
-                let message = "it is not known which software version began the stream; send the \
-                               request without `Last-Event-Id` to begin it anew";
-                Err(Error::new(ErrorKind::CannotResume, message))
+                let reason = "it is not known which software version began the stream";
+                Err(cannot_resume_error(reason))
             }
             Err(error) => Err(unknown_origin_error(error)),
         }
@@ -103,6 +126,13 @@
     }
 }
 
+/// The error for a stream that cannot be resumed.
+pub fn cannot_resume_error(reason: &str) -> Error {
+    let message =
+        format!("{reason}; send the request without `Last-Event-Id` to begin the stream anew");
+    Error::new(ErrorKind::CannotResume, message)
+}
+
 /// The program of a request, if it has an account.
 fn account_program(call: &CallHeaders) -> Option<&str> {
     let program = call.program.as_ref()?;
