--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -8,10 +8,12 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use indexmap::IndexMap;
+use sapphireford_platform::store::SERVER_TABLE;
 use serde_json::{Value, json};
 
 use super::process::Process;
-use super::proxy::Proxy;
+use super::proxy::{Proxy, ProxyMode};
 use super::site::next_ip;
 use super::{HttpRequest, wait_until};
 
@@ -23,6 +25,8 @@
 pub const ENGINE_SERVICE: &str = "llm";
 /// Service whose backend servers are not model engines.
 pub const PLAIN_SERVICE: &str = "app";
+/// Failure domain of the backend servers, and of the gateways unless a test names others.
+const DEFAULT_DOMAIN: &str = "d1";
 /// Software version of the backend servers of a new site.
 pub const FIRST_VERSION: &str = "v1";
 /// Value of `chunkTokens` of the engine service: tokens in each event of a stream.
@@ -45,6 +49,10 @@
     process: Option<Process>,
     settings_path: PathBuf,
     ip: Ipv4Addr,
+    /// Proxies between this gateway and each backend server, by the id of the server; empty if it
+    /// shares the proxies of the servers with the other gateways.
+    pub server_proxies: IndexMap<String, Proxy>,
+    failure_domain: String,
     /// Proxy between this gateway and the store; its address is `store_address` in the settings.
     pub store_proxy: Proxy,
 }
@@ -97,9 +105,11 @@
         answer.is_ok_and(|answer| answer.status == 200)
     }
 
-    /// Resolves [`HOST`] at the directory of this gateway; empty if that fails.
+    /// Resolves [`HOST`] at the directory of this gateway, for its failure domain; empty if that
+    /// fails.
     pub fn lookup(&self) -> Vec<SocketAddr> {
-        let path = format!("/resolve?name={HOST}&region=r&zone=d1");
+        let domain = &self.failure_domain;
+        let path = format!("/resolve?name={HOST}&region=r&zone={domain}");
         let answer = HttpRequest::get(&path).send(self.directory_address());
         let Ok(answer) = answer else {
             return Vec::new();
@@ -126,6 +136,25 @@
         process.terminate();
     }
 
+    /// Sets the mode of the connections between this gateway and all backend servers.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the gateway has no proxies of its own.
+    pub fn set_server_paths(&self, mode: ProxyMode) {
+        assert!(!self.server_proxies.is_empty(), "no proxies of its own");
+        let proxies = self.server_proxies.values();
+        proxies.for_each(|proxy| proxy.set_mode(mode));
+    }
+
+    /// Name of the table from which this gateway reads the backend servers.
+    fn server_table(&self) -> String {
+        match self.server_proxies.is_empty() {
+            true => SERVER_TABLE.to_string(),
+            false => format!("{SERVER_TABLE}-of-{}", self.ip),
+        }
+    }
+
     /// Kills the process (SIGKILL).
     pub fn kill(&mut self) {
         self.process = None;
@@ -156,6 +185,17 @@
     ///
     /// Panics if that takes longer than 20 s.
     pub fn start(gateways: usize) -> Self {
+        let domains = vec![DEFAULT_DOMAIN; gateways];
+        Self::start_gateways(&domains, false)
+    }
+
+    /// Like [`GatewaySite::start`], with a gateway in each of these failure domains, and a proxy
+    /// between each gateway and each backend server, so that a test can cut off a single gateway.
+    pub fn start_with_own_paths(domains: &[&str]) -> Self {
+        Self::start_gateways(domains, true)
+    }
+
+    fn start_gateways(domains: &[&str], has_own_paths: bool) -> Self {
         let ip = next_ip();
         let folder = std::env::temp_dir().join(format!("sapphireford-gateways-{ip}"));
         fs::create_dir_all(&folder).expect("the temporary folder can be created");
@@ -176,8 +216,8 @@
             site.plain_servers.push(plain_server);
         }
         site.configure(default_routes());
-        for index in 0..gateways {
-            site.add_gateway(index);
+        for domain in domains {
+            site.add_gateway(domain, has_own_paths);
         }
         site.wait_until_ready();
         site
@@ -248,11 +288,22 @@
         state: &str,
         born: u64,
     ) {
-        let value = json!({
-            "service": service, "address": address, "zone": "d1", "version": version, "slots": 16,
-            "state": state, "coldRemainingMs": 0, "seq": 0, "born": born,
-        });
-        let put = json!({ "table": "servers", "key": id, "value": value });
+        let row = |address: SocketAddr| {
+            json!({
+                "service": service, "address": address, "zone": DEFAULT_DOMAIN, "version": version,
+                "slots": 16, "state": state, "coldRemainingMs": 0, "seq": 0, "born": born,
+            })
+        };
+        self.put_row(SERVER_TABLE, id, &row(address));
+        for gateway in &self.gateways {
+            if let Some(proxy) = gateway.server_proxies.get(id) {
+                self.put_row(&gateway.server_table(), id, &row(proxy.address()));
+            }
+        }
+    }
+
+    fn put_row(&self, table: &str, id: &str, value: &Value) {
+        let put = json!({ "table": table, "key": id, "value": value });
         self.store.control(&json!({ "put": put }));
     }
 
@@ -271,8 +322,12 @@
 
     /// Removes the row of a backend server with this id.
     pub fn deregister_id(&self, id: &str) {
-        let row = json!({ "table": "servers", "key": id });
-        self.store.control(&json!({ "remove": row }));
+        let own_tables = self.gateways.iter().map(GatewayProcess::server_table);
+        let tables = std::iter::once(SERVER_TABLE.to_string()).chain(own_tables);
+        for table in tables {
+            let row = json!({ "table": table, "key": id });
+            self.store.control(&json!({ "remove": row }));
+        }
     }
 
     /// Writes a configuration with these routes and a higher version.
@@ -293,12 +348,13 @@
         self.store.control(&json!({ "put": put }));
     }
 
-    fn add_gateway(&mut self, index: usize) {
+    fn add_gateway(&mut self, failure_domain: &str, has_own_paths: bool) {
+        let index = self.gateways.len();
         let ip = next_ip();
         let store_proxy = Proxy::start(self.ip, self.store.address());
         let settings = json!({
             "entry_id": format!("gateway-{index}"),
-            "failure_domain": "d1",
+            "failure_domain": failure_domain,
             "caller_address": format!("{ip}:{CALLER_PORT}"),
             "readiness_address": format!("{ip}:{READINESS_PORT}"),
             "directory_address": format!("{ip}:{DIRECTORY_PORT}"),
@@ -312,16 +368,41 @@
             process: None,
             settings_path,
             ip,
+            server_proxies: IndexMap::new(),
+            failure_domain: failure_domain.to_string(),
             store_proxy,
         };
-        gateway.start();
+        if has_own_paths {
+            let servers = self.engines.iter().chain(&self.plain_servers);
+            let proxies = servers.map(|server| {
+                let proxy = Proxy::start(self.ip, server.process.address());
+                (server.id.clone(), proxy)
+            });
+            gateway.server_proxies = proxies.collect();
+            let host = gateway.store_proxy.address().to_string();
+            let server_table = json!({ "host": host, "table": gateway.server_table() });
+            self.store.control(&json!({ "server_table": server_table }));
+        }
         self.gateways.push(gateway);
+        if has_own_paths {
+            for server in self.engines.iter().chain(&self.plain_servers) {
+                self.register(server, "ready");
+            }
+        }
+        self.gateways[index].start();
     }
 
     fn wait_until_ready(&self) {
+        let gateways_in = |domain: &str| {
+            let gateways = self.gateways.iter();
+            gateways
+                .filter(|gateway| gateway.failure_domain == domain)
+                .count()
+        };
         let is_ready = || {
-            let knows_all_gateways =
-                |gateway: &GatewayProcess| gateway.lookup().len() == self.gateways.len();
+            let knows_all_gateways = |gateway: &GatewayProcess| {
+                gateway.lookup().len() >= gateways_in(&gateway.failure_domain)
+            };
             self.gateways
                 .iter()
                 .all(|gateway| gateway.is_ready() && knows_all_gateways(gateway))
--- a/crates/standin/src/harness/proxy.rs
+++ b/crates/standin/src/harness/proxy.rs
@@ -18,17 +18,31 @@
     Stall,
     /// Forwards requests to the server and holds the responses.
     StallResponses,
+    /// Holds all bytes of both directions; new connections are not established.
+    Partition,
+    /// Forwards both directions of open connections and refuses new ones.
+    Refuse,
 }
 
-const MODES: [ProxyMode; 4] = [
+const MODES: [ProxyMode; 6] = [
     ProxyMode::Forward,
     ProxyMode::Reset,
     ProxyMode::Stall,
     ProxyMode::StallResponses,
+    ProxyMode::Partition,
+    ProxyMode::Refuse,
 ];
 
 /// Interval at which a connection that holds bytes checks the mode.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval at which the listener is checked for connections and the mode for changes.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+/// Connections of the proxy itself that fill the backlog of a listener with the length 0.
+const BACKLOG_FILLERS: usize = 2;
+/// Longest wait until such a connection is established; the last one is not.
+const FILLER_TIMEOUT: Duration = Duration::from_millis(20);
+/// Backlog of a listener that accepts connections.
+const BACKLOG: i32 = 128;
 /// Longest chunk that is read and forwarded at once.
 const CHUNK_BYTES: usize = 16 << 10;
 
@@ -69,7 +83,7 @@
         let address = listener.local_addr().expect("the listener has an address");
         let shared = Arc::new(Shared::default());
         let accept_shared = shared.clone();
-        thread::spawn(move || accept_connections(&listener, target, &accept_shared));
+        thread::spawn(move || accept_connections(listener, target, &accept_shared));
         Self { address, shared }
     }
 
@@ -105,17 +119,71 @@
     fn drop(&mut self) {
         self.shared.is_closed.store(true, Ordering::Relaxed);
         self.reset_connections();
-        // Wakes the accept thread, which then sees `is_closed`.
-        let _ = TcpStream::connect(self.address);
     }
 }
 
-fn accept_connections(listener: &TcpListener, target: SocketAddr, shared: &Arc<Shared>) {
-    for accepted in listener.incoming() {
-        if shared.is_closed.load(Ordering::Relaxed) {
+/// The listener of a proxy, in the state that the mode asks for.
+struct ModalListener {
+    address: SocketAddr,
+    /// `None` while connections are refused.
+    listener: Option<TcpListener>,
+    /// Fill the backlog while connections are not established.
+    fillers: Vec<TcpStream>,
+    is_partitioned: bool,
+}
+
+impl ModalListener {
+    fn apply(&mut self, mode: ProxyMode) {
+        if mode == ProxyMode::Refuse {
+            self.listener = None;
             return;
         }
-        let Ok(caller) = accepted else { continue };
+        if self.listener.is_none() {
+            self.listener = TcpListener::bind(self.address).ok();
+        }
+        let Some(listener) = &self.listener else {
+            return;
+        };
+        // Fails only if the listener has failed.
+        let _ = listener.set_nonblocking(true);
+        let is_partitioned = mode == ProxyMode::Partition;
+        if is_partitioned == self.is_partitioned {
+            return;
+        }
+        self.is_partitioned = is_partitioned;
+        let backlog = if is_partitioned { 0 } else { BACKLOG };
+        let _ = socket2::SockRef::from(listener).listen(backlog);
+        self.fillers.clear();
+        if is_partitioned {
+            let fill = |_| TcpStream::connect_timeout(&self.address, FILLER_TIMEOUT).ok();
+            self.fillers = (0..BACKLOG_FILLERS).filter_map(fill).collect();
+        }
+    }
+
+    fn accept(&self) -> Option<TcpStream> {
+        let listener = self.listener.as_ref().filter(|_| !self.is_partitioned)?;
+        let (caller, _) = listener.accept().ok()?;
+        caller.set_nonblocking(false).ok()?;
+        Some(caller)
+    }
+}
+
+fn accept_connections(listener: TcpListener, target: SocketAddr, shared: &Arc<Shared>) {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut listener = ModalListener {
+        address,
+        listener: Some(listener),
+        fillers: Vec::new(),
+        is_partitioned: false,
+    };
+    while !shared.is_closed.load(Ordering::Relaxed) {
+        listener.apply(shared.mode());
+        let Some(caller) = listener.accept() else {
+            thread::sleep(ACCEPT_INTERVAL);
+            continue;
+        };
         if shared.mode() == ProxyMode::Reset {
             continue;
         }
@@ -167,8 +235,8 @@
 
 fn is_stalled(mode: ProxyMode, is_to_server: bool) -> bool {
     match mode {
-        ProxyMode::Stall => true,
+        ProxyMode::Stall | ProxyMode::Partition => true,
         ProxyMode::StallResponses => !is_to_server,
-        ProxyMode::Forward | ProxyMode::Reset => false,
+        ProxyMode::Forward | ProxyMode::Reset | ProxyMode::Refuse => false,
     }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -22,12 +22,13 @@
 use sapphireford::connection::body::Body;
 use sapphireford::connection::http_server::Handler;
 use sapphireford::process::timer::TimerService;
+use sapphireford_platform::store::SERVER_TABLE;
 use serde::Serialize;
 use serde_json::json;
 
 use crate::arguments::{self, Arguments};
 use crate::response;
-use control::{Control, Faults, Outage};
+use control::{Control, Faults, Outage, ServerTable};
 use objects::Objects;
 use rows::{Rows, Transaction, TransactionOutcome, decode_percent, parse_query};
 use vms::VmList;
@@ -65,6 +66,8 @@
     objects: RefCell<Objects>,
     vms: RefCell<VmList>,
     weights: RefCell<Weights>,
+    /// The tables served in the place of that of the backend servers, by the header `host`.
+    server_tables: RefCell<IndexMap<String, String>>,
     faults: RefCell<Faults>,
     stats: RefCell<Stats>,
     /// Number of calls by path, or by path and table for calls that name a table in the query.
@@ -100,6 +103,7 @@
             objects: RefCell::default(),
             vms: RefCell::default(),
             weights: RefCell::new(weights),
+            server_tables: RefCell::default(),
             faults: RefCell::default(),
             stats: RefCell::default(),
             calls: RefCell::default(),
@@ -126,7 +130,8 @@
 }
 
 async fn handle_call(state: Rc<State>, request: Request<Bytes>) -> Response<Body> {
-    let query = parse_query(request.uri().query().unwrap_or_default());
+    let mut query = parse_query(request.uri().query().unwrap_or_default());
+    state.replace_server_table(&request, &mut query);
     state.count_call(request.uri().path(), query.get("table"));
     let outage = state.faults.borrow().outage;
     match outage {
@@ -155,6 +160,9 @@
         if let Some(vms) = control.vms.take() {
             self.vms.borrow_mut().set(vms);
         }
+        if let Some(ServerTable { host, table }) = control.server_table.take() {
+            self.server_tables.borrow_mut().insert(host, table);
+        }
         if let Some(row) = &control.put {
             self.rows.put(row);
         }
@@ -178,6 +186,17 @@
         response::ok(&stats)
     }
 
+    fn replace_server_table(&self, request: &Request<Bytes>, query: &mut IndexMap<String, String>) {
+        let host = request.headers().get("host");
+        let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+        let tables = self.server_tables.borrow();
+        if let (Some(own), Some(table)) = (tables.get(host), query.get_mut("table"))
+            && table == SERVER_TABLE
+        {
+            *table = own.clone();
+        }
+    }
+
     /// Counts a call by path, or by path and table if its query names a table.
     fn count_call(&self, path: &str, table: Option<&String>) {
         let name = match table {
--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -59,12 +59,23 @@
     /// Discards the change history, so that readers of the feed must read all rows again.
     #[serde(default)]
     pub compact: bool,
+    /// Serves another table to one reader of the table of backend servers.
+    pub server_table: Option<ServerTable>,
     /// Writes a row of any table.
     pub put: Option<ControlRow>,
     /// Removes a row of any table.
     pub remove: Option<ControlRow>,
 }
 
+/// The table that one reader gets in the place of that of the backend servers.
+#[derive(Debug, Deserialize)]
+pub struct ServerTable {
+    /// The header `host` of the reader's calls.
+    pub host: String,
+    /// Name of the table.
+    pub table: String,
+}
+
 /// Failures to inject and the settings that stay in force.
 pub struct Faults {
     delay: Duration,
--- /dev/null
+++ b/tests/gateway_server_paths.rs
@@ -0,0 +1,245 @@
+//! Gateways that reach the store and their peers, but no backend server.
+
+#[path = "support/gateway.rs"]
+mod gateway;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use gateway::{
+    Turn, WAIT_TIMEOUT, caller_request, expected_stream_data, new_request_id, recorded_runs,
+};
+use sapphireford_standin::harness::{GatewayProcess, GatewaySite, ProxyMode, wait_until};
+use serde_json::json;
+use yare::parameterized;
+
+/// Time after the cut in which a gateway finds out that it has no path and who has one.
+const DETECTION_TIME: Duration = Duration::from_millis(1_000);
+/// Limit of a request through a second gateway, far below the time-out of a connect.
+const SERVED_WITHIN: Duration = Duration::from_millis(300);
+/// Time after the end of a cut in which a gateway uses its own path again.
+const RETURN_TIME: Duration = Duration::from_millis(2_000);
+
+/// How a gateway loses its connections to servers.
+#[derive(Clone, Copy)]
+enum Cut {
+    Silent,
+    Reset,
+    NewRefused,
+}
+
+fn cut_off(gateway: &GatewayProcess, cut: Cut) {
+    match cut {
+        Cut::Silent => gateway.set_server_paths(ProxyMode::Partition),
+        Cut::NewRefused => gateway.set_server_paths(ProxyMode::Refuse),
+        Cut::Reset => {
+            gateway.set_server_paths(ProxyMode::Refuse);
+            let proxies = gateway.server_proxies.values();
+            proxies.for_each(|proxy| proxy.reset_connections());
+        }
+    }
+}
+
+/// Sends one request of each kind, one of which must not run twice; returns the longest time.
+fn serve_each_kind(site: &GatewaySite, gateway: &GatewayProcess) -> Duration {
+    let mut longest = Duration::ZERO;
+    for (method, path) in [("GET", "/ping/a"), ("POST", "/book/a")] {
+        let id = new_request_id();
+        let started = Instant::now();
+        let answer = caller_request(method, path, &id).send(gateway.caller_address());
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, 200, "{path}: {}", answer.text());
+        assert_eq!(answer.header("request-id"), Some(id.as_str()));
+        longest = longest.max(started.elapsed());
+        assert_eq!(recorded_runs(&site.plain_servers, &id).len(), 1);
+    }
+    for path in ["/quote/a", "/chat/a"] {
+        let id = new_request_id();
+        let started = Instant::now();
+        let turn = Turn {
+            path,
+            id: &id,
+            program: &id,
+            ..Turn::default()
+        };
+        assert_eq!(turn.run(gateway), expected_stream_data(turn.input, 4));
+        longest = longest.max(started.elapsed());
+        assert_eq!(recorded_runs(&site.engines, &id).len(), 1);
+    }
+    longest
+}
+
+#[parameterized(silent = { Cut::Silent }, reset = { Cut::Reset }, refused = { Cut::NewRefused })]
+fn a_gateway_without_a_path_to_servers_serves_its_callers_through_peers(cut: Cut) {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 3]);
+    let [stranded, connected, _] = &site.gateways[..] else {
+        unreachable!("the site has three gateways");
+    };
+    serve_each_kind(&site, stranded);
+    cut_off(stranded, cut);
+    // The first request finds out.
+    let _ = caller_request("GET", "/ping/a", &new_request_id()).send(stranded.caller_address());
+    thread::sleep(DETECTION_TIME);
+    for _ in 0..5 {
+        let longest = serve_each_kind(&site, stranded);
+        assert!(longest < SERVED_WITHIN, "a request took {longest:?}");
+    }
+    // New callers are led elsewhere.
+    let returns_stranded =
+        |gateway: &GatewayProcess| gateway.lookup().contains(&stranded.caller_address());
+    assert!(!returns_stranded(stranded));
+    assert!(wait_until(WAIT_TIMEOUT, || !returns_stranded(connected)));
+    // The cut has taught nobody that servers are dead or requests deadly.
+    serve_each_kind(&site, connected);
+    stranded.set_server_paths(ProxyMode::Forward);
+    assert!(wait_until(WAIT_TIMEOUT, || returns_stranded(connected)));
+}
+
+#[test]
+fn a_gateway_uses_its_own_path_soon_after_a_cut() {
+    let mut site = GatewaySite::start_with_own_paths(&["d1"; 2]);
+    for cut in [Cut::Silent, Cut::Reset] {
+        cut_off(&site.gateways[0], cut);
+        let address = site.gateways[0].caller_address();
+        let _ = caller_request("GET", "/ping/a", &new_request_id()).send(address);
+        thread::sleep(DETECTION_TIME);
+        serve_each_kind(&site, &site.gateways[0]);
+        site.gateways[0].set_server_paths(ProxyMode::Forward);
+        thread::sleep(RETURN_TIME);
+        site.gateways[1].kill();
+        serve_each_kind(&site, &site.gateways[0]);
+        site.gateways[1].start();
+        assert!(wait_until(WAIT_TIMEOUT, || site.gateways[1].is_ready()));
+    }
+}
+
+#[test]
+fn the_gateways_of_a_stranded_failure_domain_are_helped_by_another_one() {
+    let site = GatewaySite::start_with_own_paths(&["d1", "d1", "d2", "d2"]);
+    for stranded in &site.gateways[..2] {
+        cut_off(stranded, Cut::Silent);
+        let address = stranded.caller_address();
+        let _ = caller_request("GET", "/ping/a", &new_request_id()).send(address);
+    }
+    thread::sleep(DETECTION_TIME);
+    for stranded in &site.gateways[..2] {
+        let longest = serve_each_kind(&site, stranded);
+        assert!(longest < SERVED_WITHIN, "a request took {longest:?}");
+        let leads_elsewhere = || {
+            let addresses = stranded.lookup();
+            let is_stranded =
+                |gateway: &GatewayProcess| addresses.contains(&gateway.caller_address());
+            !addresses.is_empty() && !site.gateways[..2].iter().any(is_stranded)
+        };
+        assert!(wait_until(WAIT_TIMEOUT, leads_elsewhere));
+    }
+}
+
+#[test]
+fn gateways_without_a_path_do_not_pass_requests_to_each_other() {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
+    for gateway in &site.gateways {
+        cut_off(gateway, Cut::Silent);
+        let _ = caller_request("GET", "/ping/a", &new_request_id()).send(gateway.caller_address());
+    }
+    thread::sleep(DETECTION_TIME);
+    for gateway in &site.gateways {
+        let started = Instant::now();
+        let request = caller_request("POST", "/book/a", &new_request_id());
+        let answer = request.send(gateway.caller_address()).expect("an answer");
+        assert_eq!(answer.status, 503, "{}", answer.text());
+        assert!(answer.header("retry-after").is_some());
+        assert!(started.elapsed() < SERVED_WITHIN);
+    }
+}
+
+#[test]
+fn a_stream_in_progress_goes_on_through_a_peer() {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
+    let id = new_request_id();
+    let turn = Turn {
+        id: &id,
+        events: 60,
+        ..Turn::default()
+    };
+    let mut stream = turn.open(&site.gateways[0]).expect("an answer");
+    let first = stream.next_event().expect("an event").expect("an event");
+    cut_off(&site.gateways[0], Cut::Silent);
+    let rest = stream.remaining_events().expect("a complete stream");
+    let data: Vec<String> = std::iter::once(first)
+        .chain(rest)
+        .map(|event| event.data)
+        .collect();
+    assert_eq!(data, expected_stream_data(turn.input, 60));
+}
+
+#[test]
+fn a_request_through_a_peer_counts_against_the_budget_of_its_program() {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
+    cut_off(&site.gateways[0], Cut::Silent);
+    let address = site.gateways[0].caller_address();
+    let _ = caller_request("GET", "/ping/a", &new_request_id()).send(address);
+    thread::sleep(DETECTION_TIME);
+    let mut statuses = Vec::new();
+    for _ in 0..4 {
+        let id = new_request_id();
+        let turn = Turn {
+            id: &id,
+            budget_tokens: 60,
+            ..Turn::default()
+        };
+        let stream = turn.open(&site.gateways[0]).expect("an answer");
+        statuses.push(stream.status());
+        let _ = stream.into_answer();
+    }
+    assert_eq!(statuses, [200, 200, 402, 402]);
+}
+
+#[test]
+fn a_server_is_told_when_the_caller_of_a_stranded_gateway_leaves() {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
+    cut_off(&site.gateways[0], Cut::Silent);
+    let address = site.gateways[0].caller_address();
+    let _ = caller_request("GET", "/ping/a", &new_request_id()).send(address);
+    thread::sleep(DETECTION_TIME);
+    let id = new_request_id();
+    let turn = Turn {
+        id: &id,
+        events: 300,
+        ..Turn::default()
+    };
+    let mut stream = turn.open(&site.gateways[0]).expect("an answer");
+    stream.next_event().expect("an event").expect("an event");
+    drop(stream);
+    let is_idle = || {
+        let engines = site.engines.iter();
+        engines.fold(true, |is_idle, engine| {
+            is_idle && engine.process.stats()["running"] == json!(0)
+        })
+    };
+    assert!(wait_until(Duration::from_millis(500), is_idle));
+}
+
+#[test]
+fn a_cut_makes_no_request_suspect() {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
+    let request = || caller_request("POST", "/quote/a", &new_request_id()).body("the same");
+    let request = || request().header("x-events", "200");
+    for _ in 0..4 {
+        let mut streams = Vec::new();
+        for _ in 0..6 {
+            let address = site.gateways[0].caller_address();
+            let mut stream = request().open(address).expect("an answer");
+            stream.next_event().expect("an event");
+            streams.push(stream);
+        }
+        cut_off(&site.gateways[0], Cut::Reset);
+        thread::sleep(DETECTION_TIME);
+        site.gateways[0].set_server_paths(ProxyMode::Forward);
+        thread::sleep(RETURN_TIME);
+    }
+    for gateway in &site.gateways {
+        let stream = request().open(gateway.caller_address()).expect("an answer");
+        assert_eq!(stream.status(), 200);
+    }
+}
