--- a/tests/gateway_servers.rs
+++ b/tests/gateway_servers.rs
@@ -9,7 +9,7 @@
 
 fn server_row(id: &str, state: &str, version: u64) -> Row {
     let value = format!(
-        "{{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"zone\":\"d1\",\"slots\":4,\
+        "{{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"zone\":\"d1\",\"version\":\"v1\",\"slots\":4,\
          \"state\":\"{state}\",\"born\":1}}"
     );
     Row {
