--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -177,6 +177,12 @@
         matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
     }
 
+    /// Whether a new connection to an address is established within `timeout`. It is closed again.
+    pub async fn can_connect(&self, address: SocketAddr, timeout: Duration) -> bool {
+        let connecting = TcpStream::connect_addr(address);
+        matches!(self.timer.timeout(timeout, connecting).await, Ok(Ok(_)))
+    }
+
     /// The timer service that enforces the timeouts.
     pub fn timer(&self) -> &TimerService {
         &self.timer
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -13,6 +13,7 @@
 //! - [`peers`] defines the calls between gateways.
 //! - [`servers`] is the registry of backend servers, each a [`server`] with its load; [`placement`]
 //!   chooses one.
+//! - [`server_path`] finds out whether this gateway reaches servers, and which peers do.
 //! - [`rate_limits`] keeps the rates that servers limit, with the gateway that owns the
 //!   [`allowance`] of a server.
 //! - [`crash_reports`] remembers the requests, by their [`fingerprint`], that were running when
@@ -36,6 +37,7 @@
 pub mod rate_limits;
 pub mod running;
 pub mod server;
+pub mod server_path;
 pub mod servers;
 pub mod settings;
 pub mod start;
--- a/src/process/gateway/gossip.rs
+++ b/src/process/gateway/gossip.rs
@@ -84,6 +84,7 @@
         let seen_changes = directory.leaving().changes();
         let crash_reports = &servers.crash_reports;
         let seen_crashes = crash_reports.changed().changes();
+        let seen_path = directory.connection_changed().changes();
         let was_leaving = directory.is_leaving();
         if let Some(success) = store.last_success() {
             directory.record_contact(success);
@@ -92,10 +93,11 @@
         let peers = directory.start_round(&mut rand::rng(), tells_other_domains, started);
         send_to_all(&directory, &servers, &http, peers).await;
         // A gateway that starts to leave publishes it at once, without waiting for the next round,
-        // and so does one that has seen a crash.
+        // and so does one that has seen a crash, or lost or regained its path to the servers.
         let leaving = pin!(directory.leaving().changed_since(seen_changes));
         let crashed = pin!(crash_reports.changed().changed_since(seen_crashes));
-        let changed = select(leaving, crashed);
+        let path = pin!(directory.connection_changed().changed_since(seen_path));
+        let changed = select(select(leaving, crashed), path);
         let _ = timer.timeout_at(started + ROUND_INTERVAL, changed).await;
         timer.sleep_until(started + MIN_ROUND_INTERVAL).await;
         if directory.is_leaving() && !was_leaving {
@@ -112,7 +114,8 @@
     peers: Vec<SocketAddr>,
 ) {
     let request = directory.gossip_request(Instant::now());
-    let notices = servers.gossip_notices(Instant::now());
+    let mut notices = servers.gossip_notices(Instant::now());
+    notices.unconnected_gateways = directory.unconnected_gateways(Instant::now());
     let exchanges = peers.into_iter().map(|peer| {
         let request = peers::gossip_request(&request, &notices);
         async move {
@@ -122,6 +125,7 @@
             match response.map(|response| peers::decode_gossip(&response)) {
                 Ok(Some((response, notices))) => {
                     servers.merge_notices(&notices, Instant::now());
+                    directory.learn_unconnected(&notices.unconnected_gateways, Instant::now());
                     directory.apply_gossip(response, Instant::now());
                 }
                 Ok(None) => log::warn!(peer:% = peer; "gossip response skipped, it is not valid"),
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -5,6 +5,7 @@
 //! they know. The owner of a program's account caches the chains of its last turns, so that most
 //! turns can run at any gateway without a read from the store.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 
 use super::account::GrantId;
 use super::crash_reports::CrashReport;
+use super::directory::UnconnectedGateway;
 use super::gossip::{GossipRequest, GossipResponse};
 use super::history::{TurnChain, TurnId};
 use super::ledger::{Admission, TurnBudget};
@@ -23,6 +25,7 @@
 use super::servers::{LeavingServer, SharedLoad};
 use super::stream_origins::StreamOrigin;
 use crate::connection::body::Body;
+use crate::connection::http_server::CallerAddress;
 
 /// Path prefix of relayed store calls; the path of the store follows.
 const RELAY_PATH_PREFIX: &str = "/store";
@@ -153,6 +156,13 @@
 const ALLOWANCE_PATH: &str = "/servers/allowance";
 const ADMIT_PATH: &str = "/programs/admit";
 const SETTLE_PATH: &str = "/programs/settle";
+const SERVER_PATH_PATH: &str = "/servers/path";
+/// Path prefix of relayed requests of callers; the path of the request follows.
+const REQUEST_PATH_PREFIX: &str = "/requests";
+/// Header of a relayed request: the address of its caller.
+const CALLER_HEADER: HeaderName = HeaderName::from_static("x-caller-address");
+/// Marks the response of a peer that did not take a request.
+const NOT_TAKEN_HEADER: HeaderName = HeaderName::from_static("x-not-taken");
 
 fn post(path: &'static str, message: &impl Serialize) -> Request<Bytes> {
     // The encoding of these types cannot fail.
@@ -174,6 +184,8 @@
     pub crash_reports: Vec<CrashReport>,
     /// Loads of servers; empty in messages that have them elsewhere.
     pub loads: Vec<SharedLoad>,
+    /// Gateways that reach no server; only in the gossip.
+    pub unconnected_gateways: Vec<UnconnectedGateway>,
 }
 
 /// Encodes a message followed by notices.
@@ -189,6 +201,7 @@
     body.extend(postcard::to_stdvec(&notices.rate_limits).unwrap_or_default());
     body.extend(postcard::to_stdvec(&notices.crash_reports).unwrap_or_default());
     body.extend(postcard::to_stdvec(&notices.loads).unwrap_or_default());
+    body.extend(postcard::to_stdvec(&notices.unconnected_gateways).unwrap_or_default());
     Bytes::from(body)
 }
 
@@ -204,11 +217,13 @@
     let (rate_limits, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
     let (crash_reports, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
     let (loads, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+    let (unconnected_gateways, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
     let notices = ServerNotices {
         leaving,
         rate_limits,
         crash_reports,
         loads,
+        unconnected_gateways,
     };
     Some((message, notices, rest))
 }
@@ -261,6 +276,53 @@
     message.map(|((), notices)| notices).unwrap_or_default()
 }
 
+/// Asks a peer whether it reaches backend servers.
+pub fn server_path_request() -> Request<Bytes> {
+    let mut request = Request::new(Bytes::new());
+    *request.uri_mut() = Uri::from_static(SERVER_PATH_PATH);
+    request
+}
+
+/// Wraps the request of a caller for a peer to serve; `None` if its path is not valid.
+pub fn wrap_request(
+    mut request: Request<Bytes>,
+    caller: Option<SocketAddr>,
+) -> Option<Request<Bytes>> {
+    let path = request.uri().path_and_query()?.as_str();
+    let uri = format!("{REQUEST_PATH_PREFIX}{path}").parse().ok()?;
+    *request.uri_mut() = uri;
+    if let Some(caller) = caller.and_then(|caller| caller.to_string().parse().ok()) {
+        request.headers_mut().insert(CALLER_HEADER, caller);
+    }
+    Some(request)
+}
+
+fn unwrap_request(mut request: Request<Bytes>) -> Option<Request<Bytes>> {
+    let path = request.uri().path_and_query()?.as_str();
+    let uri = path.strip_prefix(REQUEST_PATH_PREFIX)?.parse().ok()?;
+    *request.uri_mut() = uri;
+    let caller = request.headers_mut().remove(CALLER_HEADER);
+    let caller = caller.and_then(|caller| caller.to_str().ok()?.parse().ok());
+    if let Some(caller) = caller {
+        request.extensions_mut().insert(CallerAddress(caller));
+    }
+    Some(request)
+}
+
+/// The response to a relayed request that this gateway does not take.
+pub fn not_taken_response() -> Response<Body> {
+    let mut response = Response::new(Body::full(Bytes::new()));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let value = HeaderValue::from_static("1");
+    response.headers_mut().insert(NOT_TAKEN_HEADER, value);
+    response
+}
+
+/// Whether a peer did not take a relayed request. Nothing of it has run.
+pub fn is_not_taken<B>(response: &Response<B>) -> bool {
+    response.headers().contains_key(NOT_TAKEN_HEADER)
+}
+
 /// Encodes a request to the owner of an allowance.
 pub fn allowance_request(request: &AllowanceRequest) -> Request<Bytes> {
     post(ALLOWANCE_PATH, request)
@@ -341,6 +403,10 @@
     Gossip(GossipRequest, ServerNotices),
     /// The peer asks for a request to a server with a rate limit.
     Allowance(AllowanceRequest),
+    /// The peer asks whether this gateway reaches backend servers.
+    AskServerPath,
+    /// A request of a caller, relayed by a gateway that reaches no backend server.
+    Request(Box<Request<Bytes>>),
 }
 
 /// Decodes a call of another gateway; `None` if the path is unknown or the message is malformed.
@@ -351,6 +417,10 @@
         GOSSIP_PATH => split_notices(request.body())
             .map(|(request, notices)| PeerCall::Gossip(request, notices)),
         NOTICES_PATH => Some(PeerCall::ListNotices),
+        SERVER_PATH_PATH => Some(PeerCall::AskServerPath),
+        path if path.starts_with(REQUEST_PATH_PREFIX) => {
+            unwrap_request(request).map(|request| PeerCall::Request(Box::new(request)))
+        }
         ALLOWANCE_PATH => postcard::from_bytes(request.body())
             .ok()
             .map(PeerCall::Allowance),
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -28,6 +28,7 @@
 use super::ledger::Ledger;
 use super::peers::{self, PeerCall};
 use super::rate_limits::RateLimits;
+use super::server_path::ServerPath;
 use super::servers::Servers;
 use super::settings::GatewaySettings;
 use super::start;
@@ -113,6 +114,8 @@
     pub stream_origins: StreamOrigins,
     /// Registry of the backend servers.
     pub servers: Rc<Servers>,
+    /// Whether this gateway reaches the backend servers.
+    pub server_path: Rc<ServerPath>,
     /// Keeps the request rates that backend servers limit.
     pub rate_limits: RateLimits,
     /// Directory of the live gateways.
@@ -198,12 +201,17 @@
         self.is_informed() && !self.directory.is_leaving() && !self.is_stopped.get()
     }
 
+    /// Whether this gateway can serve requests that a peer relays.
+    async fn can_help(&self) -> bool {
+        self.is_ready() && self.server_path.reaches_servers().await
+    }
+
     /// Whether lookups may return this gateway to callers.
     fn can_serve(&self, now: Instant) -> bool {
         let last_success = self.store.last_success();
         let is_store_reachable = last_success
             .is_some_and(|success| now.saturating_duration_since(success) < STORE_CONTACT_TIMEOUT);
-        self.is_ready() && is_store_reachable
+        self.is_ready() && is_store_reachable && !self.server_path.is_lost()
     }
 }
 
@@ -243,11 +251,14 @@
 }
 
 /// Answers calls of the other gateways.
-struct PeerHandler(Rc<Gateway>);
+struct PeerHandler {
+    gateway: Rc<Gateway>,
+    dispatcher: GatewayDispatcher,
+}
 
 impl Handler for PeerHandler {
     async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
-        let gateway = &self.0;
+        let gateway = &self.gateway;
         match peers::decode_call(request) {
             Some(PeerCall::Relay(call)) => peers::relay_response(gateway.store.relay(*call).await),
             Some(PeerCall::Admit(request, notices)) => {
@@ -262,12 +273,26 @@
             Some(PeerCall::Gossip(request, notices)) => {
                 let now = Instant::now();
                 gateway.servers.merge_notices(&notices, now);
-                let response = gateway.directory.handle_gossip(&request, now);
-                peers::gossip_response(&response, &gateway.servers.gossip_notices(now))
+                let directory = &gateway.directory;
+                directory.learn_unconnected(&notices.unconnected_gateways, now);
+                let response = directory.handle_gossip(&request, now);
+                let mut notices = gateway.servers.gossip_notices(now);
+                notices.unconnected_gateways = directory.unconnected_gateways(now);
+                peers::gossip_response(&response, &notices)
             }
             Some(PeerCall::ListNotices) => {
                 peers::notices_response(&gateway.servers.notices(Instant::now()))
             }
+            Some(PeerCall::AskServerPath) => match gateway.can_help().await {
+                true => status(StatusCode::OK),
+                false => status(StatusCode::SERVICE_UNAVAILABLE),
+            },
+            Some(PeerCall::Request(request)) => {
+                if !gateway.is_ready() || gateway.server_path.is_lost() {
+                    return peers::not_taken_response();
+                }
+                self.dispatcher.handle_relayed(*request).await
+            }
             Some(PeerCall::Allowance(request)) => {
                 peers::allowance_response(&gateway.rate_limits.handle(request))
             }
@@ -301,6 +326,8 @@
     writer: StoreWriter,
     ledger: Ledger,
     caller_server: Server,
+    /// Receives requests of callers that peers relay, among other calls.
+    peer_server: Server,
 }
 
 impl RunningGateway {
@@ -322,6 +349,7 @@
             history.cache(),
         );
         let rate_limits = RateLimits::new(http.clone(), directory.clone(), servers.clone());
+        let server_path = ServerPath::new(http.clone(), directory.clone(), servers.clone());
         let gateway = Rc::new(Gateway {
             timer: timer.clone(),
             budgets,
@@ -329,6 +357,7 @@
             history,
             stream_origins: StreamOrigins::new(store.clone(), writer.clone()),
             servers,
+            server_path,
             rate_limits,
             directory,
             routes: RefCell::default(),
@@ -338,7 +367,10 @@
             is_stopped: Cell::new(false),
             store,
         });
-        let caller_server = start_listeners(&gateway, &settings)?;
+        let RequestServers {
+            caller_server,
+            peer_server,
+        } = start_listeners(&gateway, &settings)?;
         start_background_tasks(&gateway, &writer, &ledger);
         Ok(Self {
             gateway,
@@ -346,6 +378,7 @@
             settings,
             writer,
             caller_server,
+            peer_server,
         })
     }
 
@@ -376,6 +409,12 @@
         {
             log::warn!(connections = self.caller_server.open_connections(); "shutdown limit reached with requests still in flight");
         }
+        // Peers may have relayed requests, which end before their deadlines. Peers settle turns
+        // until then as well.
+        let peers_stopped = timer.timeout_at(deadline, self.peer_server.stop()).await;
+        if peers_stopped.is_err() {
+            log::warn!(connections = self.peer_server.open_connections(); "shutdown limit reached with calls of peers still in flight");
+        }
         self.gateway.is_stopped.set(true);
         self.ledger.close_all();
         if timer
@@ -405,7 +444,13 @@
     }
 }
 
-fn start_listeners(gateway: &Rc<Gateway>, settings: &GatewaySettings) -> Result<Server> {
+/// The listeners that receive requests of callers.
+struct RequestServers {
+    caller_server: Server,
+    peer_server: Server,
+}
+
+fn start_listeners(gateway: &Rc<Gateway>, settings: &GatewaySettings) -> Result<RequestServers> {
     let limits = HttpLimits {
         header_timeout: CALLER_IDLE_TIMEOUT,
         ..HttpLimits::default()
@@ -424,12 +469,16 @@
         gateway,
         DirectoryHandler(gateway.clone()),
     )?;
-    listen(
+    let peer_handler = PeerHandler {
+        gateway: gateway.clone(),
+        dispatcher: GatewayDispatcher::new(gateway.clone()),
+    };
+    let peer_server = listen(
         "peer_address",
         settings.peer_address,
         limits,
         gateway,
-        PeerHandler(gateway.clone()),
+        peer_handler,
     )?;
     listen(
         "metrics_address",
@@ -438,14 +487,17 @@
         gateway,
         MetricsHandler(gateway.clone()),
     )?;
-    let dispatcher = GatewayDispatcher::new(gateway.clone());
-    listen(
+    let caller_server = listen(
         "caller_address",
         settings.caller_address,
         limits,
         gateway,
-        dispatcher,
-    )
+        GatewayDispatcher::new(gateway.clone()),
+    )?;
+    Ok(RequestServers {
+        caller_server,
+        peer_server,
+    })
 }
 
 fn listen<H: Handler>(
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -110,6 +110,12 @@
         self.breaker.borrow_mut().record_failure(Instant::now());
     }
 
+    /// Makes the server available again, because its failures were not its own.
+    pub fn forget_failures(&self) {
+        self.has_crashed.set(false);
+        self.breaker.take();
+    }
+
     /// Identifies the crash of this start of the server, the same at all gateways.
     pub fn crash_id(&self) -> CrashId {
         let started_unix_ms = self.record.borrow().started_unix_ms;
--- /dev/null
+++ b/src/process/gateway/server_path.rs
@@ -0,0 +1,242 @@
+//! Whether this gateway reaches the backend servers, and which peers reach them for it.
+//!
+//! A gateway may lose its links to all servers while callers, the store and its peers still reach
+//! it. Connections then hang, are reset, or live on while new ones are refused. A single failed
+//! connection may mean that a server has crashed; only if new connections to several servers fail
+//! as well, the path is lost. Until it is back, peers that have a path serve the requests.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use hyper::StatusCode;
+use rand::seq::SliceRandom;
+
+use super::directory::Directory;
+use super::peers;
+use super::servers::Servers;
+use crate::connection::http_client::HttpClient;
+use crate::process::notify::Notify;
+
+/// Longest wait for a new connection to a server, which takes about a millisecond.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Servers that are probed after the first one did not accept a connection. That all of them have
+/// crashed while others serve is unlikely.
+const CONFIRMING_PROBES: usize = 3;
+/// Time after a successful probe in which no other one is made.
+const PROBE_LIFETIME: Duration = Duration::from_millis(100);
+/// Time after an answer of a server in which a peer is told without a probe that servers are
+/// reached.
+const ANSWER_LIFETIME: Duration = Duration::from_millis(1_000);
+/// Interval between probes, and between questions to peers, while the path is lost.
+const RECOVERY_INTERVAL: Duration = Duration::from_millis(500);
+/// Peers of the own failure domain, and of others, that are asked whether they reach servers.
+const ASKED_PEERS: usize = 4;
+/// Longest wait for a peer, which may have to probe servers first.
+const PEER_TIMEOUT: Duration = Duration::from_millis(300);
+const RESPONSE_LIMIT_BYTES: usize = 1 << 10;
+
+/// The path of this gateway to the backend servers.
+pub struct ServerPath {
+    http: HttpClient,
+    directory: Rc<Directory>,
+    servers: Rc<Servers>,
+    is_lost: Cell<bool>,
+    is_checking: Cell<bool>,
+    /// When a server last accepted a probe.
+    last_probe: Cell<Option<Instant>>,
+    /// When a server last answered a request.
+    last_answer: Cell<Option<Instant>>,
+    /// Peer addresses of gateways that reach servers; empty unless the path is lost.
+    helpers: RefCell<Vec<SocketAddr>>,
+    /// Notified at the end of a check and when the path is lost.
+    changed: Notify,
+}
+
+impl ServerPath {
+    /// Creates a path that counts as intact.
+    pub fn new(http: HttpClient, directory: Rc<Directory>, servers: Rc<Servers>) -> Rc<Self> {
+        Rc::new(Self {
+            http,
+            directory,
+            servers,
+            is_lost: Cell::new(false),
+            is_checking: Cell::new(false),
+            last_probe: Cell::new(None),
+            last_answer: Cell::new(None),
+            helpers: RefCell::default(),
+            changed: Notify::default(),
+        })
+    }
+
+    /// Whether this gateway reaches no server.
+    pub fn is_lost(&self) -> bool {
+        self.is_lost.get()
+    }
+
+    /// Completes when the path is lost.
+    pub async fn lost(&self) {
+        self.changed.until(|| self.is_lost()).await;
+    }
+
+    /// Records that a server has answered a request.
+    pub fn record_answer(&self) {
+        self.last_answer.set(Some(Instant::now()));
+    }
+
+    /// Whether a server has answered within `time`.
+    pub fn has_answer_within(&self, time: Duration) -> bool {
+        is_within(self.last_answer.get(), time)
+    }
+
+    /// The peers that reach servers, in random order.
+    pub fn helpers(&self) -> Vec<SocketAddr> {
+        let mut helpers = self.helpers.borrow().clone();
+        helpers.shuffle(&mut rand::rng());
+        helpers
+    }
+
+    /// Forgets a peer that did not take a request.
+    pub fn remove_helper(&self, peer: SocketAddr) {
+        self.helpers.borrow_mut().retain(|helper| *helper != peer);
+    }
+
+    /// Checks after a failure whether the path is lost. Returns whether servers are reached.
+    pub async fn check(self: &Rc<Self>) -> bool {
+        if self.is_lost() {
+            return false;
+        }
+        if is_within(self.last_probe.get(), PROBE_LIFETIME) {
+            return true;
+        }
+        if self.is_checking.get() {
+            self.changed.until(|| !self.is_checking.get()).await;
+            return !self.is_lost();
+        }
+        let guard = CheckGuard::start(self);
+        let is_reached = self.probe().await;
+        if !is_reached {
+            self.find_helpers().await;
+            self.record_loss();
+        }
+        drop(guard);
+        is_reached
+    }
+
+    /// Like [`ServerPath::check`], in a task of its own.
+    pub fn check_in_background(self: &Rc<Self>) {
+        let path = self.clone();
+        monoio::spawn(async move { path.check().await });
+    }
+
+    /// Whether servers are reached, for a peer that asks.
+    pub async fn reaches_servers(self: &Rc<Self>) -> bool {
+        let is_known = !self.is_lost() && self.has_answer_within(ANSWER_LIFETIME);
+        is_known || self.check().await
+    }
+
+    /// Whether a new connection to a server can be opened. True if no server is registered.
+    async fn probe(&self) -> bool {
+        let mut addresses = self.servers.addresses();
+        addresses.shuffle(&mut rand::rng());
+        let Some(first) = addresses.pop() else {
+            return true;
+        };
+        addresses.truncate(CONFIRMING_PROBES);
+        let is_reached = self.http.can_connect(first, PROBE_TIMEOUT).await || {
+            let probes = addresses
+                .into_iter()
+                .map(|address| self.http.can_connect(address, PROBE_TIMEOUT));
+            join_all(probes).await.contains(&true)
+        };
+        if is_reached {
+            self.last_probe.set(Some(Instant::now()));
+        }
+        is_reached
+    }
+
+    fn record_loss(self: &Rc<Self>) {
+        self.is_lost.set(true);
+        self.directory.set_connected(false);
+        self.changed.notify();
+        let helpers = self.helpers.borrow().len();
+        log::warn!(helpers = helpers; "no path to backend servers: new connections to several of them fail");
+        monoio::spawn(self.clone().recover());
+    }
+
+    /// Probes until a server is reached, and keeps up to date which peers reach servers.
+    async fn recover(self: Rc<Self>) {
+        let timer = self.http.timer().clone();
+        let lost_at = Instant::now();
+        loop {
+            timer.sleep(RECOVERY_INTERVAL).await;
+            if self.probe().await {
+                break;
+            }
+            self.find_helpers().await;
+        }
+        // The failures were those of the path, not of the servers.
+        self.servers.forget_failures();
+        self.is_lost.set(false);
+        self.helpers.borrow_mut().clear();
+        self.directory.set_connected(true);
+        let lost_ms = lost_at.elapsed().as_millis() as u64;
+        log::info!(lost_ms = lost_ms; "path to backend servers is back");
+    }
+
+    /// Asks some peers whether they reach servers. Those of the own failure domain are preferred,
+    /// which saves traffic between domains.
+    async fn find_helpers(&self) {
+        let (mut own_domain, mut others) = self.directory.possible_helpers(Instant::now());
+        for peers in [&mut own_domain, &mut others] {
+            peers.shuffle(&mut rand::rng());
+            peers.truncate(ASKED_PEERS);
+        }
+        let (own_domain, others) = futures_util::future::join(
+            join_all(own_domain.into_iter().map(|peer| self.ask(peer))),
+            join_all(others.into_iter().map(|peer| self.ask(peer))),
+        )
+        .await;
+        let own_domain: Vec<_> = own_domain.into_iter().flatten().collect();
+        let helpers = match own_domain.is_empty() {
+            true => others.into_iter().flatten().collect(),
+            false => own_domain,
+        };
+        self.directory.set_helpers(&helpers);
+        self.helpers.replace(helpers);
+    }
+
+    async fn ask(&self, peer: SocketAddr) -> Option<SocketAddr> {
+        let request = peers::server_path_request();
+        let response = self
+            .http
+            .fetch(peer, request, PEER_TIMEOUT, RESPONSE_LIMIT_BYTES);
+        let reaches_servers = response
+            .await
+            .is_ok_and(|response| response.status() == StatusCode::OK);
+        reaches_servers.then_some(peer)
+    }
+}
+
+fn is_within(at: Option<Instant>, time: Duration) -> bool {
+    at.is_some_and(|at| at.elapsed() < time)
+}
+
+/// Marks a check as in progress until it is dropped.
+struct CheckGuard(Rc<ServerPath>);
+
+impl CheckGuard {
+    fn start(path: &Rc<ServerPath>) -> Self {
+        path.is_checking.set(true);
+        Self(path.clone())
+    }
+}
+
+impl Drop for CheckGuard {
+    fn drop(&mut self) {
+        self.0.is_checking.set(false);
+        self.0.changed.notify();
+    }
+}
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -6,6 +6,7 @@
 //! period: the row may have expired only because the server could not renew it.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -247,7 +248,7 @@
             leaving: self.leaving(),
             rate_limits: self.rate_limits(now),
             crash_reports: self.crash_reports.reports(now),
-            loads: Vec::new(),
+            ..ServerNotices::default()
         }
     }
 
@@ -299,6 +300,18 @@
         self.by_id.borrow().get(server_id).cloned()
     }
 
+    /// The addresses of the registered servers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let by_id = self.by_id.borrow();
+        by_id.values().map(|server| server.address()).collect()
+    }
+
+    /// Makes all servers available again that failed.
+    pub fn forget_failures(&self) {
+        let by_id = self.by_id.borrow();
+        by_id.values().for_each(|server| server.forget_failures());
+    }
+
     fn load_report_ttl(&self) -> Duration {
         match self.has_rate_limits.get() {
             true => OVERLOAD_REPORT_TTL,
--- a/src/request/gateway.rs
+++ b/src/request/gateway.rs
@@ -5,7 +5,8 @@
 //! turn and prepends the conversation history to its input. [`forward`] sends the request to a
 //! backend server, by [`origin`] only to one whose events fit together with those that the caller
 //! has, and asks [`retry`] what to do after a failed attempt. [`stream`] forwards the
-//! events of a stream to the caller and resumes a broken stream at another server. [`refusal`]
+//! events of a stream to the caller and resumes a broken stream at another server. [`relay`] sends
+//! a request through a peer while this gateway reaches no server. [`refusal`]
 //! builds the response to a request that fails in the gateway. [`record`] collects the log line and
 //! the metrics of each request.
 
@@ -14,6 +15,7 @@
 pub mod origin;
 pub mod record;
 pub mod refusal;
+pub mod relay;
 pub mod retry;
 pub mod stream;
 pub mod turn;
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response};
 use sapphireford_platform::headers::CallHeaders;
@@ -14,13 +15,13 @@
 use super::origin::OriginConstraint;
 use super::record::RequestRecord;
 use super::refusal;
+use super::relay::{self, BodyEnd};
 use super::retry::AttemptCounts;
 use super::stream::StreamTask;
 use super::turn::{self, UnsavedTurn};
 use crate::connection::body::Body;
 use crate::connection::http_server::{CallerAddress, Handler};
 use crate::error::{Error, ErrorKind, Result};
-use crate::process::gateway::budget::Reservation;
 use crate::process::gateway::fingerprint::RequestIdentity;
 use crate::process::gateway::running::Gateway;
 use crate::process::task;
@@ -42,6 +43,7 @@
         request: Request<Bytes>,
         call: CallHeaders,
         identity: RequestIdentity,
+        is_relayed: bool,
         record: Rc<RequestRecord>,
     ) -> Result<Response<Body>> {
         let routes = self.gateway.routes();
@@ -56,10 +58,16 @@
             return Err(error);
         }
         let deadline = deadline(&route, &call, record.started_at());
+        let caller = request.extensions().get::<CallerAddress>();
+        let caller_address = caller.map(|CallerAddress(address)| *address);
         let (head, input) = request.into_parts();
         let last_event_id = call.last_event_id;
         let origins = &self.gateway.stream_origins;
-        let origin = OriginConstraint::new(&route, &call, origins, deadline).await?;
+        // A peer that serves the request finds out by itself.
+        let origin = match self.gateway.server_path.is_lost() && !is_relayed {
+            true => OriginConstraint::default(),
+            false => OriginConstraint::new(&route, &call, origins, deadline).await?,
+        };
         let mut forwarder = RequestForwarder {
             gateway: self.gateway.clone(),
             routes,
@@ -68,7 +76,11 @@
             caller_headers: head.headers,
             method: head.method,
             uri: head.uri,
-            body: input,
+            body: input.clone(),
+            input,
+            caller_address,
+            is_relayed,
+            reservation: None,
             deadline,
             prefix_holder: None,
             origin,
@@ -82,9 +94,9 @@
             forwarder.route.kind,
             RouteKind::Stream | RouteKind::ResumableStream
         );
-        let (reservation, unsaved_turn) = match is_stream {
+        let unsaved_turn = match is_stream && !forwarder.must_relay() {
             true => self.prepare_turn(&mut forwarder).await?,
-            false => (None, None),
+            false => None,
         };
         match forwarder.send(last_event_id).await? {
             ServerResponse::Buffered(response) => {
@@ -99,7 +111,6 @@
                     forwarder,
                     upstream,
                     sender,
-                    reservation,
                     unsaved_turn,
                     last_event_id,
                     output: Vec::new(),
@@ -107,14 +118,44 @@
                 monoio::spawn(task::isolate("stream", stream.run()));
                 Ok(Response::from_parts(head, body))
             }
+            ServerResponse::Relayed(response) => self.pass_on(forwarder, response).await,
         }
     }
 
-    /// Reserves the tokens of a turn and completes its request with the history of the conversation.
-    async fn prepare_turn(
+    /// Passes the response of a peer on to the caller.
+    async fn pass_on(
         &self,
-        forwarder: &mut RequestForwarder,
-    ) -> Result<(Option<Reservation>, Option<UnsavedTurn>)> {
+        forwarder: RequestForwarder,
+        response: Response<Incoming>,
+    ) -> Result<Response<Body>> {
+        let (head, upstream) = response.into_parts();
+        let status = head.status.as_u16();
+        if relay::has_length(&head.headers) {
+            let body = forwarder.read_relayed_body(upstream).await?;
+            forwarder.record.finish(status, "relayed");
+            return Ok(Response::from_parts(head, Body::full(body)));
+        }
+        let (mut sender, body) = Body::stream();
+        let passing_on = async move {
+            match forwarder.pass_on_body(upstream, &mut sender).await {
+                Ok(()) => {
+                    sender.end();
+                    forwarder.record.finish(status, "relayed");
+                }
+                Err(BodyEnd::CallerDisconnected) => {}
+                Err(BodyEnd::Failed(reason)) => {
+                    let outcome = format!("stream broken off: {reason}");
+                    forwarder.record.finish(status, outcome);
+                    sender.abort().await;
+                }
+            }
+        };
+        monoio::spawn(task::isolate("stream", passing_on));
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Reserves the tokens of a turn and completes its request with the history of the conversation.
+    async fn prepare_turn(&self, forwarder: &mut RequestForwarder) -> Result<Option<UnsavedTurn>> {
         let is_new = forwarder.call.last_event_id.is_none();
         let may_be_resumed = is_new && forwarder.route.kind == RouteKind::ResumableStream;
         let proposed_origin = may_be_resumed.then(|| forwarder.predict_origin()).flatten();
@@ -132,12 +173,24 @@
         forwarder.body = prepared.body;
         forwarder.prefix_holder = prepared.prefix_holder;
         forwarder.origin.program_origin = prepared.stream_origin;
-        Ok((prepared.reservation, prepared.unsaved_turn))
+        forwarder.reservation = prepared.reservation;
+        Ok(prepared.unsaved_turn)
     }
 }
 
 impl Handler for GatewayDispatcher {
     async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
+        self.serve(request, false).await
+    }
+}
+
+impl GatewayDispatcher {
+    /// Serves a request that another gateway has relayed.
+    pub async fn handle_relayed(&self, request: Request<Bytes>) -> Response<Body> {
+        self.serve(request, true).await
+    }
+
+    async fn serve(&self, request: Request<Bytes>, is_relayed: bool) -> Response<Body> {
         let call = CallHeaders::decode(request.headers());
         let program_id = call
             .program
@@ -156,7 +209,11 @@
         if let Some(last_event_id) = call.last_event_id {
             record.set_resumed_stream(call.resumed_request_id.as_deref(), last_event_id);
         }
-        match self.respond(request, call, identity, record.clone()).await {
+        if is_relayed {
+            record.note("relayed by a gateway without a path to servers");
+        }
+        let response = self.respond(request, call, identity, is_relayed, record.clone());
+        match response.await {
             Ok(response) => response,
             Err(error) => {
                 let status = error.kind.answer().status;
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -4,10 +4,14 @@
 //! server may have run the request. [`retry`] decides on that basis whether another server is
 //! tried, so that a request which must not run twice is never sent again in doubt.
 
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::future::{Either, select};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
@@ -20,10 +24,11 @@
 use super::origin::{self, OriginConstraint};
 use super::record::{RequestRecord, ServerChoice};
 use super::retry::{self, AttemptCounts, AttemptFailure, RetryDecision};
-use crate::connection::http_client::ClientError;
+use crate::connection::http_client::{ClientError, Result as ClientResult};
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::BackendServerId;
 use crate::process::gateway::allowance::{ProgramStage, RequestClass, request_class};
+use crate::process::gateway::budget::Reservation;
 use crate::process::gateway::crash_reports::Crash;
 use crate::process::gateway::fingerprint::RequestIdentity;
 use crate::process::gateway::placement::{self, LoadPermille, Prefix};
@@ -34,10 +39,15 @@
 use crate::version::route_table::{RouteTable, choose_target};
 
 /// Size limit of a response that is not a stream.
-const ANSWER_LIMIT_BYTES: usize = 16 << 20;
+pub(super) const ANSWER_LIMIT_BYTES: usize = 16 << 20;
 
 /// Longest wait for the port of a server that may have crashed. A VM that is up answers at once.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time without the head of a response and without any answer of a server, after which it is checked
+/// whether the path to the servers is lost. Servers under load take as long, so it is no failure.
+pub(super) const PATH_CHECK_DELAY: Duration = Duration::from_millis(200);
+/// Time for which a response is awaited after the path to the servers is lost.
+const LOST_PATH_GRACE_PERIOD: Duration = Duration::from_millis(200);
 /// Shortest delay after which a caller is told to come back because of a rate limit; shorter ones
 /// are lost in the transfer.
 const MIN_RETURN_DELAY: Duration = Duration::from_millis(20);
@@ -58,8 +68,16 @@
     pub method: Method,
     /// The path and query, forwarded unchanged.
     pub uri: Uri,
+    /// The body as the caller sent it.
+    pub input: Bytes,
     /// The body sent to the server: for turns the history followed by the input.
     pub body: Bytes,
+    /// The address of the caller, if it is known.
+    pub caller_address: Option<SocketAddr>,
+    /// Whether another gateway has relayed the request. It is not relayed again.
+    pub is_relayed: bool,
+    /// The reserved tokens of the turn; `None` if the program has no budget.
+    pub reservation: Option<Reservation>,
     /// When the response must be complete.
     pub deadline: Instant,
     /// The server that has the prefix of the prompt in its cache, if known.
@@ -95,6 +113,8 @@
     Buffered(Response<Bytes>),
     /// The head of a stream and the stream itself.
     Stream(Parts, ServerStream),
+    /// The response of a peer that has taken the request, whose body is still to be read.
+    Relayed(Response<Incoming>),
 }
 
 /// A server that placement has selected, and the load that it estimated.
@@ -120,6 +140,9 @@
             if let Some(error) = self.crash_refusal() {
                 return Err(error);
             }
+            if self.must_relay() {
+                return self.relay(last_event_id).await.map(ServerResponse::Relayed);
+            }
             let Some(server) = self.choose_permitted_server().await else {
                 return Err(self.no_server_error());
             };
@@ -134,7 +157,7 @@
                 .deadline
                 .saturating_duration_since(self.attempt_started_at);
             if time_left.is_zero() {
-                return Err(self.deadline_error());
+                return Err(deadline_error(&self.attempts));
             }
             let (failure, reason) = match self.attempt(&server, time_left, last_event_id).await {
                 AttemptOutcome::Answered(response) => return Ok(response),
@@ -153,17 +176,27 @@
             };
             self.record.note(format!("{}: {reason}", &*server.id));
             self.tried_servers.push(server);
-            match self.record_failed_attempt(failure) {
+            let decision = self.record_failed_attempt(failure);
+            if self.must_relay() {
+                continue;
+            }
+            match decision {
                 RetryDecision::RetryElsewhere => {}
                 RetryDecision::FailNotExecuted => return Err(not_executed_error(failure, &reason)),
                 RetryDecision::FailInDoubt if Instant::now() >= self.deadline => {
-                    return Err(self.deadline_error());
+                    return Err(deadline_error(&self.attempts));
                 }
                 RetryDecision::FailInDoubt => return Err(in_doubt_error(&reason)),
             }
         }
     }
 
+    /// Whether a peer must serve the request, because this gateway reaches no server.
+    pub fn must_relay(&self) -> bool {
+        let may_be_sent = !self.attempts.may_have_run || retry::is_retryable(self.route.kind);
+        self.gateway.server_path.is_lost() && !self.is_relayed && may_be_sent
+    }
+
     /// Makes known where a new stream may begin, before it is sent to a server.
     async fn record_origin(&mut self, server: &Server) -> Result<()> {
         let origins = &self.gateway.stream_origins;
@@ -350,12 +383,20 @@
         };
         let http = &self.gateway.http;
         let sent = http.send_matched(server.address(), request, head_timeout, matches_request);
-        let response = match sent.await {
-            Ok(response) => response,
+        let response = match self.watch_server_path(sent).await {
+            Ok(response) => {
+                self.gateway.server_path.record_answer();
+                response
+            }
             Err(error) => {
                 server.record_failure();
-                if matches!(error, ClientError::Interrupted(_)) {
-                    self.report_if_crashed(server).await;
+                match error {
+                    ClientError::Interrupted(_) => self.report_if_crashed(server).await,
+                    // The server is reached.
+                    ClientError::Mismatched => {}
+                    ClientError::NotSent(_) | ClientError::TimedOut(_) => {
+                        self.gateway.server_path.check().await;
+                    }
                 }
                 return AttemptOutcome::Failed(classify_client_error(&error), error.to_string());
             }
@@ -363,6 +404,38 @@
         self.interpret_response(server, in_flight, response).await
     }
 
+    /// Waits for the head of a response. If it takes long and no server answers anything, finds out
+    /// whether the path to the servers is lost. A request that may be sent again is given up then.
+    async fn watch_server_path<F>(&self, sent: F) -> ClientResult<Response<Incoming>>
+    where
+        F: Future<Output = ClientResult<Response<Incoming>>>,
+    {
+        let timer = &self.gateway.timer;
+        let server_path = &self.gateway.server_path;
+        let mut sent = pin!(sent);
+        if let Ok(result) = timer.timeout(PATH_CHECK_DELAY, &mut sent).await {
+            return result;
+        }
+        if !server_path.has_answer_within(PATH_CHECK_DELAY) {
+            server_path.check_in_background();
+        }
+        if !retry::is_retryable(self.route.kind) || self.is_relayed {
+            return sent.await;
+        }
+        let lost = async {
+            server_path.lost().await;
+            // The connection may be one that lives on while new ones are refused.
+            timer.sleep(LOST_PATH_GRACE_PERIOD).await;
+        };
+        match select(sent, pin!(lost)).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => {
+                let reason = "the path to the servers is lost".to_string();
+                Err(ClientError::Interrupted(reason))
+            }
+        }
+    }
+
     async fn interpret_response(
         &self,
         server: &Rc<Server>,
@@ -451,6 +524,10 @@
     /// Records that the request was running at a server that has crashed, if its connection broke
     /// because of that: a server in service whose port is closed.
     pub async fn report_if_crashed(&self, server: &Rc<Server>) {
+        // A gateway that loses all servers at once has not seen crashes.
+        if !self.gateway.server_path.check().await {
+            return;
+        }
         let servers = &self.gateway.servers;
         if !servers.is_in_service(server) {
             return;
@@ -496,16 +573,6 @@
         !servers.any(|server| server.stream_origin() == required && registry.is_in_service(&server))
     }
 
-    fn deadline_error(&self) -> Error {
-        if self.attempts.may_have_run {
-            let message = "the request was not answered before its deadline";
-            Error::new(ErrorKind::DeadlineExceeded, message)
-        } else {
-            let message = "the request was not sent to a server before its deadline";
-            Error::new(ErrorKind::QueueTimeout, message)
-        }
-    }
-
     fn no_server_error(&self) -> Error {
         if self.attempts.may_have_run {
             in_doubt_error("no other backend server accepts requests")
@@ -523,6 +590,16 @@
     }
 }
 
+pub(super) fn deadline_error(attempts: &AttemptCounts) -> Error {
+    if attempts.may_have_run {
+        let message = "the request was not answered before its deadline";
+        Error::new(ErrorKind::DeadlineExceeded, message)
+    } else {
+        let message = "the request was not sent to a server before its deadline";
+        Error::new(ErrorKind::QueueTimeout, message)
+    }
+}
+
 fn classify_client_error(error: &ClientError) -> AttemptFailure {
     if error.is_not_sent() {
         AttemptFailure::NotSent
@@ -540,7 +617,7 @@
     Error::new(kind, message)
 }
 
-fn in_doubt_error(reason: &str) -> Error {
+pub(super) fn in_doubt_error(reason: &str) -> Error {
     let message = format!("a backend server may have run the request: {reason}");
     Error::new(ErrorKind::ServiceInDoubt, message)
 }
--- /dev/null
+++ b/src/request/gateway/relay.rs
@@ -0,0 +1,142 @@
+//! Sends the request of a caller through a peer, because this gateway reaches no backend server.
+//!
+//! The peer serves the whole request as if the caller had connected to it: it admits the turn,
+//! chooses the server and retries. It does not relay the request again, so there is one hop at
+//! most. Once a peer may have taken the request, it is not sent to another one: the peer may have
+//! used up the attempts of the route.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_util::future::{Either, select};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderMap};
+use hyper::{Request, Response};
+use sapphireford_platform::headers;
+
+use super::forward::{ANSWER_LIMIT_BYTES, RequestForwarder, deadline_error, in_doubt_error};
+use crate::connection::body::BodySender;
+use crate::connection::http_client::ClientError;
+use crate::error::{Error, ErrorKind, Result};
+use crate::process::gateway::peers;
+
+/// Peers that are asked to take a request. Those that do not take it answer at once.
+const MAX_PEERS: usize = 3;
+
+/// Why a relayed stream did not end as complete.
+pub(super) enum BodyEnd {
+    CallerDisconnected,
+    Failed(String),
+}
+
+impl RequestForwarder {
+    /// Sends the request through a peer. `last_event_id` is the last event that the caller has
+    /// received.
+    pub(super) async fn relay(&mut self, last_event_id: Option<u64>) -> Result<Response<Incoming>> {
+        // The peer admits the turn, with what this gateway has not spent.
+        self.reservation = None;
+        let server_path = self.gateway.server_path.clone();
+        for peer in server_path.helpers().into_iter().take(MAX_PEERS) {
+            match self.send_to_peer(peer, last_event_id).await {
+                Ok(response) if !peers::is_not_taken(&response) => {
+                    self.record.note(format!("relayed through {peer}"));
+                    return Ok(without_hop_by_hop_headers(response));
+                }
+                Ok(_) => self.record.note(format!("{peer} did not take the request")),
+                Err(error) if error.is_not_sent() => self.record.note(error.to_string()),
+                Err(ClientError::TimedOut(_)) => {
+                    self.attempts.may_have_run = true;
+                    return Err(deadline_error(&self.attempts));
+                }
+                Err(error) => return Err(in_doubt_error(&format!("relayed: {error}"))),
+            }
+            server_path.remove_helper(peer);
+        }
+        if self.attempts.may_have_run {
+            return Err(in_doubt_error("no gateway reaches another backend server"));
+        }
+        let message = "neither this gateway nor its peers reach a backend server; retry at another \
+                       gateway";
+        Err(Error::new(ErrorKind::NoBackendServer, message))
+    }
+
+    async fn send_to_peer(
+        &self,
+        peer: SocketAddr,
+        last_event_id: Option<u64>,
+    ) -> std::result::Result<Response<Incoming>, ClientError> {
+        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        let mut request = Request::new(self.input.clone());
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.relayed_headers(last_event_id);
+        let Some(request) = peers::wrap_request(request, self.caller_address) else {
+            let reason = "the request cannot be relayed".to_string();
+            return Err(ClientError::NotSent(reason));
+        };
+        self.gateway.http.send(peer, request, time_left).await
+    }
+
+    /// Reads a relayed response that is not a stream.
+    pub(super) async fn read_relayed_body(&self, body: Incoming) -> Result<Bytes> {
+        let read = self.gateway.http.read_body(body, ANSWER_LIMIT_BYTES);
+        match self.gateway.timer.timeout_at(self.deadline, read).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(error)) => Err(in_doubt_error(&format!("relayed: {error}"))),
+            Err(elapsed) => Err(in_doubt_error(&format!("relayed: {elapsed}"))),
+        }
+    }
+
+    /// Passes the body of a relayed stream on to the caller until it ends.
+    pub(super) async fn pass_on_body(
+        &self,
+        mut body: Incoming,
+        sender: &mut BodySender,
+    ) -> std::result::Result<(), BodyEnd> {
+        let timer = &self.gateway.timer;
+        loop {
+            let frame = {
+                let read = timer.timeout_at(self.deadline, body.frame());
+                match select(pin!(read), pin!(sender.closed())).await {
+                    Either::Left((frame, _)) => frame,
+                    Either::Right(_) => return Err(BodyEnd::CallerDisconnected),
+                }
+            };
+            let chunk = match frame {
+                Err(_) => return Err(BodyEnd::Failed("deadline reached".to_string())),
+                Ok(None) => return Ok(()),
+                Ok(Some(Err(error))) => return Err(BodyEnd::Failed(error.to_string())),
+                Ok(Some(Ok(frame))) => frame.into_data(),
+            };
+            let Ok(chunk) = chunk else { continue };
+            // A caller that does not read must not keep the request alive beyond its deadline.
+            match timer.timeout_at(self.deadline, sender.send(chunk)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return Err(BodyEnd::CallerDisconnected),
+                Err(_) => return Err(BodyEnd::Failed("deadline reached".to_string())),
+            }
+        }
+    }
+
+    fn relayed_headers(&self, last_event_id: Option<u64>) -> HeaderMap {
+        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        let began = self.call.resumed_request_id.as_deref();
+        let began = began.or(self.call.request_id.as_deref());
+        let resumed = last_event_id.and_then(|last| Some((began?, last)));
+        headers::relayed_request_headers(&self.caller_headers, time_left, resumed)
+    }
+}
+
+fn without_hop_by_hop_headers(response: Response<Incoming>) -> Response<Incoming> {
+    let (mut head, body) = response.into_parts();
+    head.headers = headers::without_hop_by_hop_headers(&head.headers);
+    Response::from_parts(head, body)
+}
+
+/// Whether the body of a relayed response has a known length, so it is not a stream.
+pub(super) fn has_length(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH)
+}
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -10,20 +10,24 @@
 
 use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use sapphireford_platform::operator::RouteKind;
 
-use super::forward::{RequestForwarder, ServerResponse, ServerStream};
+use super::forward::{PATH_CHECK_DELAY, RequestForwarder, ServerResponse, ServerStream};
+use super::relay::BodyEnd;
 use super::retry::{AttemptFailure, RetryDecision};
 use super::turn::UnsavedTurn;
 use crate::connection::body::BodySender;
 use crate::connection::sse::{EventSplitter, RawEvent};
-use crate::process::gateway::budget::Reservation;
 
 /// Longest wait for the next event of a stream that can be resumed at another server. It is far
 /// above the pauses between events of a loaded server and below the time after which callers
 /// disconnect.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Longest wait for the next event of such a stream after the path to the servers is lost.
+const LOST_PATH_STALL_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Forwards one stream to its caller; runs as a task of its own.
 pub struct StreamTask {
     /// The forwarder of the request, used again for resumptions.
@@ -32,8 +36,6 @@
     pub upstream: ServerStream,
     /// Sends the response body to the caller.
     pub sender: BodySender,
-    /// The reservation that the events are charged to; `None` if the program has no budget.
-    pub reservation: Option<Reservation>,
     /// The turn to be made durable before the stream ends; `None` if it is not part of a
     /// conversation history.
     pub unsaved_turn: Option<UnsavedTurn>,
@@ -65,11 +67,11 @@
                 ServerStreamEnd::DeadlineReached => {
                     return self.abort_stream("deadline reached").await;
                 }
-                ServerStreamEnd::ServerFailed(reason) => {
-                    if let Err(reason) = self.resume(reason).await {
-                        return self.abort_stream(&reason).await;
-                    }
-                }
+                ServerStreamEnd::ServerFailed(reason) => match self.resume(reason).await {
+                    Ok(None) => {}
+                    Ok(Some(rest)) => return self.pass_on_rest(rest).await,
+                    Err(reason) => return self.abort_stream(&reason).await,
+                },
             }
         }
     }
@@ -86,7 +88,8 @@
             };
             let timer = self.forwarder.gateway.timer.clone();
             let frame = {
-                let read = timer.timeout_at(stall_deadline, self.upstream.body.frame());
+                let wait_end = stall_deadline.min(Instant::now() + PATH_CHECK_DELAY);
+                let read = timer.timeout_at(wait_end, self.upstream.body.frame());
                 let closed = pin!(self.sender.closed());
                 match select(pin!(read), closed).await {
                     Either::Left((frame, _)) => frame,
@@ -97,9 +100,14 @@
                 Err(_) if Instant::now() >= self.forwarder.deadline => {
                     return ServerStreamEnd::DeadlineReached;
                 }
-                Err(_) => {
+                Err(_) if Instant::now() >= stall_deadline => {
                     return ServerStreamEnd::ServerFailed("the stream has stalled".to_string());
                 }
+                Err(_) if self.has_lost_path(last_event_at) => {
+                    let reason = "the path to the servers is lost".to_string();
+                    return ServerStreamEnd::ServerFailed(reason);
+                }
+                Err(_) => continue,
                 Ok(None) if splitter.is_at_event_boundary() => return ServerStreamEnd::Complete,
                 Ok(None) => {
                     let reason = "the stream ended inside an event".to_string();
@@ -137,7 +145,7 @@
         self.last_event_id = event.id.or(self.last_event_id);
         let origin = self.upstream.server.stream_origin();
         self.forwarder.origin.require(origin);
-        if let Some(reservation) = &self.reservation {
+        if let Some(reservation) = &self.forwarder.reservation {
             reservation.spend(self.tokens_per_event);
         }
         if self.unsaved_turn.is_some() {
@@ -145,6 +153,7 @@
             self.output.push(b'\n');
         }
         self.forwarder.record.add_event();
+        self.forwarder.gateway.server_path.record_answer();
         // A caller that does not read must not keep the request alive beyond its deadline.
         let timer = &self.forwarder.gateway.timer;
         let sent = timer.timeout_at(self.forwarder.deadline, self.sender.send(event.raw));
@@ -155,14 +164,27 @@
         }
     }
 
+    /// Whether the stream must go on through a peer, because this gateway has lost its path to the
+    /// servers. Finds that out if no server answers anything.
+    fn has_lost_path(&self, last_event_at: Instant) -> bool {
+        let server_path = &self.forwarder.gateway.server_path;
+        if !server_path.has_answer_within(PATH_CHECK_DELAY) {
+            server_path.check_in_background();
+        }
+        let is_resumable = self.forwarder.route.kind == RouteKind::ResumableStream;
+        let can_relay = is_resumable && !self.forwarder.is_relayed && server_path.is_lost();
+        can_relay && last_event_at.elapsed() >= LOST_PATH_STALL_TIMEOUT
+    }
+
     fn can_resume(&self) -> bool {
         let route = &self.forwarder.route;
         let is_resumable = route.kind == RouteKind::ResumableStream;
         is_resumable && self.forwarder.attempts.sent + 1 < route.max_attempts
     }
 
-    /// Resumes the stream at another server; the error is the reason why it cannot be resumed.
-    async fn resume(&mut self, reason: String) -> std::result::Result<(), String> {
+    /// Resumes the stream at another server. Returns the rest of the stream if a peer serves it; the
+    /// error is the reason why it cannot be resumed.
+    async fn resume(&mut self, reason: String) -> std::result::Result<Option<Incoming>, String> {
         self.upstream.server.record_failure();
         self.forwarder
             .report_if_crashed(&self.upstream.server)
@@ -177,7 +199,7 @@
             kind,
             max_attempts,
         );
-        if decision != RetryDecision::RetryElsewhere {
+        if decision != RetryDecision::RetryElsewhere && !self.forwarder.must_relay() {
             return Err(reason);
         }
         self.forwarder
@@ -186,8 +208,15 @@
         match self.forwarder.send(self.last_event_id).await {
             Ok(ServerResponse::Stream(_, upstream)) => {
                 self.upstream = upstream;
-                Ok(())
+                Ok(None)
+            }
+            Ok(ServerResponse::Relayed(response)) if response.status().is_success() => {
+                Ok(Some(response.into_body()))
             }
+            Ok(ServerResponse::Relayed(response)) => Err(format!(
+                "resuming the stream through a peer failed with status {}",
+                response.status().as_u16()
+            )),
             Ok(ServerResponse::Buffered(response)) => Err(format!(
                 "resuming the stream failed with status {}",
                 response.status().as_u16()
@@ -196,6 +225,18 @@
         }
     }
 
+    /// Passes on the rest of a stream that a peer serves, which also charges its events.
+    async fn pass_on_rest(mut self, rest: Incoming) {
+        match self.forwarder.pass_on_body(rest, &mut self.sender).await {
+            Ok(()) => {
+                self.sender.end();
+                self.forwarder.record.finish(200, "resumed through a peer");
+            }
+            Err(BodyEnd::CallerDisconnected) => {}
+            Err(BodyEnd::Failed(reason)) => self.abort_stream(&reason).await,
+        }
+    }
+
     /// Ends a stream whose events have all been forwarded. For a turn of a conversation, the stream
     /// ends only when the turn is durable, because the caller may send the next turn immediately
     /// through another gateway.
@@ -213,7 +254,7 @@
             );
             match saved.await {
                 Ok(chain) => {
-                    if let Some(reservation) = &self.reservation {
+                    if let Some(reservation) = &self.forwarder.reservation {
                         reservation.record_persisted_turn(turn.turn_id, chain);
                     }
                 }
@@ -223,7 +264,7 @@
                 }
             }
         }
-        if let Some(reservation) = &self.reservation {
+        if let Some(reservation) = &self.forwarder.reservation {
             reservation.record_completion(self.upstream.server.id.clone());
         }
         self.sender.end();
--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -15,6 +15,10 @@
 
 /// Time after the cut in which a gateway finds out that it has no path and who has one.
 const DETECTION_TIME: Duration = Duration::from_millis(1_000);
+/// More requests at once than a gateway has open connections to a server.
+const CONCURRENT_REQUESTS: usize = 12;
+/// A gateway that started reads the registrations of gateways of other failure domains again.
+const REGISTRATIONS_READ_AGAIN: Duration = Duration::from_millis(3_500);
 /// Limit of a request through a second gateway, far below the time-out of a connect.
 const SERVED_WITHIN: Duration = Duration::from_millis(300);
 /// Time after the end of a cut in which a gateway uses its own path again.
@@ -40,6 +44,20 @@
     }
 }
 
+/// Sends requests that make the gateways find out that they have no path. Some of them need new
+/// connections, because open ones may live on.
+fn find_out(gateways: &[&GatewayProcess]) {
+    thread::scope(|scope| {
+        for gateway in gateways {
+            for _ in 0..CONCURRENT_REQUESTS {
+                let request = caller_request("GET", "/ping/a", &new_request_id());
+                scope.spawn(move || request.send(gateway.caller_address()));
+            }
+        }
+    });
+    thread::sleep(DETECTION_TIME);
+}
+
 /// Sends one request of each kind, one of which must not run twice; returns the longest time.
 fn serve_each_kind(site: &GatewaySite, gateway: &GatewayProcess) -> Duration {
     let mut longest = Duration::ZERO;
@@ -77,9 +95,7 @@
     };
     serve_each_kind(&site, stranded);
     cut_off(stranded, cut);
-    // The first request finds out.
-    let _ = caller_request("GET", "/ping/a", &new_request_id()).send(stranded.caller_address());
-    thread::sleep(DETECTION_TIME);
+    find_out(&[stranded]);
     for _ in 0..5 {
         let longest = serve_each_kind(&site, stranded);
         assert!(longest < SERVED_WITHIN, "a request took {longest:?}");
@@ -100,9 +116,7 @@
     let mut site = GatewaySite::start_with_own_paths(&["d1"; 2]);
     for cut in [Cut::Silent, Cut::Reset] {
         cut_off(&site.gateways[0], cut);
-        let address = site.gateways[0].caller_address();
-        let _ = caller_request("GET", "/ping/a", &new_request_id()).send(address);
-        thread::sleep(DETECTION_TIME);
+        find_out(&[&site.gateways[0]]);
         serve_each_kind(&site, &site.gateways[0]);
         site.gateways[0].set_server_paths(ProxyMode::Forward);
         thread::sleep(RETURN_TIME);
@@ -116,12 +130,12 @@
 #[test]
 fn the_gateways_of_a_stranded_failure_domain_are_helped_by_another_one() {
     let site = GatewaySite::start_with_own_paths(&["d1", "d1", "d2", "d2"]);
-    for stranded in &site.gateways[..2] {
-        cut_off(stranded, Cut::Silent);
-        let address = stranded.caller_address();
-        let _ = caller_request("GET", "/ping/a", &new_request_id()).send(address);
+    thread::sleep(REGISTRATIONS_READ_AGAIN);
+    let stranded: Vec<_> = site.gateways[..2].iter().collect();
+    for gateway in &stranded {
+        cut_off(gateway, Cut::Silent);
     }
-    thread::sleep(DETECTION_TIME);
+    find_out(&stranded);
     for stranded in &site.gateways[..2] {
         let longest = serve_each_kind(&site, stranded);
         assert!(longest < SERVED_WITHIN, "a request took {longest:?}");
@@ -140,9 +154,8 @@
     let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
     for gateway in &site.gateways {
         cut_off(gateway, Cut::Silent);
-        let _ = caller_request("GET", "/ping/a", &new_request_id()).send(gateway.caller_address());
     }
-    thread::sleep(DETECTION_TIME);
+    find_out(&site.gateways.iter().collect::<Vec<_>>());
     for gateway in &site.gateways {
         let started = Instant::now();
         let request = caller_request("POST", "/book/a", &new_request_id());
@@ -177,9 +190,7 @@
 fn a_request_through_a_peer_counts_against_the_budget_of_its_program() {
     let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
     cut_off(&site.gateways[0], Cut::Silent);
-    let address = site.gateways[0].caller_address();
-    let _ = caller_request("GET", "/ping/a", &new_request_id()).send(address);
-    thread::sleep(DETECTION_TIME);
+    find_out(&[&site.gateways[0]]);
     let mut statuses = Vec::new();
     for _ in 0..4 {
         let id = new_request_id();
@@ -199,9 +210,7 @@
 fn a_server_is_told_when_the_caller_of_a_stranded_gateway_leaves() {
     let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
     cut_off(&site.gateways[0], Cut::Silent);
-    let address = site.gateways[0].caller_address();
-    let _ = caller_request("GET", "/ping/a", &new_request_id()).send(address);
-    thread::sleep(DETECTION_TIME);
+    find_out(&[&site.gateways[0]]);
     let id = new_request_id();
     let turn = Turn {
         id: &id,
@@ -212,10 +221,8 @@
     stream.next_event().expect("an event").expect("an event");
     drop(stream);
     let is_idle = || {
-        let engines = site.engines.iter();
-        engines.fold(true, |is_idle, engine| {
-            is_idle && engine.process.stats()["running"] == json!(0)
-        })
+        let mut engines = site.engines.iter();
+        engines.all(|engine| engine.process.stats()["running"] == json!(0))
     };
     assert!(wait_until(Duration::from_millis(500), is_idle));
 }
