Relay a request to resume a stream in the name of its caller only

A gateway without a path to servers that got a take-up without the header Resumes named this attempt as the one that began the stream. Its peer would have read the origin of a stream that has no row, and so might have continued it at another version.

A request is relayed before anything else is read for it, so its origin is never left open for a server of this gateway.

--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -62,12 +62,6 @@
         let caller_address = caller.map(|CallerAddress(address)| *address);
         let (head, input) = request.into_parts();
         let last_event_id = call.last_event_id;
-        let origins = &self.gateway.stream_origins;
-        // A peer that serves the request finds out by itself.
-        let origin = match self.gateway.server_path.is_lost() && !is_relayed {
-            true => OriginConstraint::default(),
-            false => OriginConstraint::new(&route, &call, origins, deadline).await?,
-        };
         let mut forwarder = RequestForwarder {
             gateway: self.gateway.clone(),
             routes,
@@ -83,18 +77,22 @@
             reservation: None,
             deadline,
             prefix_holder: None,
-            origin,
+            origin: OriginConstraint::default(),
             record: record.clone(),
             attempts: AttemptCounts::default(),
             identity,
             attempt_started_at: record.started_at(),
             tried_servers: Vec::new(),
         };
+        if forwarder.must_relay() {
+            let response = forwarder.relay(last_event_id).await?;
+            return self.pass_on(forwarder, response).await;
+        }
         let is_stream = matches!(
             forwarder.route.kind,
             RouteKind::Stream | RouteKind::ResumableStream
         );
-        let unsaved_turn = match is_stream && !forwarder.must_relay() {
+        let unsaved_turn = match is_stream {
             true => self.prepare_turn(&mut forwarder).await?,
             false => None,
         };
@@ -154,8 +152,13 @@
         Ok(Response::from_parts(head, body))
     }
 
-    /// Reserves the tokens of a turn and completes its request with the history of the conversation.
+    /// Reserves the tokens of a turn, completes its request with the history of the conversation, and
+    /// finds out where it must continue if it resumes a stream.
     async fn prepare_turn(&self, forwarder: &mut RequestForwarder) -> Result<Option<UnsavedTurn>> {
+        let origins = &self.gateway.stream_origins;
+        let (route, call) = (&forwarder.route, &forwarder.call);
+        let origin = OriginConstraint::new(route, call, origins, forwarder.deadline);
+        forwarder.origin = origin.await?;
         let is_new = forwarder.call.last_event_id.is_none();
         let may_be_resumed = is_new && forwarder.route.kind == RouteKind::ResumableStream;
         let proposed_origin = may_be_resumed.then(|| forwarder.predict_origin()).flatten();
--- a/src/request/gateway/relay.rs
+++ b/src/request/gateway/relay.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::{Request, Response};
-use sapphireford_platform::headers;
+use sapphireford_platform::headers::{self, ResumedStream};
 
 use super::forward::{ANSWER_LIMIT_BYTES, RequestForwarder, deadline_error, in_doubt_error};
 use crate::connection::body::BodySender;
@@ -123,9 +123,14 @@
 
     fn relayed_headers(&self, last_event_id: Option<u64>) -> HeaderMap {
         let time_left = self.deadline.saturating_duration_since(Instant::now());
-        let began = self.call.resumed_request_id.as_deref();
-        let began = began.or(self.call.request_id.as_deref());
-        let resumed = last_event_id.and_then(|last| Some((began?, last)));
+        let resumed = last_event_id.map(|last_event_id| ResumedStream {
+            // The peer resumes the stream of this request, or the one that its caller resumes.
+            request_id: match self.call.last_event_id {
+                None => self.call.request_id.as_deref(),
+                Some(_) => self.call.resumed_request_id.as_deref(),
+            },
+            last_event_id,
+        });
         headers::relayed_request_headers(&self.caller_headers, time_left, resumed)
     }
 }
