--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -152,6 +152,11 @@
                     false => error,
                 });
             }
+            if !self.gateway.servers.is_in_service(&server) {
+                // It has left while the origin was recorded.
+                self.tried_servers.push(server);
+                continue;
+            }
             self.attempt_started_at = Instant::now();
             let time_left = self
                 .deadline
