--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -38,6 +38,12 @@
         "limit of concurrent requests; further ones are rejected",
         "COUNT",
     );
+    options.optopt(
+        "",
+        "version",
+        "version of the software, which each event names",
+        "VERSION",
+    );
     options.optopt("", "event-ms", "delay before each event or response", "MS");
     options
 }
@@ -50,6 +56,7 @@
 struct State {
     timer: TimerService,
     id: String,
+    version: String,
     slots: usize,
     event_delay: Duration,
     running: Cell<usize>,
@@ -104,6 +111,7 @@
         let state = State {
             timer,
             id: arguments.value_or("id", DEFAULT_ID.to_string())?,
+            version: arguments.value_or("version", String::new())?,
             slots: arguments.value_or("slots", DEFAULT_SLOTS)?,
             event_delay: Duration::from_millis(event_ms),
             running: Cell::new(0),
@@ -296,7 +304,9 @@
                 return;
             }
             self.state.timer.sleep(self.state.event_delay).await;
-            let event = format!("id: {id}\ndata: {}\n\n", event_data(hash, id));
+            let data = event_data(hash, id);
+            let version = &self.state.version;
+            let event = format!("id: {id}\nevent: {version}\ndata: {data}\n\n");
             if sender.send(event.into()).await.is_err() {
                 return;
             }
--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -213,6 +213,7 @@
             site.add_engine(FIRST_VERSION);
             let id = format!("p-{index}");
             let plain_server = site.start_backend_server(&id, PLAIN_SERVICE, FIRST_VERSION);
+            site.register(&plain_server, "ready");
             site.plain_servers.push(plain_server);
         }
         site.configure(default_routes());
@@ -227,6 +228,12 @@
     pub fn add_engine(&mut self, version: &'static str) {
         let id = format!("e-{}", self.engines.len());
         let engine = self.start_backend_server(&id, ENGINE_SERVICE, version);
+        let has_own_paths = |gateway: &&mut GatewayProcess| !gateway.server_proxies.is_empty();
+        for gateway in self.gateways.iter_mut().filter(has_own_paths) {
+            let proxy = Proxy::start(self.ip, engine.process.address());
+            gateway.server_proxies.insert(id.clone(), proxy);
+        }
+        self.register(&engine, "ready");
         self.engines.push(engine);
     }
 
@@ -237,17 +244,26 @@
         version: &'static str,
     ) -> BackendServer {
         let listen = format!("{}:0", self.ip);
-        let process = Process::start("standin-backend", &["--listen", &listen, "--id", id]);
+        let arguments = ["--listen", &listen, "--id", id, "--version", version];
+        let process = Process::start("standin-backend", &arguments);
         let proxy = Proxy::start(self.ip, process.address());
-        let server = BackendServer {
+        BackendServer {
             process,
             proxy,
             id: id.to_string(),
             service,
             version,
-        };
-        self.register(&server, "ready");
-        server
+        }
+    }
+
+    /// Sets the mode of the connections between all gateways and a backend server.
+    pub fn set_path_to(&self, server: &BackendServer, mode: ProxyMode) {
+        server.proxy.set_mode(mode);
+        for gateway in &self.gateways {
+            if let Some(proxy) = gateway.server_proxies.get(&server.id) {
+                proxy.set_mode(mode);
+            }
+        }
     }
 
     /// Writes the row of a backend server with `state`, such as `ready` or `draining`.
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -21,13 +21,23 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use sapphireford_standin::harness::{
-    GatewaySite, ProxyMode, TOKENS_PER_EVENT, default_routes, wait_until,
+    EventStream, GatewayProcess, GatewaySite, ProxyMode, TOKENS_PER_EVENT, default_routes,
+    wait_until,
 };
 use serde_json::json;
 use yare::parameterized;
 
 const GATEWAYS: usize = 3;
+/// Engines, half of them of each software version.
+const ENGINES: usize = 4;
+/// Times that a caller takes up a stream.
+const MAX_TAKE_UPS: usize = 3;
+/// Attempts of a take-up, and the delay between two of them.
+const TAKE_UP_ATTEMPTS: usize = 5;
+const TAKE_UP_DELAY: Duration = Duration::from_millis(150);
 const EVENTS_PER_TURN: u64 = 3;
+/// Such a stream takes about half a second.
+const EVENTS_PER_LONG_STREAM: u64 = 50;
 const TURN_TOKENS: u64 = EVENTS_PER_TURN * TOKENS_PER_EVENT;
 /// Budget of a looping program: it is used up after a few turns.
 const LOOP_BUDGET_TOKENS: u64 = 5 * TURN_TOKENS;
@@ -36,7 +46,7 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// Guards against combinations of faults that break a guarantee on histories, budgets, single
-/// execution, complete responses or refusals.
+/// execution, complete responses, refusals or the software version of a stream.
 #[parameterized(first = { 1 }, second = { 2 }, third = { 3 })]
 fn short_fault_plan_breaks_no_guarantee(seed: u64) {
     run_fault_plan(seed, Duration::from_secs(6));
@@ -67,6 +77,8 @@
     violations: Vec<String>,
     completed_turns: u64,
     completed_bookings: u64,
+    /// Streams that a caller took up and read to their end.
+    taken_up_streams: u64,
 }
 
 struct SharedState {
@@ -95,7 +107,10 @@
 }
 
 fn run_fault_plan(seed: u64, duration: Duration) {
-    let mut site = GatewaySite::start(GATEWAYS);
+    let mut site = GatewaySite::start_with_own_paths(&["d1"; GATEWAYS]);
+    while site.engines.len() < ENGINES {
+        site.add_engine("v2");
+    }
     let addresses = site.gateways.iter().map(|gateway| gateway.caller_address());
     let shared = SharedState {
         observations: Mutex::default(),
@@ -107,6 +122,7 @@
             let shared = &shared;
             scope.spawn(move || run_conversations(shared, seed * 100 + worker));
             scope.spawn(move || run_looping_programs(shared, seed * 100 + 10 + worker));
+            scope.spawn(move || run_long_streams(shared, seed * 100 + 30 + worker));
             scope.spawn(move || send_bookings(shared, seed * 100 + 20 + worker));
         }
         inject_random_faults(&mut site, seed, duration);
@@ -117,11 +133,13 @@
     check_conversations(&site, &shared);
     let observations = shared.observations();
     println!(
-        "seed {seed}: {} completed turns, {} completed bookings, {} refusals, {} conversations",
+        "seed {seed}: {} completed turns, {} completed bookings, {} refusals, {} conversations, \
+         {} streams taken up",
         observations.completed_turns,
         observations.completed_bookings,
         observations.refused_ids.len(),
-        observations.conversations.len()
+        observations.conversations.len(),
+        observations.taken_up_streams
     );
     assert!(
         observations.violations.is_empty(),
@@ -204,9 +222,16 @@
     }
     let expected = expected_stream_data(body, turn.events);
     let mut data = Vec::new();
+    let mut version = None;
+    let mut take_ups = 0;
     loop {
         match stream.next_event() {
             Ok(Some(event)) => {
+                if event.name != *version.get_or_insert_with(|| event.name.clone()) {
+                    let text = format!("turn {}: events of two versions", turn.id);
+                    shared.record_violation(text);
+                    return None;
+                }
                 let has_loop_budget = turn.budget_tokens == LOOP_BUDGET_TOKENS;
                 if has_loop_budget {
                     let mut observations = shared.observations();
@@ -222,7 +247,10 @@
                 }
                 data.push(event.data);
             }
-            Ok(None) if data.len() == expected.len() => return Some(data),
+            Ok(None) if data.len() == expected.len() => {
+                shared.observations().taken_up_streams += u64::from(take_ups > 0);
+                return Some(data);
+            }
             Ok(None) => {
                 shared.record_violation(format!(
                     "turn {}: truncated, but ends as if complete",
@@ -230,9 +258,41 @@
                 ));
                 return None;
             }
-            Err(_) => return None,
+            Err(_) if turn.path != "/quote/a" || data.is_empty() => return None,
+            Err(_) => {
+                take_ups += 1;
+                if take_ups > MAX_TAKE_UPS {
+                    return None;
+                }
+                stream = take_up(shared, random, turn, data.len())?;
+            }
+        }
+    }
+}
+
+/// Takes a stream up through a random gateway after some of its events; `None` if each attempt is refused.
+fn take_up(
+    shared: &SharedState,
+    random: &mut StdRng,
+    turn: &Turn<'_>,
+    events: usize,
+) -> Option<EventStream> {
+    for _ in 0..TAKE_UP_ATTEMPTS {
+        let id = new_request_id();
+        let address = *shared.addresses.choose(random)?;
+        let attempt = Turn { id: &id, ..*turn };
+        let request = attempt.request().timeout(READ_TIMEOUT);
+        let request = request.header("resumes", turn.id);
+        let request = request.header("last-event-id", &events.to_string());
+        if let Ok(stream) = request.open(address) {
+            shared.record_status(&id, stream.status());
+            if stream.status() == 200 {
+                return Some(stream);
+            }
         }
+        thread::sleep(TAKE_UP_DELAY);
     }
+    None
 }
 
 /// Runs programs that exceed their budgets: each starts 12 rounds of two concurrent turns.
@@ -268,6 +328,29 @@
     }
 }
 
+/// Runs programs with streams that are long enough to be broken off and taken up again.
+fn run_long_streams(shared: &SharedState, seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut number = 0;
+    while !shared.is_finished.load(Ordering::Relaxed) {
+        number += 1;
+        let program = format!("long-{seed}-{number}");
+        for _ in 0..random.random_range(1..4) {
+            let turn = Turn {
+                id: &new_request_id(),
+                program: &program,
+                input: "long",
+                events: EVENTS_PER_LONG_STREAM,
+                budget_tokens: CONVERSATION_BUDGET_TOKENS,
+                ..Turn::default()
+            };
+            if run_turn(shared, &mut random, &turn, "long").is_some() {
+                shared.observations().completed_turns += 1;
+            }
+        }
+    }
+}
+
 /// Sends bookings over keep-alive connections that are reused until the gateway closes them or a
 /// request fails.
 fn send_bookings(shared: &SharedState, seed: u64) {
@@ -325,6 +408,7 @@
 fn inject_fault(site: &mut GatewaySite, random: &mut StdRng) {
     let index = random.random_range(0..GATEWAYS);
     let backend = random.random_range(0..2);
+    let engine = random.random_range(0..ENGINES);
     let mode = *[
         ProxyMode::Reset,
         ProxyMode::Stall,
@@ -332,7 +416,7 @@
     ]
     .choose(random)
     .unwrap_or(&ProxyMode::Reset);
-    match random.random_range(0..14) {
+    match random.random_range(0..16) {
         0 => {
             site.gateways[index].kill();
             site.gateways[index].start();
@@ -358,15 +442,28 @@
             .store
             .control(&json!({ "hang_each": random.random_range(2..6) })),
         9 => site.store.control(&json!({ "compact": true })),
-        10 => site.engines[backend].proxy.set_mode(mode),
+        10 => site.set_path_to(&site.engines[engine], mode),
         11 => {
             let events = random.random_range(0..EVENTS_PER_TURN);
             let fault = ["cut_after_events", "stall_after_events"].choose(random);
             let fault = fault.copied().unwrap_or("cut_after_events");
-            site.engines[backend]
+            site.engines[engine]
                 .process
                 .control(&json!({ fault: events }));
         }
+        14 => {
+            let cuts = [ProxyMode::Partition, ProxyMode::Refuse, ProxyMode::Stall];
+            let cut = cuts.choose(random).copied().unwrap_or(ProxyMode::Refuse);
+            site.gateways[index].set_server_paths(cut);
+            if random.random_bool(0.5) {
+                let proxies = site.gateways[index].server_proxies.values();
+                proxies.for_each(|proxy| proxy.reset_connections());
+            }
+        }
+        15 => {
+            site.gateways.iter_mut().for_each(GatewayProcess::kill);
+            site.gateways.iter_mut().for_each(GatewayProcess::start);
+        }
         12 => {
             let fault = ["lose_answer", "wrong_id", "unsigned", "full"].choose(random);
             let fault = fault.copied().unwrap_or("full");
@@ -376,7 +473,7 @@
         }
         _ => {
             site.configure(default_routes());
-            site.deregister(&site.engines[backend]);
+            site.deregister(&site.engines[engine]);
         }
     }
 }
@@ -386,7 +483,7 @@
     site.store
         .control(&json!({ "outage": "none", "delay_ms": 0, "hang_each": 0 }));
     for backend in site.engines.iter().chain(&site.plain_servers) {
-        backend.proxy.set_mode(ProxyMode::Forward);
+        site.set_path_to(backend, ProxyMode::Forward);
         backend.process.control(&json!({}));
         site.register(backend, "ready");
     }
