--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -31,8 +31,10 @@
 use crate::process::timer::unix_ms;
 
 pub use allowance_owner::AllowanceOwner;
+pub use connection::UnconnectedGateway;
 
 mod allowance_owner;
+mod connection;
 
 /// Table of the rows by which gateways register.
 pub const TABLE: &str = "gateways";
@@ -56,9 +58,6 @@
 const RECONNECT_PROBABILITY: f64 = 0.125;
 /// Time for which a gateway that leaves is told of in the gossip.
 const LEAVING_TOLD_FOR: Duration = Duration::from_secs(10);
-/// Time for which a gateway that reaches no backend server is not returned to callers after it last
-/// said so. It says so in each round of the gossip, which takes up to four rounds to reach a domain.
-const UNCONNECTED_LIFETIME: Duration = Duration::from_millis(2_500);
 /// Time between two rounds of the gossip after which the process counts as paused.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(1_600);
 /// Rows of gateways that stopped or died this long ago are removed.
@@ -100,15 +99,6 @@
     }
 }
 
-/// A gateway that reaches no backend server, as gateways tell each other.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UnconnectedGateway {
-    /// Id of the gateway.
-    pub gateway_id: String,
-    /// Time since the gateway said so. The transfer time between gateways is not included.
-    pub age_ms: u32,
-}
-
 /// The gateways that this one knows, and its own row.
 pub struct Directory {
     own_id: EntryId,
@@ -176,84 +166,6 @@
         &self.leaving
     }
 
-    /// Sets whether this gateway reaches backend servers, and triggers a round of the gossip.
-    pub fn set_connected(&self, is_connected: bool) {
-        self.is_connected.set(is_connected);
-        if is_connected {
-            self.helpers.borrow_mut().clear();
-        }
-        self.connection_changed.notify();
-    }
-
-    /// Notified when this gateway loses or regains its path to the backend servers.
-    pub fn connection_changed(&self) -> &Notify {
-        &self.connection_changed
-    }
-
-    /// Sets the peer addresses of the gateways that serve the callers of this one.
-    pub fn set_helpers(&self, helpers: &[SocketAddr]) {
-        self.helpers.replace(helpers.to_vec());
-    }
-
-    /// Peer addresses of gateways that may reach backend servers: of live ones in the own failure
-    /// domain, and of registered ones in the others.
-    pub fn possible_helpers(&self, now: Instant) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let own = self.own.borrow();
-        let known = self.known.borrow();
-        let connected = known
-            .iter()
-            .filter(|(id, known)| !known.row.is_leaving && !self.is_unconnected(id, now));
-        let (same_domain, others): (Vec<_>, Vec<_>) = connected
-            .map(|(_, known)| known)
-            .partition(|known| known.row.failure_domain == own.failure_domain);
-        let address = |known: &KnownGateway| known.row.peer_address;
-        let live = same_domain
-            .into_iter()
-            .filter(|known| self.is_live(known, now));
-        (
-            live.map(address).collect(),
-            others.into_iter().map(address).collect(),
-        )
-    }
-
-    fn is_unconnected(&self, id: &str, now: Instant) -> bool {
-        let unconnected = self.unconnected.borrow();
-        let said_at = unconnected.get(id);
-        said_at.is_some_and(|at| now.saturating_duration_since(*at) < UNCONNECTED_LIFETIME)
-    }
-
-    /// The gateways that have recently said that they reach no backend server.
-    pub fn unconnected_gateways(&self, now: Instant) -> Vec<UnconnectedGateway> {
-        let mut unconnected = self.unconnected.borrow_mut();
-        unconnected.retain(|_, at| now.saturating_duration_since(*at) < UNCONNECTED_LIFETIME);
-        if !self.is_connected.get() {
-            unconnected.insert(self.own_id.clone(), now);
-        }
-        let told = unconnected.iter().map(|(id, at)| UnconnectedGateway {
-            gateway_id: id.to_string(),
-            age_ms: now.saturating_duration_since(*at).as_millis() as u32,
-        });
-        told.collect()
-    }
-
-    /// Learns which gateways reach no backend server.
-    pub fn learn_unconnected(&self, told: &[UnconnectedGateway], now: Instant) {
-        let mut unconnected = self.unconnected.borrow_mut();
-        for UnconnectedGateway { gateway_id, age_ms } in told {
-            let age = Duration::from_millis(u64::from(*age_ms));
-            let Some(said_at) = now
-                .checked_sub(age)
-                .filter(|_| **gateway_id != *self.own_id)
-            else {
-                continue;
-            };
-            let known = unconnected
-                .entry(gateway_id.as_str().into())
-                .or_insert(said_at);
-            *known = (*known).max(said_at);
-        }
-    }
-
     /// Whether the rows of the other gateways have been read, or a peer has told of them.
     pub fn is_loaded(&self) -> bool {
         self.is_loaded.get()
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -4,53 +4,37 @@
 //! server may have run the request. [`retry`] decides on that basis whether another server is
 //! tried, so that a request which must not run twice is never sent again in doubt.
 
-use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_util::future::{Either, select};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use rand::Rng;
 use sapphireford_platform::answer::{self, AnswerHeaders};
 use sapphireford_platform::headers::{self, CallHeaders, Forwarding, REQUEST_ID};
-use sapphireford_platform::operator::{RouteKind, RouteRecord, RouteTarget};
+use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
 use super::origin::{self, OriginConstraint};
-use super::record::{RequestRecord, ServerChoice};
+use super::record::RequestRecord;
 use super::retry::{self, AttemptCounts, AttemptFailure, RetryDecision};
-use crate::connection::http_client::{ClientError, Result as ClientResult};
+use crate::connection::http_client::ClientError;
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::BackendServerId;
-use crate::process::gateway::allowance::{ProgramStage, RequestClass, request_class};
 use crate::process::gateway::budget::Reservation;
 use crate::process::gateway::crash_reports::Crash;
 use crate::process::gateway::fingerprint::RequestIdentity;
-use crate::process::gateway::placement::{self, LoadPermille, Prefix};
 use crate::process::gateway::running::Gateway;
 use crate::process::gateway::server::{InFlightGuard, Server};
-use crate::process::gateway::stream_origins::StreamOrigin;
-use crate::process::slots::placement::hash_bytes;
-use crate::version::route_table::{RouteTable, choose_target};
+use crate::version::route_table::RouteTable;
 
 /// Size limit of a response that is not a stream.
 pub(super) const ANSWER_LIMIT_BYTES: usize = 16 << 20;
 
 /// Longest wait for the port of a server that may have crashed. A VM that is up answers at once.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time without the head of a response and without any answer of a server, after which it is checked
-/// whether the path to the servers is lost. Servers under load take as long, so it is no failure.
-pub(super) const PATH_CHECK_DELAY: Duration = Duration::from_millis(200);
-/// Time for which a response is awaited after the path to the servers is lost.
-const LOST_PATH_GRACE_PERIOD: Duration = Duration::from_millis(200);
-/// Shortest delay after which a caller is told to come back because of a rate limit; shorter ones
-/// are lost in the transfer.
-const MIN_RETURN_DELAY: Duration = Duration::from_millis(20);
 
 /// Forwards one request, across all of its attempts.
 pub struct RequestForwarder {
@@ -117,12 +101,6 @@
     Relayed(Response<Incoming>),
 }
 
-/// A server that placement has selected, and the load that it estimated.
-struct SelectedServer {
-    server: Rc<Server>,
-    load: LoadPermille,
-}
-
 /// The outcome of one attempt at one server.
 enum AttemptOutcome {
     Answered(ServerResponse),
@@ -214,145 +192,6 @@
             .record_failed_attempt(failure, self.route.kind, self.route.max_attempts)
     }
 
-    /// Chooses a server, and counts the request against the rate limit of the server. A server
-    /// without allowance left is passed over for the next one.
-    async fn choose_permitted_server(&self) -> Option<Rc<Server>> {
-        // A server that is passed over is not eligible for a while, so this ends.
-        loop {
-            let server = self.choose_server()?;
-            let rate_limits = &self.gateway.rate_limits;
-            let class = self.class_at(&server);
-            if rate_limits.acquire(&server, class).await {
-                return Some(server);
-            }
-            self.record
-                .note(format!("{}: its rate limit is used up", &*server.id));
-        }
-    }
-
-    /// Where the request is likely to begin; `None` if no server takes it.
-    pub fn predict_origin(&self) -> Option<StreamOrigin> {
-        let choice = self.select_server()?;
-        Some(choice.server.stream_origin())
-    }
-
-    /// Chooses an untried server, and adds the choice to the record.
-    fn choose_server(&self) -> Option<Rc<Server>> {
-        let SelectedServer { server, load } = self.select_server()?;
-        let report_age = server.reported_load(Instant::now()).map(|(_, age)| age);
-        self.record.add_server(&ServerChoice {
-            server_id: &server.id,
-            version: &server.version(),
-            load,
-            report_age,
-            holds_prefix: self.prefix_holder.as_ref() == Some(&server.id),
-        });
-        Some(server)
-    }
-
-    /// The service that gets the request: that which began the stream, if the caller has events of
-    /// it, otherwise one of the route's services, drawn by weight.
-    fn select_target(&self) -> Option<&RouteTarget> {
-        let targets = &self.route.targets;
-        let Some(required) = self.origin.required() else {
-            return choose_target(targets, rand::rng().random::<f64>());
-        };
-        let began_stream = |target: &&RouteTarget| {
-            let servers = self.gateway.servers.for_service(&target.service);
-            servers
-                .iter()
-                .any(|server| server.stream_origin() == required)
-        };
-        targets.iter().find(began_stream)
-    }
-
-    /// Selects an untried server that the stream may be sent to.
-    fn select_server(&self) -> Option<SelectedServer> {
-        let target = self.select_target()?;
-        let service = self.routes.service(&target.service);
-        let gateways = self.gateway.directory.live_count();
-        let connections = service.map_or(u32::MAX, |service| service.max_connections);
-        let connection_limit = (connections / gateways).max(1);
-        let servers = self.gateway.servers.for_service(&target.service);
-        let now = Instant::now();
-        let is_engine = service.is_some_and(|service| service.engine.is_some());
-        let can_record_origin = self.gateway.stream_origins.can_record();
-        let mut is_rate_limited = false;
-        let candidates = servers.iter().map(|server| {
-            let registry = &self.gateway.servers;
-            let mut candidate = registry.candidate(server, connection_limit, now);
-            let is_exhausted = server.is_exhausted(self.class_at(server), now);
-            is_rate_limited |= is_exhausted;
-            let fits = || {
-                self.origin
-                    .allows(server.stream_origin(), can_record_origin)
-            };
-            candidate.is_eligible &= self.is_untried(server) && !is_exhausted && fits();
-            candidate
-        });
-        let mut candidates: Vec<_> = candidates.collect();
-        if is_engine && is_rate_limited {
-            placement::exclude_loaded(&mut candidates, self.prefix_holder.is_some());
-        }
-        let chosen = if is_engine {
-            let prefix = Prefix {
-                key: self.affinity_key(),
-                holder: self.prefix_holder.as_deref(),
-                is_growing: self.route.has_stored_history,
-            };
-            placement::select_by_prefix(prefix, &candidates)
-        } else {
-            placement::select_by_load(rand::rng().random(), &candidates)
-        }?;
-        Some(SelectedServer {
-            server: servers[chosen].clone(),
-            load: candidates[chosen].load,
-        })
-    }
-
-    /// The class of this request at a server with a rate limit.
-    fn class_at(&self, server: &Server) -> RequestClass {
-        let stage = match &self.prefix_holder {
-            Some(holder) if *holder == server.id => ProgramStage::ContinuesHere,
-            Some(_) => ProgramStage::ContinuesElsewhere,
-            None => ProgramStage::Begins,
-        };
-        request_class(self.route.priority, stage)
-    }
-
-    fn is_untried(&self, server: &Server) -> bool {
-        !self.tried_servers.iter().any(|tried| tried.id == server.id)
-    }
-
-    /// The time until the caller should come back because an untried server has room again; `None`
-    /// if no server of the route has used up its allowance.
-    fn schedule_return(&self) -> Option<Duration> {
-        let now = Instant::now();
-        let targets = self.route.targets.iter();
-        let servers = targets.flat_map(|target| self.gateway.servers.for_service(&target.service));
-        let untried = servers.filter(|server| self.is_untried(server));
-        let returns = untried.filter_map(|server| {
-            let at = server.return_time(self.class_at(&server), now)?;
-            Some((at, server))
-        });
-        let (at, server) = returns.min_by_key(|(at, _)| *at)?;
-        server.schedule_return(at);
-        Some((at - now).max(MIN_RETURN_DELAY))
-    }
-
-    /// The key by which placement ranks servers. Requests with the same key are expected to share a
-    /// prefix.
-    fn affinity_key(&self) -> u64 {
-        if let Some(program) = &self.call.program {
-            return hash_bytes(program.program_id.as_bytes());
-        }
-        if let Some(part) = self.call.prompt.parts.first() {
-            return part.id;
-        }
-        let request_id = self.call.request_id.as_deref().unwrap_or_default();
-        hash_bytes(request_id.as_bytes())
-    }
-
     async fn attempt(
         &self,
         server: &Rc<Server>,
@@ -409,38 +248,6 @@
         self.interpret_response(server, in_flight, response).await
     }
 
-    /// Waits for the head of a response. If it takes long and no server answers anything, finds out
-    /// whether the path to the servers is lost. A request that may be sent again is given up then.
-    async fn watch_server_path<F>(&self, sent: F) -> ClientResult<Response<Incoming>>
-    where
-        F: Future<Output = ClientResult<Response<Incoming>>>,
-    {
-        let timer = &self.gateway.timer;
-        let server_path = &self.gateway.server_path;
-        let mut sent = pin!(sent);
-        if let Ok(result) = timer.timeout(PATH_CHECK_DELAY, &mut sent).await {
-            return result;
-        }
-        if !server_path.has_answer_within(PATH_CHECK_DELAY) {
-            server_path.check_in_background();
-        }
-        if !retry::is_retryable(self.route.kind) || self.is_relayed {
-            return sent.await;
-        }
-        let lost = async {
-            server_path.lost().await;
-            // The connection may be one that lives on while new ones are refused.
-            timer.sleep(LOST_PATH_GRACE_PERIOD).await;
-        };
-        match select(sent, pin!(lost)).await {
-            Either::Left((result, _)) => result,
-            Either::Right(_) => {
-                let reason = "the path to the servers is lost".to_string();
-                Err(ClientError::Interrupted(reason))
-            }
-        }
-    }
-
     async fn interpret_response(
         &self,
         server: &Rc<Server>,
@@ -567,17 +374,6 @@
         }
     }
 
-    /// Whether the stream must continue at a software version that no server in service has.
-    fn is_origin_gone(&self) -> bool {
-        let Some(required) = self.origin.required() else {
-            return false;
-        };
-        let registry = &self.gateway.servers;
-        let targets = self.route.targets.iter();
-        let mut servers = targets.flat_map(|target| registry.for_service(&target.service));
-        !servers.any(|server| server.stream_origin() == required && registry.is_in_service(&server))
-    }
-
     fn no_server_error(&self) -> Error {
         if self.attempts.may_have_run {
             in_doubt_error("no other backend server accepts requests")
--- a/src/request/gateway/relay.rs
+++ b/src/request/gateway/relay.rs
@@ -5,9 +5,10 @@
 //! most. Once a peer may have taken the request, it is not sent to another one: the peer may have
 //! used up the attempts of the route.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::future::{Either, select};
@@ -18,14 +19,21 @@
 use sapphireford_platform::headers::{self, ResumedStream};
 
 use super::forward::{ANSWER_LIMIT_BYTES, RequestForwarder, deadline_error, in_doubt_error};
+use super::retry;
 use crate::connection::body::BodySender;
-use crate::connection::http_client::ClientError;
+use crate::connection::http_client::{ClientError, Result as ClientResult};
 use crate::error::{Error, ErrorKind, Result};
 use crate::process::gateway::peers;
 
 /// Peers that are asked to take a request. Those that do not take it answer at once.
 const MAX_PEERS: usize = 3;
 
+/// Time without the head of a response and without any answer of a server, after which it is checked
+/// whether the path to the servers is lost. Servers under load take as long, so it is no failure.
+pub(super) const PATH_CHECK_DELAY: Duration = Duration::from_millis(200);
+/// Time for which a response is awaited after the path to the servers is lost.
+const LOST_PATH_GRACE_PERIOD: Duration = Duration::from_millis(200);
+
 /// Why a relayed stream did not end as complete.
 pub(super) enum BodyEnd {
     CallerDisconnected,
@@ -33,6 +41,38 @@
 }
 
 impl RequestForwarder {
+    /// Waits for the head of a response. If it takes long and no server answers anything, finds out
+    /// whether the path to the servers is lost. A request that may be sent again is given up then.
+    pub(super) async fn watch_server_path<F>(&self, sent: F) -> ClientResult<Response<Incoming>>
+    where
+        F: Future<Output = ClientResult<Response<Incoming>>>,
+    {
+        let timer = &self.gateway.timer;
+        let server_path = &self.gateway.server_path;
+        let mut sent = pin!(sent);
+        if let Ok(result) = timer.timeout(PATH_CHECK_DELAY, &mut sent).await {
+            return result;
+        }
+        if !server_path.has_answer_within(PATH_CHECK_DELAY) {
+            server_path.check_in_background();
+        }
+        if !retry::is_retryable(self.route.kind) || self.is_relayed {
+            return sent.await;
+        }
+        let lost = async {
+            server_path.lost().await;
+            // The connection may be one that lives on while new ones are refused.
+            timer.sleep(LOST_PATH_GRACE_PERIOD).await;
+        };
+        match select(sent, pin!(lost)).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => {
+                let reason = "the path to the servers is lost".to_string();
+                Err(ClientError::Interrupted(reason))
+            }
+        }
+    }
+
     /// Sends the request through a peer. `last_event_id` is the last event that the caller has
     /// received.
     pub(super) async fn relay(&mut self, last_event_id: Option<u64>) -> Result<Response<Incoming>> {
@@ -67,7 +107,7 @@
         &self,
         peer: SocketAddr,
         last_event_id: Option<u64>,
-    ) -> std::result::Result<Response<Incoming>, ClientError> {
+    ) -> ClientResult<Response<Incoming>> {
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let mut request = Request::new(self.input.clone());
         *request.method_mut() = self.method.clone();
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -13,8 +13,8 @@
 use hyper::body::Incoming;
 use sapphireford_platform::operator::RouteKind;
 
-use super::forward::{PATH_CHECK_DELAY, RequestForwarder, ServerResponse, ServerStream};
-use super::relay::BodyEnd;
+use super::forward::{RequestForwarder, ServerResponse, ServerStream};
+use super::relay::{BodyEnd, PATH_CHECK_DELAY};
 use super::retry::{AttemptFailure, RetryDecision};
 use super::turn::UnsavedTurn;
 use crate::connection::body::BodySender;
