--- a/crates/standin/src/harness/proxy.rs
+++ b/crates/standin/src/harness/proxy.rs
@@ -37,6 +37,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which the listener is checked for connections and the mode for changes.
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+/// Time in which a change of the mode reaches the listener.
+const LISTENER_CHANGE_TIME: Duration = Duration::from_millis(6);
 /// Connections of the proxy itself that fill the backlog of a listener with the length 0.
 const BACKLOG_FILLERS: usize = 2;
 /// Longest wait until such a connection is established; the last one is not.
@@ -92,9 +94,13 @@
         self.address
     }
 
-    /// Sets the mode of open and new connections.
+    /// Sets the mode of open and new connections; returns when it is in effect.
     pub fn set_mode(&self, mode: ProxyMode) {
+        let previous = self.shared.mode();
         self.shared.mode.store(mode as u8, Ordering::Relaxed);
+        if changes_listener(previous) || changes_listener(mode) {
+            thread::sleep(LISTENER_CHANGE_TIME);
+        }
         if mode == ProxyMode::Reset {
             self.reset_connections();
         }
@@ -233,6 +239,11 @@
     let _ = to.shutdown(Shutdown::Write);
 }
 
+/// Whether connections are not accepted in this mode.
+fn changes_listener(mode: ProxyMode) -> bool {
+    matches!(mode, ProxyMode::Partition | ProxyMode::Refuse)
+}
+
 fn is_stalled(mode: ProxyMode, is_to_server: bool) -> bool {
     match mode {
         ProxyMode::Stall | ProxyMode::Partition => true,
--- a/src/process/gateway/server_path.rs
+++ b/src/process/gateway/server_path.rs
@@ -45,7 +45,7 @@
     servers: Rc<Servers>,
     is_lost: Cell<bool>,
     is_checking: Cell<bool>,
-    /// When a server last accepted a probe.
+    /// When the last probe began that a server accepted.
     last_probe: Cell<Option<Instant>>,
     /// When a server last answered a request.
     last_answer: Cell<Option<Instant>>,
@@ -105,16 +105,22 @@
 
     /// Checks after a failure whether the path is lost. Returns whether servers are reached.
     pub async fn check(self: &Rc<Self>) -> bool {
+        let now = Instant::now();
+        let since = now.checked_sub(PROBE_LIFETIME).unwrap_or(now);
+        self.check_since(since).await
+    }
+
+    /// Like [`ServerPath::check`], with a probe that began at `since` or later.
+    pub async fn check_since(self: &Rc<Self>, since: Instant) -> bool {
+        while !self.is_lost() && self.is_checking.get() {
+            self.changed.until(|| !self.is_checking.get()).await;
+        }
         if self.is_lost() {
             return false;
         }
-        if is_within(self.last_probe.get(), PROBE_LIFETIME) {
+        if self.last_probe.get().is_some_and(|at| at >= since) {
             return true;
         }
-        if self.is_checking.get() {
-            self.changed.until(|| !self.is_checking.get()).await;
-            return !self.is_lost();
-        }
         let guard = CheckGuard::start(self);
         let is_reached = self.probe().await;
         if !is_reached {
@@ -144,6 +150,7 @@
         let Some(first) = addresses.pop() else {
             return true;
         };
+        let started = Instant::now();
         addresses.truncate(CONFIRMING_PROBES);
         let is_reached = self.http.can_connect(first, PROBE_TIMEOUT).await || {
             let probes = addresses
@@ -152,7 +159,7 @@
             join_all(probes).await.contains(&true)
         };
         if is_reached {
-            self.last_probe.set(Some(Instant::now()));
+            self.last_probe.set(Some(started));
         }
         is_reached
     }
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -336,8 +336,10 @@
     /// Records that the request was running at a server that has crashed, if its connection broke
     /// because of that: a server in service whose port is closed.
     pub async fn report_if_crashed(&self, server: &Rc<Server>) {
-        // A gateway that loses all servers at once has not seen crashes.
-        if !self.gateway.server_path.check().await {
+        // A gateway that loses all servers at once has not seen crashes. A probe before the failure
+        // shows nothing.
+        let server_path = &self.gateway.server_path;
+        if !server_path.check_since(Instant::now()).await {
             return;
         }
         let servers = &self.gateway.servers;
--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -246,7 +246,7 @@
         thread::sleep(RETURN_TIME);
     }
     for gateway in &site.gateways {
-        let stream = request().open(gateway.caller_address()).expect("an answer");
-        assert_eq!(stream.status(), 200);
+        let answer = request().send(gateway.caller_address()).expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.text());
     }
 }
