--- a/src/process/gateway/directory/connection.rs
+++ b/src/process/gateway/directory/connection.rs
@@ -42,13 +42,12 @@
     }
 
     /// Peer addresses of gateways that may reach backend servers: of live ones in the own failure
-    /// domain, and of registered ones in the others.
+    /// domain, and of registered ones in the others. Of these it is not known whether they are live,
+    /// and one that was leaving may have started again at its address.
     pub fn possible_helpers(&self, now: Instant) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let own = self.own.borrow();
         let known = self.known.borrow();
-        let connected = known
-            .iter()
-            .filter(|(id, known)| !known.row.is_leaving && !self.is_unconnected(id, now));
+        let connected = known.iter().filter(|(id, _)| !self.is_unconnected(id, now));
         let (same_domain, others): (Vec<_>, Vec<_>) = connected
             .map(|(_, known)| known)
             .partition(|known| known.row.failure_domain == own.failure_domain);
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -203,7 +203,7 @@
 
     /// Whether this gateway can serve requests that a peer relays.
     async fn can_help(&self) -> bool {
-        self.is_ready() && self.server_path.reaches_servers().await
+        self.is_ready() && self.server_path.check().await
     }
 
     /// Whether lookups may return this gateway to callers.
--- a/src/process/gateway/server_path.rs
+++ b/src/process/gateway/server_path.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::StatusCode;
 use rand::seq::SliceRandom;
 
@@ -27,15 +28,19 @@
 const CONFIRMING_PROBES: usize = 3;
 /// Time after a successful probe in which no other one is made.
 const PROBE_LIFETIME: Duration = Duration::from_millis(100);
-/// Time after an answer of a server in which a peer is told without a probe that servers are
-/// reached.
-const ANSWER_LIFETIME: Duration = Duration::from_millis(1_000);
 /// Interval between probes, and between questions to peers, while the path is lost.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(500);
-/// Peers of the own failure domain, and of others, that are asked whether they reach servers.
+/// Peers of the own failure domain, and of others, that are asked at once whether they reach servers.
 const ASKED_PEERS: usize = 4;
+/// Rounds in which other peers are asked if none reaches servers.
+const ROUNDS_OF_QUESTIONS: usize = 3;
+/// Time after a round in which a request that no helper has taken is refused without another round.
+const ANSWERS_LIFETIME: Duration = Duration::from_millis(200);
 /// Longest wait for a peer, which may have to probe servers first.
 const PEER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for further peers after the first one that reaches servers. Those that were cut off
+/// as well take much longer to find that out.
+const FURTHER_HELPERS_TIMEOUT: Duration = Duration::from_millis(20);
 const RESPONSE_LIMIT_BYTES: usize = 1 << 10;
 
 /// The path of this gateway to the backend servers.
@@ -45,6 +50,10 @@
     servers: Rc<Servers>,
     is_lost: Cell<bool>,
     is_checking: Cell<bool>,
+    /// When peers were last asked.
+    last_asked: Cell<Option<Instant>>,
+    /// Whether peers are being asked because no helper has taken a request.
+    is_asking: Cell<bool>,
     /// When the last probe began that a server accepted.
     last_probe: Cell<Option<Instant>>,
     /// When a server last answered a request.
@@ -64,6 +73,8 @@
             servers,
             is_lost: Cell::new(false),
             is_checking: Cell::new(false),
+            last_asked: Cell::new(None),
+            is_asking: Cell::new(false),
             last_probe: Cell::new(None),
             last_answer: Cell::new(None),
             helpers: RefCell::default(),
@@ -124,7 +135,7 @@
         let guard = CheckGuard::start(self);
         let is_reached = self.probe().await;
         if !is_reached {
-            self.find_helpers().await;
+            self.find_helpers(ROUNDS_OF_QUESTIONS).await;
             self.record_loss();
         }
         drop(guard);
@@ -137,12 +148,6 @@
         monoio::spawn(async move { path.check().await });
     }
 
-    /// Whether servers are reached, for a peer that asks.
-    pub async fn reaches_servers(self: &Rc<Self>) -> bool {
-        let is_known = !self.is_lost() && self.has_answer_within(ANSWER_LIFETIME);
-        is_known || self.check().await
-    }
-
     /// Whether a new connection to a server can be opened. True if no server is registered.
     async fn probe(&self) -> bool {
         let mut addresses = self.servers.addresses();
@@ -182,7 +187,7 @@
             if self.probe().await {
                 break;
             }
-            self.find_helpers().await;
+            self.find_helpers(ROUNDS_OF_QUESTIONS).await;
         }
         // The failures were those of the path, not of the servers.
         self.servers.forget_failures();
@@ -193,28 +198,60 @@
         log::info!(lost_ms = lost_ms; "path to backend servers is back");
     }
 
-    /// Asks some peers whether they reach servers. Those of the own failure domain are preferred,
-    /// which saves traffic between domains.
-    async fn find_helpers(&self) {
+    /// Asks the peers again that may reach servers, unless that was done just now. Called when no
+    /// helper has taken a request.
+    pub async fn refresh_helpers(&self) {
+        if self.is_asking.replace(true) {
+            self.changed.until(|| !self.is_asking.get()).await;
+            return;
+        }
+        let _guard = AskGuard(self);
+        if !is_within(self.last_asked.get(), ANSWERS_LIFETIME) {
+            self.find_helpers(1).await;
+        }
+    }
+
+    /// Asks some peers whether they reach servers, and others in up to `rounds` rounds if none does.
+    /// Those of the own failure domain are preferred, which saves traffic between domains.
+    async fn find_helpers(&self, rounds: usize) {
         let (mut own_domain, mut others) = self.directory.possible_helpers(Instant::now());
         for peers in [&mut own_domain, &mut others] {
             peers.shuffle(&mut rand::rng());
-            peers.truncate(ASKED_PEERS);
         }
-        let (own_domain, others) = futures_util::future::join(
-            join_all(own_domain.into_iter().map(|peer| self.ask(peer))),
-            join_all(others.into_iter().map(|peer| self.ask(peer))),
-        )
-        .await;
-        let own_domain: Vec<_> = own_domain.into_iter().flatten().collect();
-        let helpers = match own_domain.is_empty() {
-            true => others.into_iter().flatten().collect(),
-            false => own_domain,
-        };
+        let mut helpers = Vec::new();
+        for _ in 0..rounds {
+            let mut asked = take_last(&mut own_domain, ASKED_PEERS);
+            let is_own_domain = asked.len();
+            asked.extend(take_last(&mut others, ASKED_PEERS));
+            helpers = self.ask_all(&asked).await;
+            let own_domain = &asked[..is_own_domain];
+            if helpers.iter().any(|helper| own_domain.contains(helper)) {
+                helpers.retain(|helper| own_domain.contains(helper));
+            }
+            if !helpers.is_empty() {
+                break;
+            }
+        }
+        self.last_asked.set(Some(Instant::now()));
         self.directory.set_helpers(&helpers);
         self.helpers.replace(helpers);
     }
 
+    /// The peers that reach servers. Soon after the first one has answered, the rest is not awaited.
+    async fn ask_all(&self, peers: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut answers: FuturesUnordered<_> = peers.iter().map(|peer| self.ask(*peer)).collect();
+        let mut helpers = Vec::new();
+        let mut wait_end = Instant::now() + PEER_TIMEOUT;
+        let timer = self.http.timer();
+        while let Ok(Some(answer)) = timer.timeout_at(wait_end, answers.next()).await {
+            if helpers.is_empty() && answer.is_some() {
+                wait_end = wait_end.min(Instant::now() + FURTHER_HELPERS_TIMEOUT);
+            }
+            helpers.extend(answer);
+        }
+        helpers
+    }
+
     async fn ask(&self, peer: SocketAddr) -> Option<SocketAddr> {
         let request = peers::server_path_request();
         let response = self
@@ -227,6 +264,11 @@
     }
 }
 
+/// Takes up to `count` items from the end of a list.
+fn take_last<T>(items: &mut Vec<T>, count: usize) -> Vec<T> {
+    items.split_off(items.len().saturating_sub(count))
+}
+
 fn is_within(at: Option<Instant>, time: Duration) -> bool {
     at.is_some_and(|at| at.elapsed() < time)
 }
@@ -247,3 +289,13 @@
         self.0.changed.notify();
     }
 }
+
+/// Marks the question to the peers as in progress until it is dropped.
+struct AskGuard<'a>(&'a ServerPath);
+
+impl Drop for AskGuard<'_> {
+    fn drop(&mut self) {
+        self.0.is_asking.set(false);
+        self.0.changed.notify();
+    }
+}
--- a/src/request/gateway/relay.rs
+++ b/src/request/gateway/relay.rs
@@ -78,12 +78,33 @@
     pub(super) async fn relay(&mut self, last_event_id: Option<u64>) -> Result<Response<Incoming>> {
         // The peer admits the turn, with what this gateway has not spent.
         self.reservation = None;
+        if let Some(response) = self.relay_to_helpers(last_event_id).await? {
+            return Ok(response);
+        }
+        // The helpers may have lost their path or stopped since they were asked.
+        self.gateway.server_path.refresh_helpers().await;
+        if let Some(response) = self.relay_to_helpers(last_event_id).await? {
+            return Ok(response);
+        }
+        if self.attempts.may_have_run {
+            return Err(in_doubt_error("no gateway reaches another backend server"));
+        }
+        let message = "neither this gateway nor its peers reach a backend server; retry at another \
+                       gateway";
+        Err(Error::new(ErrorKind::NoBackendServer, message))
+    }
+
+    /// Sends the request through one of the known helpers; `None` if none of them has taken it.
+    async fn relay_to_helpers(
+        &mut self,
+        last_event_id: Option<u64>,
+    ) -> Result<Option<Response<Incoming>>> {
         let server_path = self.gateway.server_path.clone();
         for peer in server_path.helpers().into_iter().take(MAX_PEERS) {
             match self.send_to_peer(peer, last_event_id).await {
                 Ok(response) if !peers::is_not_taken(&response) => {
                     self.record.note(format!("relayed through {peer}"));
-                    return Ok(without_hop_by_hop_headers(response));
+                    return Ok(Some(without_hop_by_hop_headers(response)));
                 }
                 Ok(_) => self.record.note(format!("{peer} did not take the request")),
                 Err(error) if error.is_not_sent() => self.record.note(error.to_string()),
@@ -95,12 +116,7 @@
             }
             server_path.remove_helper(peer);
         }
-        if self.attempts.may_have_run {
-            return Err(in_doubt_error("no gateway reaches another backend server"));
-        }
-        let message = "neither this gateway nor its peers reach a backend server; retry at another \
-                       gateway";
-        Err(Error::new(ErrorKind::NoBackendServer, message))
+        Ok(None)
     }
 
     async fn send_to_peer(
--- a/tests/gateway_directory.rs
+++ b/tests/gateway_directory.rs
@@ -80,6 +80,21 @@
     );
 }
 
+/// Guards against a gateway that is not asked for help because it was leaving when it was last read.
+#[test]
+fn restarted_gateways_of_other_domains_may_help() {
+    let now = Instant::now();
+    let directory = directory("g-0", "a");
+    let rows = [
+        row(1, "a", 1, true),
+        row(2, "b", 1, true),
+        row(3, "b", 1, false),
+    ];
+    directory.apply(&rows, now);
+    let (own_domain, others) = directory.possible_helpers(now);
+    assert_eq!((own_domain.len(), others.len()), (0, 2));
+}
+
 /// Guards against two gateways that both consider themselves the owner of a program although they
 /// have read the same rows.
 #[test]
--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -149,6 +149,26 @@
     }
 }
 
+#[test]
+fn gateways_that_are_cut_off_together_do_not_take_each_other_for_helpers() {
+    let site = GatewaySite::start_with_own_paths(&["d1", "d1", "d2"]);
+    let [first, second, _] = &site.gateways[..] else {
+        unreachable!("the site has three gateways");
+    };
+    thread::sleep(REGISTRATIONS_READ_AGAIN);
+    serve_each_kind(&site, first);
+    serve_each_kind(&site, second);
+    cut_off(first, Cut::Silent);
+    cut_off(second, Cut::Silent);
+    thread::scope(|scope| {
+        for _ in 0..CONCURRENT_REQUESTS {
+            let request = caller_request("GET", "/ping/a", &new_request_id());
+            scope.spawn(move || request.send(first.caller_address()));
+        }
+    });
+    serve_each_kind(&site, first);
+}
+
 #[test]
 fn gateways_without_a_path_do_not_pass_requests_to_each_other() {
     let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
