--- a/src/process/gateway/server_path.rs
+++ b/src/process/gateway/server_path.rs
@@ -221,10 +221,10 @@
         let mut helpers = Vec::new();
         for _ in 0..rounds {
             let mut asked = take_last(&mut own_domain, ASKED_PEERS);
-            let is_own_domain = asked.len();
+            let own_domain_count = asked.len();
             asked.extend(take_last(&mut others, ASKED_PEERS));
             helpers = self.ask_all(&asked).await;
-            let own_domain = &asked[..is_own_domain];
+            let own_domain = &asked[..own_domain_count];
             if helpers.iter().any(|helper| own_domain.contains(helper)) {
                 helpers.retain(|helper| own_domain.contains(helper));
             }
