Serve the connections of a test proxy on one thread

Cause: the test process, not the gateways. Its proxies used a thread for each direction of each connection and polled their listeners every 2 ms. Mapping and unmapping the stacks of these threads contends for the memory map of the test process; while the disk is busy, a thread waited over a second. The log of a gateway in such a run has 1,369 ms from sending to the first event of an idle stand-in server; samples of the test process found its threads in munmap and madvise 4,000 times in 24 s.

Ruled out: processor load.

Change: each proxy serves its connections on one thread, and a change of the mode wakes it. No bound of a test changed.

--- a/crates/standin/src/harness/proxy.rs
+++ b/crates/standin/src/harness/proxy.rs
@@ -1,12 +1,26 @@
 //! A TCP proxy on loopback that injects connection faults between two processes.
+//!
+//! Each proxy serves its connections on one thread. With a thread for each direction of each
+//! connection, a test process spent so much time in mapping and unmapping stacks that requests took
+//! over a second.
 
-use std::io::{Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::cell::Cell;
+use std::future::pending;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::mpsc::{Sender, channel};
 use std::thread;
 use std::time::Duration;
 
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_util::StreamExt;
+use futures_util::future::{Either, join, select};
+use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, Splitable};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use sapphireford::process::notify::Notify;
+
 /// How a proxy treats its connections. Bytes that it holds are sent once the mode allows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProxyMode {
@@ -24,21 +38,6 @@
     Refuse,
 }
 
-const MODES: [ProxyMode; 6] = [
-    ProxyMode::Forward,
-    ProxyMode::Reset,
-    ProxyMode::Stall,
-    ProxyMode::StallResponses,
-    ProxyMode::Partition,
-    ProxyMode::Refuse,
-];
-
-/// Interval at which a connection that holds bytes checks the mode.
-const POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Interval at which the listener is checked for connections and the mode for changes.
-const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
-/// Time in which a change of the mode reaches the listener.
-const LISTENER_CHANGE_TIME: Duration = Duration::from_millis(6);
 /// Connections of the proxy itself that fill the backlog of a listener with the length 0.
 const BACKLOG_FILLERS: usize = 2;
 /// Longest wait until such a connection is established; the last one is not.
@@ -48,30 +47,23 @@
 /// Longest chunk that is read and forwarded at once.
 const CHUNK_BYTES: usize = 16 << 10;
 
-#[derive(Default)]
-struct Shared {
-    mode: AtomicU8,
-    delay_ms: AtomicU64,
-    is_closed: AtomicBool,
-    connections: Mutex<Vec<TcpStream>>,
+enum Change {
+    Mode(ProxyMode),
+    Delay(Duration),
+    ResetConnections,
 }
 
-impl Shared {
-    fn mode(&self) -> ProxyMode {
-        MODES[usize::from(self.mode.load(Ordering::Relaxed))]
-    }
-
-    fn connections(&self) -> std::sync::MutexGuard<'_, Vec<TcpStream>> {
-        self.connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
+/// A change of a running proxy.
+struct Command {
+    change: Change,
+    /// Notified when the change is in effect.
+    applied: Sender<()>,
 }
 
 /// A running proxy. Dropping it stops the proxy and closes its connections.
 pub struct Proxy {
     address: SocketAddr,
-    shared: Arc<Shared>,
+    commands: UnboundedSender<Command>,
 }
 
 impl Proxy {
@@ -83,10 +75,16 @@
     pub fn start(ip: Ipv4Addr, target: SocketAddr) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("a port is free");
         let address = listener.local_addr().expect("the listener has an address");
-        let shared = Arc::new(Shared::default());
-        let accept_shared = shared.clone();
-        thread::spawn(move || accept_connections(listener, target, &accept_shared));
-        Self { address, shared }
+        let (commands, received) = unbounded();
+        thread::spawn(move || {
+            let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_all().build();
+            let mut runtime = runtime.expect("a runtime can be built");
+            runtime.block_on(async {
+                let proxy = RunningProxy::new(listener, address, target);
+                proxy.run(received).await;
+            });
+        });
+        Self { address, commands }
     }
 
     /// The address to connect to instead of the target.
@@ -96,152 +94,220 @@
 
     /// Sets the mode of open and new connections; returns when it is in effect.
     pub fn set_mode(&self, mode: ProxyMode) {
-        let previous = self.shared.mode();
-        self.shared.mode.store(mode as u8, Ordering::Relaxed);
-        if changes_listener(previous) || changes_listener(mode) {
-            thread::sleep(LISTENER_CHANGE_TIME);
-        }
-        if mode == ProxyMode::Reset {
-            self.reset_connections();
-        }
+        self.apply(Change::Mode(mode));
     }
 
     /// Sets the delay of each chunk of up to 16 KiB, in both directions.
     pub fn set_delay(&self, delay: Duration) {
-        let delay_ms = delay.as_millis() as u64;
-        self.shared.delay_ms.store(delay_ms, Ordering::Relaxed);
+        self.apply(Change::Delay(delay));
     }
 
     /// Closes all open connections; new ones are not affected.
     pub fn reset_connections(&self) {
-        for connection in self.shared.connections().drain(..) {
-            // Fails if the connection is already closed.
-            let _ = connection.shutdown(Shutdown::Both);
-        }
+        self.apply(Change::ResetConnections);
     }
-}
 
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        self.shared.is_closed.store(true, Ordering::Relaxed);
-        self.reset_connections();
+    fn apply(&self, change: Change) {
+        let (applied, wait) = channel();
+        let command = Command { change, applied };
+        // The thread of the proxy runs until the proxy is dropped.
+        self.commands.unbounded_send(command).expect("a thread");
+        wait.recv().expect("a thread");
     }
 }
 
-/// The listener of a proxy, in the state that the mode asks for.
-struct ModalListener {
+/// The proxy on its thread.
+struct RunningProxy {
     address: SocketAddr,
+    target: SocketAddr,
     /// `None` while connections are refused.
-    listener: Option<TcpListener>,
+    listener: Option<Listener>,
     /// Fill the backlog while connections are not established.
     fillers: Vec<TcpStream>,
-    is_partitioned: bool,
+    state: Rc<State>,
+}
+
+/// What the connections of a proxy share.
+struct State {
+    mode: Cell<ProxyMode>,
+    delay: Cell<Duration>,
+    /// How often all open connections were closed.
+    resets: Cell<u64>,
+    changed: Notify,
 }
 
-impl ModalListener {
-    fn apply(&mut self, mode: ProxyMode) {
+impl RunningProxy {
+    fn new(listener: TcpListener, address: SocketAddr, target: SocketAddr) -> Self {
+        let state = State {
+            mode: Cell::new(ProxyMode::Forward),
+            delay: Cell::new(Duration::ZERO),
+            resets: Cell::new(0),
+            changed: Notify::default(),
+        };
+        Self {
+            address,
+            target,
+            listener: Listener::new(listener).ok(),
+            fillers: Vec::new(),
+            state: Rc::new(state),
+        }
+    }
+
+    /// Accepts connections and applies changes until the proxy is dropped.
+    async fn run(mut self, mut commands: UnboundedReceiver<Command>) {
+        loop {
+            let next = match select(commands.next(), pin!(self.accept())).await {
+                Either::Left((command, _)) => Either::Left(command),
+                Either::Right((caller, _)) => Either::Right(caller),
+            };
+            match next {
+                Either::Left(None) => return,
+                Either::Left(Some(command)) => {
+                    self.apply(command.change);
+                    // Fails if the test does not wait, because it has panicked.
+                    let _ = command.applied.send(());
+                }
+                Either::Right(caller) => self.start_connection(caller),
+            }
+        }
+    }
+
+    /// Waits for a connection that the mode lets through.
+    async fn accept(&self) -> monoio::net::TcpStream {
+        loop {
+            match &self.listener {
+                Some(listener) if self.state.mode.get() != ProxyMode::Partition => {
+                    let accepted = listener.accepting.accept().await;
+                    let (caller, _) = accepted.expect("connections can be accepted");
+                    if self.state.mode.get() != ProxyMode::Reset {
+                        return caller;
+                    }
+                }
+                // A change of the mode cancels this wait.
+                _ => pending().await,
+            }
+        }
+    }
+
+    fn start_connection(&self, caller: monoio::net::TcpStream) {
+        let state = self.state.clone();
+        let target = self.target;
+        monoio::spawn(async move {
+            let resets = state.resets.get();
+            let reset = state.changed.until(|| state.resets.get() > resets);
+            let relayed = async {
+                if let Ok(server) = monoio::net::TcpStream::connect_addr(target).await {
+                    relay_connection(caller, server, &state).await;
+                }
+            };
+            select(pin!(reset), pin!(relayed)).await;
+        });
+    }
+
+    fn apply(&mut self, change: Change) {
+        match change {
+            Change::Mode(mode) => self.set_mode(mode),
+            Change::Delay(delay) => self.state.delay.set(delay),
+            Change::ResetConnections => self.reset_connections(),
+        }
+        self.state.changed.notify();
+    }
+
+    fn set_mode(&mut self, mode: ProxyMode) {
+        let previous = self.state.mode.replace(mode);
+        if mode == ProxyMode::Reset {
+            self.reset_connections();
+        }
         if mode == ProxyMode::Refuse {
             self.listener = None;
-            return;
+        } else if self.listener.is_none() {
+            let bound = TcpListener::bind(self.address);
+            self.listener = bound.and_then(Listener::new).ok();
         }
-        if self.listener.is_none() {
-            self.listener = TcpListener::bind(self.address).ok();
+        if mode == previous {
+            return;
         }
+        self.fillers.clear();
         let Some(listener) = &self.listener else {
             return;
         };
-        // Fails only if the listener has failed.
-        let _ = listener.set_nonblocking(true);
-        let is_partitioned = mode == ProxyMode::Partition;
-        if is_partitioned == self.is_partitioned {
-            return;
-        }
-        self.is_partitioned = is_partitioned;
-        let backlog = if is_partitioned { 0 } else { BACKLOG };
-        let _ = socket2::SockRef::from(listener).listen(backlog);
-        self.fillers.clear();
-        if is_partitioned {
+        if mode == ProxyMode::Partition {
+            listener.set_backlog(0);
             let fill = |_| TcpStream::connect_timeout(&self.address, FILLER_TIMEOUT).ok();
             self.fillers = (0..BACKLOG_FILLERS).filter_map(fill).collect();
+        } else if previous == ProxyMode::Partition {
+            listener.set_backlog(BACKLOG);
         }
     }
 
-    fn accept(&self) -> Option<TcpStream> {
-        let listener = self.listener.as_ref().filter(|_| !self.is_partitioned)?;
-        let (caller, _) = listener.accept().ok()?;
-        caller.set_nonblocking(false).ok()?;
-        Some(caller)
+    fn reset_connections(&self) {
+        self.state.resets.set(self.state.resets.get() + 1);
     }
 }
 
-fn accept_connections(listener: TcpListener, target: SocketAddr, shared: &Arc<Shared>) {
-    let Ok(address) = listener.local_addr() else {
-        return;
-    };
-    let mut listener = ModalListener {
-        address,
-        listener: Some(listener),
-        fillers: Vec::new(),
-        is_partitioned: false,
-    };
-    while !shared.is_closed.load(Ordering::Relaxed) {
-        listener.apply(shared.mode());
-        let Some(caller) = listener.accept() else {
-            thread::sleep(ACCEPT_INTERVAL);
-            continue;
-        };
-        if shared.mode() == ProxyMode::Reset {
-            continue;
-        }
-        let shared = shared.clone();
-        thread::spawn(move || {
-            if let Ok(server) = TcpStream::connect(target) {
-                relay_connection(caller, server, &shared);
-            }
-        });
+struct Listener {
+    accepting: monoio::net::TcpListener,
+    /// The same socket, to change its backlog.
+    socket: TcpListener,
+}
+
+impl Listener {
+    fn new(socket: TcpListener) -> io::Result<Self> {
+        socket.set_nonblocking(true)?;
+        let accepting = monoio::net::TcpListener::from_std(socket.try_clone()?)?;
+        Ok(Self { accepting, socket })
+    }
+
+    fn set_backlog(&self, backlog: i32) {
+        // Fails only if the listener has failed.
+        let _ = socket2::SockRef::from(&self.socket).listen(backlog);
     }
 }
 
-fn relay_connection(caller: TcpStream, server: TcpStream, shared: &Arc<Shared>) {
+async fn relay_connection(
+    caller: monoio::net::TcpStream,
+    server: monoio::net::TcpStream,
+    state: &State,
+) {
     let _ = caller.set_nodelay(true);
     let _ = server.set_nodelay(true);
-    let copies = [caller.try_clone(), server.try_clone()];
-    let [Ok(caller_copy), Ok(server_copy)] = copies else {
-        return;
-    };
-    for stream in [&caller, &server] {
-        shared.connections().extend(stream.try_clone());
-    }
-    let to_server_shared = shared.clone();
-    thread::spawn(move || relay(caller_copy, server_copy, &to_server_shared, true));
-    relay(server, caller, shared, false);
+    let (from_caller, to_caller) = caller.into_split();
+    let (from_server, to_server) = server.into_split();
+    join(
+        relay(from_caller, to_server, state, true),
+        relay(from_server, to_caller, state, false),
+    )
+    .await;
 }
 
 /// Forwards one direction of a connection until a side closes it.
-fn relay(mut from: TcpStream, mut to: TcpStream, shared: &Shared, is_to_server: bool) {
-    let mut chunk = vec![0; CHUNK_BYTES];
-    while let Ok(length) = from.read(&mut chunk) {
-        if length == 0 {
+async fn relay(
+    mut from: impl AsyncReadRent,
+    mut to: impl AsyncWriteRent,
+    state: &State,
+    is_to_server: bool,
+) {
+    let mut buffer = Vec::with_capacity(CHUNK_BYTES);
+    loop {
+        let (read, chunk) = from.read(buffer).await;
+        if !matches!(read, Ok(1..)) {
             break;
         }
-        let delay_ms = shared.delay_ms.load(Ordering::Relaxed);
-        thread::sleep(Duration::from_millis(delay_ms));
-        while is_stalled(shared.mode(), is_to_server) {
-            if shared.is_closed.load(Ordering::Relaxed) {
-                return;
-            }
-            thread::sleep(POLL_INTERVAL);
+        let delay = state.delay.get();
+        if !delay.is_zero() {
+            monoio::time::sleep(delay).await;
         }
-        if to.write_all(&chunk[..length]).is_err() {
+        let is_forwarded = || !is_stalled(state.mode.get(), is_to_server);
+        state.changed.until(is_forwarded).await;
+        let (written, chunk) = to.write_all(chunk).await;
+        if written.is_err() {
             break;
         }
+        buffer = chunk;
+        buffer.clear();
     }
-    let _ = to.shutdown(Shutdown::Write);
-}
-
-/// Whether connections are not accepted in this mode.
-fn changes_listener(mode: ProxyMode) -> bool {
-    matches!(mode, ProxyMode::Partition | ProxyMode::Refuse)
+    // Fails if the connection is already closed.
+    let _ = to.shutdown().await;
 }
 
 fn is_stalled(mode: ProxyMode, is_to_server: bool) -> bool {
