--- a/src/process/gateway/server_path.rs
+++ b/src/process/gateway/server_path.rs
@@ -34,8 +34,11 @@
 const ASKED_PEERS: usize = 4;
 /// Rounds in which other peers are asked if none reaches servers.
 const ROUNDS_OF_QUESTIONS: usize = 3;
-/// Time after a round in which a request that no helper has taken is refused without another round.
-const ANSWERS_LIFETIME: Duration = Duration::from_millis(200);
+/// Helpers in the own failure domain without which those of other domains help as well. With a
+/// single one, its death would leave none.
+const MIN_SAME_DOMAIN_HELPERS: usize = 2;
+/// Time for which no peer is asked again after none was found that reaches servers.
+const NO_HELPER_LIFETIME: Duration = Duration::from_millis(200);
 /// Longest wait for a peer, which may have to probe servers first.
 const PEER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest wait for further peers after the first one that reaches servers. Those that were cut off
@@ -50,8 +53,8 @@
     servers: Rc<Servers>,
     is_lost: Cell<bool>,
     is_checking: Cell<bool>,
-    /// When peers were last asked.
-    last_asked: Cell<Option<Instant>>,
+    /// When peers were last asked, if none of them reaches servers.
+    no_helper_since: Cell<Option<Instant>>,
     /// Whether peers are being asked because no helper has taken a request.
     is_asking: Cell<bool>,
     /// When the last probe began that a server accepted.
@@ -73,7 +76,7 @@
             servers,
             is_lost: Cell::new(false),
             is_checking: Cell::new(false),
-            last_asked: Cell::new(None),
+            no_helper_since: Cell::new(None),
             is_asking: Cell::new(false),
             last_probe: Cell::new(None),
             last_answer: Cell::new(None),
@@ -135,7 +138,7 @@
         let guard = CheckGuard::start(self);
         let is_reached = self.probe().await;
         if !is_reached {
-            self.find_helpers(ROUNDS_OF_QUESTIONS).await;
+            self.find_helpers().await;
             self.record_loss();
         }
         drop(guard);
@@ -187,7 +190,7 @@
             if self.probe().await {
                 break;
             }
-            self.find_helpers(ROUNDS_OF_QUESTIONS).await;
+            self.find_helpers().await;
         }
         // The failures were those of the path, not of the servers.
         self.servers.forget_failures();
@@ -206,33 +209,35 @@
             return;
         }
         let _guard = AskGuard(self);
-        if !is_within(self.last_asked.get(), ANSWERS_LIFETIME) {
-            self.find_helpers(1).await;
+        if !is_within(self.no_helper_since.get(), NO_HELPER_LIFETIME) {
+            self.find_helpers().await;
         }
     }
 
-    /// Asks some peers whether they reach servers, and others in up to `rounds` rounds if none does.
-    /// Those of the own failure domain are preferred, which saves traffic between domains.
-    async fn find_helpers(&self, rounds: usize) {
+    /// Asks some peers whether they reach servers, and others in further rounds if none does. Those of
+    /// the own failure domain are preferred, which saves traffic between domains.
+    async fn find_helpers(&self) {
         let (mut own_domain, mut others) = self.directory.possible_helpers(Instant::now());
         for peers in [&mut own_domain, &mut others] {
             peers.shuffle(&mut rand::rng());
         }
         let mut helpers = Vec::new();
-        for _ in 0..rounds {
+        for _ in 0..ROUNDS_OF_QUESTIONS {
             let mut asked = take_last(&mut own_domain, ASKED_PEERS);
             let own_domain_count = asked.len();
             asked.extend(take_last(&mut others, ASKED_PEERS));
             helpers = self.ask_all(&asked).await;
             let own_domain = &asked[..own_domain_count];
-            if helpers.iter().any(|helper| own_domain.contains(helper)) {
-                helpers.retain(|helper| own_domain.contains(helper));
+            let is_own = |helper: &SocketAddr| own_domain.contains(helper);
+            if helpers.iter().filter(|helper| is_own(helper)).count() >= MIN_SAME_DOMAIN_HELPERS {
+                helpers.retain(is_own);
             }
             if !helpers.is_empty() {
                 break;
             }
         }
-        self.last_asked.set(Some(Instant::now()));
+        let no_helper_since = helpers.is_empty().then(Instant::now);
+        self.no_helper_since.set(no_helper_since);
         self.directory.set_helpers(&helpers);
         self.helpers.replace(helpers);
     }
--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -149,6 +149,27 @@
     }
 }
 
+#[test]
+fn requests_are_not_refused_while_the_only_helper_of_the_failure_domain_is_killed() {
+    let mut site = GatewaySite::start_with_own_paths(&["d1", "d1", "d2", "d2"]);
+    thread::sleep(REGISTRATIONS_READ_AGAIN);
+    cut_off(&site.gateways[0], Cut::Silent);
+    find_out(&[&site.gateways[0]]);
+    for _ in 0..4 {
+        site.gateways[1].kill();
+        for _ in 0..20 {
+            let request = caller_request("POST", "/book/a", &new_request_id());
+            let answer = request.send(site.gateways[0].caller_address());
+            let answer = answer.expect("an answer");
+            assert_eq!(answer.status, 200, "{}", answer.text());
+            thread::sleep(Duration::from_millis(10));
+        }
+        site.gateways[1].start();
+        assert!(wait_until(WAIT_TIMEOUT, || site.gateways[1].is_ready()));
+        thread::sleep(DETECTION_TIME);
+    }
+}
+
 #[test]
 fn gateways_that_are_cut_off_together_do_not_take_each_other_for_helpers() {
     let site = GatewaySite::start_with_own_paths(&["d1", "d1", "d2"]);
