Count the attempts of a request across the gateway that relays it

A request that a gateway had sent to servers before it lost its path to them was relayed with all attempts of its route, so it reached up to twice as many servers as maxAttempts allows.

Cause: the count of attempts is kept by the gateway that serves the request, and the relayed request did not carry it. A request with no attempts left was relayed as well.

Change: a relayed request says how many servers it may still be sent to, and is not relayed if that is none. Gateways of earlier builds ignore the header and send none; then the route alone limits the attempts.

Before: a_peer_sends_a_relayed_request_to_no_more_servers_than_its_route_has_attempts_left failed with 3 runs of a request with two attempts. After: passed, with the other 12 tests of the file.

--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -161,6 +161,9 @@
 const REQUEST_PATH_PREFIX: &str = "/requests";
 /// Header of a relayed request: the address of its caller.
 const CALLER_HEADER: HeaderName = HeaderName::from_static("x-caller-address");
+/// Header of a relayed request: the number of servers that it may still be sent to. Gateways of
+/// earlier builds send none.
+const ATTEMPTS_LEFT_HEADER: HeaderName = HeaderName::from_static("x-attempts-left");
 /// Marks the response of a peer that did not take a request.
 const NOT_TAKEN_HEADER: HeaderName = HeaderName::from_static("x-not-taken");
 
@@ -287,6 +290,7 @@
 pub fn wrap_request(
     mut request: Request<Bytes>,
     caller: Option<SocketAddr>,
+    attempts_left: u32,
 ) -> Option<Request<Bytes>> {
     let path = request.uri().path_and_query()?.as_str();
     let uri = format!("{REQUEST_PATH_PREFIX}{path}").parse().ok()?;
@@ -294,10 +298,21 @@
     if let Some(caller) = caller.and_then(|caller| caller.to_string().parse().ok()) {
         request.headers_mut().insert(CALLER_HEADER, caller);
     }
+    request
+        .headers_mut()
+        .insert(ATTEMPTS_LEFT_HEADER, attempts_left.into());
     Some(request)
 }
 
-fn unwrap_request(mut request: Request<Bytes>) -> Option<Request<Bytes>> {
+/// A request of a caller, relayed by a gateway that reaches no backend server.
+pub struct RelayedRequest {
+    /// The request as the caller sent it.
+    pub request: Request<Bytes>,
+    /// The number of servers that it may still be sent to; `None` if its route alone limits it.
+    pub attempts_left: Option<u32>,
+}
+
+fn unwrap_request(mut request: Request<Bytes>) -> Option<RelayedRequest> {
     let path = request.uri().path_and_query()?.as_str();
     let uri = path.strip_prefix(REQUEST_PATH_PREFIX)?.parse().ok()?;
     *request.uri_mut() = uri;
@@ -306,7 +321,12 @@
     if let Some(caller) = caller {
         request.extensions_mut().insert(CallerAddress(caller));
     }
-    Some(request)
+    let attempts_left = request.headers_mut().remove(ATTEMPTS_LEFT_HEADER);
+    let attempts_left = attempts_left.and_then(|count| count.to_str().ok()?.parse().ok());
+    Some(RelayedRequest {
+        request,
+        attempts_left,
+    })
 }
 
 /// The response to a relayed request that this gateway does not take.
@@ -406,7 +426,7 @@
     /// The peer asks whether this gateway reaches backend servers.
     AskServerPath,
     /// A request of a caller, relayed by a gateway that reaches no backend server.
-    Request(Box<Request<Bytes>>),
+    Request(Box<RelayedRequest>),
 }
 
 /// Decodes a call of another gateway; `None` if the path is unknown or the message is malformed.
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -287,11 +287,11 @@
                 true => status(StatusCode::OK),
                 false => status(StatusCode::SERVICE_UNAVAILABLE),
             },
-            Some(PeerCall::Request(request)) => {
+            Some(PeerCall::Request(relayed)) => {
                 if !gateway.is_ready() || gateway.server_path.is_lost() {
                     return peers::not_taken_response();
                 }
-                self.dispatcher.handle_relayed(*request).await
+                self.dispatcher.handle_relayed(*relayed).await
             }
             Some(PeerCall::Allowance(request)) => {
                 peers::allowance_response(&gateway.rate_limits.handle(request))
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -23,10 +23,22 @@
 use crate::connection::http_server::{CallerAddress, Handler};
 use crate::error::{Error, ErrorKind, Result};
 use crate::process::gateway::fingerprint::RequestIdentity;
+use crate::process::gateway::peers::RelayedRequest;
 use crate::process::gateway::running::Gateway;
 use crate::process::task;
 use crate::version::route_table::RouteTable;
 
+/// Who sent a request to this gateway.
+#[derive(Clone, Copy)]
+enum Source {
+    Caller,
+    /// A gateway that reaches no backend server, with the number of servers that it leaves to this
+    /// one.
+    Peer {
+        attempts_left: Option<u32>,
+    },
+}
+
 /// Handles the HTTP requests of callers.
 pub struct GatewayDispatcher {
     gateway: Rc<Gateway>,
@@ -43,7 +55,7 @@
         request: Request<Bytes>,
         call: CallHeaders,
         identity: RequestIdentity,
-        is_relayed: bool,
+        source: Source,
         record: Rc<RequestRecord>,
     ) -> Result<Response<Body>> {
         let routes = self.gateway.routes();
@@ -52,7 +64,10 @@
                            the other gateways yet; retry at another gateway";
             Error::new(ErrorKind::NotReady, message)
         })?;
-        let route = find_route(&routes, &request)?;
+        let mut route = find_route(&routes, &request)?;
+        if let Source::Peer { attempts_left } = source {
+            route.max_attempts = attempts_left.unwrap_or(u32::MAX).min(route.max_attempts);
+        }
         record.set_route(&route.name, routes.version);
         if let Some(error) = self.gateway.crash_refusal(&identity) {
             return Err(error);
@@ -73,7 +88,7 @@
             body: input.clone(),
             input,
             caller_address,
-            is_relayed,
+            is_relayed: matches!(source, Source::Peer { .. }),
             reservation: None,
             deadline,
             prefix_holder: None,
@@ -183,17 +198,19 @@
 
 impl Handler for GatewayDispatcher {
     async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
-        self.serve(request, false).await
+        self.serve(request, Source::Caller).await
     }
 }
 
 impl GatewayDispatcher {
     /// Serves a request that another gateway has relayed.
-    pub async fn handle_relayed(&self, request: Request<Bytes>) -> Response<Body> {
-        self.serve(request, true).await
+    pub async fn handle_relayed(&self, relayed: RelayedRequest) -> Response<Body> {
+        let attempts_left = relayed.attempts_left;
+        self.serve(relayed.request, Source::Peer { attempts_left })
+            .await
     }
 
-    async fn serve(&self, request: Request<Bytes>, is_relayed: bool) -> Response<Body> {
+    async fn serve(&self, request: Request<Bytes>, source: Source) -> Response<Body> {
         let call = CallHeaders::decode(request.headers());
         let program_id = call
             .program
@@ -212,10 +229,10 @@
         if let Some(last_event_id) = call.last_event_id {
             record.set_resumed_stream(call.resumed_request_id.as_deref(), last_event_id);
         }
-        if is_relayed {
+        if let Source::Peer { .. } = source {
             record.note("relayed by a gateway without a path to servers");
         }
-        let response = self.respond(request, call, identity, is_relayed, record.clone());
+        let response = self.respond(request, call, identity, source, record.clone());
         match response.await {
             Ok(response) => response,
             Err(error) => {
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -176,7 +176,8 @@
 
     /// Whether a peer must serve the request, because this gateway reaches no server.
     pub fn must_relay(&self) -> bool {
-        let may_be_sent = !self.attempts.may_have_run || retry::is_retryable(self.route.kind);
+        let may_run_again = !self.attempts.may_have_run || retry::is_retryable(self.route.kind);
+        let may_be_sent = may_run_again && self.attempts.left(self.route.max_attempts) > 0;
         self.gateway.server_path.is_lost() && !self.is_relayed && may_be_sent
     }
 
--- a/src/request/gateway/relay.rs
+++ b/src/request/gateway/relay.rs
@@ -129,7 +129,8 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.relayed_headers(last_event_id);
-        let Some(request) = peers::wrap_request(request, self.caller_address) else {
+        let attempts_left = self.attempts.left(self.route.max_attempts);
+        let Some(request) = peers::wrap_request(request, self.caller_address, attempts_left) else {
             let reason = "the request cannot be relayed".to_string();
             return Err(ClientError::NotSent(reason));
         };
--- a/src/request/gateway/retry.rs
+++ b/src/request/gateway/retry.rs
@@ -45,6 +45,11 @@
 }
 
 impl AttemptCounts {
+    /// Number of servers that the request may still be sent to.
+    pub fn left(&self, max_attempts: u32) -> u32 {
+        max_attempts.saturating_sub(self.sent)
+    }
+
     /// Counts a failed attempt and decides whether the request is retried.
     pub fn record_failed_attempt(
         &mut self,
@@ -61,7 +66,7 @@
             }
         }
         let may_retry = !self.may_have_run || is_retryable(kind);
-        let has_attempts_left = self.sent < max_attempts && self.unsent < MAX_UNSENT_ATTEMPTS;
+        let has_attempts_left = self.left(max_attempts) > 0 && self.unsent < MAX_UNSENT_ATTEMPTS;
         if may_retry && has_attempts_left {
             RetryDecision::RetryElsewhere
         } else {
--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -227,6 +227,25 @@
     assert_eq!(data, expected_stream_data(turn.input, 60));
 }
 
+#[test]
+fn a_peer_sends_a_relayed_request_to_no_more_servers_than_its_route_has_attempts_left() {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
+    let id = new_request_id();
+    let turn = Turn {
+        id: &id,
+        events: 60,
+        ..Turn::default()
+    };
+    let mut stream = turn.open(&site.gateways[0]).expect("an answer");
+    stream.next_event().expect("an event").expect("an event");
+    for engine in &site.engines {
+        engine.process.control(&json!({ "cut_after_events": 2 }));
+    }
+    cut_off(&site.gateways[0], Cut::Silent);
+    stream.remaining_events().expect_err("each server breaks");
+    assert_eq!(recorded_runs(&site.engines, &id).len(), 2);
+}
+
 #[test]
 fn a_request_through_a_peer_counts_against_the_budget_of_its_program() {
     let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
