Repeat an idempotent request at another peer if the first one fails

Cause: a relayed request went to one peer only, because that peer may have used all attempts of the route.

Change: one attempt of an idempotent request is kept back. If the peer fails, gives no answer within a third of the time left, or reports that servers failed the request, another peer gets what is left. Streams are still left to one peer with all attempts, because only that peer can resume them.

--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -166,6 +166,8 @@
 const ATTEMPTS_LEFT_HEADER: HeaderName = HeaderName::from_static("x-attempts-left");
 /// Marks the response of a peer that did not take a request.
 const NOT_TAKEN_HEADER: HeaderName = HeaderName::from_static("x-not-taken");
+/// Marks the response of a peer to a relayed request that failed in doubt: a server may have run it.
+const IN_DOUBT_HEADER: HeaderName = HeaderName::from_static("x-in-doubt");
 
 fn post(path: &'static str, message: &impl Serialize) -> Request<Bytes> {
     // The encoding of these types cannot fail.
@@ -343,6 +345,17 @@
     response.headers().contains_key(NOT_TAKEN_HEADER)
 }
 
+/// Marks the response to a relayed request that failed in doubt.
+pub fn mark_in_doubt(response: &mut Response<Body>) {
+    let value = HeaderValue::from_static("1");
+    response.headers_mut().insert(IN_DOUBT_HEADER, value);
+}
+
+/// Removes the mark of [`mark_in_doubt`]; returns whether the response had it.
+pub fn take_in_doubt_mark<B>(response: &mut Response<B>) -> bool {
+    response.headers_mut().remove(IN_DOUBT_HEADER).is_some()
+}
+
 /// Encodes a request to the owner of an allowance.
 pub fn allowance_request(request: &AllowanceRequest) -> Request<Bytes> {
     post(ALLOWANCE_PATH, request)
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -23,7 +23,7 @@
 use crate::connection::http_server::{CallerAddress, Handler};
 use crate::error::{Error, ErrorKind, Result};
 use crate::process::gateway::fingerprint::RequestIdentity;
-use crate::process::gateway::peers::RelayedRequest;
+use crate::process::gateway::peers::{self, RelayedRequest};
 use crate::process::gateway::running::Gateway;
 use crate::process::task;
 use crate::version::route_table::RouteTable;
@@ -238,7 +238,13 @@
             Err(error) => {
                 let status = error.kind.answer().status;
                 record.finish(status, crate::error::chain(&error));
-                refusal::refusal_response(&error, self.gateway.store.outage_age())
+                let mut response =
+                    refusal::refusal_response(&error, self.gateway.store.outage_age());
+                let is_relayed = matches!(source, Source::Peer { .. });
+                if is_relayed && error.kind == ErrorKind::ServiceInDoubt {
+                    peers::mark_in_doubt(&mut response);
+                }
+                response
             }
         }
     }
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -210,12 +210,9 @@
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() =
             headers::forwarded_request_headers(&self.caller_headers, &forwarding);
-        let head_timeout = retry::response_head_timeout(
-            self.route.kind,
-            &self.attempts,
-            self.route.max_attempts,
-            time_left,
-        );
+        let attempts_left = self.attempts.left(self.route.max_attempts);
+        let head_timeout =
+            retry::response_head_timeout(self.route.kind, 1, attempts_left, time_left);
         let request_id = self.call.request_id.as_deref();
         let matches_request = |headers: &HeaderMap, is_reused: bool| {
             match headers.get(REQUEST_ID).and_then(|id| id.to_str().ok()) {
--- a/src/request/gateway/relay.rs
+++ b/src/request/gateway/relay.rs
@@ -2,8 +2,8 @@
 //!
 //! The peer serves the whole request as if the caller had connected to it: it admits the turn,
 //! chooses the server and retries. It does not relay the request again, so there is one hop at
-//! most. Once a peer may have taken the request, it is not sent to another one: the peer may have
-//! used up the attempts of the route.
+//! most. Once a peer may have taken the request, it is sent to another one only if it is idempotent and
+//! the first one was not given all attempts of the route.
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -16,10 +16,11 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::{Request, Response};
+use sapphireford_platform::answer::AnswerHeaders;
 use sapphireford_platform::headers::{self, ResumedStream};
 
 use super::forward::{ANSWER_LIMIT_BYTES, RequestForwarder, deadline_error, in_doubt_error};
-use super::retry;
+use super::retry::{self, RetryDecision};
 use crate::connection::body::BodySender;
 use crate::connection::http_client::{ClientError, Result as ClientResult};
 use crate::error::{Error, ErrorKind, Result};
@@ -40,6 +41,15 @@
     Failed(String),
 }
 
+/// The outcome of a request that was sent through a peer.
+enum PeerOutcome {
+    Answered(Response<Incoming>),
+    /// No server has run the request.
+    NotTaken(String),
+    /// Servers may have run the request.
+    Failed(String),
+}
+
 impl RequestForwarder {
     /// Waits for the head of a response. If it takes long and no server answers anything, finds out
     /// whether the path to the servers is lost. A request that may be sent again is given up then.
@@ -78,11 +88,12 @@
     pub(super) async fn relay(&mut self, last_event_id: Option<u64>) -> Result<Response<Incoming>> {
         // The peer admits the turn, with what this gateway has not spent.
         self.reservation = None;
+        let server_path = self.gateway.server_path.clone();
         if let Some(response) = self.relay_to_helpers(last_event_id).await? {
             return Ok(response);
         }
         // The helpers may have lost their path or stopped since they were asked.
-        self.gateway.server_path.refresh_helpers().await;
+        server_path.refresh_helpers().await;
         if let Some(response) = self.relay_to_helpers(last_event_id).await? {
             return Ok(response);
         }
@@ -100,28 +111,66 @@
         last_event_id: Option<u64>,
     ) -> Result<Option<Response<Incoming>>> {
         let server_path = self.gateway.server_path.clone();
+        let (kind, max_attempts) = (self.route.kind, self.route.max_attempts);
         for peer in server_path.helpers().into_iter().take(MAX_PEERS) {
-            match self.send_to_peer(peer, last_event_id).await {
-                Ok(response) if !peers::is_not_taken(&response) => {
+            let attempts = self.attempts.left_to_peer(kind, max_attempts);
+            let reason = match self.attempt_at_peer(peer, attempts, last_event_id).await {
+                PeerOutcome::Answered(response) => {
                     self.record.note(format!("relayed through {peer}"));
-                    return Ok(Some(without_hop_by_hop_headers(response)));
+                    return Ok(Some(response));
                 }
-                Ok(_) => self.record.note(format!("{peer} did not take the request")),
-                Err(error) if error.is_not_sent() => self.record.note(error.to_string()),
-                Err(ClientError::TimedOut(_)) => {
-                    self.attempts.may_have_run = true;
-                    return Err(deadline_error(&self.attempts));
+                PeerOutcome::NotTaken(reason) => {
+                    self.record.note(format!("{peer}: {reason}"));
+                    server_path.remove_helper(peer);
+                    continue;
                 }
-                Err(error) => return Err(in_doubt_error(&format!("relayed: {error}"))),
+                PeerOutcome::Failed(reason) => reason,
+            };
+            let decision = self
+                .attempts
+                .record_failed_peer(attempts, kind, max_attempts);
+            if Instant::now() >= self.deadline {
+                return Err(deadline_error(&self.attempts));
+            }
+            if decision != RetryDecision::RetryElsewhere {
+                return Err(in_doubt_error(&format!("relayed: {reason}")));
             }
-            server_path.remove_helper(peer);
+            self.record.note(format!("{peer}: {reason}"));
         }
         Ok(None)
     }
 
+    /// Sends the request through a peer, which may send it to up to `attempts` servers.
+    async fn attempt_at_peer(
+        &self,
+        peer: SocketAddr,
+        attempts: u32,
+        last_event_id: Option<u64>,
+    ) -> PeerOutcome {
+        let mut response = match self.send_to_peer(peer, attempts, last_event_id).await {
+            Ok(response) => response,
+            Err(error) if error.is_not_sent() => return PeerOutcome::NotTaken(error.to_string()),
+            Err(error) => return PeerOutcome::Failed(error.to_string()),
+        };
+        if peers::is_not_taken(&response) {
+            let reason = "the request was not taken".to_string();
+            return PeerOutcome::NotTaken(reason);
+        }
+        let is_in_doubt = peers::take_in_doubt_mark(&mut response);
+        let status = response.status();
+        let is_from_server = AnswerHeaders::decode(response.headers()).is_signed;
+        let is_failed = is_in_doubt || (is_from_server && status.is_server_error());
+        let has_attempts_left = attempts < self.attempts.left(self.route.max_attempts);
+        if is_failed && has_attempts_left {
+            return PeerOutcome::Failed(format!("status {}", status.as_u16()));
+        }
+        PeerOutcome::Answered(without_hop_by_hop_headers(response))
+    }
+
     async fn send_to_peer(
         &self,
         peer: SocketAddr,
+        attempts: u32,
         last_event_id: Option<u64>,
     ) -> ClientResult<Response<Incoming>> {
         let time_left = self.deadline.saturating_duration_since(Instant::now());
@@ -129,12 +178,14 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.relayed_headers(last_event_id);
-        let attempts_left = self.attempts.left(self.route.max_attempts);
-        let Some(request) = peers::wrap_request(request, self.caller_address, attempts_left) else {
+        let Some(request) = peers::wrap_request(request, self.caller_address, attempts) else {
             let reason = "the request cannot be relayed".to_string();
             return Err(ClientError::NotSent(reason));
         };
-        self.gateway.http.send(peer, request, time_left).await
+        let attempts_left = self.attempts.left(self.route.max_attempts);
+        let head_timeout =
+            retry::response_head_timeout(self.route.kind, attempts, attempts_left, time_left);
+        self.gateway.http.send(peer, request, head_timeout).await
     }
 
     /// Reads a relayed response that is not a stream.
--- a/src/request/gateway/retry.rs
+++ b/src/request/gateway/retry.rs
@@ -74,6 +74,29 @@
         }
     }
 
+    /// Number of servers that a peer may send the request to. Of an idempotent request, one is kept
+    /// for another peer in case that the first one fails. A stream needs them all at its peer, which
+    /// alone can resume it at another server.
+    pub fn left_to_peer(&self, kind: RouteKind, max_attempts: u32) -> u32 {
+        let left = self.left(max_attempts);
+        match kind {
+            RouteKind::Idempotent if left > 1 => left - 1,
+            _ => left,
+        }
+    }
+
+    /// Counts a failure of a peer that may have sent the request to up to `attempts` servers, and
+    /// decides whether the request is retried.
+    pub fn record_failed_peer(
+        &mut self,
+        attempts: u32,
+        kind: RouteKind,
+        max_attempts: u32,
+    ) -> RetryDecision {
+        self.sent += attempts.saturating_sub(1);
+        self.record_failed_attempt(AttemptFailure::InDoubt, kind, max_attempts)
+    }
+
     /// How the request fails if it is not retried.
     pub fn final_failure(&self) -> RetryDecision {
         if self.may_have_run {
@@ -95,18 +118,18 @@
 /// Minimum timeout of an attempt that can be retried; servers under load respond within it.
 const MIN_RETRYABLE_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The timeout for the head of a server's response.
+/// The timeout for the head of a response from a server, or from a peer that may send the request to
+/// several ones: `attempts` of the `attempts_left`.
 ///
 /// A request that cannot be retried gains nothing from an early timeout and gets all the time that
 /// is left. A retryable one keeps enough time for another server, except in its last attempt.
 pub fn response_head_timeout(
     kind: RouteKind,
-    attempts: &AttemptCounts,
-    max_attempts: u32,
+    attempts: u32,
+    attempts_left: u32,
     time_left: Duration,
 ) -> Duration {
-    let is_last_attempt = attempts.sent + 1 >= max_attempts;
-    if !is_retryable(kind) || is_last_attempt {
+    if !is_retryable(kind) || attempts >= attempts_left {
         return time_left;
     }
     (time_left / RETRYABLE_ATTEMPT_DIVISOR)
--- a/tests/gateway_retry.rs
+++ b/tests/gateway_retry.rs
@@ -55,22 +55,39 @@
     assert_eq!(attempts.final_failure(), RetryDecision::FailInDoubt);
 }
 
+/// Guards against peers that together send a request to more servers than its route allows.
+#[test]
+fn a_request_is_given_to_peers_with_no_more_attempts_than_are_left() {
+    for max_attempts in 1..5 {
+        let mut attempts = AttemptCounts::default();
+        let mut given = 0;
+        loop {
+            let count = attempts.left_to_peer(RouteKind::Idempotent, max_attempts);
+            given += count;
+            let decision = attempts.record_failed_peer(count, RouteKind::Idempotent, max_attempts);
+            if decision != RetryDecision::RetryElsewhere {
+                break;
+            }
+        }
+        assert_eq!(given, max_attempts);
+    }
+}
+
 /// Guards against a repeatable request that waits for one silent server until its deadline, and
 /// against other requests that are abandoned early.
 #[test]
 fn only_repeatable_requests_get_a_shortened_response_timeout() {
     let time_left = Duration::from_millis(1_200);
-    let no_attempts = AttemptCounts::default();
     assert_eq!(
-        response_head_timeout(RouteKind::Idempotent, &no_attempts, 2, time_left),
+        response_head_timeout(RouteKind::Idempotent, 1, 2, time_left),
         time_left / 3
     );
     assert_eq!(
-        response_head_timeout(RouteKind::Idempotent, &no_attempts, 1, time_left),
+        response_head_timeout(RouteKind::Idempotent, 1, 1, time_left),
         time_left
     );
     assert_eq!(
-        response_head_timeout(RouteKind::NonIdempotent, &no_attempts, 2, time_left),
+        response_head_timeout(RouteKind::NonIdempotent, 1, 2, time_left),
         time_left
     );
 }
--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -170,6 +170,36 @@
     }
 }
 
+#[parameterized(killed = { true }, hanging = { false })]
+fn repeatable_requests_survive_the_failure_of_the_helper_that_serves_them(is_killed: bool) {
+    let mut site = GatewaySite::start_with_own_paths(&["d1"; 3]);
+    cut_off(&site.gateways[0], Cut::Silent);
+    find_out(&[&site.gateways[0]]);
+    site.plain_servers
+        .iter()
+        .for_each(|server| server.process.pause());
+    let stranded = site.gateways[0].caller_address();
+    let requests: Vec<_> = (0..CONCURRENT_REQUESTS)
+        .map(|_| {
+            let request = caller_request("GET", "/ping/a", &new_request_id());
+            thread::spawn(move || request.send(stranded))
+        })
+        .collect();
+    // All of them are with the helpers now.
+    thread::sleep(Duration::from_millis(100));
+    match is_killed {
+        true => site.gateways[1].kill(),
+        false => site.gateways[1].process().pause(),
+    }
+    site.plain_servers
+        .iter()
+        .for_each(|server| server.process.resume());
+    for request in requests {
+        let answer = request.join().expect("no panic").expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+}
+
 #[test]
 fn gateways_that_are_cut_off_together_do_not_take_each_other_for_helpers() {
     let site = GatewaySite::start_with_own_paths(&["d1", "d1", "d2"]);
