Test deadline, single run and planned stop of requests through a peer

These promises were kept in the code and tested only for requests that a gateway serves itself. The three tests passed on the code as it is.

--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use gateway::{
-    Turn, WAIT_TIMEOUT, caller_request, expected_stream_data, new_request_id, recorded_runs,
+    Turn, WAIT_TIMEOUT, caller_request, caller_request_within, expected_stream_data,
+    new_request_id, recorded_runs,
 };
 use sapphireford_standin::harness::{GatewayProcess, GatewaySite, ProxyMode, wait_until};
 use serde_json::json;
@@ -200,6 +201,89 @@
     }
 }
 
+#[test]
+fn a_request_that_must_not_run_twice_is_not_repeated_after_its_helper_was_killed() {
+    let mut site = GatewaySite::start_with_own_paths(&["d1"; 3]);
+    cut_off(&site.gateways[0], Cut::Silent);
+    find_out(&[&site.gateways[0]]);
+    site.plain_servers
+        .iter()
+        .for_each(|server| server.process.pause());
+    let stranded = site.gateways[0].caller_address();
+    let requests: Vec<_> = (0..CONCURRENT_REQUESTS)
+        .map(|_| {
+            let id = new_request_id();
+            let request = caller_request("POST", "/book/a", &id);
+            (id, thread::spawn(move || request.send(stranded)))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(100));
+    site.gateways[1].kill();
+    site.plain_servers
+        .iter()
+        .for_each(|server| server.process.resume());
+    for (id, request) in requests {
+        let answer = request.join().expect("no panic").expect("an answer");
+        assert!([200, 502].contains(&answer.status), "{}", answer.text());
+        assert!(recorded_runs(&site.plain_servers, &id).len() <= 1);
+    }
+}
+
+#[test]
+fn a_request_through_a_peer_keeps_its_deadline() {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
+    cut_off(&site.gateways[0], Cut::Silent);
+    find_out(&[&site.gateways[0]]);
+    site.plain_servers
+        .iter()
+        .for_each(|server| server.process.pause());
+    for (method, path) in [("GET", "/ping/a"), ("POST", "/book/a")] {
+        let deadline = Duration::from_millis(700);
+        let request = caller_request_within(method, path, &new_request_id(), deadline);
+        let started = Instant::now();
+        let answer = request.send(site.gateways[0].caller_address());
+        let answer = answer.expect("an answer");
+        let time = started.elapsed();
+        assert_eq!(answer.status, 504, "{}", answer.text());
+        assert!(time >= Duration::from_millis(650), "{time:?}");
+        assert!(time < Duration::from_millis(1_000), "{time:?}");
+    }
+}
+
+#[test]
+fn no_request_fails_while_a_helper_stops_as_planned() {
+    let mut site = GatewaySite::start_with_own_paths(&["d1"; 3]);
+    cut_off(&site.gateways[0], Cut::Silent);
+    find_out(&[&site.gateways[0]]);
+    let stranded = site.gateways[0].caller_address();
+    let ids: Vec<_> = (0..CONCURRENT_REQUESTS).map(|_| new_request_id()).collect();
+    let turns: Vec<_> = ids
+        .iter()
+        .map(|id| {
+            let turn = Turn {
+                id,
+                events: 60,
+                ..Turn::default()
+            };
+            (turn.input, turn.open(&site.gateways[0]).expect("an answer"))
+        })
+        .collect();
+    site.gateways[1].terminate();
+    for _ in 0..50 {
+        let request = caller_request("POST", "/book/a", &new_request_id());
+        let answer = request.send(stranded).expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        thread::sleep(Duration::from_millis(20));
+    }
+    for (input, mut stream) in turns {
+        let events = stream.remaining_events().expect("a complete stream");
+        let data: Vec<_> = events.into_iter().map(|event| event.data).collect();
+        assert_eq!(data, expected_stream_data(input, 60));
+    }
+    let stopped = site.gateways[1].process().wait(WAIT_TIMEOUT);
+    assert!(stopped.is_some_and(|status| status.success()));
+}
+
 #[test]
 fn gateways_that_are_cut_off_together_do_not_take_each_other_for_helpers() {
     let site = GatewaySite::start_with_own_paths(&["d1", "d1", "d2"]);
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -22,10 +22,15 @@
 
 /// Builds a request without a body, with the given request id and a deadline of 4,000 ms.
 pub fn caller_request(method: &str, path: &str, id: &str) -> HttpRequest {
+    caller_request_within(method, path, id, Duration::from_millis(4_000))
+}
+
+/// Like [`caller_request`], with another deadline.
+pub fn caller_request_within(method: &str, path: &str, id: &str, time: Duration) -> HttpRequest {
     HttpRequest::new(method, path)
         .header("host", HOST)
         .header("request-id", id)
-        .header("deadline-ms", "4000")
+        .header("deadline-ms", &time.as_millis().to_string())
 }
 
 /// A request for one turn of a program.
