Establish no connections that the closing listener would reset

Cause: closing a listener resets the connections in its backlog. The server accepts those for 50 ms before, but others may be established between the last accept and the close; on a busy machine that takes milliseconds.

Ruled out: accepting once more just before the close, which leaves the same gap.

Change: for these 50 ms a packet filter on the listener drops the opening packets of new connections. Handshakes in progress complete and are accepted. The other callers send the packet again after a second and are refused, so they know that their request did not run. Where the system has no such filter, the stop is as before.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -6,6 +6,7 @@
 pub mod fair_io;
 pub mod http_client;
 pub mod http_server;
+pub mod listener;
 pub mod peer;
 pub mod platform;
 pub mod sse;
--- a/src/connection/http_server.rs
+++ b/src/connection/http_server.rs
@@ -20,13 +20,14 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use monoio::io::IntoPollIo;
-use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio::net::TcpStream;
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 use serde::Serialize;
 
 use crate::connection::body::Body;
 use crate::connection::body_buffer::{BodyBudget, BodyError};
 use crate::connection::fair_io::{FairIo, HeadAllowance};
+use crate::connection::listener::Listener;
 use crate::error::{Error, ErrorKind};
 use crate::process::notify::Notify;
 use crate::process::task;
@@ -157,11 +158,7 @@
     timer: TimerService,
     handler: Rc<H>,
 ) -> Result<Server> {
-    let options = ListenerOpts::new()
-        .reuse_port(false)
-        .reuse_addr(true)
-        .backlog(1024);
-    let listener = TcpListener::bind_with_config(address, &options)?;
+    let listener = Listener::bind(address)?;
     let address = listener.local_addr()?;
     let state = Rc::new(ServerState::default());
     let server = Server {
@@ -173,7 +170,7 @@
 }
 
 async fn accept_loop<H: Handler>(
-    listener: TcpListener,
+    listener: Listener,
     limits: HttpLimits,
     timer: TimerService,
     handler: Rc<H>,
@@ -197,8 +194,9 @@
             }
         }
     }
-    // Closing the listener resets the connections in its backlog, for which requests may already
-    // have been sent.
+    if let Err(error) = listener.ignore_new_connections() {
+        log::debug!("connections may be reset when the listener closes: {error}");
+    }
     let accepting_backlog = async {
         while let Ok((stream, caller)) = listener.accept().await {
             start_connection(stream, caller, limits, &timer, &handler, &state);
