End streams that cannot be resumed as soon as the path to servers is lost

At the beginning of a cut, turns whose streams cannot be resumed hung until their deadline or until the caller left.

Cause: only requests that the gateway may send again were given up when the path was lost. The others waited for an answer that a dead connection cannot bring before its next retransmission, seconds after the end of the cut.

Change: these streams end at the same moment as the others, with 502 before their head and a broken stream after it, so the caller can repeat the turn. Requests that are no turns still wait, because a caller must not repeat them.

--- a/src/request/gateway/relay.rs
+++ b/src/request/gateway/relay.rs
@@ -18,6 +18,7 @@
 use hyper::{Request, Response};
 use sapphireford_platform::answer::AnswerHeaders;
 use sapphireford_platform::headers::{self, ResumedStream};
+use sapphireford_platform::operator::RouteKind;
 
 use super::forward::{ANSWER_LIMIT_BYTES, RequestForwarder, deadline_error, in_doubt_error};
 use super::retry::{self, RetryDecision};
@@ -52,7 +53,9 @@
 
 impl RequestForwarder {
     /// Waits for the head of a response. If it takes long and no server answers anything, finds out
-    /// whether the path to the servers is lost. A request that may be sent again is given up then.
+    /// whether the path to the servers is lost. The request is given up then: it may be sent again, or
+    /// its caller may repeat the turn. A non-idempotent request that is no turn is not, because its
+    /// caller can do nothing but wait for the answer.
     pub(super) async fn watch_server_path<F>(&self, sent: F) -> ClientResult<Response<Incoming>>
     where
         F: Future<Output = ClientResult<Response<Incoming>>>,
@@ -66,7 +69,7 @@
         if !server_path.has_answer_within(PATH_CHECK_DELAY) {
             server_path.check_in_background();
         }
-        if !retry::is_retryable(self.route.kind) || self.is_relayed {
+        if self.route.kind == RouteKind::NonIdempotent || self.is_relayed {
             return sent.await;
         }
         let lost = async {
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -164,16 +164,15 @@
         }
     }
 
-    /// Whether the stream must go on through a peer, because this gateway has lost its path to the
-    /// servers. Finds that out if no server answers anything.
+    /// Whether the stream is given up, because this gateway has lost its path to the servers. It goes
+    /// on through a peer if it is resumable. Finds the loss out if no server answers anything.
     fn has_lost_path(&self, last_event_at: Instant) -> bool {
         let server_path = &self.forwarder.gateway.server_path;
         if !server_path.has_answer_within(PATH_CHECK_DELAY) {
             server_path.check_in_background();
         }
-        let is_resumable = self.forwarder.route.kind == RouteKind::ResumableStream;
-        let can_relay = is_resumable && !self.forwarder.is_relayed && server_path.is_lost();
-        can_relay && last_event_at.elapsed() >= LOST_PATH_STALL_TIMEOUT
+        let is_lost = !self.forwarder.is_relayed && server_path.is_lost();
+        is_lost && last_event_at.elapsed() >= LOST_PATH_STALL_TIMEOUT
     }
 
     fn can_resume(&self) -> bool {
--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -341,6 +341,35 @@
     assert_eq!(data, expected_stream_data(turn.input, 60));
 }
 
+#[parameterized(before_its_head = { false }, between_its_events = { true })]
+fn a_stream_that_cannot_be_resumed_fails_soon_after_its_gateway_is_cut_off(has_begun: bool) {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
+    let id = new_request_id();
+    let turn = Turn {
+        path: "/chat/a",
+        id: &id,
+        program: &id,
+        events: 300,
+        ..Turn::default()
+    };
+    let stranded = &site.gateways[0];
+    serve_each_kind(&site, stranded);
+    let cut_at = Instant::now();
+    if has_begun {
+        let mut stream = turn.open(stranded).expect("an answer");
+        stream.next_event().expect("an event").expect("an event");
+        cut_off(stranded, Cut::Silent);
+        stream.remaining_events().expect_err("the stream breaks");
+    } else {
+        cut_off(stranded, Cut::Silent);
+        let answer = turn.request().send(stranded.caller_address());
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, 502, "{}", answer.text());
+    }
+    let time = cut_at.elapsed();
+    assert!(time < Duration::from_millis(2_000), "{time:?}");
+}
+
 #[test]
 fn a_peer_sends_a_relayed_request_to_no_more_servers_than_its_route_has_attempts_left() {
     let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
