--- a/tests/gateway_rate_limits.rs
+++ b/tests/gateway_rate_limits.rs
@@ -8,7 +8,7 @@
 
 use gateway::{Turn, WAIT_TIMEOUT, caller_request, new_request_id};
 use sapphireford_standin::harness::{
-    Answer, BackendServer, GatewayProcess, GatewaySite, wait_until,
+    Answer, BackendServer, GatewayProcess, GatewaySite, ProxyMode, wait_until,
 };
 use serde_json::json;
 use yare::parameterized;
@@ -90,6 +90,24 @@
     assert!(runs as f64 >= 0.5 * allowed, "{runs} runs");
 }
 
+/// Guards against requests that a peer serves for a gateway without a path to servers, and does not
+/// count.
+#[test]
+fn a_server_gets_no_more_than_its_limit_with_requests_that_peers_relay() {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 3]);
+    let send = |gateway: &GatewayProcess| drop(ping(gateway));
+    let limited = &site.plain_servers[0];
+    limited
+        .process
+        .control(&json!({ "limit_per_s": LIMIT_PER_S }));
+    site.gateways[0].set_server_paths(ProxyMode::Partition);
+    load_for(SPREAD_TIME, &site.gateways, limited, send);
+    let runs = load_for(WINDOW, &site.gateways, limited, send);
+    assert!(runs <= MOST_IN_A_WINDOW, "{runs} runs");
+    let allowed = LIMIT_PER_S * WINDOW.as_secs_f64();
+    assert!(runs as f64 >= 0.5 * allowed, "{runs} runs");
+}
+
 /// Guards against a limit that stays after the server has ended it.
 #[test]
 fn a_server_that_ends_its_limit_is_used_as_before() {
