--- a/tests/gateway_crash_reports.rs
+++ b/tests/gateway_crash_reports.rs
@@ -5,12 +5,15 @@
 
 use bytes::Bytes;
 use hyper::Request;
+use hyper::header::{AUTHORIZATION, HeaderValue};
 use sapphireford::connection::http_server::CallerAddress;
 use sapphireford::process::gateway::crash_reports::{
     CRASHES_AT_ONE_SERVER_TO_SUSPECT, CRASHES_TO_SUSPECT, Crash, CrashReports,
     FIRST_REFUSAL_PERIOD, MAX_FINGERPRINTS, RETENTION, Verdict,
 };
 use sapphireford::process::gateway::fingerprint::RequestIdentity;
+use sapphireford::process::gateway::peers::{PeerCall, decode_call, wrap_request};
+use sapphireford_platform::headers::relayed_request_headers;
 use yare::parameterized;
 
 /// Long enough for the reports of other gateways.
@@ -28,6 +31,31 @@
     identity_of(1, "/quote/a", body)
 }
 
+/// Guards against a request that crashes servers and is not recognized when a peer serves it.
+#[parameterized(by_key = { Some("Bearer k") }, by_address = { None })]
+fn a_relayed_request_and_its_caller_are_recognized(key: Option<&'static str>) {
+    let address = SocketAddr::from(([10, 0, 0, 1], 4_000));
+    let mut request = Request::new(Bytes::from_static(b"a turn"));
+    *request.uri_mut() = "/quote/a?b=c".parse().expect("a path");
+    if let Some(key) = key {
+        let key = HeaderValue::from_static(key);
+        request.headers_mut().insert(AUTHORIZATION, key);
+    }
+    let mut relayed = request.clone();
+    request.extensions_mut().insert(CallerAddress(address));
+    let time_left = Duration::from_millis(700);
+    *relayed.headers_mut() = relayed_request_headers(request.headers(), time_left, None);
+    let relayed = wrap_request(relayed, Some(address), 1).expect("a valid path");
+    let Some(PeerCall::Request(relayed)) = decode_call(relayed) else {
+        panic!("the request is not decoded as a relayed one");
+    };
+    assert_eq!(relayed.attempts_left, Some(1));
+    assert_eq!(
+        RequestIdentity::new(&relayed.request),
+        RequestIdentity::new(&request)
+    );
+}
+
 /// Crashes of servers, one a second.
 struct Crashes {
     now: Instant,
