--- a/crates/standin/src/harness/proxy.rs
+++ b/crates/standin/src/harness/proxy.rs
@@ -110,9 +110,9 @@
     fn apply(&self, change: Change) {
         let (applied, wait) = channel();
         let command = Command { change, applied };
-        // The thread of the proxy runs until the proxy is dropped.
-        self.commands.unbounded_send(command).expect("a thread");
-        wait.recv().expect("a thread");
+        let sent = self.commands.unbounded_send(command);
+        sent.expect("the thread of the proxy runs");
+        wait.recv().expect("the thread of the proxy runs");
     }
 }
 
@@ -147,7 +147,7 @@
         Self {
             address,
             target,
-            listener: Listener::new(listener).ok(),
+            listener: Some(Listener::new(listener)),
             fillers: Vec::new(),
             state: Rc::new(state),
         }
@@ -221,8 +221,8 @@
         if mode == ProxyMode::Refuse {
             self.listener = None;
         } else if self.listener.is_none() {
-            let bound = TcpListener::bind(self.address);
-            self.listener = bound.and_then(Listener::new).ok();
+            let listener = TcpListener::bind(self.address).expect("the address is still free");
+            self.listener = Some(Listener::new(listener));
         }
         if mode == previous {
             return;
@@ -252,10 +252,14 @@
 }
 
 impl Listener {
-    fn new(socket: TcpListener) -> io::Result<Self> {
+    fn new(socket: TcpListener) -> Self {
+        let accepting = Self::accepting(&socket).expect("a listener can be duplicated");
+        Self { accepting, socket }
+    }
+
+    fn accepting(socket: &TcpListener) -> io::Result<monoio::net::TcpListener> {
         socket.set_nonblocking(true)?;
-        let accepting = monoio::net::TcpListener::from_std(socket.try_clone()?)?;
-        Ok(Self { accepting, socket })
+        monoio::net::TcpListener::from_std(socket.try_clone()?)
     }
 
     fn set_backlog(&self, backlog: i32) {
