Open connections to both servers in the test of streams that are cut off

a_stream_that_cannot_be_resumed_fails_soon_after_its_gateway_is_cut_off expects 502 before the head of the stream, which is right only for a turn that was sent. If the server that was chosen had no open connection, the turn was not sent, and a peer served it: 2 of some 25 runs failed, with a stream of status 200 in the log. Turns at both servers before the cut leave open connections. The bounds stay.

--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -353,7 +353,12 @@
         ..Turn::default()
     };
     let stranded = &site.gateways[0];
-    serve_each_kind(&site, stranded);
+    // Leaves open connections to both servers, on which the turn is sent after the cut.
+    thread::scope(|scope| {
+        for _ in 0..CONCURRENT_REQUESTS {
+            scope.spawn(|| serve_each_kind(&site, stranded));
+        }
+    });
     let cut_at = Instant::now();
     if has_begun {
         let mut stream = turn.open(stranded).expect("an answer");
