--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -238,15 +238,26 @@
             Err(error) => {
                 let status = error.kind.answer().status;
                 record.finish(status, crate::error::chain(&error));
-                let mut response =
-                    refusal::refusal_response(&error, self.gateway.store.outage_age());
-                let is_relayed = matches!(source, Source::Peer { .. });
-                if is_relayed && error.kind == ErrorKind::ServiceInDoubt {
-                    peers::mark_in_doubt(&mut response);
-                }
-                response
+                self.error_response(&error, source)
+            }
+        }
+    }
+
+    fn error_response(&self, error: &Error, source: Source) -> Response<Body> {
+        let gateway = &self.gateway;
+        let mut response = refusal::refusal_response(error, gateway.store.outage_age());
+        let Source::Peer { .. } = source else {
+            return response;
+        };
+        match error.kind {
+            // Another peer may reach a server.
+            ErrorKind::NoBackendServer if gateway.server_path.is_lost() => {
+                return peers::not_taken_response();
             }
+            ErrorKind::ServiceInDoubt => peers::mark_in_doubt(&mut response),
+            _ => {}
         }
+        response
     }
 }
 
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -121,7 +121,14 @@
             if self.must_relay() {
                 return self.relay(last_event_id).await.map(ServerResponse::Relayed);
             }
+            if self.is_helper_without_path() {
+                return Err(self.helper_without_path_error());
+            }
             let Some(server) = self.choose_permitted_server().await else {
+                let is_path_lost = self.has_lost_path_since_attempt().await;
+                if is_path_lost && (self.must_relay() || self.is_helper_without_path()) {
+                    continue;
+                }
                 return Err(self.no_server_error());
             };
             if let Err(error) = self.record_origin(&server).await {
@@ -160,7 +167,7 @@
             self.record.note(format!("{}: {reason}", &*server.id));
             self.tried_servers.push(server);
             let decision = self.record_failed_attempt(failure);
-            if self.must_relay() {
+            if self.must_relay() || self.is_helper_without_path() {
                 continue;
             }
             match decision {
@@ -181,6 +188,26 @@
         self.gateway.server_path.is_lost() && !self.is_relayed && may_be_sent
     }
 
+    /// Whether the last attempt did not reach its server because the path to all of them was lost.
+    /// Each attempt checks the path as well, but may rely on a probe shortly before.
+    async fn has_lost_path_since_attempt(&self) -> bool {
+        let server_path = &self.gateway.server_path;
+        self.attempts.unsent > 0 && !server_path.check_since(self.attempt_started_at).await
+    }
+
+    /// Whether a peer has relayed the request to this gateway, which has lost its path since then.
+    pub fn is_helper_without_path(&self) -> bool {
+        self.is_relayed && self.gateway.server_path.is_lost()
+    }
+
+    fn helper_without_path_error(&self) -> Error {
+        let message = "this gateway has lost its path to the backend servers";
+        match self.attempts.may_have_run {
+            true => in_doubt_error(message),
+            false => Error::new(ErrorKind::NoBackendServer, message),
+        }
+    }
+
     /// Makes known where a new stream may begin, before it is sent to a server.
     async fn record_origin(&mut self, server: &Server) -> Result<()> {
         let origins = &self.gateway.stream_origins;
--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -229,6 +229,24 @@
     }
 }
 
+#[test]
+fn a_helper_that_is_cut_off_as_well_leaves_requests_to_another_one() {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 3]);
+    cut_off(&site.gateways[0], Cut::Silent);
+    find_out(&[&site.gateways[0]]);
+    cut_off(&site.gateways[1], Cut::Reset);
+    let stranded = site.gateways[0].caller_address();
+    thread::scope(|scope| {
+        for _ in 0..CONCURRENT_REQUESTS {
+            scope.spawn(move || {
+                let request = caller_request("POST", "/book/a", &new_request_id());
+                let answer = request.send(stranded).expect("an answer");
+                assert_eq!(answer.status, 200, "{}", answer.text());
+            });
+        }
+    });
+}
+
 #[test]
 fn a_request_through_a_peer_keeps_its_deadline() {
     let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
