--- a/src/request/gateway/relay.rs
+++ b/src/request/gateway/relay.rs
@@ -69,7 +69,7 @@
         if !server_path.has_answer_within(PATH_CHECK_DELAY) {
             server_path.check_in_background();
         }
-        if self.route.kind == RouteKind::NonIdempotent || self.is_relayed {
+        if self.route.kind == RouteKind::NonIdempotent {
             return sent.await;
         }
         let lost = async {
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -165,14 +165,14 @@
     }
 
     /// Whether the stream is given up, because this gateway has lost its path to the servers. It goes
-    /// on through a peer if it is resumable. Finds the loss out if no server answers anything.
+    /// on through a peer if it is resumable and not relayed. Finds the loss out if no server answers
+    /// anything.
     fn has_lost_path(&self, last_event_at: Instant) -> bool {
         let server_path = &self.forwarder.gateway.server_path;
         if !server_path.has_answer_within(PATH_CHECK_DELAY) {
             server_path.check_in_background();
         }
-        let is_lost = !self.forwarder.is_relayed && server_path.is_lost();
-        is_lost && last_event_at.elapsed() >= LOST_PATH_STALL_TIMEOUT
+        server_path.is_lost() && last_event_at.elapsed() >= LOST_PATH_STALL_TIMEOUT
     }
 
     fn can_resume(&self) -> bool {
--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -247,6 +247,28 @@
     });
 }
 
+#[test]
+fn a_relayed_stream_that_cannot_be_resumed_fails_soon_after_its_helper_is_cut_off() {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
+    cut_off(&site.gateways[0], Cut::Silent);
+    find_out(&[&site.gateways[0]]);
+    let id = new_request_id();
+    let turn = Turn {
+        path: "/chat/a",
+        id: &id,
+        program: &id,
+        events: 300,
+        ..Turn::default()
+    };
+    let mut stream = turn.open(&site.gateways[0]).expect("an answer");
+    stream.next_event().expect("an event").expect("an event");
+    let cut_at = Instant::now();
+    cut_off(&site.gateways[1], Cut::Silent);
+    stream.remaining_events().expect_err("the stream breaks");
+    let time = cut_at.elapsed();
+    assert!(time < Duration::from_millis(2_000), "{time:?}");
+}
+
 #[test]
 fn a_request_through_a_peer_keeps_its_deadline() {
     let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
