--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -196,7 +196,7 @@
     }
 
     /// Whether a peer has relayed the request to this gateway, which has lost its path since then.
-    pub fn is_helper_without_path(&self) -> bool {
+    fn is_helper_without_path(&self) -> bool {
         self.is_relayed && self.gateway.server_path.is_lost()
     }
 
