--- a/src/request/gateway/relay.rs
+++ b/src/request/gateway/relay.rs
@@ -15,7 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use sapphireford_platform::answer::AnswerHeaders;
 use sapphireford_platform::headers::{self, ResumedStream};
 use sapphireford_platform::operator::RouteKind;
@@ -45,6 +45,9 @@
 /// The outcome of a request that was sent through a peer.
 enum PeerOutcome {
     Answered(Response<Incoming>),
+    /// The peer refused a request that a server may have run before, so the refusal must not reach the
+    /// caller: it says that the request did not run.
+    RefusedAgain(String),
     /// No server has run the request.
     NotTaken(String),
     /// Servers may have run the request.
@@ -122,6 +125,9 @@
                     self.record.note(format!("relayed through {peer}"));
                     return Ok(Some(response));
                 }
+                PeerOutcome::RefusedAgain(reason) => {
+                    return Err(in_doubt_error(&format!("relayed: {reason}")));
+                }
                 PeerOutcome::NotTaken(reason) => {
                     self.record.note(format!("{peer}: {reason}"));
                     server_path.remove_helper(peer);
@@ -167,6 +173,12 @@
         if is_failed && has_attempts_left {
             return PeerOutcome::Failed(format!("status {}", status.as_u16()));
         }
+        // These two say that it is not known whether the request ran.
+        let leaves_open = is_in_doubt || status == StatusCode::GATEWAY_TIMEOUT;
+        let is_refused = !is_from_server && !status.is_success() && !leaves_open;
+        if is_refused && self.attempts.may_have_run {
+            return PeerOutcome::RefusedAgain(format!("refused with status {}", status.as_u16()));
+        }
         PeerOutcome::Answered(without_hop_by_hop_headers(response))
     }
 
--- a/tests/gateway_helpers.rs
+++ b/tests/gateway_helpers.rs
@@ -15,7 +15,8 @@
 use serde_json::json;
 use server_paths::{
     CONCURRENT_REQUESTS, Cut, DETECTION_TIME, REGISTRATIONS_READ_AGAIN, SERVED_WITHIN, cut_off,
-    find_out, long_chat, serve_each_kind, start_with_cut_off_gateway,
+    find_out, long_chat, open_connections_to_all_servers, serve_each_kind,
+    start_with_cut_off_gateway,
 };
 use yare::parameterized;
 
@@ -99,6 +100,23 @@
     }
 }
 
+#[test]
+fn a_request_that_may_have_run_is_not_called_refused_when_its_helper_refuses_it() {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
+    let stranded = &site.gateways[0];
+    open_connections_to_all_servers(&site, stranded);
+    cut_off(stranded, Cut::Silent);
+    let address = stranded.caller_address();
+    let request = caller_request("GET", "/ping/a", &new_request_id());
+    let request = thread::spawn(move || request.send(address));
+    thread::sleep(RELAY_TIME);
+    for server in &site.plain_servers {
+        server.process.control(&json!({ "full": true }));
+    }
+    let answer = request.join().expect("no panic").expect("an answer");
+    assert_eq!(answer.status, 502, "{}", answer.text());
+}
+
 #[test]
 fn a_helper_that_is_cut_off_as_well_leaves_requests_to_another_one() {
     let site = start_with_cut_off_gateway(3);
--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -14,8 +14,8 @@
 use sapphireford_standin::harness::{GatewayProcess, GatewaySite, ProxyMode, wait_until};
 use serde_json::json;
 use server_paths::{
-    CONCURRENT_REQUESTS, Cut, DETECTION_TIME, REGISTRATIONS_READ_AGAIN, RETURN_TIME, SERVED_WITHIN,
-    cut_off, find_out, long_chat, serve_each_kind, start_with_cut_off_gateway,
+    Cut, DETECTION_TIME, REGISTRATIONS_READ_AGAIN, RETURN_TIME, SERVED_WITHIN, cut_off, find_out,
+    long_chat, open_connections_to_all_servers, serve_each_kind, start_with_cut_off_gateway,
 };
 use yare::parameterized;
 
@@ -126,12 +126,7 @@
     let id = new_request_id();
     let turn = long_chat(&id);
     let stranded = &site.gateways[0];
-    // Leaves open connections to both servers, on which the turn is sent after the cut.
-    thread::scope(|scope| {
-        for _ in 0..CONCURRENT_REQUESTS {
-            scope.spawn(|| serve_each_kind(&site, stranded));
-        }
-    });
+    open_connections_to_all_servers(&site, stranded);
     let cut_at = Instant::now();
     if has_begun {
         let mut stream = turn.open(stranded).expect("an answer");
--- a/tests/support/server_paths.rs
+++ b/tests/support/server_paths.rs
@@ -82,6 +82,15 @@
     longest
 }
 
+/// Leaves open connections from a gateway to all servers, on which requests are sent after a cut.
+pub fn open_connections_to_all_servers(site: &GatewaySite, gateway: &GatewayProcess) {
+    thread::scope(|scope| {
+        for _ in 0..CONCURRENT_REQUESTS {
+            scope.spawn(|| serve_each_kind(site, gateway));
+        }
+    });
+}
+
 /// Starts a site with this many gateways in one failure domain, the first of which is cut off and
 /// knows it.
 pub fn start_with_cut_off_gateway(gateways: usize) -> GatewaySite {
