Return from a reset of a test proxy when its connections are closed

A test that resets the connections of a proxy and then sends a request could send it before the proxy had closed them: the command was confirmed first, and the tasks of the connections ended later. A connection that was accepted just before the reset and not polled yet was not closed at all. The proxy now counts its open connections and confirms the reset when there are none, so a test knows on which side of the reset its requests are.

--- a/crates/standin/src/harness/proxy.rs
+++ b/crates/standin/src/harness/proxy.rs
@@ -102,7 +102,7 @@
         self.apply(Change::Delay(delay));
     }
 
-    /// Closes all open connections; new ones are not affected.
+    /// Closes all open connections, and returns when they are closed; new ones are not affected.
     pub fn reset_connections(&self) {
         self.apply(Change::ResetConnections);
     }
@@ -133,6 +133,7 @@
     delay: Cell<Duration>,
     /// How often all open connections were closed.
     resets: Cell<u64>,
+    open_connections: Cell<usize>,
     changed: Notify,
 }
 
@@ -142,6 +143,7 @@
             mode: Cell::new(ProxyMode::Forward),
             delay: Cell::new(Duration::ZERO),
             resets: Cell::new(0),
+            open_connections: Cell::new(0),
             changed: Notify::default(),
         };
         Self {
@@ -163,7 +165,7 @@
             match next {
                 Either::Left(None) => return,
                 Either::Left(Some(command)) => {
-                    self.apply(command.change);
+                    self.apply(command.change).await;
                     // Fails if the test does not wait, because it has panicked.
                     let _ = command.applied.send(());
                 }
@@ -190,27 +192,33 @@
     }
 
     fn start_connection(&self, caller: monoio::net::TcpStream) {
-        let state = self.state.clone();
+        let open = OpenConnection::new(&self.state);
         let target = self.target;
+        let resets = self.state.resets.get();
         monoio::spawn(async move {
-            let resets = state.resets.get();
+            let state = &open.0;
             let reset = state.changed.until(|| state.resets.get() > resets);
             let relayed = async {
                 if let Ok(server) = monoio::net::TcpStream::connect_addr(target).await {
-                    relay_connection(caller, server, &state).await;
+                    relay_connection(caller, server, state).await;
                 }
             };
             select(pin!(reset), pin!(relayed)).await;
         });
     }
 
-    fn apply(&mut self, change: Change) {
+    async fn apply(&mut self, change: Change) {
+        let resets = self.state.resets.get();
         match change {
             Change::Mode(mode) => self.set_mode(mode),
             Change::Delay(delay) => self.state.delay.set(delay),
             Change::ResetConnections => self.reset_connections(),
         }
         self.state.changed.notify();
+        if self.state.resets.get() > resets {
+            let are_closed = || self.state.open_connections.get() == 0;
+            self.state.changed.until(are_closed).await;
+        }
     }
 
     fn set_mode(&mut self, mode: ProxyMode) {
@@ -245,6 +253,24 @@
     }
 }
 
+/// Counts a connection as open until it is dropped.
+struct OpenConnection(Rc<State>);
+
+impl OpenConnection {
+    fn new(state: &Rc<State>) -> Self {
+        state.open_connections.set(state.open_connections.get() + 1);
+        Self(state.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let open = &self.0.open_connections;
+        open.set(open.get() - 1);
+        self.0.changed.notify();
+    }
+}
+
 struct Listener {
     accepting: monoio::net::TcpListener,
     /// The same socket, to change its backlog.
