Confirm the path to the servers for requests that find none of them available

Cause: the failures of a few requests make all servers unavailable, before the probes show that it is the path. Only a request with a failed attempt of its own had the path probed again; one that found no server at once was refused without waiting for the probe in progress.

Now such a request waits for a probe that began after the last failure of any request, until its deadline at most. Without a new failure there is no further probe, so refusals under overload cost none.

--- a/src/process/gateway/server_path.rs
+++ b/src/process/gateway/server_path.rs
@@ -59,6 +59,8 @@
     is_asking: Cell<bool>,
     /// When the last probe began that a server accepted.
     last_probe: Cell<Option<Instant>>,
+    /// When a request or stream last failed in a way that may be due to the path.
+    last_failure: Cell<Option<Instant>>,
     /// When a server last answered a request.
     last_answer: Cell<Option<Instant>>,
     /// Peer addresses of gateways that reach servers; empty unless the path is lost.
@@ -79,6 +81,7 @@
             no_helper_since: Cell::new(None),
             is_asking: Cell::new(false),
             last_probe: Cell::new(None),
+            last_failure: Cell::new(None),
             last_answer: Cell::new(None),
             helpers: RefCell::default(),
             changed: Notify::default(),
@@ -95,6 +98,11 @@
         self.changed.until(|| self.is_lost()).await;
     }
 
+    /// Records that a request or stream has failed in a way that may be due to the path.
+    pub fn record_failure(&self) {
+        self.last_failure.set(Some(Instant::now()));
+    }
+
     /// Records that a server has answered a request.
     pub fn record_answer(&self) {
         self.last_answer.set(Some(Instant::now()));
@@ -124,6 +132,15 @@
         self.check_since(since).await
     }
 
+    /// Like [`ServerPath::check`], with a probe that began after the last failure of any request. True
+    /// if there was no failure.
+    pub async fn check_since_last_failure(self: &Rc<Self>) -> bool {
+        match self.last_failure.get() {
+            Some(at) => self.check_since(at).await,
+            None => true,
+        }
+    }
+
     /// Like [`ServerPath::check`], with a probe that began at `since` or later.
     pub async fn check_since(self: &Rc<Self>, since: Instant) -> bool {
         while !self.is_lost() && self.is_checking.get() {
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -125,8 +125,8 @@
                 return Err(self.helper_without_path_error());
             }
             let Some(server) = self.choose_permitted_server().await else {
-                let is_path_lost = self.has_lost_path_since_attempt().await;
-                if is_path_lost && (self.must_relay() || self.is_helper_without_path()) {
+                self.confirm_path().await;
+                if self.must_relay() || self.is_helper_without_path() {
                     continue;
                 }
                 return Err(self.no_server_error());
@@ -188,11 +188,12 @@
         self.gateway.server_path.is_lost() && !self.is_relayed && may_be_sent
     }
 
-    /// Whether the last attempt did not reach its server because the path to all of them was lost.
-    /// Each attempt checks the path as well, but may rely on a probe shortly before.
-    async fn has_lost_path_since_attempt(&self) -> bool {
-        let server_path = &self.gateway.server_path;
-        self.attempts.unsent > 0 && !server_path.check_since(self.attempt_started_at).await
+    /// Finds out whether no server takes the request because the path to all of them is lost. The
+    /// failures that made the servers unavailable may be those of other requests.
+    async fn confirm_path(&self) {
+        let check = self.gateway.server_path.check_since_last_failure();
+        // Without a result by the deadline, the path counts as before.
+        let _ = self.gateway.timer.timeout_at(self.deadline, check).await;
     }
 
     /// Whether a peer has relayed the request to this gateway, which has lost its path since then.
@@ -264,6 +265,7 @@
                     // The server is reached.
                     ClientError::Mismatched => {}
                     ClientError::NotSent(_) | ClientError::TimedOut(_) => {
+                        self.gateway.server_path.record_failure();
                         self.gateway.server_path.check().await;
                     }
                 }
@@ -364,7 +366,8 @@
         // A gateway that loses all servers at once has not seen crashes. A probe before the failure
         // shows nothing.
         let server_path = &self.gateway.server_path;
-        if !server_path.check_since(Instant::now()).await {
+        server_path.record_failure();
+        if !server_path.check_since_last_failure().await {
             return;
         }
         let servers = &self.gateway.servers;
--- a/tests/gateway_server_paths.rs
+++ b/tests/gateway_server_paths.rs
@@ -43,6 +43,28 @@
     assert!(wait_until(WAIT_TIMEOUT, || returns_stranded(connected)));
 }
 
+#[test]
+fn requests_that_find_no_server_are_not_refused_while_the_loss_of_the_path_is_confirmed() {
+    let site = GatewaySite::start_with_own_paths(&["d1"; 2]);
+    let stranded = site.gateways[0].caller_address();
+    cut_off(&site.gateways[0], Cut::Silent);
+    let send_at = |time: Duration, method: &'static str, path: &'static str| {
+        thread::sleep(time);
+        let request = caller_request(method, path, &new_request_id());
+        let answer = request.send(stranded).expect("an answer");
+        assert_eq!(answer.status, 200, "after {time:?}: {}", answer.text());
+    };
+    thread::scope(|scope| {
+        // As many failures as make both plain servers unavailable.
+        for _ in 0..6 {
+            scope.spawn(|| send_at(Duration::ZERO, "GET", "/ping/a"));
+        }
+        for time_ms in (200..1_200).step_by(50) {
+            scope.spawn(move || send_at(Duration::from_millis(time_ms), "POST", "/book/a"));
+        }
+    });
+}
+
 #[test]
 fn a_gateway_uses_its_own_path_soon_after_a_cut() {
     let mut site = GatewaySite::start_with_own_paths(&["d1"; 2]);
