Let each kind of request reach the server with the unusual answer

unusual_answers_of_a_server_end_nothing waited up to 60 s until a booking, a check and a turn had reached the server that sends the unusual answer. Beside sound servers that was chance, and got rarer: after three failures the server is left out for 1, 2, 4, 8, 16 and 30 s, and the next attempt gets whichever request comes first; a huge load is used for a second, and then the first request of a round, always the booking, gets the next answer.

The sound servers are now registered only after each kind has reached that server, and three further rounds are sent then, in which requests may be repeated at them.

--- a/tests/gateway_malformed_messages.rs
+++ b/tests/gateway_malformed_messages.rs
@@ -14,11 +14,15 @@
 use gateway::{Turn, WAIT_TIMEOUT, caller_request, expected_stream_data, new_request_id};
 use raw_server::RawServer;
 use sapphireford_standin::harness::{
-    ENGINE_SERVICE, GatewaySite, HttpRequest, PLAIN_SERVICE, default_routes, route, wait_until,
+    ENGINE_SERVICE, GatewayProcess, GatewaySite, HttpRequest, PLAIN_SERVICE, default_routes, route,
+    wait_until,
 };
 use serde_json::json;
 use yare::parameterized;
 
+/// Rounds of requests that may be repeated at a sound server after an unusual answer.
+const RETRIED_ROUNDS: usize = 3;
+
 /// Checks that the process that served before still serves, and that it is the same one.
 fn assert_still_serves(site: &mut GatewaySite) {
     let exited = site.gateways[0].process().wait(Duration::ZERO);
@@ -99,6 +103,22 @@
     assert_still_serves(&mut site);
 }
 
+/// Sends a request of each kind, to which any answer is allowed, and an end of the connection.
+fn send_each_kind(gateway: &GatewayProcess) {
+    for (method, path) in [("POST", "/book/a"), ("GET", "/ping/a")] {
+        let _ = caller_request(method, path, &new_request_id()).send(gateway.caller_address());
+    }
+    let id = new_request_id();
+    let turn = Turn {
+        id: &id,
+        program: &id,
+        ..Turn::default()
+    };
+    if let Ok(mut stream) = turn.open(gateway) {
+        let _ = stream.remaining_events();
+    }
+}
+
 /// Guards against a head of one backend server that ends the gateway.
 #[parameterized(
     huge_idle_timeout = { "keep-alive: timeout=18446744073709551615\r\ncontent-length: 0\r\n\r\n" },
@@ -121,26 +141,22 @@
     for service in [PLAIN_SERVICE, ENGINE_SERVICE] {
         let id = format!("raw-{service}");
         site.register_address(&id, service, server.address(), "ready");
+        // While sound servers are registered as well, it is chance which requests get the answer.
+        site.deregister_service(service);
     }
     let gateway = &site.gateways[0];
-    // An answer that does not end takes until the deadline of its request, and after three of them
-    // the gateway leaves the server out for a while.
+    // An answer that does not end takes until the deadline of its request.
     let asked = wait_until(3 * WAIT_TIMEOUT, || {
-        for (method, path) in [("POST", "/book/a"), ("GET", "/ping/a")] {
-            let _ = caller_request(method, path, &new_request_id()).send(gateway.caller_address());
-        }
-        let id = new_request_id();
-        let turn = Turn {
-            id: &id,
-            program: &id,
-            ..Turn::default()
-        };
-        if let Ok(mut stream) = turn.open(gateway) {
-            let _ = stream.remaining_events();
-        }
+        send_each_kind(gateway);
         asked_paths.lock().expect("no panic").len() == 3
     });
     assert!(asked, "the server did not get a request of each kind");
+    for server in site.engines.iter().chain(&site.plain_servers) {
+        site.register(server, "ready");
+    }
+    for _ in 0..RETRIED_ROUNDS {
+        send_each_kind(gateway);
+    }
     for service in [PLAIN_SERVICE, ENGINE_SERVICE] {
         site.deregister_id(&format!("raw-{service}"));
     }
