--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod net;
 mod server;
 mod site;
+mod stop;
 mod store;
 mod removal;
 
@@ -33,6 +34,7 @@
     record.line(&format!("case {case}, with the disruption: {has_trouble}"));
     let outcome = match case.as_str() {
         "budget" => budget::play(&record, has_trouble),
+        "stop" => stop::play(&record, has_trouble),
         "removal" => removal::play(&record, has_trouble),
         _ => Err("no such case".to_string()),
     };
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -132,6 +132,11 @@
         wait_until(Duration::from_secs(15), || self.is_ready())
     }
 
+    /// The id of the process; 0 if it does not run.
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
