--- a/review/standin/budget.rs
+++ b/review/standin/budget.rs
@@ -5,11 +5,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::Outcome;
 use crate::net;
 use crate::server::{self, Runs};
 use crate::site::{self, Folder, Gateway, HOST, Record};
 use crate::store::Store;
-use crate::Outcome;
 
 /// `chunkTokens` of the service.
 const TOKENS_PER_EVENT: u64 = 9;
@@ -44,13 +44,21 @@
 
 impl Work {
     fn new(events: u64, gap_ms: u64) -> Self {
-        Self { events, first_ms: gap_ms, gap_ms }
+        Self {
+            events,
+            first_ms: gap_ms,
+            gap_ms,
+        }
     }
 }
 
 /// One turn of a program; returns its status and the events that the client got.
 fn turn(record: &Record, gateway: SocketAddr, program: &str, id: &str, work: Work) -> (u16, u64) {
-    let Work { events, first_ms, gap_ms } = work;
+    let Work {
+        events,
+        first_ms,
+        gap_ms,
+    } = work;
     let most = events * TOKENS_PER_EVENT;
     let headers = format!(
         "Host: {HOST}\r\nRequest-Id: {id}\r\nProgram-Id: {program}\r\nSession-Id: s-{id}\r\n\
@@ -60,7 +68,14 @@
     let started = Instant::now();
     let body = format!("input of {id}\nevents={events} first={first_ms} gap={gap_ms}\n");
     let patience = Duration::from_millis(4_000);
-    let answer = net::call(gateway, "POST", "/quote/t", &headers, body.as_bytes(), patience);
+    let answer = net::call(
+        gateway,
+        "POST",
+        "/quote/t",
+        &headers,
+        body.as_bytes(),
+        patience,
+    );
     let text = String::from_utf8_lossy(&answer.body);
     let received = match answer.status {
         200 => text.matches("\n\n").count() as u64,
@@ -77,7 +92,14 @@
 }
 
 /// Runs turns at the same time; returns the events that were received.
-fn wave(record: &Record, gateway: SocketAddr, program: &str, name: &str, turns: usize, work: Work) -> u64 {
+fn wave(
+    record: &Record,
+    gateway: SocketAddr,
+    program: &str,
+    name: &str,
+    turns: usize,
+    work: Work,
+) -> u64 {
     thread::scope(|scope| {
         let turns: Vec<_> = (0..turns)
             .map(|index| {
@@ -116,7 +138,14 @@
     let mut events = 0;
     for number in 0..20 {
         program = format!("{number:02x}fa81");
-        events = turn(record, entry, &program, &format!("{program}root"), Work::new(2, IDLE_GAP_MS)).1;
+        events = turn(
+            record,
+            entry,
+            &program,
+            &format!("{program}root"),
+            Work::new(2, IDLE_GAP_MS),
+        )
+        .1;
         let keys = store.keys("program-spending", &program);
         let writer = |name: &str| keys.iter().any(|key| key.starts_with(&format!("{name}-")));
         owner = if writer("edge-2") { 1 } else { 2 };
@@ -128,11 +157,17 @@
     if owner == 0 {
         return Err("no program has its rows written by another gateway".to_string());
     }
-    record.line(&format!("program {program}: its rows are written by {}", gateways[owner].name));
+    record.line(&format!(
+        "program {program}: its rows are written by {}",
+        gateways[owner].name
+    ));
 
     let (first, second) = thread::scope(|scope| {
         let program = program.as_str();
-        let work = Work { first_ms: BUSY_FIRST_MS, ..Work::new(SHORT_EVENTS, BUSY_GAP_MS) };
+        let work = Work {
+            first_ms: BUSY_FIRST_MS,
+            ..Work::new(SHORT_EVENTS, BUSY_GAP_MS)
+        };
         let first = scope.spawn(move || wave(record, entry, program, "a", FIRST_WAVE, work));
         thread::sleep(Duration::from_millis(400));
         if has_trouble {
@@ -140,17 +175,31 @@
             gateways[owner].kill();
             thread::sleep(RESTART_DELAY);
             let started = gateways[owner].restart();
-            record.line(&format!("{} is started again: {started:?}", gateways[owner].name));
+            record.line(&format!(
+                "{} is started again: {started:?}",
+                gateways[owner].name
+            ));
             let is_ready = gateways[owner].wait_until_ready();
             record.line(&format!("{} is ready: {is_ready}", gateways[owner].name));
         } else {
             thread::sleep(RESTART_DELAY);
         }
         thread::sleep(Duration::from_millis(100));
-        let second = scope.spawn(move || wave(record, entry, program, "b", SECOND_WAVE, Work::new(LONG_EVENTS, GAP_MS)));
+        let second = scope.spawn(move || {
+            wave(
+                record,
+                entry,
+                program,
+                "b",
+                SECOND_WAVE,
+                Work::new(LONG_EVENTS, GAP_MS),
+            )
+        });
         (first.join().unwrap_or(0), second.join().unwrap_or(0))
     });
-    record.line(&format!("events received: {first} in the first wave, {second} in the second one"));
+    record.line(&format!(
+        "events received: {first} in the first wave, {second} in the second one"
+    ));
     events += first + second;
     if first != FIRST_WAVE as u64 * SHORT_EVENTS {
         return Err("the turns of the first wave did not end whole".to_string());
@@ -161,7 +210,13 @@
     let mut last_status = 0;
     for number in 0..60 {
         let id = format!("{program}c{number:02}");
-        let (status, received) = turn(record, entry, &program, &id, Work::new(LONG_EVENTS, IDLE_GAP_MS));
+        let (status, received) = turn(
+            record,
+            entry,
+            &program,
+            &id,
+            Work::new(LONG_EVENTS, IDLE_GAP_MS),
+        );
         events += received;
         last_status = status;
         match status {
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -109,7 +109,11 @@
                 let end = rest.iter().position(|byte| !byte.is_ascii_digit());
                 let digits = &rest[..end.unwrap_or(rest.len())];
                 self.at += digits.len();
-                std::str::from_utf8(digits).ok()?.parse().ok().map(Json::Number)
+                std::str::from_utf8(digits)
+                    .ok()?
+                    .parse()
+                    .ok()
+                    .map(Json::Number)
             }
         }
     }
@@ -148,5 +152,8 @@
 /// Encodes a text.
 pub fn quote(text: &str) -> String {
     let escaped = text.replace('\\', "\\\\").replace('"', "\\\"");
-    format!("\"{}\"", escaped.replace('\n', "\\n").replace('\0', "\\u0000"))
+    format!(
+        "\"{}\"",
+        escaped.replace('\n', "\\n").replace('\0', "\\u0000")
+    )
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,13 +7,14 @@
 mod budget;
 mod json;
 mod net;
+mod removal;
 mod server;
 mod site;
 mod stop;
 mod store;
-mod removal;
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use site::Record;
 
@@ -32,6 +33,7 @@
         return ExitCode::from(2);
     };
     record.line(&format!("case {case}, with the disruption: {has_trouble}"));
+    site::limit_time(Duration::from_secs(100));
     let outcome = match case.as_str() {
         "budget" => budget::play(&record, has_trouble),
         "stop" => stop::play(&record, has_trouble),
--- a/review/standin/net.rs
+++ b/review/standin/net.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 over blocking sockets: what the stand-ins of the review need of it.
 
-use std::io::{BufRead, BufReader, Read, Result, Write};
+use std::io::{BufRead, BufReader, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
@@ -21,10 +21,6 @@
         found.next().map(|(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or_default()
-    }
-
     pub fn target(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or_default()
     }
@@ -161,7 +157,11 @@
         let length = body.len();
         let head = format!("{method} {path} HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n");
         let mut answer = Answer::default();
-        if self.stream.write_all(&[head.as_bytes(), body].concat()).is_ok() {
+        if self
+            .stream
+            .write_all(&[head.as_bytes(), body].concat())
+            .is_ok()
+        {
             let read = self.read(&mut answer, started + patience);
             answer.is_complete = read.is_ok();
         }
--- a/review/standin/removal.rs
+++ b/review/standin/removal.rs
@@ -4,11 +4,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::Outcome;
 use crate::net;
 use crate::server::{self, Runs};
 use crate::site::{self, Folder, Gateway, HOST, Record, wait_until};
 use crate::store::Store;
-use crate::Outcome;
 
 /// Servers of the site; most belong to other services. The size to design for.
 const SERVERS: usize = 12_000;
@@ -75,7 +75,10 @@
         return Err("the added gateway is not ready".to_string());
     }
     let ready_at = Instant::now();
-    record.line(&format!("the added gateway is ready; it read {} pages", store.server_reads().1));
+    record.line(&format!(
+        "the added gateway is ready; it read {} pages",
+        store.server_reads().1
+    ));
 
     // Requests count that are sent when the gateway is in touch and the server has drained.
     let counted_from = (removed_at + DRAIN).max(ready_at + STABLE_WINDOW);
@@ -90,7 +93,13 @@
             let patience = Duration::from_millis(1_200);
             let answer = net::call(gateway.caller, "GET", "/ping/a", &headers, b"", patience);
             let text = String::from_utf8_lossy(&answer.body).into_owned();
-            record.detail(at, &format!("{id} sent to {}: status {}, {text}", gateway.name, answer.status));
+            record.detail(
+                at,
+                &format!(
+                    "{id} sent to {}: status {}, {text}",
+                    gateway.name, answer.status
+                ),
+            );
             sent.push((id, gateway.name.clone(), at));
         }
         thread::sleep(Duration::from_millis(50));
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -17,8 +17,6 @@
 pub struct Run {
     pub server: String,
     pub request_id: String,
-    pub path: String,
-    pub body: String,
     pub at: Instant,
 }
 
@@ -28,11 +26,17 @@
 
 impl Runs {
     pub fn all(&self) -> Vec<Run> {
-        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
+        self.0
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+            .clone()
     }
 
     fn add(&self, run: Run) {
-        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(run);
+        self.0
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+            .push(run);
     }
 }
 
@@ -54,14 +58,25 @@
 }
 
 fn number(order: &str, name: &str) -> Option<u64> {
-    let field = order.split_whitespace().find_map(|field| field.strip_prefix(name))?;
+    let field = order
+        .split_whitespace()
+        .find_map(|field| field.strip_prefix(name))?;
     field.strip_prefix('=')?.parse().ok()
 }
 
-fn answer(id: &str, runs: &Runs, taken: u64, request: &Message, stream: &mut TcpStream) -> Result<()> {
+fn answer(
+    id: &str,
+    runs: &Runs,
+    taken: u64,
+    request: &Message,
+    stream: &mut TcpStream,
+) -> Result<()> {
     let request_id = request.header("request-id").unwrap_or_default().to_string();
     let echo = format!("Request-Id: {request_id}\r\n");
-    if request.header("expect-instance").is_some_and(|expected| expected != id) {
+    if request
+        .header("expect-instance")
+        .is_some_and(|expected| expected != id)
+    {
         let headers = format!("{echo}Instance-Id: {id}\r\nNot-Executed: 1\r\n");
         return net::respond(stream, 421, &headers, b"");
     }
@@ -72,21 +87,26 @@
     runs.add(Run {
         server: id.to_string(),
         request_id: request_id.clone(),
-        path: request.target().to_string(),
-        body: body.clone(),
         at: Instant::now(),
     });
     let headers = format!(
         "{echo}Server-Signature: {id}.{request_id}\r\nServer-Load: {},0,{SLOTS}\r\n",
         taken + 1
     );
-    let order = body.lines().rev().find(|line| line.contains('=')).unwrap_or_default();
+    let order = body
+        .lines()
+        .rev()
+        .find(|line| line.contains('='))
+        .unwrap_or_default();
     let Some(events) = number(order, "events") else {
         thread::sleep(Duration::from_millis(number(order, "work").unwrap_or(10)));
         return net::respond(stream, 200, &headers, format!("done by {id}").as_bytes());
     };
     let gap = Duration::from_millis(number(order, "gap").unwrap_or(20));
-    let last_id = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    let last_id = request
+        .header("last-event-id")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
     let head = format!(
         "HTTP/1.1 200 OK\r\n{headers}Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
          Transfer-Encoding: chunked\r\n\r\n"
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -5,8 +5,8 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -49,11 +49,35 @@
     }
 
     fn write(&self, line: &str) {
-        let mut file = self.file.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut file = self
+            .file
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
         let _ = file.write_all(line.as_bytes());
     }
 }
 
+/// The ids of the processes that run.
+fn started_processes() -> MutexGuard<'static, Vec<u32>> {
+    static IDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+    IDS.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+/// Ends this process, and those that it has started, if the case takes too long.
+pub fn limit_time(limit: Duration) {
+    thread::spawn(move || {
+        thread::sleep(limit);
+        for id in started_processes().iter() {
+            let _ = Command::new("kill")
+                .arg("-KILL")
+                .arg(id.to_string())
+                .status();
+        }
+        eprintln!("the case took too long");
+        std::process::exit(2);
+    });
+}
+
 /// A gateway, which may be stopped; its addresses stay the same over restarts.
 pub struct Gateway {
     pub name: String,
@@ -118,6 +142,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        started_processes().push(child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -132,23 +157,22 @@
         wait_until(Duration::from_secs(15), || self.is_ready())
     }
 
-    /// The id of the process; 0 if it does not run.
-    pub fn pid(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
-    }
-
     /// SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            started_processes().retain(|id| *id != child.id());
         }
     }
 
     /// SIGTERM.
     pub fn terminate(&self) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg("-TERM")
+                .arg(child.id().to_string())
+                .status();
         }
     }
 
--- a/review/standin/stop.rs
+++ b/review/standin/stop.rs
@@ -4,15 +4,18 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::Outcome;
 use crate::net::{self, Answer};
 use crate::server::{self, Runs};
 use crate::site::{self, Folder, Gateway, HOST, Record};
 use crate::store::Store;
-use crate::Outcome;
 
 /// From SIGTERM to the lookups of the clients; each sends its turn at once.
-const LOOKUPS: [Duration; 3] =
-    [Duration::from_millis(3_250), Duration::from_millis(3_350), Duration::from_millis(3_450)];
+const LOOKUPS: [Duration; 3] = [
+    Duration::from_millis(3_250),
+    Duration::from_millis(3_350),
+    Duration::from_millis(3_450),
+];
 /// A stream of 20 events takes 3.86 s. All pauses are within `targetGapMs`.
 const EVENTS: u64 = 20;
 const GAP_MS: u64 = 193;
@@ -26,7 +29,14 @@
 fn look_up_and_send(gateway: &Gateway, id: &str) -> (Option<Instant>, Answer) {
     let headers = format!("Host: {HOST}\r\n");
     let path = format!("/resolve?name={HOST}&region=r&zone=zone-a");
-    let answer = net::call(gateway.directory, "GET", &path, &headers, b"", Duration::from_secs(1));
+    let answer = net::call(
+        gateway.directory,
+        "GET",
+        &path,
+        &headers,
+        b"",
+        Duration::from_secs(1),
+    );
     let text = String::from_utf8_lossy(&answer.body);
     if answer.status != 200 || !text.contains(&gateway.caller.to_string()) {
         return (None, answer);
@@ -40,7 +50,17 @@
     );
     let body = format!("input of {id}\nevents={EVENTS} gap={GAP_MS}\n");
     let at = Instant::now();
-    (Some(at), net::call(gateway.caller, "POST", "/chat/t", &headers, body.as_bytes(), DEADLINE))
+    (
+        Some(at),
+        net::call(
+            gateway.caller,
+            "POST",
+            "/chat/t",
+            &headers,
+            body.as_bytes(),
+            DEADLINE,
+        ),
+    )
 }
 
 pub fn play(record: &Record, has_trouble: bool) -> Outcome {
@@ -77,7 +97,10 @@
                 })
             })
             .collect();
-        clients.into_iter().filter_map(|client| client.join().ok()).collect::<Vec<_>>()
+        clients
+            .into_iter()
+            .filter_map(|client| client.join().ok())
+            .collect::<Vec<_>>()
     });
     if has_trouble {
         let end = stopped_at + GRACE;
@@ -91,10 +114,15 @@
     for (id, at, answer, ended_at) in answers {
         let after = |at: Instant| at.saturating_duration_since(stopped_at).as_secs_f64();
         let Some(at) = at else {
-            record.line(&format!("{id}: the lookup names no address, status {}", answer.status));
+            record.line(&format!(
+                "{id}: the lookup names no address, status {}",
+                answer.status
+            ));
             continue;
         };
-        let events = String::from_utf8_lossy(&answer.body).matches("\n\n").count();
+        let events = String::from_utf8_lossy(&answer.body)
+            .matches("\n\n")
+            .count();
         let run = runs.iter().find(|run| run.request_id == id);
         record.line(&format!(
             "{id}: sent {:.2} s after SIGTERM, run: {:?}, status {}, {events} of {EVENTS} events, whole: {}, ended {:.2} s \
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -65,7 +65,9 @@
     let mut decoded = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let code = text.get(at + 1..at + 3).and_then(|code| u8::from_str_radix(code, 16).ok());
+        let code = text
+            .get(at + 1..at + 3)
+            .and_then(|code| u8::from_str_radix(code, 16).ok());
         match (bytes[at], code) {
             (b'%', Some(code)) => {
                 decoded.push(code);
@@ -102,12 +104,17 @@
             address: listener.local_addr()?,
         };
         let served = store.clone();
-        net::serve(listener, move |request, stream| served.handle(request, stream));
+        net::serve(listener, move |request, stream| {
+            served.handle(request, stream)
+        });
         Ok(store)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.shared.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
     fn commit(&self, state: &mut State, changes: Vec<(Name, Option<String>)>) {
@@ -163,10 +170,14 @@
     }
 
     fn handle(&self, request: &Message, stream: &mut TcpStream) -> Result<()> {
-        let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+        let (path, query) = request
+            .target()
+            .split_once('?')
+            .unwrap_or((request.target(), ""));
         let fields = query.split('&').filter_map(|field| field.split_once('='));
-        let query: BTreeMap<&str, String> =
-            fields.map(|(name, value)| (name, decode_percent(value))).collect();
+        let query: BTreeMap<&str, String> = fields
+            .map(|(name, value)| (name, decode_percent(value)))
+            .collect();
         let (status, body) = match path {
             "/rows-tx" => {
                 thread::sleep(CALL_TIME);
@@ -179,7 +190,12 @@
             "/rows-feed" => (200, self.feed(&query)),
             _ => (404, "{}".to_string()),
         };
-        net::respond(stream, status, "Content-Type: application/json\r\n", body.as_bytes())
+        net::respond(
+            stream,
+            status,
+            "Content-Type: application/json\r\n",
+            body.as_bytes(),
+        )
     }
 
     fn transact(&self, transaction: &Json) -> (u16, String) {
@@ -190,7 +206,10 @@
         let mut state = self.state();
         let expected = transaction.get("expected").list();
         let is_met = expected.iter().all(|row| {
-            let version = state.rows.get(&name(row)).map_or(0, |(_, version)| *version);
+            let version = state
+                .rows
+                .get(&name(row))
+                .map_or(0, |(_, version)| *version);
             version == row.get("rowVersion").number()
         });
         if !is_met {
@@ -200,12 +219,17 @@
                 Some(encode_row(&name, Some(value), *version))
             });
             let rows: Vec<String> = rows.collect();
-            return (412, format!("{{\"rows\":[{}],{}", rows.join(","), self.tail(&state)));
+            return (
+                412,
+                format!("{{\"rows\":[{}],{}", rows.join(","), self.tail(&state)),
+            );
         }
         let writes = transaction.get("writes").list().iter();
         let writes = writes.map(|row| (name(row), Some(row.get("value").text().to_string())));
         let removals = transaction.get("remove").list().iter();
-        let changes = writes.chain(removals.map(|row| (name(row), None))).collect();
+        let changes = writes
+            .chain(removals.map(|row| (name(row), None)))
+            .collect();
         self.commit(&mut state, changes);
         (200, format!("{{{}", self.tail(&state)))
     }
@@ -237,19 +261,31 @@
             rows.push(encode_row(name, Some(value), *version));
         }
         let tail = self.tail(&state);
-        format!("{{\"rows\":[{}],\"hasMore\":{has_more},{tail}", rows.join(","))
+        format!(
+            "{{\"rows\":[{}],\"hasMore\":{has_more},{tail}",
+            rows.join(",")
+        )
     }
 
     fn feed(&self, query: &BTreeMap<&str, String>) -> String {
-        let number = |name: &str| query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
+        let number = |name: &str| {
+            query
+                .get(name)
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0)
+        };
         let table = query.get("table").cloned().unwrap_or_default();
         let (after, wait_ms): (u64, u64) = (number("after"), number("waitMs"));
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.state();
         loop {
-            let new = state.changes.iter().filter(|(version, name, _)| *version > after && name.0 == table);
-            let rows: Vec<String> =
-                new.map(|(version, name, value)| encode_row(name, value.as_ref(), *version)).collect();
+            let new = state
+                .changes
+                .iter()
+                .filter(|(version, name, _)| *version > after && name.0 == table);
+            let rows: Vec<String> = new
+                .map(|(version, name, value)| encode_row(name, value.as_ref(), *version))
+                .collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() {
                 return format!("{{\"rows\":[{}],{}", rows.join(","), self.tail(&state));
