--- a/review/standin/budget.rs
+++ b/review/standin/budget.rs
@@ -118,7 +118,7 @@
     let runs = Runs::default();
     for id in ["i-llm-1", "i-llm-2", "i-llm-3"] {
         let address = server::start(id, &runs).map_err(failed)?;
-        store.put("servers", id, &server::row("llm", address, "ready", 1));
+        store.put("servers", id, &server::row("llm", address, "ready", 1, 1));
     }
     site::configure(&store);
     let mut gateways = Vec::new();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 
 mod budget;
 mod json;
+mod late_report;
 mod net;
 mod removal;
 mod server;
@@ -37,6 +38,7 @@
     let outcome = match case.as_str() {
         "budget" => budget::play(&record, has_trouble),
         "stop" => stop::play(&record, has_trouble),
+        "late-report" => late_report::play(&record, has_trouble),
         "removal" => removal::play(&record, has_trouble),
         _ => Err("no such case".to_string()),
     };
--- a/review/standin/removal.rs
+++ b/review/standin/removal.rs
@@ -28,7 +28,7 @@
     let runs = Runs::default();
     for id in ["i-app-1", LEAVING, "i-app-3"] {
         let address = server::start(id, &runs).map_err(failed)?;
-        store.put("servers", id, &server::row("app", address, "ready", 1));
+        store.put("servers", id, &server::row("app", address, "ready", 1, 1));
     }
     // The servers of the other services accept connections and get no requests.
     let listener = TcpListener::bind("0.0.0.0:0").map_err(failed)?;
@@ -37,7 +37,7 @@
     for number in 0..SERVERS - 3 {
         let ip = Ipv4Addr::new(127, 200, (number / 250) as u8, (number % 250 + 1) as u8);
         let service = format!("other-{}", number % 40);
-        let row = server::row(&service, SocketAddr::from((ip, port)), "ready", 1);
+        let row = server::row(&service, SocketAddr::from((ip, port)), "ready", 1, 1);
         store.put("servers", &format!("i-other-{number:05}"), &row);
     }
     site::configure(&store);
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -124,9 +124,9 @@
 }
 
 /// The row by which a server registers.
-pub fn row(service: &str, address: SocketAddr, state: &str, born: u64) -> String {
+pub fn row(service: &str, address: SocketAddr, state: &str, born: u64, seq: u64) -> String {
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
-         \"slots\":{SLOTS},\"state\":\"{state}\",\"coldRemainingMs\":0,\"seq\":1,\"born\":{born}}}"
+         \"slots\":{SLOTS},\"state\":\"{state}\",\"coldRemainingMs\":0,\"born\":{born},\"seq\":{seq}}}"
     )
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -60,6 +60,12 @@
     text
 }
 
+/// The base64 of as many bytes as make whole groups, so that it begins the base64 of a longer text.
+fn base64_start(text: &str) -> String {
+    let whole = text.len() / 3 * 3;
+    base64(&text.as_bytes()[..whole])
+}
+
 fn decode_percent(text: &str) -> String {
     let bytes = text.as_bytes();
     let mut decoded = Vec::new();
@@ -137,6 +143,20 @@
         self.commit(&mut self.state(), vec![(name, value)]);
     }
 
+    /// Writes the report of a server. The entry changes only if more than `seq` changes.
+    pub fn put_report(&self, id: &str, value: &str) {
+        let without_seq = |value: &str| value.split("\"seq\"").next().map(base64_start);
+        let name = ("servers".to_string(), String::new(), id.to_string());
+        let mut state = self.state();
+        let known = state.rows.get(&name).map(|(known, _)| known.clone());
+        let is_same = known
+            .is_some_and(|known| without_seq(value).is_some_and(|start| known.starts_with(&start)));
+        if !is_same {
+            let value = Some(base64(value.as_bytes()));
+            self.commit(&mut state, vec![(name, value)]);
+        }
+    }
+
     /// Removes a row in the unnamed part.
     pub fn remove(&self, table: &str, key: &str) {
         let name = (table.to_string(), String::new(), key.to_string());
