--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,11 +8,13 @@
 mod json;
 mod late_report;
 mod net;
+mod proxy;
 mod removal;
 mod server;
 mod site;
 mod stop;
 mod store;
+mod versions;
 
 use std::process::ExitCode;
 use std::time::Duration;
@@ -37,6 +39,7 @@
     site::limit_time(Duration::from_secs(100));
     let outcome = match case.as_str() {
         "budget" => budget::play(&record, has_trouble),
+        "versions" => versions::play(&record, has_trouble),
         "stop" => stop::play(&record, has_trouble),
         "late-report" => late_report::play(&record, has_trouble),
         "removal" => removal::play(&record, has_trouble),
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -3,7 +3,7 @@
 //! The last line of a request with an order says what the server does: `events=N first=MS gap=MS` for a
 //! stream of N events, `work=MS` for a plain answer.
 
-use std::io::Result;
+use std::io::{ErrorKind, Result};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -42,21 +42,45 @@
 
 const SLOTS: u64 = 16;
 
-/// Starts a server; returns its address.
+/// Starts a server of the first software version; returns its address.
 pub fn start(id: &str, runs: &Runs) -> Result<SocketAddr> {
+    start_version(id, "v1", runs)
+}
+
+/// Starts a server; each of its events names the version of its software.
+pub fn start_version(id: &str, version: &'static str, runs: &Runs) -> Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     let (id, runs) = (id.to_string(), runs.clone());
     let running = AtomicU64::new(0);
     net::serve(listener, move |request, stream| {
         let taken = running.fetch_add(1, Ordering::SeqCst);
-        let answered = answer(&id, &runs, taken, request, stream);
+        let answered = answer(&id, version, &runs, taken, request, stream);
         running.fetch_sub(1, Ordering::SeqCst);
         answered
     });
     Ok(address)
 }
 
+/// Waits; fails as soon as the caller has closed the connection, so that its request is dropped.
+fn work(stream: &TcpStream, time: Duration) -> Result<()> {
+    let end = Instant::now() + time;
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return stream.set_read_timeout(None);
+        }
+        stream.set_read_timeout(Some(left))?;
+        match stream.peek(&mut [0]) {
+            Ok(0) => return Err(ErrorKind::ConnectionAborted.into()),
+            // The next request is there already; it waits.
+            Ok(_) => thread::sleep(left),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 fn number(order: &str, name: &str) -> Option<u64> {
     let field = order
         .split_whitespace()
@@ -66,6 +90,7 @@
 
 fn answer(
     id: &str,
+    version: &str,
     runs: &Runs,
     taken: u64,
     request: &Message,
@@ -99,7 +124,10 @@
         .find(|line| line.contains('='))
         .unwrap_or_default();
     let Some(events) = number(order, "events") else {
-        thread::sleep(Duration::from_millis(number(order, "work").unwrap_or(10)));
+        work(
+            stream,
+            Duration::from_millis(number(order, "work").unwrap_or(10)),
+        )?;
         return net::respond(stream, 200, &headers, format!("done by {id}").as_bytes());
     };
     let gap = Duration::from_millis(number(order, "gap").unwrap_or(20));
@@ -111,13 +139,16 @@
         "HTTP/1.1 200 OK\r\n{headers}Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
          Transfer-Encoding: chunked\r\n\r\n"
     );
-    thread::sleep(number(order, "first").map_or(gap, Duration::from_millis));
+    work(
+        stream,
+        number(order, "first").map_or(gap, Duration::from_millis),
+    )?;
     std::io::Write::write_all(stream, head.as_bytes())?;
     for event in last_id + 1..=events {
         if event > last_id + 1 {
-            thread::sleep(gap);
+            work(stream, gap)?;
         }
-        let data = format!("id: {event}\ndata: {request_id}-{event}\n\n");
+        let data = format!("id: {event}\ndata: {version} {request_id}-{event}\n\n");
         net::write_chunk(stream, data.as_bytes())?;
     }
     net::write_chunk(stream, b"")
@@ -125,8 +156,20 @@
 
 /// The row by which a server registers.
 pub fn row(service: &str, address: SocketAddr, state: &str, born: u64, seq: u64) -> String {
+    version_row(service, "v1", address, state, born, seq)
+}
+
+/// The row of a server with this version of its software.
+pub fn version_row(
+    service: &str,
+    version: &str,
+    address: SocketAddr,
+    state: &str,
+    born: u64,
+    seq: u64,
+) -> String {
     format!(
-        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\"version\":\"{version}\",\
          \"slots\":{SLOTS},\"state\":\"{state}\",\"coldRemainingMs\":0,\"born\":{born},\"seq\":{seq}}}"
     )
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -98,6 +98,20 @@
 }
 
 impl Store {
+    /// Opens another address, whose reader gets `table` in the place of the table of servers.
+    pub fn serve_own_servers(&self, table: &'static str) -> Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let served = self.clone();
+        net::serve(listener, move |request, stream| {
+            let mut request = request.clone();
+            let own = format!("table={table}");
+            request.first = request.first.replace("table=servers", &own);
+            served.handle(&request, stream)
+        });
+        Ok(address)
+    }
+
     pub fn start() -> Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let shared = Shared {
