--- a/review/standin/proxy.rs
+++ b/review/standin/proxy.rs
@@ -63,9 +63,13 @@
         Ok(proxy)
     }
 
-    /// Closes all connections and refuses new ones.
-    pub fn cut(&self) {
+    /// Refuses new connections from about two milliseconds later on.
+    pub fn refuse(&self) {
         self.is_cut.store(true, Ordering::SeqCst);
+    }
+
+    /// Closes all connections.
+    pub fn close(&self) {
         let streams = self
             .streams
             .lock()
