--- a/review/standin/late_report.rs
+++ b/review/standin/late_report.rs
@@ -1,6 +1,7 @@
 //! A report of a server gets no answer from the store, which performs it seconds later, when the
 //! server has reported in the meantime that it is draining.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,11 +16,14 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const DRAIN: Duration = Duration::from_millis(2_000);
 const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
-/// The store loses answers for this time, and performs the calls up to six seconds later.
-const DISRUPTION: Duration = Duration::from_millis(500);
+/// The store loses answers for this time, of one write among those of all servers, and performs it
+/// up to six seconds later.
+const DISRUPTION: Duration = Duration::from_millis(1_200);
 const LATE_BY: Duration = Duration::from_millis(5_700);
 /// From the end of the disruption to the report that the server is draining.
 const DRAINING_AFTER: Duration = Duration::from_millis(3_150);
+/// Servers of the service; each reports, and one of them leaves.
+const APP_SERVERS: usize = 8;
 const LEAVING: &str = "i-app-2";
 
 pub fn play(record: &Record, has_trouble: bool) -> Outcome {
@@ -28,11 +32,14 @@
     let store = Store::start().map_err(failed)?;
     let runs = Runs::default();
     let mut leaving_address = None;
-    for id in ["i-app-1", LEAVING, "i-app-3"] {
-        let address = server::start(id, &runs).map_err(failed)?;
-        store.put("servers", id, &server::row("app", address, "ready", 1, 1));
-        if id == LEAVING {
-            leaving_address = Some(address);
+    let mut others = Vec::new();
+    for number in 1..=APP_SERVERS {
+        let id = format!("i-app-{number}");
+        let address = server::start(&id, &runs).map_err(failed)?;
+        store.put("servers", &id, &server::row("app", address, "ready", 1, 1));
+        match id == LEAVING {
+            true => leaving_address = Some(address),
+            false => others.push((id, address)),
         }
     }
     let address = leaving_address.ok_or("no address")?;
@@ -56,6 +63,8 @@
                 scope.spawn(move || send_requests(record, gateway, index, has_ended))
             })
             .collect();
+        let (reporting, has_ended_ref) = (&store, &has_ended);
+        scope.spawn(move || report_others(record, reporting, &others, has_ended_ref));
         let acknowledged = report(record, &store, address, has_trouble);
         has_ended.store(true, Ordering::SeqCst);
         let sent = clients.into_iter().filter_map(|client| client.join().ok());
@@ -85,12 +94,7 @@
 }
 
 /// Reports as the server does. Returns when the store acknowledged that it is draining.
-fn report(
-    record: &Record,
-    store: &Store,
-    address: std::net::SocketAddr,
-    has_trouble: bool,
-) -> Instant {
+fn report(record: &Record, store: &Store, address: SocketAddr, has_trouble: bool) -> Instant {
     let seq = AtomicU64::new(1);
     let write = |state: &str| {
         let seq = seq.fetch_add(1, Ordering::SeqCst) + 1;
@@ -134,6 +138,27 @@
     acknowledged
 }
 
+/// Reports for the other servers, each of them once in a heartbeat interval.
+fn report_others(
+    record: &Record,
+    store: &Store,
+    others: &[(String, SocketAddr)],
+    has_ended: &AtomicBool,
+) {
+    let mut seq = 1;
+    while !has_ended.load(Ordering::SeqCst) {
+        seq += 1;
+        for (id, address) in others {
+            store.put_report(id, &server::row("app", *address, "ready", 1, seq));
+            record.detail(
+                Instant::now(),
+                &format!("{id} reports ready, seq {seq}: acknowledged"),
+            );
+            thread::sleep(HEARTBEAT / others.len() as u32);
+        }
+    }
+}
+
 /// Sends requests through a gateway; returns their ids and when they were sent.
 fn send_requests(
     record: &Record,
@@ -155,7 +180,7 @@
         );
         record.detail(at, &line);
         sent.push((id, at));
-        thread::sleep(Duration::from_millis(40));
+        thread::sleep(Duration::from_millis(15));
     }
     sent
 }
--- a/review/standin/removal.rs
+++ b/review/standin/removal.rs
@@ -19,6 +19,8 @@
 const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
 /// Time for which the server that has left still serves, and in which requests are sent.
 const LINGER: Duration = Duration::from_secs(15);
+/// Servers of the service that is called; one of them leaves.
+const APP_SERVERS: usize = 8;
 const LEAVING: &str = "i-app-2";
 
 pub fn play(record: &Record, has_trouble: bool) -> Outcome {
@@ -26,7 +28,9 @@
     let folder = Folder::create().map_err(failed)?;
     let store = Store::start().map_err(failed)?;
     let runs = Runs::default();
-    for id in ["i-app-1", LEAVING, "i-app-3"] {
+    for number in 1..=APP_SERVERS {
+        let id = format!("i-app-{number}");
+        let id = id.as_str();
         let address = server::start(id, &runs).map_err(failed)?;
         store.put("servers", id, &server::row("app", address, "ready", 1, 1));
     }
@@ -34,7 +38,7 @@
     let listener = TcpListener::bind("0.0.0.0:0").map_err(failed)?;
     let port = listener.local_addr().map_err(failed)?.port();
     net::serve(listener, |_, _| Ok(()));
-    for number in 0..SERVERS - 3 {
+    for number in 0..SERVERS - APP_SERVERS {
         let ip = Ipv4Addr::new(127, 200, (number / 250) as u8, (number % 250 + 1) as u8);
         let service = format!("other-{}", number % 40);
         let row = server::row(&service, SocketAddr::from((ip, port)), "ready", 1, 1);
@@ -102,7 +106,7 @@
             );
             sent.push((id, gateway.name.clone(), at));
         }
-        thread::sleep(Duration::from_millis(50));
+        thread::sleep(Duration::from_millis(25));
     }
     let mut late = 0;
     let mut first_late = None;
