Order the records of where a stream began

Cause: a gateway records the origin of a stream before it sends it to a server of another version than that of its program. If the gateway is then cut off from the servers, a peer begins the stream at the version of the program, and writes no row, because it knows of none. The row of the server that never answered stays the only one, and a take-up goes on there. What one gateway knew of its own records was used by another one as if it were its own.

Each record after the first one has its place in the order now, and the last one names the origin of the first event. A gateway that relays a new stream says how many gateways may have made records before. A take-up of a stream that was sent to several versions goes on, too, instead of being refused. A gateway of an earlier build does not get streams with records, and what it relays gets a row without an order, so that the take-up is refused if two rows differ.

Evidence: the log did not show what was recorded and what a take-up found; it does now.

gateway_crash_reports passes the new argument of wrap_request and has a case more.

--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -336,6 +336,17 @@
         self.deregister_id(&server.id);
     }
 
+    /// Removes the row of a backend server for one gateway, until the server is registered again.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the gateway has no proxies of its own.
+    pub fn hide_from(&self, gateway: &GatewayProcess, server: &BackendServer) {
+        assert!(!gateway.server_proxies.is_empty(), "no proxies of its own");
+        let row = json!({ "table": gateway.server_table(), "key": server.id });
+        self.store.control(&json!({ "remove": row }));
+    }
+
     /// Removes the row of a backend server with this id.
     pub fn deregister_id(&self, id: &str) {
         let own_tables = self.gateways.iter().map(GatewayProcess::server_table);
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -159,11 +159,23 @@
 const SERVER_PATH_PATH: &str = "/servers/path";
 /// Path prefix of relayed requests of callers; the path of the request follows.
 const REQUEST_PATH_PREFIX: &str = "/requests";
+/// Path prefix of relayed requests for whose streams origins may have been recorded. Gateways of
+/// earlier builds do not know it: they would begin such a stream at the origin of its program
+/// without a record, so that an earlier one stays the last.
+const RECORDED_STREAM_PATH_PREFIX: &str = "/recorded-streams";
 /// Header of a relayed request: the address of its caller.
 const CALLER_HEADER: HeaderName = HeaderName::from_static("x-caller-address");
 /// Header of a relayed request: the number of servers that it may still be sent to. Gateways of
 /// earlier builds send none.
 const ATTEMPTS_LEFT_HEADER: HeaderName = HeaderName::from_static("x-attempts-left");
+/// Header of a relayed request: the number of gateways that may have recorded an origin of its
+/// stream. Gateways of earlier builds send none.
+const ORIGIN_RECORDERS_HEADER: HeaderName = HeaderName::from_static("x-origin-recorders");
+/// Marks all responses to requests with [`RECORDED_STREAM_PATH_PREFIX`].
+const ORIGIN_RECORDERS_KNOWN_HEADER: HeaderName =
+    HeaderName::from_static("x-origin-recorders-known");
+/// Marks the response of a peer that has not recorded an origin for a request that it did not take.
+const NOTHING_RECORDED_HEADER: HeaderName = HeaderName::from_static("x-nothing-recorded");
 /// Marks the response of a peer that did not take a request.
 const NOT_TAKEN_HEADER: HeaderName = HeaderName::from_static("x-not-taken");
 /// Marks the response of a peer to a relayed request that failed in doubt: a server may have run it.
@@ -293,16 +305,21 @@
     mut request: Request<Bytes>,
     caller: Option<SocketAddr>,
     attempts_left: u32,
+    origin_recorders: u32,
 ) -> Option<Request<Bytes>> {
     let path = request.uri().path_and_query()?.as_str();
-    let uri = format!("{REQUEST_PATH_PREFIX}{path}").parse().ok()?;
+    let prefix = match origin_recorders {
+        0 => REQUEST_PATH_PREFIX,
+        _ => RECORDED_STREAM_PATH_PREFIX,
+    };
+    let uri = format!("{prefix}{path}").parse().ok()?;
     *request.uri_mut() = uri;
     if let Some(caller) = caller.and_then(|caller| caller.to_string().parse().ok()) {
         request.headers_mut().insert(CALLER_HEADER, caller);
     }
-    request
-        .headers_mut()
-        .insert(ATTEMPTS_LEFT_HEADER, attempts_left.into());
+    let headers = request.headers_mut();
+    headers.insert(ATTEMPTS_LEFT_HEADER, attempts_left.into());
+    headers.insert(ORIGIN_RECORDERS_HEADER, origin_recorders.into());
     Some(request)
 }
 
@@ -312,25 +329,50 @@
     pub request: Request<Bytes>,
     /// The number of servers that it may still be sent to; `None` if its route alone limits it.
     pub attempts_left: Option<u32>,
+    /// The number of gateways that may have recorded an origin of its stream; `None` if the gateway
+    /// that relays it does not say so.
+    pub origin_recorders: Option<u32>,
 }
 
 fn unwrap_request(mut request: Request<Bytes>) -> Option<RelayedRequest> {
     let path = request.uri().path_and_query()?.as_str();
-    let uri = path.strip_prefix(REQUEST_PATH_PREFIX)?.parse().ok()?;
+    let path = path
+        .strip_prefix(REQUEST_PATH_PREFIX)
+        .or(path.strip_prefix(RECORDED_STREAM_PATH_PREFIX))?;
+    let uri = path.parse().ok()?;
     *request.uri_mut() = uri;
     let caller = request.headers_mut().remove(CALLER_HEADER);
     let caller = caller.and_then(|caller| caller.to_str().ok()?.parse().ok());
     if let Some(caller) = caller {
         request.extensions_mut().insert(CallerAddress(caller));
     }
-    let attempts_left = request.headers_mut().remove(ATTEMPTS_LEFT_HEADER);
-    let attempts_left = attempts_left.and_then(|count| count.to_str().ok()?.parse().ok());
+    let mut take_count = |name: HeaderName| {
+        let count = request.headers_mut().remove(name)?;
+        count.to_str().ok()?.parse().ok()
+    };
+    let attempts_left = take_count(ATTEMPTS_LEFT_HEADER);
+    let origin_recorders = take_count(ORIGIN_RECORDERS_HEADER);
     Some(RelayedRequest {
         request,
         attempts_left,
+        origin_recorders,
     })
 }
 
+/// Marks the response to a relayed request for whose stream origins may have been recorded.
+pub fn mark_origin_recorders_known(response: &mut Response<Body>) {
+    let value = HeaderValue::from_static("1");
+    response
+        .headers_mut()
+        .insert(ORIGIN_RECORDERS_KNOWN_HEADER, value);
+}
+
+/// Removes the mark of [`mark_origin_recorders_known`]; returns whether the response had it.
+pub fn take_origin_recorders_known<B>(response: &mut Response<B>) -> bool {
+    let mark = response.headers_mut().remove(ORIGIN_RECORDERS_KNOWN_HEADER);
+    mark.is_some()
+}
+
 /// The response to a relayed request that this gateway does not take.
 pub fn not_taken_response() -> Response<Body> {
     let mut response = Response::new(Body::full(Bytes::new()));
@@ -340,6 +382,21 @@
     response
 }
 
+/// The response to a relayed request that this gateway refuses to take before it reads it.
+pub fn not_looked_at_response() -> Response<Body> {
+    let mut response = not_taken_response();
+    let value = HeaderValue::from_static("1");
+    response
+        .headers_mut()
+        .insert(NOTHING_RECORDED_HEADER, value);
+    response
+}
+
+/// Whether a peer that did not take a relayed request has certainly not recorded an origin for it.
+pub fn has_recorded_nothing<B>(response: &Response<B>) -> bool {
+    response.headers().contains_key(NOTHING_RECORDED_HEADER)
+}
+
 /// Whether a peer did not take a relayed request. Nothing of it has run.
 pub fn is_not_taken<B>(response: &Response<B>) -> bool {
     response.headers().contains_key(NOT_TAKEN_HEADER)
@@ -451,7 +508,9 @@
             .map(|(request, notices)| PeerCall::Gossip(request, notices)),
         NOTICES_PATH => Some(PeerCall::ListNotices),
         SERVER_PATH_PATH => Some(PeerCall::AskServerPath),
-        path if path.starts_with(REQUEST_PATH_PREFIX) => {
+        path if path.starts_with(REQUEST_PATH_PREFIX)
+            || path.starts_with(RECORDED_STREAM_PATH_PREFIX) =>
+        {
             unwrap_request(request).map(|request| PeerCall::Request(Box::new(request)))
         }
         ALLOWANCE_PATH => postcard::from_bytes(request.body())
--- a/src/process/gateway/running/handlers.rs
+++ b/src/process/gateway/running/handlers.rs
@@ -88,10 +88,15 @@
                 false => status(StatusCode::SERVICE_UNAVAILABLE),
             },
             Some(PeerCall::Request(relayed)) => {
-                if !gateway.is_ready() || gateway.server_path.is_lost() {
-                    return peers::not_taken_response();
+                let has_origin_recorders = relayed.origin_recorders.is_some_and(|count| count > 0);
+                let mut response = match gateway.is_ready() && !gateway.server_path.is_lost() {
+                    true => self.dispatcher.handle_relayed(*relayed).await,
+                    false => peers::not_looked_at_response(),
+                };
+                if has_origin_recorders {
+                    peers::mark_origin_recorders_known(&mut response);
                 }
-                self.dispatcher.handle_relayed(*relayed).await
+                response
             }
             Some(PeerCall::Allowance(request)) => {
                 peers::allowance_response(&gateway.rate_limits.handle(request))
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -12,7 +12,7 @@
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
 use super::forward::{RequestForwarder, ServerResponse};
-use super::origin::OriginConstraint;
+use super::origin::{EarlierRecords, OriginConstraint};
 use super::record::RequestRecord;
 use super::refusal;
 use super::relay::{self, BodyEnd};
@@ -32,13 +32,25 @@
 #[derive(Clone, Copy)]
 enum Source {
     Caller,
-    /// A gateway that reaches no backend server, with the number of servers that it leaves to this
-    /// one.
+    /// A gateway that reaches no backend server.
     Peer {
+        /// The number of servers that it leaves to this gateway.
         attempts_left: Option<u32>,
+        earlier_records: EarlierRecords,
     },
 }
 
+impl Source {
+    fn earlier_records(self) -> EarlierRecords {
+        match self {
+            Source::Caller => EarlierRecords::None,
+            Source::Peer {
+                earlier_records, ..
+            } => earlier_records,
+        }
+    }
+}
+
 /// Handles the HTTP requests of callers.
 pub struct GatewayDispatcher {
     gateway: Rc<Gateway>,
@@ -65,7 +77,7 @@
             Error::new(ErrorKind::NotReady, message)
         })?;
         let mut route = find_route(&routes, &request)?;
-        if let Source::Peer { attempts_left } = source {
+        if let Source::Peer { attempts_left, .. } = source {
             route.max_attempts = attempts_left.unwrap_or(u32::MAX).min(route.max_attempts);
         }
         record.set_route(&route.name, routes.version);
@@ -108,7 +120,10 @@
             RouteKind::Stream | RouteKind::ResumableStream
         );
         let unsaved_turn = match is_stream {
-            true => self.prepare_turn(&mut forwarder).await?,
+            true => {
+                let earlier_records = source.earlier_records();
+                self.prepare_turn(&mut forwarder, earlier_records).await?
+            }
             false => None,
         };
         match forwarder.send(last_event_id).await? {
@@ -169,11 +184,20 @@
 
     /// Reserves the tokens of a turn, completes its request with the history of the conversation, and
     /// finds out where it must continue if it resumes a stream.
-    async fn prepare_turn(&self, forwarder: &mut RequestForwarder) -> Result<Option<UnsavedTurn>> {
+    async fn prepare_turn(
+        &self,
+        forwarder: &mut RequestForwarder,
+        earlier_records: EarlierRecords,
+    ) -> Result<Option<UnsavedTurn>> {
         let origins = &self.gateway.stream_origins;
         let (route, call) = (&forwarder.route, &forwarder.call);
-        let origin = OriginConstraint::new(route, call, origins, forwarder.deadline);
+        let deadline = forwarder.deadline;
+        let origin = OriginConstraint::new(route, call, earlier_records, origins, deadline);
         forwarder.origin = origin.await?;
+        if let Some(origin) = forwarder.origin.required() {
+            let note = format!("the stream began at origin {origin:016x}");
+            forwarder.record.note(note);
+        }
         let is_new = forwarder.call.last_event_id.is_none();
         let may_be_resumed = is_new && forwarder.route.kind == RouteKind::ResumableStream;
         let proposed_origin = may_be_resumed.then(|| forwarder.predict_origin()).flatten();
@@ -205,9 +229,11 @@
 impl GatewayDispatcher {
     /// Serves a request that another gateway has relayed.
     pub async fn handle_relayed(&self, relayed: RelayedRequest) -> Response<Body> {
-        let attempts_left = relayed.attempts_left;
-        self.serve(relayed.request, Source::Peer { attempts_left })
-            .await
+        let source = Source::Peer {
+            attempts_left: relayed.attempts_left,
+            earlier_records: EarlierRecords::of_relayed(relayed.origin_recorders),
+        };
+        self.serve(relayed.request, source).await
     }
 
     async fn serve(&self, request: Request<Bytes>, source: Source) -> Response<Body> {
@@ -246,12 +272,17 @@
     fn error_response(&self, error: &Error, source: Source) -> Response<Body> {
         let gateway = &self.gateway;
         let mut response = refusal::refusal_response(error, gateway.store.outage_age());
-        let Source::Peer { .. } = source else {
+        let Source::Peer {
+            earlier_records, ..
+        } = source
+        else {
             return response;
         };
+        // A gateway of an earlier build does not tell another peer that an origin may be recorded.
+        let may_be_passed_on = earlier_records != EarlierRecords::Unknown;
         match error.kind {
             // Another peer may reach a server.
-            ErrorKind::NoBackendServer if gateway.server_path.is_lost() => {
+            ErrorKind::NoBackendServer if gateway.server_path.is_lost() && may_be_passed_on => {
                 return peers::not_taken_response();
             }
             ErrorKind::ServiceInDoubt => peers::mark_in_doubt(&mut response),
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -213,7 +213,12 @@
     async fn record_origin(&mut self, server: &Server) -> Result<()> {
         let origins = &self.gateway.stream_origins;
         let origin = server.stream_origin();
-        self.origin.record(origin, origins, self.deadline).await
+        let recorded = self.origin.record(origin, origins, self.deadline).await?;
+        if let Some(place) = recorded {
+            self.record
+                .note(format!("origin {origin:016x} recorded, place: {place:?}"));
+        }
+        Ok(())
     }
 
     fn record_failed_attempt(&mut self, failure: AttemptFailure) -> RetryDecision {
--- a/src/request/gateway/origin.rs
+++ b/src/request/gateway/origin.rs
@@ -7,7 +7,33 @@
 
 use crate::error::{Error, ErrorKind, Result};
 use crate::process::gateway::store::StoreError;
-use crate::process::gateway::stream_origins::{StreamKey, StreamOrigin, StreamOrigins};
+use crate::process::gateway::stream_origins::{
+    RecordOrder, RecordPlace, StreamKey, StreamOrigin, StreamOrigins,
+};
+
+/// What other gateways may have recorded for a stream before this one got its request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EarlierRecords {
+    /// Nothing.
+    #[default]
+    None,
+    /// This many gateways may have made records.
+    ByGateways(u32),
+    /// The gateway that relays the request is of an earlier build, which does not say so.
+    Unknown,
+}
+
+impl EarlierRecords {
+    /// The records before a relayed request. `gateways` is what the gateway that relays it says;
+    /// `None` if it says nothing.
+    pub fn of_relayed(gateways: Option<u32>) -> Self {
+        match gateways {
+            None => Self::Unknown,
+            Some(0) => Self::None,
+            Some(gateways) => Self::ByGateways(gateways),
+        }
+    }
+}
 
 /// The origin of the stream of one request.
 #[derive(Debug, Default)]
@@ -18,8 +44,13 @@
     required: Option<StreamOrigin>,
     /// The origin of the program's streams that have no row; `None` if it is not known.
     pub program_origin: Option<StreamOrigin>,
-    /// Origins for which a row was written, or may have been.
+    /// Records of other gateways, which come before those of this one.
+    earlier: EarlierRecords,
+    /// Origins that this gateway has recorded, or may have, in this order. Unless it is empty, the
+    /// stream was sent last to a server of the last one.
     recorded: Vec<StreamOrigin>,
+    /// Peers that may have made records before they did not take the request.
+    recording_peers: u32,
 }
 
 impl OriginConstraint {
@@ -27,11 +58,12 @@
     pub async fn new(
         route: &RouteRecord,
         call: &CallHeaders,
+        earlier: EarlierRecords,
         origins: &StreamOrigins,
         deadline: Instant,
     ) -> Result<Self> {
         match (route.kind, call.last_event_id) {
-            (RouteKind::ResumableStream, None) => Ok(Self::for_new_stream(call)),
+            (RouteKind::ResumableStream, None) => Ok(Self::for_new_stream(call, earlier)),
             // Without the events that the caller has, the turn would be stored in part.
             (RouteKind::ResumableStream, Some(_)) if route.has_stored_history => {
                 Err(cannot_resume_error("turns of this route are stored whole"))
@@ -47,10 +79,11 @@
     }
 
     /// The constraint of a new stream that may be resumed later.
-    fn for_new_stream(call: &CallHeaders) -> Self {
+    fn for_new_stream(call: &CallHeaders, earlier: EarlierRecords) -> Self {
         let request_id = call.request_id.as_deref();
         Self {
             stream: request_id.map(|id| StreamKey::new(account_program(call), id)),
+            earlier,
             ..Self::default()
         }
     }
@@ -93,27 +126,57 @@
         }
     }
 
+    /// Whether `origin` must be recorded, so that the last record of the stream names it.
     fn needs_row(&self, origin: StreamOrigin) -> bool {
-        let is_program_origin = self.program_origin == Some(origin) && self.recorded.is_empty();
-        !is_program_origin && !self.recorded.contains(&origin)
+        match self.recorded.last() {
+            Some(last) => *last != origin,
+            None => self.earlier != EarlierRecords::None || self.program_origin != Some(origin),
+        }
+    }
+
+    /// The place of the next record among those of the stream.
+    fn next_place(&self) -> RecordPlace {
+        let earlier_gateways = match self.earlier {
+            EarlierRecords::Unknown => return RecordPlace::Unknown,
+            EarlierRecords::None if self.recorded.is_empty() => return RecordPlace::First,
+            EarlierRecords::None => 0,
+            EarlierRecords::ByGateways(gateways) => gateways,
+        };
+        RecordPlace::Later(RecordOrder {
+            earlier_gateways,
+            earlier_records: self.recorded.len() as u32,
+        })
+    }
+
+    /// The number of gateways that may have made records of a new stream before a peer gets its
+    /// request from this gateway.
+    pub fn gateways_before_peer(&self) -> u32 {
+        u32::from(!self.recorded.is_empty()) + self.recording_peers
+    }
+
+    /// Counts a peer that may have made records and has not taken the request.
+    pub fn add_recording_peer(&mut self) {
+        self.recording_peers += 1;
     }
 
-    /// Makes known where the stream may begin, before it is sent to a server of `origin`.
+    /// Makes known where the stream may begin, before it is sent to a server of `origin`. Returns the
+    /// place of the record; `None` if none is needed.
     pub async fn record(
         &mut self,
         origin: StreamOrigin,
         origins: &StreamOrigins,
         deadline: Instant,
-    ) -> Result<()> {
+    ) -> Result<Option<RecordPlace>> {
         let Some(stream) = &self.stream else {
-            return Ok(());
+            return Ok(None);
         };
         if self.required.is_some() || !self.needs_row(origin) {
-            return Ok(());
+            return Ok(None);
         }
+        let place = self.next_place();
         self.recorded.push(origin);
-        let recorded = origins.record(stream, origin, deadline).await;
-        recorded.map_err(|error| {
+        let recorded = origins.record(stream, origin, place, deadline).await;
+        recorded.map(|()| Some(place)).map_err(|error| {
             let message = "the store is unavailable, so the software version of the stream cannot \
                            be recorded; retry later";
             Error::new(ErrorKind::PlatformUnavailable, message).with_cause(error)
--- a/src/request/gateway/relay.rs
+++ b/src/request/gateway/relay.rs
@@ -49,7 +49,10 @@
     /// caller: it says that the request did not run.
     RefusedAgain(String),
     /// No server has run the request.
-    NotTaken(String),
+    NotTaken {
+        reason: String,
+        may_have_recorded_origin: bool,
+    },
     /// Servers may have run the request.
     Failed(String),
 }
@@ -128,7 +131,13 @@
                 PeerOutcome::RefusedAgain(reason) => {
                     return Err(in_doubt_error(&format!("relayed: {reason}")));
                 }
-                PeerOutcome::NotTaken(reason) => {
+                PeerOutcome::NotTaken {
+                    reason,
+                    may_have_recorded_origin,
+                } => {
+                    if may_have_recorded_origin && self.begins_stream(last_event_id) {
+                        self.origin.add_recording_peer();
+                    }
                     self.record.note(format!("{peer}: {reason}"));
                     server_path.remove_helper(peer);
                     continue;
@@ -156,14 +165,33 @@
         attempts: u32,
         last_event_id: Option<u64>,
     ) -> PeerOutcome {
-        let mut response = match self.send_to_peer(peer, attempts, last_event_id).await {
+        let origin_recorders = match self.begins_stream(last_event_id) {
+            true => self.origin.gateways_before_peer(),
+            false => 0,
+        };
+        let sent = self.send_to_peer(peer, attempts, origin_recorders, last_event_id);
+        let mut response = match sent.await {
             Ok(response) => response,
-            Err(error) if error.is_not_sent() => return PeerOutcome::NotTaken(error.to_string()),
+            Err(error) if error.is_not_sent() => {
+                return PeerOutcome::NotTaken {
+                    reason: error.to_string(),
+                    may_have_recorded_origin: false,
+                };
+            }
             Err(error) => return PeerOutcome::Failed(error.to_string()),
         };
+        let knows_origin_recorders = peers::take_origin_recorders_known(&mut response);
+        if origin_recorders > 0 && !knows_origin_recorders {
+            return PeerOutcome::NotTaken {
+                reason: "its build does not record the order of origins".to_string(),
+                may_have_recorded_origin: false,
+            };
+        }
         if peers::is_not_taken(&response) {
-            let reason = "the request was not taken".to_string();
-            return PeerOutcome::NotTaken(reason);
+            return PeerOutcome::NotTaken {
+                reason: "the request was not taken".to_string(),
+                may_have_recorded_origin: !peers::has_recorded_nothing(&response),
+            };
         }
         let is_in_doubt = peers::take_in_doubt_mark(&mut response);
         let status = response.status();
@@ -186,6 +214,7 @@
         &self,
         peer: SocketAddr,
         attempts: u32,
+        origin_recorders: u32,
         last_event_id: Option<u64>,
     ) -> ClientResult<Response<Incoming>> {
         let time_left = self.deadline.saturating_duration_since(Instant::now());
@@ -193,7 +222,8 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.relayed_headers(last_event_id);
-        let Some(request) = peers::wrap_request(request, self.caller_address, attempts) else {
+        let wrapped = peers::wrap_request(request, self.caller_address, attempts, origin_recorders);
+        let Some(request) = wrapped else {
             let reason = "the request cannot be relayed".to_string();
             return Err(ClientError::NotSent(reason));
         };
@@ -244,6 +274,11 @@
         }
     }
 
+    /// Whether a peer would begin a stream whose origin is recorded.
+    fn begins_stream(&self, last_event_id: Option<u64>) -> bool {
+        self.route.kind == RouteKind::ResumableStream && last_event_id.is_none()
+    }
+
     fn relayed_headers(&self, last_event_id: Option<u64>) -> HeaderMap {
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let resumed = last_event_id.map(|last_event_id| ResumedStream {
--- a/tests/gateway_crash_reports.rs
+++ b/tests/gateway_crash_reports.rs
@@ -32,8 +32,15 @@
 }
 
 /// Guards against a request that crashes servers and is not recognized when a peer serves it.
-#[parameterized(by_key = { Some("Bearer k") }, by_address = { None })]
-fn a_relayed_request_and_its_caller_are_recognized(key: Option<&'static str>) {
+#[parameterized(
+    by_key = { Some("Bearer k"), 0 },
+    by_address = { None, 0 },
+    with_recorded_origins = { None, 2 },
+)]
+fn a_relayed_request_and_its_caller_are_recognized(
+    key: Option<&'static str>,
+    origin_recorders: u32,
+) {
     let address = SocketAddr::from(([10, 0, 0, 1], 4_000));
     let mut request = Request::new(Bytes::from_static(b"a turn"));
     *request.uri_mut() = "/quote/a?b=c".parse().expect("a path");
@@ -45,11 +52,13 @@
     request.extensions_mut().insert(CallerAddress(address));
     let time_left = Duration::from_millis(700);
     *relayed.headers_mut() = relayed_request_headers(request.headers(), time_left, None);
-    let relayed = wrap_request(relayed, Some(address), 1).expect("a valid path");
+    let relayed = wrap_request(relayed, Some(address), 1, origin_recorders);
+    let relayed = relayed.expect("a valid path");
     let Some(PeerCall::Request(relayed)) = decode_call(relayed) else {
         panic!("the request is not decoded as a relayed one");
     };
     assert_eq!(relayed.attempts_left, Some(1));
+    assert_eq!(relayed.origin_recorders, Some(origin_recorders));
     assert_eq!(
         RequestIdentity::new(&relayed.request),
         RequestIdentity::new(&request)
--- a/tests/gateway_stream_origins.rs
+++ b/tests/gateway_stream_origins.rs
@@ -18,6 +18,13 @@
     row(&format!("stream/{request_id}/{origin:016x}"), b"")
 }
 
+/// The rows of a record after the first one of a stream.
+fn later_rows(order: &str, request_id: &str, version: &str) -> [Row; 2] {
+    let origin = stream_origin("llm", version);
+    let later = format!("later/{order}/{origin:016x}/{request_id}");
+    [stream_row(request_id, version), row(&later, b"")]
+}
+
 /// The rows of a program whose streams begin at v1 unless they have a row.
 fn rows(streams: &[(&str, &str)]) -> Vec<Row> {
     let program = program_row("program", stream_origin("llm", "v1"));
@@ -47,6 +54,31 @@
     assert_eq!(find_origin(&rows(streams), request_id), expected);
 }
 
+/// Guards against a stream that goes on at the version of a server that never answered: it was sent
+/// to a server of another version after that, by this gateway or by one that got it by relay.
+#[parameterized(
+    sent_back = { &[("0.1", "a", "v1")], Some("a"), Some("v1") },
+    sent_to_a_third = { &[("0.1", "a", "v1"), ("0.2", "a", "v3")], Some("a"), Some("v3") },
+    sent_to_the_first_again = { &[("0.1", "a", "v1"), ("0.2", "a", "v2")], Some("a"), Some("v2") },
+    relayed = { &[("0.9", "a", "v3"), ("1.0", "a", "v1")], Some("a"), Some("v1") },
+    relayed_ten_times = { &[("9.0", "a", "v3"), ("10.0", "a", "v1")], Some("a"), Some("v1") },
+    of_another_stream = { &[("0.1", "b", "v1")], Some("a"), Some("v2") },
+    of_an_id_that_ends_alike = { &[("0.1", "b/a", "v1")], Some("a"), Some("v2") },
+    unnamed = { &[("0.1", "a", "v1")], None, None },
+    without_an_order = { &[("first", "a", "v1")], Some("a"), None },
+)]
+fn the_last_record_of_a_stream_tells_its_version(
+    records: &[(&str, &str, &str)],
+    request_id: Option<&str>,
+    expected: Option<&str>,
+) {
+    let records = records.iter().rev();
+    let later = records.flat_map(|(order, id, version)| later_rows(order, id, version));
+    let rows: Vec<Row> = later.chain(rows(&[("a", "v2")])).collect();
+    let expected = expected.map(|version| stream_origin("llm", version));
+    assert_eq!(find_origin(&rows, request_id), expected);
+}
+
 #[test]
 fn the_origin_of_a_program_without_rows_is_unknown() {
     assert_eq!(find_origin(&[], Some("a")), None);
--- a/tests/gateway_stream_versions.rs
+++ b/tests/gateway_stream_versions.rs
@@ -2,6 +2,8 @@
 
 #[path = "support/gateway.rs"]
 mod gateway;
+#[path = "support/server_paths.rs"]
+mod server_paths;
 
 use std::thread;
 use std::time::{Duration, Instant};
@@ -14,6 +16,7 @@
     default_routes, route, wait_until,
 };
 use serde_json::{Value, json};
+use server_paths::{Cut, cut_off, find_out};
 
 /// Events of a stream that is broken off.
 const EVENTS: u64 = 12;
@@ -343,3 +346,126 @@
         assert!(recorded_runs(&site.engines, &attempt_id).is_empty());
     }
 }
+
+/// A site with a proxy for each gateway and server, where a program has begun at the first version,
+/// and another version has come since then.
+fn site_with_old_program(gateways: usize) -> GatewaySite {
+    let mut site = GatewaySite::start_with_own_paths(&vec!["d1"; gateways]);
+    turn(&new_request_id(), "program").run(&site.gateways[0]);
+    site.add_engine("v2");
+    site.add_engine("v2");
+    site
+}
+
+/// Leaves a gateway only the engines of one version, counted from 0.
+fn show_only(site: &GatewaySite, gateway: usize, version: usize) {
+    for (index, engine) in site.engines.iter().enumerate() {
+        if index / 2 != version {
+            site.hide_from(&site.gateways[gateway], engine);
+        }
+    }
+}
+
+/// Engines of the first version send four events of a stream, those of the second one none.
+fn stall_second_version_at_once(site: &GatewaySite) {
+    for (index, engine) in site.engines.iter().enumerate() {
+        let events = if index < 2 { 4 } else { 0 };
+        let control = json!({ "stall_after_events": events });
+        engine.process.control(&control);
+    }
+    thread::sleep(REGISTRATION_TIME);
+}
+
+fn register_all_engines(site: &GatewaySite) {
+    for engine in &site.engines {
+        site.register(engine, "ready");
+    }
+    control_all(site, &json!({}));
+    thread::sleep(REGISTRATION_TIME);
+}
+
+/// Guards against a take-up at the version of a server that never answered: a peer that gets a new
+/// stream by relay must know that its origin was recorded before.
+#[test]
+fn a_stream_that_a_peer_began_after_a_cut_goes_on_at_its_version() {
+    let mut site = site_with_old_program(3);
+    show_only(&site, 0, 1);
+    show_only(&site, 1, 0);
+    show_only(&site, 2, 0);
+    stall_second_version_at_once(&site);
+    let id = new_request_id();
+    let mut stream = turn(&id, "program")
+        .open(&site.gateways[0])
+        .expect("an answer");
+    cut_off(&site.gateways[0], Cut::Reset);
+    let received = next_events(&mut stream, 2);
+    assert_eq!(versions_of(&site, &id), [0]);
+    site.gateways[0].kill();
+    register_all_engines(&site);
+    let stream = BrokenStream {
+        id,
+        program: "program".to_string(),
+        received,
+    };
+    stream.assert_goes_on(&site, &site.gateways[1]);
+}
+
+/// Guards against the same after two relays: the first peer records an origin, loses its path as
+/// well and does not take the request.
+#[test]
+fn a_stream_that_a_second_peer_began_goes_on_at_its_version() {
+    let mut site = site_with_old_program(3);
+    show_only(&site, 1, 1);
+    show_only(&site, 2, 0);
+    stall_second_version_at_once(&site);
+    // The first peer becomes the only known helper.
+    site.gateways[2].process().pause();
+    cut_off(&site.gateways[0], Cut::Reset);
+    find_out(&[&site.gateways[0]]);
+    site.gateways[2].process().resume();
+    cut_off(&site.gateways[1], Cut::Reset);
+    let id = new_request_id();
+    let mut stream = turn(&id, "program")
+        .open(&site.gateways[0])
+        .expect("an answer");
+    let received = next_events(&mut stream, 2);
+    assert_eq!(versions_of(&site, &id), [0]);
+    site.gateways[0].kill();
+    register_all_engines(&site);
+    let stream = BrokenStream {
+        id,
+        program: "program".to_string(),
+        received,
+    };
+    stream.assert_goes_on(&site, &site.gateways[2]);
+}
+
+/// Guards against the same beside gateways of earlier builds, which relay a stream without saying
+/// that its origin may have been recorded.
+#[test]
+fn a_stream_relayed_by_an_earlier_build_does_not_go_on_at_another_version() {
+    let site = site_with_old_program(2);
+    show_only(&site, 0, 1);
+    show_only(&site, 1, 0);
+    stall_second_version_at_once(&site);
+    let id = new_request_id();
+    let relay_to = |gateway: &GatewayProcess| {
+        let request = Turn {
+            path: "/requests/quote/a",
+            ..turn(&id, "program")
+        };
+        let request = request.request().header("x-attempts-left", "2");
+        request.open(gateway.peer_address()).expect("an answer")
+    };
+    let silent = relay_to(&site.gateways[0]);
+    let mut stream = relay_to(&site.gateways[1]);
+    let received = next_events(&mut stream, 2);
+    drop((silent, stream));
+    register_all_engines(&site);
+    let stream = BrokenStream {
+        id,
+        program: "program".to_string(),
+        received,
+    };
+    stream.assert_is_refused(&site, &site.gateways[1]);
+}
