Wait for the later records of where a stream without a program began

A stream without a program got its first event from one version while the only durable record named another one: the store was away when the stream was sent to its second server. A take-up would have gone on at the wrong version.

Cause: all records of streams without a program are written in the background, because without a row the origin is unknown and the take-up is refused. That holds only for the first row: a later one that is lost leaves the earlier one as the last.

Now only the first record is written in the background. gateway_stream_versions::a_stream_without_a_program_does_not_change_its_version_while_the_store_is_away failed before (the whole stream was served) and passes now.

--- a/src/process/gateway/stream_origins.rs
+++ b/src/process/gateway/stream_origins.rs
@@ -215,7 +215,8 @@
     /// Records that a stream may begin at an origin, unless it is that of its program and nothing was
     /// recorded before.
     ///
-    /// The record is durable on return if the stream has a program.
+    /// The record is durable on return, except for the first one of a stream without a program. One
+    /// that is lost must not leave an earlier one as the last.
     pub async fn record(
         &self,
         stream: &StreamKey,
@@ -234,15 +235,11 @@
             value: Some(Bytes::new()),
         };
         let write = row(format!("{STREAM_KEY_PREFIX}{id}/{origin}"));
-        if !stream.has_program {
-            self.writer.write_deferred(write);
-            if let RecordPlace::Later(order) = place {
-                let ordered = row(format!("{LATER_KEY_PREFIX}{order}/{origin}/{id}"));
-                self.writer.write_deferred(ordered);
-            }
-            return Ok(());
-        }
         match place {
+            RecordPlace::First if !stream.has_program => {
+                self.writer.write_deferred(write);
+                Ok(())
+            }
             RecordPlace::First | RecordPlace::Unknown => {
                 self.writer.write_once(write, deadline).await
             }
--- a/tests/gateway_stream_versions.rs
+++ b/tests/gateway_stream_versions.rs
@@ -469,3 +469,35 @@
     };
     stream.assert_is_refused(&site, &site.gateways[1]);
 }
+
+/// Guards against a first event from a version whose record is not durable, while a durable record
+/// names another one.
+#[test]
+fn a_stream_without_a_program_does_not_change_its_version_while_the_store_is_away() {
+    let mut site = GatewaySite::start(1);
+    for engine in &site.engines {
+        site.deregister(engine);
+    }
+    site.add_engine("v2");
+    site.engines[2]
+        .process
+        .control(&json!({ "stall_after_events": 0 }));
+    thread::sleep(REGISTRATION_TIME);
+    let request = caller_request("POST", "/quote/a", &new_request_id()).body("how much");
+    let request = request.header("x-events", &EVENTS.to_string());
+    let address = site.gateways[0].caller_address();
+    let mut stream = request.open(address).expect("an answer");
+    assert_eq!(stream.status(), 200);
+    site.deregister(&site.engines[2]);
+    for engine in &site.engines[..2] {
+        site.register(engine, "ready");
+    }
+    thread::sleep(REGISTRATION_TIME);
+    site.gateways[0].store_proxy.set_mode(ProxyMode::Reset);
+    let rest = stream.remaining_events();
+    assert!(
+        rest.is_err(),
+        "{} events",
+        rest.map_or(0, |rest| rest.len())
+    );
+}
