Give the grants of each account ids of their own

Cause: an account counts the turns that it admits from 1. The other gateway keeps this number and reports the end of the turn to whatever account is at the address then. After a restart that is another account, with other turns of the same numbers, so a large turn was settled with the tokens of a small one, and its own end found no turn.

The ids of an account begin at a random value of 64 bits now, so an account ignores what it has not admitted, and logs it. Gateways of earlier builds carry the ids as they are. An earlier build that has the account still counts from 1; a gateway of this build asks it before each report which start of it is running, and reports nothing to another one than that which admitted the turn.

gateway_account passes the first id of an account, which was 1 in all of them.

--- a/src/process/gateway/account.rs
+++ b/src/process/gateway/account.rs
@@ -9,10 +9,23 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use rand::Rng;
 
-/// Identifies an admitted turn within its account; the first one is 1.
+/// Identifies an admitted turn among those of its program, at all gateways and over their restarts.
 pub type GrantId = u64;
 
+/// The lowest grant id of accounts whose ids are unique. Gateways of earlier builds count the grants
+/// of each account from 1, so two of their accounts have the same ids.
+pub const MIN_UNIQUE_GRANT_ID: GrantId = 1 << 63;
+/// Grants for which an account has ids.
+const GRANT_IDS_PER_ACCOUNT: u64 = 1 << 32;
+
+/// A random id for the first grant of an account. Two accounts of a program are very unlikely to have
+/// an id in common, although they know nothing of each other.
+pub fn first_grant_id(rng: &mut impl Rng) -> GrantId {
+    rng.random_range(MIN_UNIQUE_GRANT_ID..=GrantId::MAX - GRANT_IDS_PER_ACCOUNT)
+}
+
 /// Turns whose tokens are reserved beyond the turns in flight. A larger number saves store calls
 /// and lets programs continue during outages of the store, but these tokens are lost if the gateway
 /// dies or if the outcome of a store call is not known.
@@ -55,6 +68,9 @@
     /// Tokens charged to turns that were settled or have expired.
     settled_tokens: u64,
     in_flight: IndexMap<GrantId, Grant>,
+    /// Increases with each grant, so no id is used twice. Gateways may report the end of a turn to an
+    /// account that has not admitted it: one that was opened after a restart, or after a pause of the
+    /// program.
     next_grant_id: GrantId,
     /// Tokens in the rows of other gateways, as of the last extension.
     other_gateways_tokens: u64,
@@ -63,14 +79,15 @@
 }
 
 impl Account {
-    /// Opens an account without a reservation.
-    pub fn new(budget_tokens: u64, now: Instant) -> Self {
+    /// Opens an account without a reservation. `first_grant_id` and those that follow it are used by
+    /// no other account of the program; see [`first_grant_id`].
+    pub fn new(budget_tokens: u64, first_grant_id: GrantId, now: Instant) -> Self {
         Self {
             budget_tokens,
             reserved_tokens: 0,
             settled_tokens: 0,
             in_flight: IndexMap::new(),
-            next_grant_id: 1,
+            next_grant_id: first_grant_id,
             other_gateways_tokens: 0,
             largest_turn_tokens: 0,
             last_used: now,
@@ -162,14 +179,16 @@
         reserved_total - retained_tokens
     }
 
-    /// Settles a turn with the tokens it has spent. Does nothing if the turn has expired: its
-    /// `max_tokens` stay charged.
-    pub fn settle(&mut self, grant_id: GrantId, spent_tokens: u64, now: Instant) {
-        if let Some(grant) = self.in_flight.shift_remove(&grant_id) {
-            let spent_tokens = spent_tokens.min(grant.max_tokens);
-            self.settled_tokens = self.settled_tokens.saturating_add(spent_tokens);
-            self.last_used = now;
-        }
+    /// Settles a turn with the tokens it has spent. Returns false if this account has not admitted the
+    /// turn, or if the turn has expired: its `max_tokens` stay charged.
+    pub fn settle(&mut self, grant_id: GrantId, spent_tokens: u64, now: Instant) -> bool {
+        let Some(grant) = self.in_flight.shift_remove(&grant_id) else {
+            return false;
+        };
+        let spent_tokens = spent_tokens.min(grant.max_tokens);
+        self.settled_tokens = self.settled_tokens.saturating_add(spent_tokens);
+        self.last_used = now;
+        true
     }
 
     /// Charges `max_tokens` to each turn that was not settled within the grace period.
--- a/src/process/gateway/budget.rs
+++ b/src/process/gateway/budget.rs
@@ -13,11 +13,11 @@
 
 use indexmap::IndexMap;
 
-use super::account::GrantId;
+use super::account::{GrantId, MIN_UNIQUE_GRANT_ID};
 use super::directory::Directory;
 use super::history::{TurnChain, TurnChainCache, TurnId};
 use super::ledger::{Admission, Ledger, TurnBudget};
-use super::peers::{AdmitRequest, AdmitResponse, AdmitResult, SettleRequest};
+use super::peers::{self, AdmitRequest, AdmitResponse, AdmitResult, ServerNotices, SettleRequest};
 use super::servers::Servers;
 use super::store::{Result, StoreError};
 use super::stream_origins::StreamOrigin;
@@ -134,6 +134,11 @@
     /// if it has it cached and this gateway has not.
     pub async fn reserve(&self, admission: TurnAdmission<'_>) -> Result<ReservationOutcome> {
         let location = self.account_location(&admission.turn.program_id);
+        // Before the admission: a start that is out of date only leaves the turn unsettled.
+        let owner_start = match location {
+            AccountLocation::Local => None,
+            AccountLocation::Peer(peer) => self.shared.directory.start_at(peer, Instant::now()),
+        };
         let answer = match location {
             AccountLocation::Local => None,
             AccountLocation::Peer(peer) => self.admit_at_peer(peer, &admission).await?,
@@ -162,6 +167,7 @@
                 let reservation = Reservation {
                     controller: self.clone(),
                     location,
+                    owner_start,
                     program_id: turn.program_id,
                     grant_id,
                     spent_tokens: Cell::new(0),
@@ -252,7 +258,9 @@
         }
     }
 
-    fn settle(&self, location: AccountLocation, request: SettleRequest) {
+    /// Reports the end of a turn to its account. `owner_start` identifies the start of the peer that
+    /// has the account, if it is known.
+    fn settle(&self, location: AccountLocation, owner_start: Option<u64>, request: SettleRequest) {
         let peer = match location {
             AccountLocation::Local => {
                 self.apply_settlement(request);
@@ -260,9 +268,21 @@
             }
             AccountLocation::Peer(peer) => peer,
         };
-        let http = self.shared.http.clone();
+        let controller = self.clone();
+        let is_ambiguous = request.grant_id < MIN_UNIQUE_GRANT_ID;
         monoio::spawn(async move {
+            let http = &controller.shared.http;
             for _ in 0..MAX_SETTLE_ATTEMPTS {
+                if is_ambiguous {
+                    match controller.ask_start(peer).await {
+                        None => continue,
+                        start if start != owner_start => {
+                            log::info!(peer:% = peer, program_id = request.program_id; "spent tokens not reported: the peer has restarted, and would charge another turn");
+                            return;
+                        }
+                        Some(_) => {}
+                    }
+                }
                 let sent = http.fetch(peer, request.encode(), PEER_TIMEOUT, RESPONSE_LIMIT_BYTES);
                 if sent.await.is_ok() {
                     return;
@@ -273,6 +293,22 @@
         });
     }
 
+    /// Asks a peer which start of it is running; `None` if it does not respond.
+    ///
+    /// Gateways of earlier builds number the turns of each account from 1, so after a restart the end
+    /// of a turn from before would settle another one, with fewer tokens.
+    async fn ask_start(&self, peer: SocketAddr) -> Option<u64> {
+        let directory = &self.shared.directory;
+        let request = directory.gossip_request(Instant::now());
+        let request = peers::gossip_request(&request, &ServerNotices::default());
+        let http = &self.shared.http;
+        let response = http.fetch(peer, request, PEER_TIMEOUT, RESPONSE_LIMIT_BYTES);
+        let (response, _) = peers::decode_gossip(&response.await.ok()?)?;
+        let start = response.heartbeats.first()?.start_hash;
+        directory.apply_gossip(response, Instant::now());
+        Some(start)
+    }
+
     /// Admits a turn for a peer, and exchanges server loads with it.
     pub async fn handle_admit(&self, request: AdmitRequest) -> AdmitResponse {
         let now = Instant::now();
@@ -322,6 +358,9 @@
 pub struct Reservation {
     controller: AdmissionController,
     location: AccountLocation,
+    /// Identifies the start of the peer that has the account, as of the admission; `None` if the
+    /// account is here or the start is not known.
+    owner_start: Option<u64>,
     program_id: String,
     grant_id: GrantId,
     spent_tokens: Cell<u64>,
@@ -362,6 +401,7 @@
             completed_by: self.completed_by.take().map(|id| id.to_string()),
             persisted_turn: persisted_turn.map(|(turn_id, chain)| (turn_id, (*chain).clone())),
         };
-        self.controller.settle(self.location, request);
+        self.controller
+            .settle(self.location, self.owner_start, request);
     }
 }
--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -237,6 +237,15 @@
         (id != &*self.own_id).then_some(row.peer_address)
     }
 
+    /// Identifies the start of the live gateway at a peer address, as far as this one has heard;
+    /// `None` if it knows no live gateway there.
+    pub fn start_at(&self, peer_address: SocketAddr, now: Instant) -> Option<u64> {
+        let known = self.known.borrow();
+        let mut live = known.values().filter(|known| self.is_live(known, now));
+        let at_address = live.find(|known| known.row.peer_address == peer_address);
+        at_address.map(|known| known.start_hash)
+    }
+
     /// Learns the registration of a gateway that a peer has named.
     pub fn learn_from_peer(&self, id: &str, row: GatewayRow, now: Instant) {
         self.learn_registration(id, row, Source::Peer, now);
--- a/src/process/gateway/gossip.rs
+++ b/src/process/gateway/gossip.rs
@@ -65,7 +65,7 @@
 pub struct GossipResponse {
     /// Ids and registrations of live gateways whose counters the request did not have.
     pub rows: Vec<(String, GatewayRow)>,
-    /// Counters of the gateways in the failure domain of the peer, its own included.
+    /// Counters of the gateways in the failure domain of the peer. Its own one is the first.
     pub heartbeats: Vec<Heartbeat>,
 }
 
--- a/src/process/gateway/ledger.rs
+++ b/src/process/gateway/ledger.rs
@@ -15,7 +15,7 @@
 use sapphireford_platform::store::{RowKey, RowWrite};
 use serde::{Deserialize, Serialize};
 
-use super::account::{Account, Decision, GrantId};
+use super::account::{self, Account, Decision, GrantId};
 use super::store::{Creation, Result, Store, StoreError};
 use super::stream_origins::{self, StreamOrigin};
 use super::writer::StoreWriter;
@@ -172,10 +172,12 @@
                 program.prefix_holder.replace(completed_by);
             }
             let now = Instant::now();
-            program
-                .account
-                .borrow_mut()
-                .settle(grant_id, spent_tokens, now);
+            let mut account = program.account.borrow_mut();
+            let is_settled = account.settle(grant_id, spent_tokens, now);
+            drop(account);
+            if !is_settled {
+                log::info!(program_id = program_id, grant_id = grant_id, spent_tokens = spent_tokens; "end of a turn not charged: this account has not admitted it, or has charged its maximum");
+            }
             self.extend_in_background(program_id, &program);
         }
     }
@@ -210,8 +212,10 @@
     fn program_state(&self, turn: &TurnBudget) -> Rc<ProgramState> {
         let mut programs = self.shared.programs.borrow_mut();
         let new = || {
+            let first_grant_id = account::first_grant_id(&mut rand::rng());
+            let account = Account::new(turn.budget_tokens, first_grant_id, Instant::now());
             Rc::new(ProgramState {
-                account: RefCell::new(Account::new(turn.budget_tokens, Instant::now())),
+                account: RefCell::new(account),
                 rows: RefCell::default(),
                 prefix_holder: RefCell::default(),
                 stream_origin: Cell::new(None),
--- a/tests/gateway_account.rs
+++ b/tests/gateway_account.rs
@@ -2,7 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use sapphireford::process::gateway::account::{Account, Decision};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sapphireford::process::gateway::account::{
+    Account, Decision, MIN_UNIQUE_GRANT_ID, first_grant_id,
+};
 
 const BUDGET_TOKENS: u64 = 800;
 const TURN_TOKENS: u64 = 100;
@@ -11,7 +15,7 @@
 fn new_account() -> (Account, Instant, Instant) {
     let now = Instant::now();
     (
-        Account::new(BUDGET_TOKENS, now),
+        Account::new(BUDGET_TOKENS, 1, now),
         now,
         now + Duration::from_secs(4),
     )
@@ -79,7 +83,7 @@
 #[test]
 fn two_accounts_exceed_the_budget_by_one_turn_at_most() {
     let (mut first, now, deadline) = new_account();
-    let mut second = Account::new(BUDGET_TOKENS, now);
+    let mut second = Account::new(BUDGET_TOKENS, 1, now);
     let mut row_tokens = [0, 0];
     let mut granted = 0;
     for round in 0..100 {
@@ -182,7 +186,7 @@
 #[test]
 fn tokens_reserved_ahead_do_not_grow_with_a_large_budget() {
     let now = Instant::now();
-    let mut account = Account::new(100 * TURN_TOKENS, now);
+    let mut account = Account::new(100 * TURN_TOKENS, 1, now);
     let deadline = now + Duration::from_secs(4);
     let decision = account.admit(TURN_TOKENS, deadline, now);
     assert_eq!(
@@ -190,3 +194,32 @@
         Decision::NeedsTokens(TURN_TOKENS + 4 * TURN_TOKENS)
     );
 }
+
+/// Guards against an account that another one settles: of a gateway before its restart, or before the
+/// program paused.
+#[test]
+fn accounts_do_not_settle_the_turns_of_each_other() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(4);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut accounts: Vec<(Account, Vec<u64>)> = Vec::new();
+    for _ in 0..20 {
+        let mut account = Account::new(BUDGET_TOKENS, first_grant_id(&mut rng), now);
+        account.extend(BUDGET_TOKENS, 0, TURN_TOKENS);
+        let mut grant_ids = Vec::new();
+        while let Decision::Granted(grant_id) = account.admit(TURN_TOKENS, deadline, now) {
+            assert!(grant_id >= MIN_UNIQUE_GRANT_ID);
+            grant_ids.push(grant_id);
+        }
+        assert_eq!(grant_ids.len(), 8);
+        accounts.push((account, grant_ids));
+    }
+    let all_ids: Vec<Vec<u64>> = accounts.iter().map(|(_, ids)| ids.clone()).collect();
+    for (index, (account, _)) in accounts.iter_mut().enumerate() {
+        for (other, grant_ids) in all_ids.iter().enumerate() {
+            for grant_id in grant_ids {
+                assert_eq!(account.settle(*grant_id, 0, now), other == index);
+            }
+        }
+    }
+}
