Name the rows of each start of a gateway apart

Two starts of a gateway in the same Unix millisecond wrote the same rows of reserved tokens, so that the rows of the first one would be replaced, and their tokens would count as unspent. It needs a clock that was set back; no caller is known to have seen it.

The names of the rows have a random part beside the start time now. gateway_directory::starts_in_the_same_millisecond_write_different_rows failed before (2 names for 64 starts) and passes now. A row is 9 bytes longer; no call is added.

--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -90,6 +90,8 @@
 pub struct Directory {
     own_id: EntryId,
     own: RefCell<GatewayRow>,
+    /// Tells two starts in the same millisecond apart, as after the clock was set back.
+    start_nonce: u32,
     own_counter: Cell<u64>,
     known: RefCell<IndexMap<EntryId, KnownGateway>>,
     /// Whether the rows of the other gateways have been read, or a peer has told of them.
@@ -127,6 +129,7 @@
         Self {
             own_id: settings.entry_id.clone(),
             own: RefCell::new(own),
+            start_nonce: rand::random(),
             own_counter: Cell::new(1),
             known: RefCell::default(),
             is_loaded: Cell::new(false),
@@ -212,7 +215,8 @@
 
     /// An id that is unique to this start of this gateway.
     pub fn writer_id(&self) -> String {
-        format!("{}-{}", self.own_id, self.own.borrow().started_unix_ms)
+        let started_unix_ms = self.own.borrow().started_unix_ms;
+        format!("{}-{started_unix_ms}-{:08x}", self.own_id, self.start_nonce)
     }
 
     /// The address of the peer that owns `key`, by rendezvous hashing over the live gateways of the
--- a/tests/gateway_directory.rs
+++ b/tests/gateway_directory.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use indexmap::IndexSet;
 use sapphireford::process::gateway::directory::{Directory, GatewayRow};
 use sapphireford::process::gateway::settings::{GatewaySettings, RawGatewaySettings};
 use sapphireford_platform::store::Row;
@@ -129,3 +130,12 @@
         assert_ne!(owners[0], "g-3");
     }
 }
+
+/// Guards against a restarted gateway that overwrites the rows of the start before, so that their
+/// tokens count as unspent: its clock may have been set back to the same millisecond.
+#[test]
+fn starts_in_the_same_millisecond_write_different_rows() {
+    let starts = (0..64).map(|_| directory("g-0", "a").writer_id());
+    let distinct: IndexSet<String> = starts.collect();
+    assert_eq!(distinct.len(), 64);
+}
