Let an admitted turn go on when the budget is spent meanwhile

Cause: a gateway that hands a stream to a peer gives its reservation up, and the peer, like any gateway that gets a take-up, admits the rest as another turn. The tokens that the first part has sent may have used the budget up.

Now a gateway keeps its reservation while a peer serves the rest of a stream, and counts the events that pass. The account keeps the tokens that an interrupted turn has left, and admits its rest from them if the reservation still covers it. The sum of all reservations exceeds the budget by less than one turn, as before, so the budget rule holds. A peer of an earlier build does not know the request, and gets the one without a reservation.

gateway_crash_reports passes the terms of a relay as a struct.

--- a/src/process/gateway/account.rs
+++ b/src/process/gateway/account.rs
@@ -11,6 +11,8 @@
 use indexmap::IndexMap;
 use rand::Rng;
 
+use super::history::TurnId;
+
 /// Identifies an admitted turn among those of its program, at all gateways and over their restarts.
 pub type GrantId = u64;
 
@@ -34,12 +36,17 @@
 const MIN_RESERVED_TURNS: u64 = 2;
 /// At most the budget divided by this is reserved beyond the turns in flight.
 const RESERVE_AHEAD_BUDGET_DIVISOR: u64 = 4;
+/// Interrupted turns whose rest an account admits; more at once are the retries of a program that
+/// loops.
+const MAX_INTERRUPTED_TURNS: usize = 64;
 /// Time after the deadline of a turn in which its gateway may still settle it.
 const SETTLEMENT_GRACE_PERIOD: Duration = Duration::from_secs(5);
 
 /// A turn in flight.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Grant {
+    /// The turn, if it may be taken up again.
+    turn_id: Option<TurnId>,
     max_tokens: u64,
     /// A turn that is not settled by then counts as having spent `max_tokens`.
     expires_at: Instant,
@@ -72,6 +79,8 @@
     /// account that has not admitted it: one that was opened after a restart, or after a pause of the
     /// program.
     next_grant_id: GrantId,
+    /// Turns that have ended before their last event, with the tokens of their rest.
+    interrupted: IndexMap<TurnId, u64>,
     /// Tokens in the rows of other gateways, as of the last extension.
     other_gateways_tokens: u64,
     largest_turn_tokens: u64,
@@ -88,6 +97,7 @@
             settled_tokens: 0,
             in_flight: IndexMap::new(),
             next_grant_id: first_grant_id,
+            interrupted: IndexMap::new(),
             other_gateways_tokens: 0,
             largest_turn_tokens: 0,
             last_used: now,
@@ -126,17 +136,55 @@
                 (needed_tokens - self.reserved_tokens).saturating_add(self.reserve_ahead_tokens()),
             );
         }
+        Decision::Granted(self.grant(None, max_tokens, deadline))
+    }
+
+    /// Admits the rest of a turn that was interrupted, with the tokens that it has left; `None` if this
+    /// account knows no such turn, or if the reservation does not cover it any more.
+    ///
+    /// The turn was admitted before, so that the budget is spent does not matter: the sum of all
+    /// reservations exceeds the budget by less than one turn.
+    pub fn admit_rest(
+        &mut self,
+        turn_id: &str,
+        deadline: Instant,
+        now: Instant,
+    ) -> Option<GrantId> {
+        let rest_tokens = *self.interrupted.get(turn_id)?;
+        if self.spent_tokens().saturating_add(rest_tokens) > self.reserved_tokens {
+            return None;
+        }
+        self.interrupted.shift_remove(turn_id);
+        self.last_used = now;
+        Some(self.grant(Some(turn_id.to_string()), rest_tokens, deadline))
+    }
+
+    fn grant(&mut self, turn_id: Option<TurnId>, max_tokens: u64, deadline: Instant) -> GrantId {
         let grant_id = self.next_grant_id;
         self.next_grant_id += 1;
-        let expires_at = deadline + SETTLEMENT_GRACE_PERIOD;
-        self.in_flight.insert(
-            grant_id,
-            Grant {
-                max_tokens,
-                expires_at,
-            },
-        );
-        Decision::Granted(grant_id)
+        let grant = Grant {
+            turn_id,
+            max_tokens,
+            expires_at: deadline + SETTLEMENT_GRACE_PERIOD,
+        };
+        self.in_flight.insert(grant_id, grant);
+        grant_id
+    }
+
+    /// Names a turn in flight, so that its rest is admitted if it is interrupted.
+    pub fn name_turn(&mut self, grant_id: GrantId, turn_id: &str) {
+        if let Some(grant) = self.in_flight.get_mut(&grant_id) {
+            grant.turn_id = Some(turn_id.to_string());
+        }
+    }
+
+    /// Whether a turn is in flight.
+    pub fn is_in_flight(&self, turn_id: &str) -> bool {
+        let mut named = self
+            .in_flight
+            .values()
+            .filter_map(|grant| grant.turn_id.as_ref());
+        named.any(|named| named == turn_id)
     }
 
     fn reserve_ahead_tokens(&self) -> u64 {
@@ -188,9 +236,23 @@
         let spent_tokens = spent_tokens.min(grant.max_tokens);
         self.settled_tokens = self.settled_tokens.saturating_add(spent_tokens);
         self.last_used = now;
+        if let Some(turn_id) = grant.turn_id {
+            if self.interrupted.len() >= MAX_INTERRUPTED_TURNS {
+                self.interrupted.shift_remove_index(0);
+            }
+            let rest_tokens = grant.max_tokens - spent_tokens;
+            self.interrupted.insert(turn_id, rest_tokens);
+        }
         true
     }
 
+    /// Forgets the rest of a turn that has completed.
+    pub fn complete(&mut self, grant_id: GrantId) {
+        if let Some(grant) = self.in_flight.get_mut(&grant_id) {
+            grant.turn_id = None;
+        }
+    }
+
     /// Charges `max_tokens` to each turn that was not settled within the grace period.
     pub fn expire(&mut self, now: Instant) {
         let mut expired_tokens = 0;
--- a/src/process/gateway/budget.rs
+++ b/src/process/gateway/budget.rs
@@ -16,7 +16,7 @@
 use super::account::{GrantId, MIN_UNIQUE_GRANT_ID};
 use super::directory::Directory;
 use super::history::{TurnChain, TurnChainCache, TurnId};
-use super::ledger::{Admission, Ledger, TurnBudget};
+use super::ledger::{Admission, Ledger, TurnBudget, TurnPart};
 use super::peers::{self, AdmitRequest, AdmitResponse, AdmitResult, ServerNotices, SettleRequest};
 use super::servers::Servers;
 use super::store::{Result, StoreError};
@@ -99,6 +99,8 @@
 pub struct TurnAdmission<'a> {
     /// The turn and the budget of its program.
     pub turn: TurnBudget,
+    /// The place of the request in its turn, if the turn may be taken up again.
+    pub part: Option<TurnPart>,
     /// The turn that it continues, if there is one with a stored history.
     pub previous_turn_id: Option<&'a str>,
     /// Where the turn will begin if it can be resumed later, as far as that can be predicted.
@@ -145,6 +147,7 @@
         };
         let TurnAdmission {
             turn,
+            part,
             proposed_origin,
             deadline,
             ..
@@ -154,7 +157,9 @@
             None => {
                 let ledger = &self.shared.ledger;
                 let answer = AccountAnswer {
-                    admission: ledger.admit(&turn, proposed_origin, deadline).await?,
+                    admission: ledger
+                        .admit(&turn, part.as_ref(), proposed_origin, deadline)
+                        .await?,
                     chain: None,
                     prefix_holder: ledger.prefix_holder(&turn.program_id),
                     stream_origin: ledger.stream_origin(&turn.program_id),
@@ -207,6 +212,7 @@
     ) -> Result<Option<AccountAnswer>> {
         let TurnAdmission {
             turn,
+            part,
             previous_turn_id,
             proposed_origin,
             deadline,
@@ -220,6 +226,7 @@
                 .filter(|id| self.shared.chains.borrow().get(id).is_none())
                 .map(str::to_string),
             proposed_origin: *proposed_origin,
+            part: part.clone(),
         };
         let timeout = (PEER_TIMEOUT + PEER_STORE_TIMEOUT).min(time_left);
         let http = &self.shared.http;
@@ -315,7 +322,8 @@
         let deadline = now + Duration::from_millis(request.time_left_ms);
         self.shared.servers.merge_loads(&request.loads, now);
         let ledger = &self.shared.ledger;
-        let admission = ledger.admit(&request.turn, request.proposed_origin, deadline);
+        let part = request.part.as_ref();
+        let admission = ledger.admit(&request.turn, part, request.proposed_origin, deadline);
         let result = match admission.await {
             Ok(admission) => AdmitResult::Admission(admission),
             Err(error) => {
--- a/src/process/gateway/ledger.rs
+++ b/src/process/gateway/ledger.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::account::{self, Account, Decision, GrantId};
+use super::history::TurnId;
 use super::store::{Creation, Result, Store, StoreError};
 use super::stream_origins::{self, StreamOrigin};
 use super::writer::StoreWriter;
@@ -28,6 +29,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Timeout of an extension that no turn waits for.
 const BACKGROUND_EXTENSION_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest wait for the end of the first part of a turn that is taken up. It is reported in a
+/// millisecond, if the gateway that served it is alive.
+const INTERRUPTION_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// A turn to be admitted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,6 +44,15 @@
     pub budget_tokens: u64,
 }
 
+/// The place of a request in its turn, if the turn may be taken up again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnPart {
+    /// Id of the attempt that began the turn.
+    pub turn_id: TurnId,
+    /// Whether the caller has events of the turn, and takes it up.
+    pub is_rest: bool,
+}
+
 /// The result of the admission of a turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Admission {
@@ -66,6 +79,8 @@
     is_extending: Cell<bool>,
     /// Notified when an extension has ended.
     changed: Notify,
+    /// Notified when a turn was settled.
+    settled: Notify,
 }
 
 struct Shared {
@@ -98,15 +113,25 @@
         }
     }
 
-    /// Admits a turn that must end by `deadline`. If the account is opened for it, the streams of the
-    /// program get `proposed_origin` unless they have one; `None` if the turn cannot be resumed.
+    /// Admits a turn that must end by `deadline`, or the rest of one that was interrupted.
+    ///
+    /// If the account is opened for it, the streams of the program get `proposed_origin` unless they
+    /// have one; `None` if the turn cannot be resumed.
     pub async fn admit(
         &self,
         turn: &TurnBudget,
+        part: Option<&TurnPart>,
         proposed_origin: Option<StreamOrigin>,
         deadline: Instant,
     ) -> Result<Admission> {
         let program = self.program_state(turn);
+        let rest_of = part.filter(|part| part.is_rest).map(|part| &part.turn_id);
+        if let Some(turn_id) = rest_of {
+            let mut account = program.account.borrow_mut();
+            if let Some(grant_id) = account.admit_rest(turn_id, deadline, Instant::now()) {
+                return Ok(Admission::Granted(grant_id));
+            }
+        }
         loop {
             let now = Instant::now();
             let decision = program
@@ -115,11 +140,22 @@
                 .admit(turn.max_tokens, deadline, now);
             let needed_tokens = match decision {
                 Decision::Granted(grant_id) => {
+                    if let Some(part) = part {
+                        let mut account = program.account.borrow_mut();
+                        account.name_turn(grant_id, &part.turn_id);
+                    }
                     self.extend_in_background(&turn.program_id, &program);
                     return Ok(Admission::Granted(grant_id));
                 }
                 Decision::Exceeded { spent_tokens } => {
-                    return Ok(Admission::Exceeded { spent_tokens });
+                    let grant_id = match rest_of {
+                        Some(turn_id) => self.await_rest(&program, turn_id, deadline).await,
+                        None => None,
+                    };
+                    return Ok(match grant_id {
+                        Some(grant_id) => Admission::Granted(grant_id),
+                        None => Admission::Exceeded { spent_tokens },
+                    });
                 }
                 Decision::NeedsTokens(needed_tokens) => needed_tokens,
             };
@@ -144,6 +180,25 @@
         }
     }
 
+    /// Admits the rest of a turn when the end of its first part has been reported; `None` if that
+    /// takes too long.
+    async fn await_rest(
+        &self,
+        program: &ProgramState,
+        turn_id: &str,
+        deadline: Instant,
+    ) -> Option<GrantId> {
+        let ended = program
+            .settled
+            .until(|| !program.account.borrow().is_in_flight(turn_id));
+        // The gateway that served the first part may be dead, so its tokens stay reserved.
+        let wait_end = deadline.min(Instant::now() + INTERRUPTION_TIMEOUT);
+        let timer = self.shared.store.timer();
+        timer.timeout_at(wait_end, ended).await.ok()?;
+        let mut account = program.account.borrow_mut();
+        account.admit_rest(turn_id, deadline, Instant::now())
+    }
+
     /// The server that completed the last turn of a program; `None` if the program has no account
     /// at this gateway, or no completed turn since the account was opened.
     pub fn prefix_holder(&self, program_id: &str) -> Option<BackendServerId> {
@@ -168,13 +223,18 @@
     ) {
         let program = self.shared.programs.borrow().get(program_id).cloned();
         if let Some(program) = program {
-            if completed_by.is_some() {
+            let is_complete = completed_by.is_some();
+            if is_complete {
                 program.prefix_holder.replace(completed_by);
             }
             let now = Instant::now();
             let mut account = program.account.borrow_mut();
+            if is_complete {
+                account.complete(grant_id);
+            }
             let is_settled = account.settle(grant_id, spent_tokens, now);
             drop(account);
+            program.settled.notify();
             if !is_settled {
                 log::info!(program_id = program_id, grant_id = grant_id, spent_tokens = spent_tokens; "end of a turn not charged: this account has not admitted it, or has charged its maximum");
             }
@@ -221,6 +281,7 @@
                 stream_origin: Cell::new(None),
                 is_extending: Cell::new(false),
                 changed: Notify::default(),
+                settled: Notify::default(),
             })
         };
         programs
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -19,13 +19,14 @@
 use super::directory::UnconnectedGateway;
 use super::gossip::{GossipRequest, GossipResponse};
 use super::history::{TurnChain, TurnId};
-use super::ledger::{Admission, TurnBudget};
+use super::ledger::{Admission, TurnBudget, TurnPart};
 use super::rate_limits::{AllowanceRequest, AllowanceResponse};
 use super::server::RateLimitReport;
 use super::servers::{LeavingServer, SharedLoad};
 use super::stream_origins::StreamOrigin;
 use crate::connection::body::Body;
 use crate::connection::http_server::CallerAddress;
+use crate::ids::BackendServerId;
 
 /// Path prefix of relayed store calls; the path of the store follows.
 const RELAY_PATH_PREFIX: &str = "/store";
@@ -105,6 +106,10 @@
     /// like the notices.
     #[serde(skip)]
     pub proposed_origin: Option<StreamOrigin>,
+    /// The place of the request in its turn, if the turn may be taken up again. Appended like the
+    /// origin.
+    #[serde(skip)]
+    pub part: Option<TurnPart>,
 }
 
 /// The response to an [`AdmitRequest`].
@@ -159,10 +164,10 @@
 const SERVER_PATH_PATH: &str = "/servers/path";
 /// Path prefix of relayed requests of callers; the path of the request follows.
 const REQUEST_PATH_PREFIX: &str = "/requests";
-/// Path prefix of relayed requests for whose streams origins may have been recorded. Gateways of
-/// earlier builds do not know it: they would begin such a stream at the origin of its program
-/// without a record, so that an earlier one stays the last.
-const RECORDED_STREAM_PATH_PREFIX: &str = "/recorded-streams";
+/// Path prefix of relayed requests whose [`RelayTerms`] the peer must understand. Gateways of earlier
+/// builds do not know it: they would begin a stream at the origin of its program without a record,
+/// so that an earlier one stays the last, or reserve tokens twice.
+const STREAM_PATH_PREFIX: &str = "/streams";
 /// Header of a relayed request: the address of its caller.
 const CALLER_HEADER: HeaderName = HeaderName::from_static("x-caller-address");
 /// Header of a relayed request: the number of servers that it may still be sent to. Gateways of
@@ -171,9 +176,13 @@
 /// Header of a relayed request: the number of gateways that may have recorded an origin of its
 /// stream. Gateways of earlier builds send none.
 const ORIGIN_RECORDERS_HEADER: HeaderName = HeaderName::from_static("x-origin-recorders");
-/// Marks all responses to requests with [`RECORDED_STREAM_PATH_PREFIX`].
-const ORIGIN_RECORDERS_KNOWN_HEADER: HeaderName =
-    HeaderName::from_static("x-origin-recorders-known");
+/// Header of a relayed request whose tokens the gateway that relays it has reserved and counts.
+const TOKENS_RESERVED_HEADER: HeaderName = HeaderName::from_static("x-tokens-reserved");
+/// Header of such a request: the server that has the prefix of its prompt, which the peer would learn
+/// from the account otherwise.
+const PREFIX_HOLDER_HEADER: HeaderName = HeaderName::from_static("x-prefix-holder");
+/// Marks all responses to requests with [`STREAM_PATH_PREFIX`].
+const TERMS_UNDERSTOOD_HEADER: HeaderName = HeaderName::from_static("x-terms-understood");
 /// Marks the response of a peer that has not recorded an origin for a request that it did not take.
 const NOTHING_RECORDED_HEADER: HeaderName = HeaderName::from_static("x-nothing-recorded");
 /// Marks the response of a peer that did not take a request.
@@ -300,17 +309,36 @@
     request
 }
 
+/// What a gateway tells the peer that serves a relayed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RelayTerms<'a> {
+    /// The number of servers that the request may still be sent to.
+    pub attempts_left: u32,
+    /// The number of gateways that may have recorded an origin of its stream.
+    pub origin_recorders: u32,
+    /// Whether this gateway has reserved the tokens of the stream and counts them.
+    pub are_tokens_reserved: bool,
+    /// The server that has the prefix of the prompt, if it is known.
+    pub prefix_holder: Option<&'a str>,
+}
+
+impl RelayTerms<'_> {
+    /// Whether a peer must not serve the request without knowing these terms.
+    pub fn must_be_understood(&self) -> bool {
+        self.origin_recorders > 0 || self.are_tokens_reserved
+    }
+}
+
 /// Wraps the request of a caller for a peer to serve; `None` if its path is not valid.
 pub fn wrap_request(
     mut request: Request<Bytes>,
     caller: Option<SocketAddr>,
-    attempts_left: u32,
-    origin_recorders: u32,
+    terms: RelayTerms<'_>,
 ) -> Option<Request<Bytes>> {
     let path = request.uri().path_and_query()?.as_str();
-    let prefix = match origin_recorders {
-        0 => REQUEST_PATH_PREFIX,
-        _ => RECORDED_STREAM_PATH_PREFIX,
+    let prefix = match terms.must_be_understood() {
+        true => STREAM_PATH_PREFIX,
+        false => REQUEST_PATH_PREFIX,
     };
     let uri = format!("{prefix}{path}").parse().ok()?;
     *request.uri_mut() = uri;
@@ -318,8 +346,16 @@
         request.headers_mut().insert(CALLER_HEADER, caller);
     }
     let headers = request.headers_mut();
-    headers.insert(ATTEMPTS_LEFT_HEADER, attempts_left.into());
-    headers.insert(ORIGIN_RECORDERS_HEADER, origin_recorders.into());
+    headers.insert(ATTEMPTS_LEFT_HEADER, terms.attempts_left.into());
+    headers.insert(ORIGIN_RECORDERS_HEADER, terms.origin_recorders.into());
+    if terms.are_tokens_reserved {
+        let value = HeaderValue::from_static("1");
+        headers.insert(TOKENS_RESERVED_HEADER, value);
+        let holder = terms.prefix_holder.map(HeaderValue::from_str);
+        if let Some(Ok(holder)) = holder {
+            headers.insert(PREFIX_HOLDER_HEADER, holder);
+        }
+    }
     Some(request)
 }
 
@@ -332,13 +368,20 @@
     /// The number of gateways that may have recorded an origin of its stream; `None` if the gateway
     /// that relays it does not say so.
     pub origin_recorders: Option<u32>,
+    /// Whether that gateway has reserved the tokens of the stream and counts them.
+    pub are_tokens_reserved: bool,
+    /// The server that has the prefix of the prompt, if that gateway says so.
+    pub prefix_holder: Option<BackendServerId>,
+    /// Whether that gateway expects the mark of [`mark_terms_understood`].
+    pub must_be_understood: bool,
 }
 
 fn unwrap_request(mut request: Request<Bytes>) -> Option<RelayedRequest> {
     let path = request.uri().path_and_query()?.as_str();
+    let must_be_understood = path.starts_with(STREAM_PATH_PREFIX);
     let path = path
         .strip_prefix(REQUEST_PATH_PREFIX)
-        .or(path.strip_prefix(RECORDED_STREAM_PATH_PREFIX))?;
+        .or(path.strip_prefix(STREAM_PATH_PREFIX))?;
     let uri = path.parse().ok()?;
     *request.uri_mut() = uri;
     let caller = request.headers_mut().remove(CALLER_HEADER);
@@ -352,24 +395,30 @@
     };
     let attempts_left = take_count(ATTEMPTS_LEFT_HEADER);
     let origin_recorders = take_count(ORIGIN_RECORDERS_HEADER);
+    let are_tokens_reserved = take_count(TOKENS_RESERVED_HEADER) == Some(1);
+    let prefix_holder = request.headers_mut().remove(PREFIX_HOLDER_HEADER);
+    let prefix_holder = prefix_holder.and_then(|id| Some(id.to_str().ok()?.into()));
     Some(RelayedRequest {
         request,
         attempts_left,
         origin_recorders,
+        are_tokens_reserved,
+        prefix_holder,
+        must_be_understood,
     })
 }
 
-/// Marks the response to a relayed request for whose stream origins may have been recorded.
-pub fn mark_origin_recorders_known(response: &mut Response<Body>) {
+/// Marks the response to a relayed request whose terms this gateway understands.
+pub fn mark_terms_understood(response: &mut Response<Body>) {
     let value = HeaderValue::from_static("1");
     response
         .headers_mut()
-        .insert(ORIGIN_RECORDERS_KNOWN_HEADER, value);
+        .insert(TERMS_UNDERSTOOD_HEADER, value);
 }
 
-/// Removes the mark of [`mark_origin_recorders_known`]; returns whether the response had it.
-pub fn take_origin_recorders_known<B>(response: &mut Response<B>) -> bool {
-    let mark = response.headers_mut().remove(ORIGIN_RECORDERS_KNOWN_HEADER);
+/// Removes the mark of [`mark_terms_understood`]; returns whether the response had it.
+pub fn take_terms_understood<B>(response: &mut Response<B>) -> bool {
+    let mark = response.headers_mut().remove(TERMS_UNDERSTOOD_HEADER);
     mark.is_some()
 }
 
@@ -436,13 +485,16 @@
     pub fn encode(&self, notices: &ServerNotices) -> Request<Bytes> {
         let mut request = post_with_notices(ADMIT_PATH, self, notices);
         let body = request.body_mut();
-        *body = with_origin(body, self.proposed_origin);
+        let part = postcard::to_stdvec(&self.part).unwrap_or_default();
+        *body = Bytes::from([&with_origin(body, self.proposed_origin), &*part].concat());
         request
     }
 
     fn decode(body: &[u8]) -> Option<(Self, ServerNotices)> {
         let (mut request, notices, rest) = split_message::<Self>(body)?;
-        request.proposed_origin = postcard::from_bytes(rest).unwrap_or_default();
+        let (proposed_origin, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+        request.proposed_origin = proposed_origin;
+        request.part = postcard::from_bytes(rest).unwrap_or_default();
         Some((request, notices))
     }
 }
@@ -508,9 +560,7 @@
             .map(|(request, notices)| PeerCall::Gossip(request, notices)),
         NOTICES_PATH => Some(PeerCall::ListNotices),
         SERVER_PATH_PATH => Some(PeerCall::AskServerPath),
-        path if path.starts_with(REQUEST_PATH_PREFIX)
-            || path.starts_with(RECORDED_STREAM_PATH_PREFIX) =>
-        {
+        path if path.starts_with(REQUEST_PATH_PREFIX) || path.starts_with(STREAM_PATH_PREFIX) => {
             unwrap_request(request).map(|request| PeerCall::Request(Box::new(request)))
         }
         ALLOWANCE_PATH => postcard::from_bytes(request.body())
--- a/src/process/gateway/running/handlers.rs
+++ b/src/process/gateway/running/handlers.rs
@@ -88,13 +88,13 @@
                 false => status(StatusCode::SERVICE_UNAVAILABLE),
             },
             Some(PeerCall::Request(relayed)) => {
-                let has_origin_recorders = relayed.origin_recorders.is_some_and(|count| count > 0);
+                let must_be_understood = relayed.must_be_understood;
                 let mut response = match gateway.is_ready() && !gateway.server_path.is_lost() {
                     true => self.dispatcher.handle_relayed(*relayed).await,
                     false => peers::not_looked_at_response(),
                 };
-                if has_origin_recorders {
-                    peers::mark_origin_recorders_known(&mut response);
+                if must_be_understood {
+                    peers::mark_terms_understood(&mut response);
                 }
                 response
             }
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -18,11 +18,13 @@
 use super::relay::{self, BodyEnd};
 use super::retry::AttemptCounts;
 use super::stream::StreamTask;
-use super::turn::{self, UnsavedTurn};
+use super::turn::{self, ReservationRequest, UnsavedTurn};
 use crate::connection::body::Body;
 use crate::connection::http_server::{CallerAddress, Handler};
 use crate::error::{Error, ErrorKind, Result};
+use crate::ids::BackendServerId;
 use crate::process::gateway::fingerprint::RequestIdentity;
+use crate::process::gateway::ledger::TurnPart;
 use crate::process::gateway::peers::{self, RelayedRequest};
 use crate::process::gateway::running::Gateway;
 use crate::process::task;
@@ -37,6 +39,8 @@
         /// The number of servers that it leaves to this gateway.
         attempts_left: Option<u32>,
         earlier_records: EarlierRecords,
+        /// Whether it has reserved the tokens of the request and counts them.
+        are_tokens_reserved: bool,
     },
 }
 
@@ -49,6 +53,18 @@
             } => earlier_records,
         }
     }
+
+    /// Whether this gateway must reserve the tokens of a turn.
+    fn reserves_tokens(self) -> bool {
+        let are_reserved = matches!(
+            self,
+            Source::Peer {
+                are_tokens_reserved: true,
+                ..
+            }
+        );
+        !are_reserved
+    }
 }
 
 /// Handles the HTTP requests of callers.
@@ -68,6 +84,7 @@
         call: CallHeaders,
         identity: RequestIdentity,
         source: Source,
+        prefix_holder: Option<BackendServerId>,
         record: Rc<RequestRecord>,
     ) -> Result<Response<Body>> {
         let routes = self.gateway.routes();
@@ -103,7 +120,7 @@
             is_relayed: matches!(source, Source::Peer { .. }),
             reservation: None,
             deadline,
-            prefix_holder: None,
+            prefix_holder,
             origin: OriginConstraint::default(),
             record: record.clone(),
             attempts: AttemptCounts::default(),
@@ -120,10 +137,7 @@
             RouteKind::Stream | RouteKind::ResumableStream
         );
         let unsaved_turn = match is_stream {
-            true => {
-                let earlier_records = source.earlier_records();
-                self.prepare_turn(&mut forwarder, earlier_records).await?
-            }
+            true => self.prepare_turn(&mut forwarder, source).await?,
             false => None,
         };
         match forwarder.send(last_event_id).await? {
@@ -135,7 +149,7 @@
             ServerResponse::Stream(head, upstream) => {
                 let (sender, body) = Body::stream();
                 let stream = StreamTask {
-                    tokens_per_event: tokens_per_event(&forwarder),
+                    tokens_per_event: forwarder.tokens_per_event(),
                     forwarder,
                     upstream,
                     sender,
@@ -187,11 +201,12 @@
     async fn prepare_turn(
         &self,
         forwarder: &mut RequestForwarder,
-        earlier_records: EarlierRecords,
+        source: Source,
     ) -> Result<Option<UnsavedTurn>> {
         let origins = &self.gateway.stream_origins;
         let (route, call) = (&forwarder.route, &forwarder.call);
         let deadline = forwarder.deadline;
+        let earlier_records = source.earlier_records();
         let origin = OriginConstraint::new(route, call, earlier_records, origins, deadline);
         forwarder.origin = origin.await?;
         if let Some(origin) = forwarder.origin.required() {
@@ -200,20 +215,25 @@
         }
         let is_new = forwarder.call.last_event_id.is_none();
         let may_be_resumed = is_new && forwarder.route.kind == RouteKind::ResumableStream;
-        let proposed_origin = may_be_resumed.then(|| forwarder.predict_origin()).flatten();
+        let reservation_request = source.reserves_tokens().then(|| ReservationRequest {
+            part: turn_part(&forwarder.route, &forwarder.call),
+            proposed_origin: may_be_resumed.then(|| forwarder.predict_origin()).flatten(),
+        });
         let input = std::mem::take(&mut forwarder.body);
         let prepared = turn::prepare(
             &self.gateway,
             &forwarder.route,
             &forwarder.call,
             input,
-            proposed_origin,
+            reservation_request,
             forwarder.deadline,
         );
         let prepared = prepared.await?;
         forwarder.record.mark_prepared();
         forwarder.body = prepared.body;
-        forwarder.prefix_holder = prepared.prefix_holder;
+        if source.reserves_tokens() {
+            forwarder.prefix_holder = prepared.prefix_holder;
+        }
         forwarder.origin.program_origin = prepared.stream_origin;
         forwarder.reservation = prepared.reservation;
         Ok(prepared.unsaved_turn)
@@ -222,7 +242,7 @@
 
 impl Handler for GatewayDispatcher {
     async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
-        self.serve(request, Source::Caller).await
+        self.serve(request, Source::Caller, None).await
     }
 }
 
@@ -232,11 +252,18 @@
         let source = Source::Peer {
             attempts_left: relayed.attempts_left,
             earlier_records: EarlierRecords::of_relayed(relayed.origin_recorders),
+            are_tokens_reserved: relayed.are_tokens_reserved,
         };
-        self.serve(relayed.request, source).await
+        self.serve(relayed.request, source, relayed.prefix_holder)
+            .await
     }
 
-    async fn serve(&self, request: Request<Bytes>, source: Source) -> Response<Body> {
+    async fn serve(
+        &self,
+        request: Request<Bytes>,
+        source: Source,
+        prefix_holder: Option<BackendServerId>,
+    ) -> Response<Body> {
         let call = CallHeaders::decode(request.headers());
         let program_id = call
             .program
@@ -258,7 +285,14 @@
         if let Source::Peer { .. } = source {
             record.note("relayed by a gateway without a path to servers");
         }
-        let response = self.respond(request, call, identity, source, record.clone());
+        let response = self.respond(
+            request,
+            call,
+            identity,
+            source,
+            prefix_holder,
+            record.clone(),
+        );
         match response.await {
             Ok(response) => response,
             Err(error) => {
@@ -292,6 +326,20 @@
     }
 }
 
+/// The place of a request in its turn; `None` if the turn cannot be taken up.
+fn turn_part(route: &RouteRecord, call: &CallHeaders) -> Option<TurnPart> {
+    let is_rest = call.last_event_id.is_some();
+    let turn_id = match is_rest {
+        true => call.resumed_request_id.as_ref(),
+        false => call.request_id.as_ref(),
+    };
+    let turn_id = turn_id.filter(|_| route.kind == RouteKind::ResumableStream)?;
+    Some(TurnPart {
+        turn_id: turn_id.clone(),
+        is_rest,
+    })
+}
+
 fn find_route(routes: &RouteTable, request: &Request<Bytes>) -> Result<RouteRecord> {
     let host = request
         .headers()
@@ -315,15 +363,3 @@
     };
     started_at + timeout
 }
-
-fn tokens_per_event(forwarder: &RequestForwarder) -> u64 {
-    let targets = forwarder.route.targets.iter();
-    let services = targets.filter_map(|target| forwarder.routes.service(&target.service));
-    let engines = services.filter_map(|service| service.engine.as_ref());
-    // The server is not chosen yet. If the services of the route differ, the largest value ensures
-    // that the budget is not exceeded.
-    engines
-        .map(|engine| engine.tokens_per_event)
-        .max()
-        .unwrap_or(0)
-}
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -181,6 +181,19 @@
         }
     }
 
+    /// Tokens in each event of a stream.
+    pub fn tokens_per_event(&self) -> u64 {
+        let targets = self.route.targets.iter();
+        let services = targets.filter_map(|target| self.routes.service(&target.service));
+        let engines = services.filter_map(|service| service.engine.as_ref());
+        // The server may not be chosen yet. If the services of the route differ, the largest value
+        // ensures that the budget is not exceeded.
+        engines
+            .map(|engine| engine.tokens_per_event)
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Whether a peer must serve the request, because this gateway reaches no server.
     pub fn must_relay(&self) -> bool {
         let may_run_again = !self.attempts.may_have_run || retry::is_retryable(self.route.kind);
--- a/src/request/gateway/relay.rs
+++ b/src/request/gateway/relay.rs
@@ -24,8 +24,9 @@
 use super::retry::{self, RetryDecision};
 use crate::connection::body::BodySender;
 use crate::connection::http_client::{ClientError, Result as ClientResult};
+use crate::connection::sse::EventSplitter;
 use crate::error::{Error, ErrorKind, Result};
-use crate::process::gateway::peers;
+use crate::process::gateway::peers::{self, RelayTerms};
 
 /// Peers that are asked to take a request. Those that do not take it answer at once.
 const MAX_PEERS: usize = 3;
@@ -48,6 +49,8 @@
     /// The peer refused a request that a server may have run before, so the refusal must not reach the
     /// caller: it says that the request did not run.
     RefusedAgain(String),
+    /// The peer is of an earlier build and has not read the request.
+    TermsNotUnderstood,
     /// No server has run the request.
     NotTaken {
         reason: String,
@@ -95,8 +98,12 @@
     /// Sends the request through a peer. `last_event_id` is the last event that the caller has
     /// received.
     pub(super) async fn relay(&mut self, last_event_id: Option<u64>) -> Result<Response<Incoming>> {
-        // The peer admits the turn, with what this gateway has not spent.
-        self.reservation = None;
+        // A peer that begins the stream admits the turn, because it needs what the account knows of
+        // the program. The rest of a stream keeps the tokens that it was admitted with: the budget may
+        // be spent by now.
+        if last_event_id.is_none() {
+            self.reservation = None;
+        }
         let server_path = self.gateway.server_path.clone();
         if let Some(response) = self.relay_to_helpers(last_event_id).await? {
             return Ok(response);
@@ -123,7 +130,13 @@
         let (kind, max_attempts) = (self.route.kind, self.route.max_attempts);
         for peer in server_path.helpers().into_iter().take(MAX_PEERS) {
             let attempts = self.attempts.left_to_peer(kind, max_attempts);
-            let reason = match self.attempt_at_peer(peer, attempts, last_event_id).await {
+            let mut outcome = self.attempt_at_peer(peer, attempts, last_event_id).await;
+            if matches!(outcome, PeerOutcome::TermsNotUnderstood) && self.reservation.is_some() {
+                // A gateway of an earlier build reserves the tokens itself.
+                self.reservation = None;
+                outcome = self.attempt_at_peer(peer, attempts, last_event_id).await;
+            }
+            let reason = match outcome {
                 PeerOutcome::Answered(response) => {
                     self.record.note(format!("relayed through {peer}"));
                     return Ok(Some(response));
@@ -131,6 +144,12 @@
                 PeerOutcome::RefusedAgain(reason) => {
                     return Err(in_doubt_error(&format!("relayed: {reason}")));
                 }
+                PeerOutcome::TermsNotUnderstood => {
+                    let reason = "its build does not know the order of origins";
+                    self.record.note(format!("{peer}: {reason}"));
+                    server_path.remove_helper(peer);
+                    continue;
+                }
                 PeerOutcome::NotTaken {
                     reason,
                     may_have_recorded_origin,
@@ -165,11 +184,16 @@
         attempts: u32,
         last_event_id: Option<u64>,
     ) -> PeerOutcome {
-        let origin_recorders = match self.begins_stream(last_event_id) {
-            true => self.origin.gateways_before_peer(),
-            false => 0,
+        let terms = RelayTerms {
+            attempts_left: attempts,
+            origin_recorders: match self.begins_stream(last_event_id) {
+                true => self.origin.gateways_before_peer(),
+                false => 0,
+            },
+            are_tokens_reserved: self.reservation.is_some(),
+            prefix_holder: self.prefix_holder.as_deref(),
         };
-        let sent = self.send_to_peer(peer, attempts, origin_recorders, last_event_id);
+        let sent = self.send_to_peer(peer, terms, last_event_id);
         let mut response = match sent.await {
             Ok(response) => response,
             Err(error) if error.is_not_sent() => {
@@ -180,12 +204,9 @@
             }
             Err(error) => return PeerOutcome::Failed(error.to_string()),
         };
-        let knows_origin_recorders = peers::take_origin_recorders_known(&mut response);
-        if origin_recorders > 0 && !knows_origin_recorders {
-            return PeerOutcome::NotTaken {
-                reason: "its build does not record the order of origins".to_string(),
-                may_have_recorded_origin: false,
-            };
+        let are_terms_understood = peers::take_terms_understood(&mut response);
+        if terms.must_be_understood() && !are_terms_understood {
+            return PeerOutcome::TermsNotUnderstood;
         }
         if peers::is_not_taken(&response) {
             return PeerOutcome::NotTaken {
@@ -213,8 +234,7 @@
     async fn send_to_peer(
         &self,
         peer: SocketAddr,
-        attempts: u32,
-        origin_recorders: u32,
+        terms: RelayTerms<'_>,
         last_event_id: Option<u64>,
     ) -> ClientResult<Response<Incoming>> {
         let time_left = self.deadline.saturating_duration_since(Instant::now());
@@ -222,12 +242,13 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.relayed_headers(last_event_id);
-        let wrapped = peers::wrap_request(request, self.caller_address, attempts, origin_recorders);
+        let wrapped = peers::wrap_request(request, self.caller_address, terms);
         let Some(request) = wrapped else {
             let reason = "the request cannot be relayed".to_string();
             return Err(ClientError::NotSent(reason));
         };
         let attempts_left = self.attempts.left(self.route.max_attempts);
+        let attempts = terms.attempts_left;
         let head_timeout =
             retry::response_head_timeout(self.route.kind, attempts, attempts_left, time_left);
         self.gateway.http.send(peer, request, head_timeout).await
@@ -243,13 +264,16 @@
         }
     }
 
-    /// Passes the body of a relayed stream on to the caller until it ends.
+    /// Passes the body of a relayed stream on to the caller until it ends, and counts its tokens if the
+    /// peer does not.
     pub(super) async fn pass_on_body(
         &self,
         mut body: Incoming,
         sender: &mut BodySender,
     ) -> std::result::Result<(), BodyEnd> {
         let timer = &self.gateway.timer;
+        let tokens_per_event = self.tokens_per_event();
+        let mut splitter = EventSplitter::default();
         loop {
             let frame = {
                 let read = timer.timeout_at(self.deadline, body.frame());
@@ -265,6 +289,12 @@
                 Ok(Some(Ok(frame))) => frame.into_data(),
             };
             let Ok(chunk) = chunk else { continue };
+            if let Some(reservation) = &self.reservation {
+                let events = splitter
+                    .push(&chunk)
+                    .map_err(|error| BodyEnd::Failed(error.to_string()))?;
+                reservation.spend(events.len() as u64 * tokens_per_event);
+            }
             // A caller that does not read must not keep the request alive beyond its deadline.
             match timer.timeout_at(self.deadline, sender.send(chunk)).await {
                 Ok(Ok(())) => {}
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -224,7 +224,7 @@
         }
     }
 
-    /// Passes on the rest of a stream that a peer serves, which also charges its events.
+    /// Passes on the rest of a stream that a peer serves.
     async fn pass_on_rest(mut self, rest: Incoming) {
         match self.forwarder.pass_on_body(rest, &mut self.sender).await {
             Ok(()) => {
@@ -271,7 +271,9 @@
     }
 
     /// Aborts the response body, so that the caller does not take it for complete.
-    async fn abort_stream(self, reason: &str) {
+    async fn abort_stream(mut self, reason: &str) {
+        // The account hears of it before the caller does, who may take the stream up at once.
+        self.forwarder.reservation = None;
         self.forwarder
             .record
             .finish(200, format!("stream broken off: {reason}"));
--- a/src/request/gateway/turn.rs
+++ b/src/request/gateway/turn.rs
@@ -14,7 +14,7 @@
     AdmittedTurn, Reservation, ReservationOutcome, TurnAdmission,
 };
 use crate::process::gateway::history::{Lookup, TurnChain};
-use crate::process::gateway::ledger::TurnBudget;
+use crate::process::gateway::ledger::{TurnBudget, TurnPart};
 use crate::process::gateway::running::Gateway;
 use crate::process::gateway::store::StoreError;
 use crate::process::gateway::stream_origins::StreamOrigin;
@@ -50,7 +50,15 @@
     Error::new(ErrorKind::PlatformUnavailable, message).with_cause(error)
 }
 
-/// Reserves the tokens of a turn and loads its history. The gateway that owns the account of the
+/// What an account needs to know to reserve the tokens of a turn, beside its budget.
+pub struct ReservationRequest {
+    /// The place of the request in its turn, if the turn may be taken up again.
+    pub part: Option<TurnPart>,
+    /// Where the turn will begin if it can be resumed later, as far as that can be predicted.
+    pub proposed_origin: Option<StreamOrigin>,
+}
+
+/// Reserves the tokens of a turn, unless another gateway has, and loads its history. The gateway that owns the account of the
 /// program often has the history in memory and returns it with the reservation. Only if it does
 /// not is the history loaded here, from the cache of this gateway or the store.
 pub async fn prepare(
@@ -58,19 +66,20 @@
     route: &RouteRecord,
     headers: &CallHeaders,
     input: Bytes,
-    proposed_origin: Option<StreamOrigin>,
+    reservation_request: Option<ReservationRequest>,
     deadline: Instant,
 ) -> Result<PreparedTurn> {
-    let budget = turn_budget(headers);
+    let budget = reservation_request.and_then(|request| Some((request, turn_budget(headers)?)));
     if route.has_stored_history && !gateway.store.is_available() {
         return Err(store_unavailable_error(StoreError::Outage));
     }
     let previous = headers.previous_turn_id.as_deref();
     let previous = previous.filter(|_| route.has_stored_history);
-    let admission = budget.map(|turn| TurnAdmission {
+    let admission = budget.map(|(request, turn)| TurnAdmission {
         turn,
+        part: request.part,
         previous_turn_id: previous,
-        proposed_origin,
+        proposed_origin: request.proposed_origin,
         deadline,
     });
     let admitted = reserve_budget(gateway, admission).await?;
--- a/tests/gateway_account.rs
+++ b/tests/gateway_account.rs
@@ -223,3 +223,57 @@
         }
     }
 }
+
+/// An account whose budget a turn in flight has used up, and the grant of the turn.
+fn account_with_last_turn() -> (Account, u64, Instant, Instant) {
+    let (mut account, now, deadline) = new_account();
+    account.extend(BUDGET_TOKENS, 0, TURN_TOKENS);
+    for _ in 0..7 {
+        let Decision::Granted(grant_id) = account.admit(TURN_TOKENS, deadline, now) else {
+            panic!("the reservation covers the turn");
+        };
+        account.settle(grant_id, TURN_TOKENS, now);
+    }
+    let Decision::Granted(grant_id) = account.admit(TURN_TOKENS, deadline, now) else {
+        panic!("the reservation covers the turn");
+    };
+    account.name_turn(grant_id, "last");
+    (account, grant_id, now, deadline)
+}
+
+/// Guards against the refusal of a turn that was admitted, and against tokens that it gets twice.
+#[test]
+fn the_rest_of_a_turn_gets_the_tokens_that_it_has_left() {
+    let (mut account, grant_id, now, deadline) = account_with_last_turn();
+    assert!(account.is_in_flight("last"));
+    assert_eq!(account.admit_rest("last", deadline, now), None);
+    account.settle(grant_id, 30, now);
+    assert!(!account.is_in_flight("last"));
+    let rest = account.admit_rest("last", deadline, now).expect("a rest");
+    assert_eq!(account.admit_rest("last", deadline, now), None);
+    let spent_tokens = BUDGET_TOKENS;
+    let decision = account.admit(TURN_TOKENS, deadline, now);
+    assert_eq!(decision, Decision::Exceeded { spent_tokens });
+    account.settle(rest, 50, now);
+    let rest = account.admit_rest("last", deadline, now).expect("a rest");
+    account.complete(rest);
+    account.settle(rest, 20, now);
+    assert_eq!(account.admit_rest("last", deadline, now), None);
+    let idle_timeout = Duration::from_secs(3);
+    let unused = account.tokens_to_return(idle_timeout, now + idle_timeout);
+    assert_eq!(unused, Some(0));
+}
+
+/// Guards against a budget that is exceeded by more than one turn: another turn has got the tokens that
+/// the interrupted one had left.
+#[test]
+fn the_rest_of_a_turn_is_not_admitted_beyond_the_reservation() {
+    let (mut account, grant_id, now, deadline) = account_with_last_turn();
+    account.settle(grant_id, 30, now);
+    let Decision::Granted(other) = account.admit(70, deadline, now) else {
+        panic!("the reservation covers the turn");
+    };
+    assert_eq!(account.admit_rest("last", deadline, now), None);
+    account.settle(other, 0, now);
+    assert!(account.admit_rest("last", deadline, now).is_some());
+}
--- a/tests/gateway_crash_reports.rs
+++ b/tests/gateway_crash_reports.rs
@@ -12,7 +12,7 @@
     FIRST_REFUSAL_PERIOD, MAX_FINGERPRINTS, RETENTION, Verdict,
 };
 use sapphireford::process::gateway::fingerprint::RequestIdentity;
-use sapphireford::process::gateway::peers::{PeerCall, decode_call, wrap_request};
+use sapphireford::process::gateway::peers::{PeerCall, RelayTerms, decode_call, wrap_request};
 use sapphireford_platform::headers::relayed_request_headers;
 use yare::parameterized;
 
@@ -52,7 +52,13 @@
     request.extensions_mut().insert(CallerAddress(address));
     let time_left = Duration::from_millis(700);
     *relayed.headers_mut() = relayed_request_headers(request.headers(), time_left, None);
-    let relayed = wrap_request(relayed, Some(address), 1, origin_recorders);
+    let terms = RelayTerms {
+        attempts_left: 1,
+        origin_recorders,
+        are_tokens_reserved: false,
+        prefix_holder: None,
+    };
+    let relayed = wrap_request(relayed, Some(address), terms);
     let relayed = relayed.expect("a valid path");
     let Some(PeerCall::Request(relayed)) = decode_call(relayed) else {
         panic!("the request is not decoded as a relayed one");
