Ignore an earlier report of a server that the store writes late

Any row of the same start was adopted, in the order of the store.

A row with a lower number than the last one of the same start is skipped now and logged, for 30 s also after the row was removed. Without a start time it is adopted, because a server that starts again under its id counts anew.

--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -35,6 +35,9 @@
 /// A row found missing within this time after the store recovers may have expired during the
 /// outage, because its server could not renew it.
 const ROW_EXPIRY_WINDOW: Duration = Duration::from_millis(1_000);
+/// Time for which the last report of a server is known after its row was removed. The store performs
+/// a write whose answer was lost some seconds later.
+const LATE_WRITE_PERIOD: Duration = Duration::from_secs(30);
 /// Time after the recovery of the store within which live servers have renewed their rows.
 const RENEWAL_GRACE_PERIOD: Duration = Duration::from_millis(2_000);
 
@@ -66,6 +69,8 @@
 #[derive(Default)]
 pub struct Servers {
     by_id: RefCell<IndexMap<BackendServerId, Rc<Server>>>,
+    /// The last reports of servers whose rows were removed, and when.
+    removed: RefCell<IndexMap<BackendServerId, (ServerRecord, Instant)>>,
     /// Whether the table of servers has been read.
     is_loaded: Cell<bool>,
     own_failure_domain: Option<FailureDomainId>,
@@ -80,6 +85,7 @@
     pub fn new(own_failure_domain: FailureDomainId) -> Self {
         Self {
             by_id: RefCell::default(),
+            removed: RefCell::default(),
             is_loaded: Cell::new(false),
             own_failure_domain: Some(own_failure_domain),
             has_rate_limits: Cell::new(false),
@@ -131,15 +137,24 @@
                 return;
             }
         };
+        if let Some(last_number) = self.later_report(&row.key, &record) {
+            log::warn!(server = row.key, row_version = row.version, state:? = record.state, report = record.report_number, last_report = last_number; "backend server row skipped, it holds an earlier report than the one before: the store has performed a write late");
+            return;
+        }
         let mut by_id = self.by_id.borrow_mut();
         if let Some(known) = by_id.get(row.key.as_str())
             && is_same_instance(&known.record.borrow(), &record)
         {
             known.renewal_deadline.set(None);
-            if *known.record.borrow() != record {
+            let last_number = known.record.borrow().report_number;
+            let numbered_alike = ServerRecord {
+                report_number: last_number,
+                ..record.clone()
+            };
+            if *known.record.borrow() != numbered_alike {
                 log::info!(server = row.key, row_version = row.version, state:? = record.state; "backend server registration changed: state, slots, warm-up, version or failure domain");
-                known.record.replace(record);
             }
+            known.record.replace(record);
             return;
         }
         log::info!(server = row.key, service = record.service, version = record.version, row_version = row.version, state:? = record.state; "backend server registered");
@@ -147,6 +162,22 @@
         by_id.insert(server.id.clone(), Rc::new(server));
     }
 
+    /// The number of the last known report of the same start of a server, if it is higher than that of
+    /// `record`. Without a start time, the server may have started again, and counts anew.
+    fn later_report(&self, id: &str, record: &ServerRecord) -> Option<u64> {
+        let is_later = |known: &ServerRecord| {
+            record.started_unix_ms?;
+            let last_number = known.report_number?;
+            let is_later = is_same_instance(known, record) && record.report_number? < last_number;
+            is_later.then_some(last_number)
+        };
+        if let Some(server) = self.by_id.borrow().get(id) {
+            return is_later(&server.record.borrow());
+        }
+        let removed = self.removed.borrow();
+        removed.get(id).and_then(|(known, _)| is_later(known))
+    }
+
     fn remove(&self, id: &str, store_recovered_at: Option<Instant>, now: Instant) {
         let mut by_id = self.by_id.borrow_mut();
         let Some(server) = by_id.get(id) else {
@@ -167,6 +198,10 @@
             }
             return;
         }
+        let last_report = (server.record.borrow().clone(), now);
+        self.removed
+            .borrow_mut()
+            .insert(server.id.clone(), last_report);
         by_id.shift_remove(id);
         log::info!(server = id; "backend server deregistered: its row was removed");
     }
@@ -186,6 +221,9 @@
     /// several times a second.
     pub fn maintain(&self, now: Instant) {
         self.crash_reports.remove_expired(now);
+        self.removed
+            .borrow_mut()
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < LATE_WRITE_PERIOD);
         let is_limited = |server: &Rc<Server>| server.has_rate_limit();
         let has_rate_limits = self.by_id.borrow().values().any(is_limited);
         self.has_rate_limits.set(has_rate_limits);
--- a/tests/gateway_servers.rs
+++ b/tests/gateway_servers.rs
@@ -6,6 +6,8 @@
 use sapphireford::process::gateway::watch::TableChange;
 use sapphireford_platform::answer::RateLimitStatement;
 use sapphireford_platform::store::Row;
+use serde_json::{Value, json};
+use yare::parameterized;
 
 fn server_row(id: &str, state: &str, version: u64) -> Row {
     let value = format!(
@@ -19,6 +21,19 @@
     }
 }
 
+/// The row that a server writes with its report of this number; a `born` of 0 is left out.
+fn report(id: &str, born: u64, number: u64, state: &str) -> TableChange {
+    let row = server_row(id, state, 1);
+    let value = row.value.expect("a value");
+    let mut value: Value = serde_json::from_slice(&value).expect("a row");
+    value["born"] = json!((born > 0).then_some(born));
+    value["seq"] = json!(number);
+    TableChange::Rows(vec![Row {
+        value: Some(value.to_string().into()),
+        ..row
+    }])
+}
+
 fn removed_row(id: &str) -> Row {
     Row {
         key: id.to_string(),
@@ -220,3 +235,38 @@
     assert_eq!(shared.len(), 64);
     assert!(shared.iter().all(|load| load.age_ms <= 64));
 }
+
+/// Guards against requests to a server that drains or has left, because the store performs the write of
+/// an earlier report late.
+#[parameterized(
+    draining = { Some("draining"), 1, 3, 0 },
+    draining_without_a_start_time = { Some("draining"), 0, 3, 1 },
+    removed = { None, 1, 3, 0 },
+    draining_and_started_again = { Some("draining"), 2, 0, 1 },
+    removed_and_started_again = { None, 2, 0, 1 },
+    removed_and_back = { None, 1, 7, 1 },
+)]
+fn an_earlier_report_of_a_server_is_ignored(
+    last_state: Option<&str>,
+    born: u64,
+    number: u64,
+    expected: usize,
+) {
+    let now = Instant::now();
+    let servers = Servers::new("d1".into());
+    servers.apply(report("i-1", 1, 6, "ready"), None, now);
+    let last = match last_state {
+        Some(state) => report("i-1", 1, 6, state),
+        None => TableChange::Rows(vec![removed_row("i-1")]),
+    };
+    servers.apply(last, None, now);
+    servers.apply(report("i-1", born, number, "ready"), None, now);
+    let all = servers.for_service("llm");
+    let in_service = all.iter().filter(|server| servers.is_in_service(server));
+    assert_eq!(in_service.count(), expected);
+    // Later reports count again.
+    servers.apply(report("i-1", born, 8, "draining"), None, now);
+    servers.apply(report("i-1", born, 9, "ready"), None, now);
+    let all = servers.for_service("llm");
+    assert!(all.iter().any(|server| servers.is_in_service(server)));
+}
