Follow the change feed from the first page of a read

Cause: a read of several pages returned the version of its last page, and the feed was followed from there. A row of an earlier page that changes before the last page is read is neither in the pages as changed nor in the feed.

The read has the version of its first page now.

--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -235,6 +235,9 @@
     }
 
     /// Reads all rows of a partition whose keys start with `prefix`, page by page.
+    ///
+    /// The version is that of the first page, because a row of it may change while the others are read.
+    /// The changes after this version bring the rows up to date; some of them are in the rows already.
     pub async fn read_all(
         &self,
         table: &str,
@@ -244,17 +247,19 @@
     ) -> Result<RowPage> {
         let mut rows = Vec::new();
         let mut after: Option<String> = None;
+        let mut first_version = None;
         loop {
             let request = format::read_range_request(table, partition, prefix, after.as_deref())?;
             let response = self.call(request, Duration::ZERO, deadline).await?;
             let page = decode_rows(&response)?;
+            let version = *first_version.get_or_insert(page.version);
             let is_last = !page.has_more || page.rows.is_empty();
             rows.extend(page.rows);
             if is_last {
                 return Ok(RowPage {
                     rows,
                     has_more: false,
-                    version: page.version,
+                    version,
                 });
             }
             after = rows.last().map(|row| row.key.clone());
