Charge all events of the rest of a turn

The rest of a turn is admitted with the tokens of all events that the caller does not have by its last event id. If some were lost on their way, these are more than the turn has left; they are reserved, too, as long as all turns together exceed the budget by less than one turn. Otherwise the answer is 402.

gateway_account::the_rest_of_a_turn_does_not_include_events_that_were_sent and events_that_were_lost_are_sent_again_within_one_turn_beyond_the_budget are new; gateway_taken_up_turns has two cases more, and its first part of a turn sends an exact number of events now.

--- a/src/process/gateway/account.rs
+++ b/src/process/gateway/account.rs
@@ -139,24 +139,49 @@
         Decision::Granted(self.grant(None, max_tokens, deadline))
     }
 
-    /// Admits the rest of a turn that was interrupted, with the tokens that it has left; `None` if this
-    /// account knows no such turn, or if the reservation does not cover it any more.
+    /// Admits the rest of a turn that was interrupted, if this account knows of it and the reservation
+    /// covers it. `rest_tokens` are those of the events that the caller does not have; more than the
+    /// turn has left if events were lost on their way, or if a caller takes up what it has.
     ///
-    /// The turn was admitted before, so that the budget is spent does not matter: the sum of all
-    /// reservations exceeds the budget by less than one turn.
+    /// The turn was admitted before, so the budget may be spent. All turns together exceed it by less
+    /// than one turn, with the rest as without it.
     pub fn admit_rest(
         &mut self,
         turn_id: &str,
+        rest_tokens: u64,
         deadline: Instant,
         now: Instant,
-    ) -> Option<GrantId> {
-        let rest_tokens = *self.interrupted.get(turn_id)?;
-        if self.spent_tokens().saturating_add(rest_tokens) > self.reserved_tokens {
-            return None;
+    ) -> Decision {
+        let spent_tokens = self.spent_tokens();
+        let exceeded = Decision::Exceeded {
+            spent_tokens: self.other_gateways_tokens.saturating_add(spent_tokens),
+        };
+        if !self.interrupted.contains_key(turn_id) {
+            return exceeded;
+        }
+        let rest_tokens = rest_tokens.max(self.left_tokens(turn_id));
+        let needed_tokens = spent_tokens.saturating_add(rest_tokens);
+        if needed_tokens > self.reserved_tokens {
+            return match self.may_run_rest(rest_tokens) {
+                true => Decision::NeedsTokens(needed_tokens - self.reserved_tokens),
+                false => exceeded,
+            };
         }
         self.interrupted.shift_remove(turn_id);
         self.last_used = now;
-        Some(self.grant(Some(turn_id.to_string()), rest_tokens, deadline))
+        Decision::Granted(self.grant(Some(turn_id.to_string()), rest_tokens, deadline))
+    }
+
+    /// The tokens that an interrupted turn has left, 0 if this account knows of none.
+    pub fn left_tokens(&self, turn_id: &str) -> u64 {
+        self.interrupted.get(turn_id).copied().unwrap_or(0)
+    }
+
+    /// Whether the rest of a turn leaves the budget exceeded by less than one turn.
+    fn may_run_rest(&self, rest_tokens: u64) -> bool {
+        let spent_tokens = self.spent_tokens().saturating_add(rest_tokens);
+        let total_tokens = self.other_gateways_tokens.saturating_add(spent_tokens);
+        total_tokens < self.budget_tokens.saturating_add(self.largest_turn_tokens)
     }
 
     fn grant(&mut self, turn_id: Option<TurnId>, max_tokens: u64, deadline: Instant) -> GrantId {
@@ -210,18 +235,48 @@
         added_tokens: u64,
         other_gateways_tokens: u64,
         max_tokens: u64,
+    ) -> u64 {
+        let total_tokens = other_gateways_tokens.saturating_add(self.spent_tokens());
+        let may_run = total_tokens < self.budget_tokens;
+        self.add_row(
+            added_tokens,
+            other_gateways_tokens,
+            if may_run { max_tokens } else { 0 },
+        )
+    }
+
+    /// Like [`Account::extend`], for the rest of an interrupted turn.
+    pub fn extend_for_rest(
+        &mut self,
+        added_tokens: u64,
+        other_gateways_tokens: u64,
+        rest_tokens: u64,
+    ) -> u64 {
+        self.other_gateways_tokens = other_gateways_tokens;
+        let may_run = self.may_run_rest(rest_tokens);
+        self.add_row(
+            added_tokens,
+            other_gateways_tokens,
+            if may_run { rest_tokens } else { 0 },
+        )
+    }
+
+    /// Adds a row to the reservation. Beyond the budget, only `admitted_tokens` more than those that
+    /// are spent are covered.
+    fn add_row(
+        &mut self,
+        added_tokens: u64,
+        other_gateways_tokens: u64,
+        admitted_tokens: u64,
     ) -> u64 {
         self.other_gateways_tokens = other_gateways_tokens;
-        let spent_tokens = self.spent_tokens();
         let reserved_total = self.reserved_tokens.saturating_add(added_tokens);
         let total_tokens = other_gateways_tokens.saturating_add(reserved_total);
         if total_tokens <= self.budget_tokens {
             self.reserved_tokens = reserved_total;
             return 0;
         }
-        // Beyond the budget, only the turn to be admitted is covered, if it may run at all.
-        let may_run = other_gateways_tokens.saturating_add(spent_tokens) < self.budget_tokens;
-        let needed_tokens = spent_tokens.saturating_add(if may_run { max_tokens } else { 0 });
+        let needed_tokens = self.spent_tokens().saturating_add(admitted_tokens);
         let retained_tokens = needed_tokens.clamp(self.reserved_tokens, reserved_total);
         self.reserved_tokens = retained_tokens;
         reserved_total - retained_tokens
--- a/src/process/gateway/ledger.rs
+++ b/src/process/gateway/ledger.rs
@@ -49,8 +49,8 @@
 pub struct TurnPart {
     /// Id of the attempt that began the turn.
     pub turn_id: TurnId,
-    /// Whether the caller has events of the turn, and takes it up.
-    pub is_rest: bool,
+    /// Tokens of the events that the caller does not have, if it takes the turn up.
+    pub rest_tokens: Option<u64>,
 }
 
 /// The result of the admission of a turn.
@@ -125,10 +125,12 @@
         deadline: Instant,
     ) -> Result<Admission> {
         let program = self.program_state(turn);
-        let rest_of = part.filter(|part| part.is_rest).map(|part| &part.turn_id);
-        if let Some(turn_id) = rest_of {
+        let rest = part.and_then(|part| Some((part.turn_id.as_str(), part.rest_tokens?)));
+        if let Some((turn_id, rest_tokens)) = rest {
             let mut account = program.account.borrow_mut();
-            if let Some(grant_id) = account.admit_rest(turn_id, deadline, Instant::now()) {
+            let now = Instant::now();
+            let decision = account.admit_rest(turn_id, rest_tokens, deadline, now);
+            if let Decision::Granted(grant_id) = decision {
                 return Ok(Admission::Granted(grant_id));
             }
         }
@@ -148,55 +150,89 @@
                     return Ok(Admission::Granted(grant_id));
                 }
                 Decision::Exceeded { spent_tokens } => {
-                    let grant_id = match rest_of {
-                        Some(turn_id) => self.await_rest(&program, turn_id, deadline).await,
-                        None => None,
+                    let Some((turn_id, rest_tokens)) = rest else {
+                        return Ok(Admission::Exceeded { spent_tokens });
                     };
-                    return Ok(match grant_id {
-                        Some(grant_id) => Admission::Granted(grant_id),
-                        None => Admission::Exceeded { spent_tokens },
-                    });
+                    let program_id = &turn.program_id;
+                    let rest =
+                        self.admit_rest(program_id, &program, turn_id, rest_tokens, deadline);
+                    return rest.await;
                 }
                 Decision::NeedsTokens(needed_tokens) => needed_tokens,
             };
-            if now >= deadline || !self.shared.store.is_available() {
-                return Err(StoreError::Outage);
-            }
-            if program.is_extending.get() {
-                let seen = program.changed.changes();
-                let changed = program.changed.changed_since(seen);
-                let timer = self.shared.store.timer();
-                // A timeout needs no handling: the check of the deadline above ends the loop.
-                let _ = timer.timeout_at(deadline, changed).await;
-                continue;
-            }
             let extension = Extension {
                 added_tokens: needed_tokens,
-                max_tokens: turn.max_tokens,
+                purpose: Purpose::Turn(turn.max_tokens),
                 proposed_origin,
             };
-            self.extend(&turn.program_id, &program, extension, deadline)
+            self.make_room(&turn.program_id, &program, extension, deadline)
                 .await?;
         }
     }
 
-    /// Admits the rest of a turn when the end of its first part has been reported; `None` if that
-    /// takes too long.
-    async fn await_rest(
+    /// Extends the reservation for a turn that waits, or waits for an extension that is in progress. The
+    /// turn must be decided again then.
+    async fn make_room(
         &self,
-        program: &ProgramState,
+        program_id: &str,
+        program: &Rc<ProgramState>,
+        extension: Extension,
+        deadline: Instant,
+    ) -> Result<()> {
+        if Instant::now() >= deadline || !self.shared.store.is_available() {
+            return Err(StoreError::Outage);
+        }
+        if program.is_extending.get() {
+            let seen = program.changed.changes();
+            let changed = program.changed.changed_since(seen);
+            let timer = self.shared.store.timer();
+            // A timeout needs no handling: the check of the deadline above ends the wait.
+            let _ = timer.timeout_at(deadline, changed).await;
+            return Ok(());
+        }
+        self.extend(program_id, program, extension, deadline).await
+    }
+
+    /// Admits the rest of an interrupted turn of a program whose budget is spent.
+    async fn admit_rest(
+        &self,
+        program_id: &str,
+        program: &Rc<ProgramState>,
         turn_id: &str,
+        rest_tokens: u64,
         deadline: Instant,
-    ) -> Option<GrantId> {
+    ) -> Result<Admission> {
         let ended = program
             .settled
             .until(|| !program.account.borrow().is_in_flight(turn_id));
-        // The gateway that served the first part may be dead, so its tokens stay reserved.
         let wait_end = deadline.min(Instant::now() + INTERRUPTION_TIMEOUT);
         let timer = self.shared.store.timer();
-        timer.timeout_at(wait_end, ended).await.ok()?;
-        let mut account = program.account.borrow_mut();
-        account.admit_rest(turn_id, deadline, Instant::now())
+        // If the gateway that served the first part is dead, its tokens stay reserved, and the account
+        // knows of no interruption.
+        let _ = timer.timeout_at(wait_end, ended).await;
+        loop {
+            let (decision, left_tokens) = {
+                let mut account = program.account.borrow_mut();
+                let left_tokens = account.left_tokens(turn_id);
+                let now = Instant::now();
+                let decision = account.admit_rest(turn_id, rest_tokens, deadline, now);
+                (decision, left_tokens)
+            };
+            let added_tokens = match decision {
+                Decision::Granted(grant_id) => return Ok(Admission::Granted(grant_id)),
+                Decision::Exceeded { spent_tokens } => {
+                    return Ok(Admission::Exceeded { spent_tokens });
+                }
+                Decision::NeedsTokens(added_tokens) => added_tokens,
+            };
+            let extension = Extension {
+                added_tokens,
+                purpose: Purpose::Rest(rest_tokens.max(left_tokens)),
+                proposed_origin: None,
+            };
+            self.make_room(program_id, program, extension, deadline)
+                .await?;
+        }
     }
 
     /// The server that completed the last turn of a program; `None` if the program has no account
@@ -304,7 +340,7 @@
             let deadline = Instant::now() + BACKGROUND_EXTENSION_TIMEOUT;
             let extension = Extension {
                 added_tokens: tokens,
-                max_tokens: 0,
+                purpose: Purpose::Ahead,
                 proposed_origin: None,
             };
             let extended = ledger.extend(&program_id, &program, extension, deadline);
@@ -325,7 +361,7 @@
     ) -> Result<()> {
         let Extension {
             added_tokens,
-            max_tokens,
+            purpose,
             proposed_origin,
         } = extension;
         let _guard = ExtensionGuard::start(program);
@@ -353,7 +389,15 @@
         let others = page.rows.iter().filter(|row| !is_own(&row.key));
         let other_gateways_tokens = others.map(decode_tokens).fold(0, u64::saturating_add);
         let account = &mut program.account.borrow_mut();
-        let returned_tokens = account.extend(added_tokens, other_gateways_tokens, max_tokens);
+        let returned_tokens = match purpose {
+            Purpose::Turn(max_tokens) => {
+                account.extend(added_tokens, other_gateways_tokens, max_tokens)
+            }
+            Purpose::Rest(rest_tokens) => {
+                account.extend_for_rest(added_tokens, other_gateways_tokens, rest_tokens)
+            }
+            Purpose::Ahead => account.extend(added_tokens, other_gateways_tokens, 0),
+        };
         let retained_tokens = added_tokens - returned_tokens;
         own_rows.push((row.clone(), retained_tokens));
         if returned_tokens > 0 {
@@ -423,12 +467,21 @@
 /// An extension of the reservation of an account.
 struct Extension {
     added_tokens: u64,
-    /// The most tokens of the turn that waits, 0 if none does.
-    max_tokens: u64,
+    purpose: Purpose,
     /// The origin of the program's streams if they have none yet.
     proposed_origin: Option<StreamOrigin>,
 }
 
+/// What waits for an extension.
+enum Purpose {
+    /// A turn with this maximum of tokens.
+    Turn(u64),
+    /// The rest of an interrupted turn.
+    Rest(u64),
+    /// Nothing: the tokens are reserved ahead.
+    Ahead,
+}
+
 /// A row that may become durable even if its write fails or is cancelled. Dropping it sets the row
 /// to 0 tokens unless the account counts them.
 struct PendingRow<'a> {
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -216,7 +216,7 @@
         let is_new = forwarder.call.last_event_id.is_none();
         let may_be_resumed = is_new && forwarder.route.kind == RouteKind::ResumableStream;
         let reservation_request = source.reserves_tokens().then(|| ReservationRequest {
-            part: turn_part(&forwarder.route, &forwarder.call),
+            part: turn_part(forwarder),
             proposed_origin: may_be_resumed.then(|| forwarder.predict_origin()).flatten(),
         });
         let input = std::mem::take(&mut forwarder.body);
@@ -327,16 +327,21 @@
 }
 
 /// The place of a request in its turn; `None` if the turn cannot be taken up.
-fn turn_part(route: &RouteRecord, call: &CallHeaders) -> Option<TurnPart> {
-    let is_rest = call.last_event_id.is_some();
-    let turn_id = match is_rest {
-        true => call.resumed_request_id.as_ref(),
-        false => call.request_id.as_ref(),
+fn turn_part(forwarder: &RequestForwarder) -> Option<TurnPart> {
+    let call = &forwarder.call;
+    let turn_id = match call.last_event_id {
+        None => call.request_id.as_ref(),
+        Some(_) => call.resumed_request_id.as_ref(),
     };
-    let turn_id = turn_id.filter(|_| route.kind == RouteKind::ResumableStream)?;
+    let turn_id = turn_id.filter(|_| forwarder.route.kind == RouteKind::ResumableStream)?;
+    // Events are numbered from 1.
+    let rest_tokens = call.last_event_id.map(|last| {
+        let sent_tokens = last.saturating_mul(forwarder.tokens_per_event());
+        call.prompt.max_output_tokens.saturating_sub(sent_tokens)
+    });
     Some(TurnPart {
         turn_id: turn_id.clone(),
-        is_rest,
+        rest_tokens,
     })
 }
 
--- a/tests/gateway_account.rs
+++ b/tests/gateway_account.rs
@@ -224,6 +224,18 @@
     }
 }
 
+fn admit_rest(
+    account: &mut Account,
+    rest_tokens: u64,
+    deadline: Instant,
+    now: Instant,
+) -> Option<u64> {
+    match account.admit_rest("last", rest_tokens, deadline, now) {
+        Decision::Granted(grant_id) => Some(grant_id),
+        _ => None,
+    }
+}
+
 /// An account whose budget a turn in flight has used up, and the grant of the turn.
 fn account_with_last_turn() -> (Account, u64, Instant, Instant) {
     let (mut account, now, deadline) = new_account();
@@ -246,19 +258,19 @@
 fn the_rest_of_a_turn_gets_the_tokens_that_it_has_left() {
     let (mut account, grant_id, now, deadline) = account_with_last_turn();
     assert!(account.is_in_flight("last"));
-    assert_eq!(account.admit_rest("last", deadline, now), None);
+    assert_eq!(admit_rest(&mut account, 70, deadline, now), None);
     account.settle(grant_id, 30, now);
     assert!(!account.is_in_flight("last"));
-    let rest = account.admit_rest("last", deadline, now).expect("a rest");
-    assert_eq!(account.admit_rest("last", deadline, now), None);
+    let rest = admit_rest(&mut account, 70, deadline, now).expect("a rest");
+    assert_eq!(admit_rest(&mut account, 70, deadline, now), None);
     let spent_tokens = BUDGET_TOKENS;
     let decision = account.admit(TURN_TOKENS, deadline, now);
     assert_eq!(decision, Decision::Exceeded { spent_tokens });
     account.settle(rest, 50, now);
-    let rest = account.admit_rest("last", deadline, now).expect("a rest");
+    let rest = admit_rest(&mut account, 20, deadline, now).expect("a rest");
     account.complete(rest);
     account.settle(rest, 20, now);
-    assert_eq!(account.admit_rest("last", deadline, now), None);
+    assert_eq!(admit_rest(&mut account, 0, deadline, now), None);
     let idle_timeout = Duration::from_secs(3);
     let unused = account.tokens_to_return(idle_timeout, now + idle_timeout);
     assert_eq!(unused, Some(0));
@@ -273,7 +285,48 @@
     let Decision::Granted(other) = account.admit(70, deadline, now) else {
         panic!("the reservation covers the turn");
     };
-    assert_eq!(account.admit_rest("last", deadline, now), None);
+    assert_eq!(admit_rest(&mut account, 70, deadline, now), None);
     account.settle(other, 0, now);
-    assert!(account.admit_rest("last", deadline, now).is_some());
+    assert!(admit_rest(&mut account, 70, deadline, now).is_some());
+}
+
+/// Guards against a program that gets tokens for free by taking up events that it has.
+#[test]
+fn the_rest_of_a_turn_does_not_include_events_that_were_sent() {
+    let (mut account, grant_id, now, deadline) = account_with_last_turn();
+    account.settle(grant_id, 30, now);
+    assert_eq!(admit_rest(&mut account, 71, deadline, now), None);
+    assert_eq!(admit_rest(&mut account, TURN_TOKENS, deadline, now), None);
+    let rest = admit_rest(&mut account, 70, deadline, now).expect("a rest");
+    account.settle(rest, 70, now);
+    assert_eq!(admit_rest(&mut account, 1, deadline, now), None);
+}
+
+/// Guards against the refusal of a turn some of whose events were lost on their way, and against a
+/// budget that is exceeded by more than one turn because of them.
+#[test]
+fn events_that_were_lost_are_sent_again_within_one_turn_beyond_the_budget() {
+    let (mut account, now, deadline) = new_account();
+    account.extend(BUDGET_TOKENS, 0, TURN_TOKENS);
+    for _ in 0..7 {
+        let Decision::Granted(grant_id) = account.admit(TURN_TOKENS, deadline, now) else {
+            panic!("the reservation covers the turn");
+        };
+        account.settle(grant_id, TURN_TOKENS - 5, now);
+    }
+    let Decision::Granted(grant_id) = account.admit(TURN_TOKENS, deadline, now) else {
+        panic!("the reservation covers the turn");
+    };
+    account.name_turn(grant_id, "last");
+    account.settle(grant_id, 90, now);
+    // 755 tokens are spent, and 899 may be.
+    let exceeded = Decision::Exceeded { spent_tokens: 755 };
+    assert_eq!(account.admit_rest("last", 145, deadline, now), exceeded);
+    let decision = account.admit_rest("last", 144, deadline, now);
+    assert_eq!(decision, Decision::NeedsTokens(99));
+    assert_eq!(account.extend_for_rest(99, 0, 144), 0);
+    assert!(admit_rest(&mut account, 144, deadline, now).is_some());
+    // Another gateway has extended its reservation meanwhile.
+    account.extend_for_rest(99, 800, 10);
+    assert_eq!(admit_rest(&mut account, 10, deadline, now), None);
 }
--- a/tests/gateway_taken_up_turns.rs
+++ b/tests/gateway_taken_up_turns.rs
@@ -12,6 +12,7 @@
 use sapphireford_standin::harness::{
     EventStream, GatewayProcess, GatewaySite, HttpRequest, TOKENS_PER_EVENT,
 };
+use serde_json::json;
 use server_paths::{Cut, cut_off, find_out};
 use yare::parameterized;
 
@@ -48,12 +49,20 @@
     events.into_iter().map(|event| event.data).collect()
 }
 
-/// Begins a turn that uses the budget up, and breaks it off after some events.
-fn broken_off_turn(gateway: &GatewayProcess) -> (String, Vec<String>) {
+/// Begins a turn at the first gateway that uses the budget up, and breaks it off after some events. The
+/// servers send no others.
+fn broken_off_turn(site: &GatewaySite) -> (String, Vec<String>) {
+    let control = |control| {
+        let engines = site.engines.iter();
+        engines.for_each(|engine| engine.process.control(&control));
+    };
+    control(json!({ "stall_after_events": EVENTS_BEFORE_BREAK }));
     let id = new_request_id();
-    let mut stream = open(gateway, &request(&id, SMALL_BUDGET_TOKENS));
+    let mut stream = open(&site.gateways[0], &request(&id, SMALL_BUDGET_TOKENS));
     assert_eq!(stream.status(), 200);
     let received = next_events(&mut stream, EVENTS_BEFORE_BREAK);
+    drop(stream);
+    control(json!({}));
     (id, received)
 }
 
@@ -117,7 +126,7 @@
     let site = GatewaySite::start_with_own_paths(&["d1"; 3]);
     cut_off(&site.gateways[2], Cut::Silent);
     find_out(&[&site.gateways[2]]);
-    let (id, mut received) = broken_off_turn(&site.gateways[0]);
+    let (id, mut received) = broken_off_turn(&site);
     let mut stream = take_up(&site.gateways[gateway], &id, EVENTS_BEFORE_BREAK);
     assert_eq!(stream.status(), 200);
     received.extend(remaining_events(&mut stream));
@@ -129,11 +138,34 @@
     assert_eq!(next.status(), 402);
 }
 
+/// Guards against the refusal of a take-up whose caller has lost the last events on their way.
+#[test]
+fn a_turn_goes_on_before_its_last_events_when_the_budget_is_spent() {
+    let site = GatewaySite::start(2);
+    let (id, received) = broken_off_turn(&site);
+    let lost = 2;
+    let mut stream = take_up(&site.gateways[1], &id, EVENTS_BEFORE_BREAK - lost);
+    assert_eq!(stream.status(), 200);
+    let rest = remaining_events(&mut stream);
+    let expected = expected_stream_data("how much", EVENTS);
+    assert_eq!(rest, expected[received.len() - lost as usize..]);
+}
+
+/// Guards against a program that gets tokens for free by taking up events that it has, again and again.
+#[test]
+fn the_events_of_an_interrupted_turn_are_not_sent_twice_when_the_budget_is_spent() {
+    let site = GatewaySite::start(2);
+    let (id, _) = broken_off_turn(&site);
+    thread::sleep(Duration::from_millis(50));
+    let stream = take_up(&site.gateways[1], &id, 0);
+    assert_eq!(stream.status(), 402);
+}
+
 /// Guards against a program that goes on for free by taking up turns that have ended.
 #[test]
 fn a_turn_that_has_ended_is_not_taken_up_when_the_budget_is_spent() {
     let site = GatewaySite::start(2);
-    let (id, _) = broken_off_turn(&site.gateways[0]);
+    let (id, _) = broken_off_turn(&site);
     let mut stream = take_up(&site.gateways[1], &id, EVENTS_BEFORE_BREAK);
     remaining_events(&mut stream);
     thread::sleep(Duration::from_millis(50));
