--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -306,17 +306,12 @@
     fn error_response(&self, error: &Error, source: Source) -> Response<Body> {
         let gateway = &self.gateway;
         let mut response = refusal::refusal_response(error, gateway.store.outage_age());
-        let Source::Peer {
-            earlier_records, ..
-        } = source
-        else {
+        let Source::Peer { .. } = source else {
             return response;
         };
-        // A gateway of an earlier build does not tell another peer that an origin may be recorded.
-        let may_be_passed_on = earlier_records != EarlierRecords::Unknown;
         match error.kind {
             // Another peer may reach a server.
-            ErrorKind::NoBackendServer if gateway.server_path.is_lost() && may_be_passed_on => {
+            ErrorKind::NoBackendServer if gateway.server_path.is_lost() => {
                 return peers::not_taken_response();
             }
             ErrorKind::ServiceInDoubt => peers::mark_in_doubt(&mut response),
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -218,6 +218,10 @@
         let message = "this gateway has lost its path to the backend servers";
         match self.attempts.may_have_run {
             true => in_doubt_error(message),
+            // The gateway that relays the request would give it to another peer without saying so.
+            false if self.origin.has_unordered_records() => {
+                Error::new(ErrorKind::NotReady, message)
+            }
             false => Error::new(ErrorKind::NoBackendServer, message),
         }
     }
--- a/src/request/gateway/origin.rs
+++ b/src/request/gateway/origin.rs
@@ -154,6 +154,11 @@
         u32::from(!self.recorded.is_empty()) + self.recording_peers
     }
 
+    /// Whether this gateway has made records that another one must not miss, and cannot say so.
+    pub fn has_unordered_records(&self) -> bool {
+        self.earlier == EarlierRecords::Unknown && !self.recorded.is_empty()
+    }
+
     /// Counts a peer that may have made records and has not taken the request.
     pub fn add_recording_peer(&mut self) {
         self.recording_peers += 1;
