Take the terms of a relay from gateways only

A caller could send the header by which a gateway tells a peer that the tokens of a request are reserved, and have its turns admitted for free through a gateway that relays its requests.

A gateway removes these headers from what it relays, and a peer reads them only from requests that earlier builds do not send. gateway_taken_up_turns::a_caller_cannot_say_that_its_tokens_are_reserved is new.

Also renames two functions and changes comments that stop a first reader.

--- a/src/process/gateway/account.rs
+++ b/src/process/gateway/account.rs
@@ -36,8 +36,8 @@
 const MIN_RESERVED_TURNS: u64 = 2;
 /// At most the budget divided by this is reserved beyond the turns in flight.
 const RESERVE_AHEAD_BUDGET_DIVISOR: u64 = 4;
-/// Interrupted turns whose rest an account admits; more at once are the retries of a program that
-/// loops.
+/// Interrupted turns that an account remembers; the oldest one is forgotten first. Limits the memory for
+/// a program that breaks off one turn after the other.
 const MAX_INTERRUPTED_TURNS: usize = 64;
 /// Time after the deadline of a turn in which its gateway may still settle it.
 const SETTLEMENT_GRACE_PERIOD: Duration = Duration::from_secs(5);
@@ -261,8 +261,8 @@
         )
     }
 
-    /// Adds a row to the reservation. Beyond the budget, only `admitted_tokens` more than those that
-    /// are spent are covered.
+    /// Adds a row to the reservation, and returns the tokens of the row that must be returned. Beyond the
+    /// budget, only `admitted_tokens` more than those that are spent are covered.
     fn add_row(
         &mut self,
         added_tokens: u64,
--- a/src/process/gateway/ledger.rs
+++ b/src/process/gateway/ledger.rs
@@ -165,14 +165,14 @@
                 purpose: Purpose::Turn(turn.max_tokens),
                 proposed_origin,
             };
-            self.make_room(&turn.program_id, &program, extension, deadline)
+            self.extend_or_wait(&turn.program_id, &program, extension, deadline)
                 .await?;
         }
     }
 
     /// Extends the reservation for a turn that waits, or waits for an extension that is in progress. The
     /// turn must be decided again then.
-    async fn make_room(
+    async fn extend_or_wait(
         &self,
         program_id: &str,
         program: &Rc<ProgramState>,
@@ -230,7 +230,7 @@
                 purpose: Purpose::Rest(rest_tokens.max(left_tokens)),
                 proposed_origin: None,
             };
-            self.make_room(program_id, program, extension, deadline)
+            self.extend_or_wait(program_id, program, extension, deadline)
                 .await?;
         }
     }
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -348,6 +348,9 @@
     let headers = request.headers_mut();
     headers.insert(ATTEMPTS_LEFT_HEADER, terms.attempts_left.into());
     headers.insert(ORIGIN_RECORDERS_HEADER, terms.origin_recorders.into());
+    // These are not taken from the caller, who could have its turns admitted for free.
+    headers.remove(TOKENS_RESERVED_HEADER);
+    headers.remove(PREFIX_HOLDER_HEADER);
     if terms.are_tokens_reserved {
         let value = HeaderValue::from_static("1");
         headers.insert(TOKENS_RESERVED_HEADER, value);
@@ -395,7 +398,7 @@
     };
     let attempts_left = take_count(ATTEMPTS_LEFT_HEADER);
     let origin_recorders = take_count(ORIGIN_RECORDERS_HEADER);
-    let are_tokens_reserved = take_count(TOKENS_RESERVED_HEADER) == Some(1);
+    let are_tokens_reserved = take_count(TOKENS_RESERVED_HEADER) == Some(1) && must_be_understood;
     let prefix_holder = request.headers_mut().remove(PREFIX_HOLDER_HEADER);
     let prefix_holder = prefix_holder.and_then(|id| Some(id.to_str().ok()?.into()));
     Some(RelayedRequest {
@@ -431,8 +434,9 @@
     response
 }
 
-/// The response to a relayed request that this gateway refuses to take before it reads it.
-pub fn not_looked_at_response() -> Response<Body> {
+/// The response to a relayed request that this gateway does not take, without having recorded anything
+/// for it.
+pub fn refused_unread_response() -> Response<Body> {
     let mut response = not_taken_response();
     let value = HeaderValue::from_static("1");
     response
--- a/src/process/gateway/running/handlers.rs
+++ b/src/process/gateway/running/handlers.rs
@@ -91,7 +91,7 @@
                 let must_be_understood = relayed.must_be_understood;
                 let mut response = match gateway.is_ready() && !gateway.server_path.is_lost() {
                     true => self.dispatcher.handle_relayed(*relayed).await,
-                    false => peers::not_looked_at_response(),
+                    false => peers::refused_unread_response(),
                 };
                 if must_be_understood {
                     peers::mark_terms_understood(&mut response);
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -56,14 +56,13 @@
 
     /// Whether this gateway must reserve the tokens of a turn.
     fn reserves_tokens(self) -> bool {
-        let are_reserved = matches!(
-            self,
+        match self {
+            Source::Caller => true,
             Source::Peer {
-                are_tokens_reserved: true,
+                are_tokens_reserved,
                 ..
-            }
-        );
-        !are_reserved
+            } => !are_tokens_reserved,
+        }
     }
 }
 
--- a/src/request/gateway/turn.rs
+++ b/src/request/gateway/turn.rs
@@ -58,9 +58,12 @@
     pub proposed_origin: Option<StreamOrigin>,
 }
 
-/// Reserves the tokens of a turn, unless another gateway has, and loads its history. The gateway that owns the account of the
-/// program often has the history in memory and returns it with the reservation. Only if it does
-/// not is the history loaded here, from the cache of this gateway or the store.
+/// Reserves the tokens of a turn and loads its history. Without a `reservation_request`, another gateway
+/// has reserved them.
+///
+/// The gateway that owns the account of the program often has the history in memory and returns it
+/// with the reservation. Only if it does not is the history loaded here, from the cache of this
+/// gateway or the store.
 pub async fn prepare(
     gateway: &Gateway,
     route: &RouteRecord,
--- a/tests/gateway_taken_up_turns.rs
+++ b/tests/gateway_taken_up_turns.rs
@@ -8,7 +8,11 @@
 use std::thread;
 use std::time::Duration;
 
+use bytes::Bytes;
 use gateway::{Turn, expected_stream_data, new_request_id, recorded_runs};
+use hyper::Request;
+use hyper::header::HeaderValue;
+use sapphireford::process::gateway::peers::{PeerCall, RelayTerms, decode_call, wrap_request};
 use sapphireford_standin::harness::{
     EventStream, GatewayProcess, GatewaySite, HttpRequest, TOKENS_PER_EVENT,
 };
@@ -91,6 +95,31 @@
     assert_eq!(next.status(), 402);
 }
 
+/// Guards against a caller that has its turns admitted for free, because a gateway relays its headers to
+/// a peer, which takes them for those of the gateway.
+#[parameterized(by_this_build = { true }, by_an_earlier_build = { false })]
+fn a_caller_cannot_say_that_its_tokens_are_reserved(is_wrapped: bool) {
+    let mut request = Request::new(Bytes::new());
+    *request.uri_mut() = "/requests/quote/a".parse().expect("a path");
+    let value = HeaderValue::from_static("1");
+    request.headers_mut().insert("x-tokens-reserved", value);
+    if is_wrapped {
+        *request.uri_mut() = "/quote/a".parse().expect("a path");
+        let terms = RelayTerms {
+            attempts_left: 2,
+            origin_recorders: 1,
+            are_tokens_reserved: false,
+            prefix_holder: None,
+        };
+        request = wrap_request(request, None, terms).expect("a valid path");
+    }
+    let Some(PeerCall::Request(relayed)) = decode_call(request) else {
+        panic!("the request is not decoded as a relayed one");
+    };
+    assert!(!relayed.are_tokens_reserved);
+    assert_eq!(relayed.request.uri().path(), "/quote/a");
+}
+
 /// Guards against events that nobody charges, because a peer sends them and this gateway holds the
 /// reservation.
 #[test]
