--- a/tests/gateway_faulty_answers.rs
+++ b/tests/gateway_faulty_answers.rs
@@ -290,3 +290,63 @@
     let is_closed = wait_until(WAIT_TIMEOUT, || server.open_connections() == 0);
     assert!(is_closed, "connections to the stalled server stay open");
 }
+
+/// A server whose answers end with their connection. Those of turns end with `stream_end`.
+fn server_without_lengths(stream_end: &'static str) -> RawServer {
+    RawServer::start(move |stream, request| {
+        let head = request.accepted_head();
+        let rest = match request.path.starts_with("/ping/") {
+            true => "connection: close\r\n\r\nwhole".to_string(),
+            false => format!(
+                "content-type: text/event-stream\r\nconnection: close\r\n\r\nid: 1\ndata: x\n\n{stream_end}"
+            ),
+        };
+        stream.write_all(format!("{head}{rest}").as_bytes())?;
+        Err(std::io::ErrorKind::ConnectionAborted.into())
+    })
+}
+
+/// Guards against an answer that is refused, or cut off, because it has neither a length nor chunks.
+#[test]
+fn an_answer_without_a_length_is_complete_at_the_end_of_its_connection() {
+    let server = server_without_lengths("id: 2\ndata: y\n\n");
+    let site = site_with(PLAIN_SERVICE, &server);
+    let address = site.gateways[0].caller_address();
+    let answer = caller_request("GET", "/ping/a", &new_request_id()).send(address);
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status, answer.text().as_str()), (200, "whole"));
+    let site = site_with(ENGINE_SERVICE, &server);
+    for path in ["/chat/a", "/quote/a"] {
+        let id = new_request_id();
+        let turn = Turn {
+            path,
+            id: &id,
+            program: &id,
+            ..Turn::default()
+        };
+        assert_eq!(turn.run(&site.gateways[0]), ["x", "y"], "{path}");
+    }
+}
+
+/// Guards against a stream that counts as complete although its connection ended inside an event.
+#[parameterized(
+    in_a_field = { "id: 2\ndata: ha" },
+    after_a_field = { "id: 2\ndata: y\n" },
+    after_an_id = { "id: 2\n" },
+)]
+fn a_stream_without_a_length_that_ends_inside_an_event_is_not_complete(end: &'static str) {
+    let server = server_without_lengths(end);
+    let site = site_with(ENGINE_SERVICE, &server);
+    for path in ["/chat/a", "/quote/a"] {
+        let id = new_request_id();
+        let turn = Turn {
+            path,
+            id: &id,
+            program: &id,
+            ..Turn::default()
+        };
+        let mut stream = turn.open(&site.gateways[0]).expect("an answer");
+        assert_eq!(stream.status(), 200);
+        assert!(stream.remaining_events().is_err(), "{path}");
+    }
+}
