Decode teams and identify callers by their keys

The gateway decodes the teams of the configuration, finds the team of a request by the digest of its key, answers 401 without one, and tells the backend server the name of the team.

--- a/src/error.rs
+++ b/src/error.rs
@@ -149,6 +149,10 @@
     CrashesServers => 502, "crashes_servers", No, NO_RETRY;
     /// The stream cannot be resumed; the request may be sent anew.
     CannotResume => 503, "cannot_resume", No, NO_RETRY;
+    /// The requests of the team have reached its limit.
+    TeamLimitReached => 429, "team_limit_reached", No, SHORT_RETRY_DELAY;
+    /// The backend servers have more work than they can complete in time, so no new program begins.
+    ServersOverloaded => 503, "servers_overloaded", No, SHORT_RETRY_DELAY;
 }
 
 macro_rules! causes {
--- a/src/process.rs
+++ b/src/process.rs
@@ -21,4 +21,5 @@
 pub mod shutdown;
 pub mod slots;
 pub mod task;
+pub mod teams;
 pub mod timer;
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -33,6 +33,8 @@
 use crate::connection::http_server::{self, Handler, HttpLimits, Server};
 use crate::error::{Error, ErrorKind};
 use crate::process::metrics::{self, Metrics};
+use crate::process::teams::config_age::ConfigAge;
+use crate::process::teams::limits::TeamLimits;
 use crate::process::timer::TimerService;
 use crate::request::gateway::dispatch::GatewayDispatcher;
 use crate::version::route_table::RouteTable;
@@ -113,6 +115,10 @@
     pub server_path: Rc<ServerPath>,
     /// Keeps the request rates that backend servers limit.
     pub rate_limits: RateLimits,
+    /// Whether the keys of the active configuration may be used.
+    pub config_age: Rc<ConfigAge>,
+    /// Keeps the limits of teams.
+    pub team_limits: Rc<TeamLimits>,
     /// Directory of the live gateways.
     pub directory: Rc<Directory>,
     routes: RefCell<Option<Rc<RouteTable>>>,
@@ -149,9 +155,14 @@
         for skipped in &config.skipped {
             log::warn!(config_version = config.version; "part of the configuration skipped, it could not be decoded: {skipped}");
         }
-        log::info!(config_version = config.version, previous_version = previous.unwrap_or(0), routes = config.routes.len(), services = config.services.len(); "configuration activated");
+        let teams = config.teams.as_ref().map_or(0, Vec::len);
+        log::info!(config_version = config.version, previous_version = previous.unwrap_or(0), routes = config.routes.len(), services = config.services.len(), teams = teams; "configuration activated");
         ::metrics::gauge!(metrics::CONFIG_VERSION).set(config.version as f64);
-        self.routes.replace(Some(Rc::new(RouteTable::from(config))));
+        let table = RouteTable::from(config);
+        for (team, other) in table.teams.iter().flat_map(|teams| teams.ambiguous()) {
+            log::error!(config_version = table.version, team = &**team, other = &**other; "two teams have a key in common, which identifies neither of them");
+        }
+        self.routes.replace(Some(Rc::new(table)));
     }
 
     fn apply_operator_rows(&self, change: TableChange) {
@@ -250,6 +261,8 @@
             servers,
             server_path,
             rate_limits,
+            config_age: Rc::new(ConfigAge::new(settings.key_withdrawal_limit)),
+            team_limits: Rc::new(TeamLimits::new(settings.team_limit_tolerance)),
             directory,
             routes: RefCell::default(),
             metrics,
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -27,6 +27,14 @@
     shutdown_limit_s: f64,
     #[serde(default = "defaults::lookup_lifetime_limit_s")]
     lookup_lifetime_limit_s: f64,
+    /// Absent if a withdrawn key may run requests at a gateway that is cut off.
+    key_withdrawal_limit_ms: Option<f64>,
+    #[serde(default = "defaults::team_limit_window_s")]
+    team_limit_window_s: f64,
+    #[serde(default = "defaults::team_limit_excess_share")]
+    team_limit_excess_share: f64,
+    #[serde(default = "defaults::team_limit_excess_requests")]
+    team_limit_excess_requests: f64,
 }
 
 mod defaults {
@@ -39,6 +47,26 @@
     pub(super) fn lookup_lifetime_limit_s() -> f64 {
         5.0
     }
+    pub(super) fn team_limit_window_s() -> f64 {
+        5.0
+    }
+    pub(super) fn team_limit_excess_share() -> f64 {
+        0.0
+    }
+    pub(super) fn team_limit_excess_requests() -> f64 {
+        0.0
+    }
+}
+
+/// What the platform tolerates beyond the limit of a team.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TeamLimitTolerance {
+    /// Span in which the requests of a team are counted; any span of this length counts.
+    pub window: Duration,
+    /// Share of the limit of a window that may be exceeded; finite, not negative.
+    pub excess_share: f64,
+    /// Requests that a window may exceed the limit by, in addition; finite, not negative.
+    pub excess_requests: f64,
 }
 
 /// The checked settings.
@@ -66,6 +94,11 @@
     pub shutdown_limit: Duration,
     /// Longest TTL of a lookup answer.
     pub lookup_lifetime_limit: Duration,
+    /// Time after the acknowledgement of a configuration within which the keys that it withdraws
+    /// must be unusable at every gateway; `None` if the platform sets no such limit.
+    pub key_withdrawal_limit: Option<Duration>,
+    /// What the platform tolerates beyond the limit of a team.
+    pub team_limit_tolerance: TeamLimitTolerance,
 }
 
 /// Smaller rows could not hold a single turn of a conversation.
@@ -83,6 +116,14 @@
         .map_err(|error| SettingsError::Invalid(field, format!("{value}: {error}")))
 }
 
+fn not_negative(field: &'static str, value: f64) -> Result<f64> {
+    if value.is_finite() && value >= 0.0 {
+        return Ok(value);
+    }
+    let reason = format!("{value} is not a finite number that is 0 or greater");
+    Err(SettingsError::Invalid(field, reason))
+}
+
 impl TryFrom<RawGatewaySettings> for GatewaySettings {
     type Error = SettingsError;
 
@@ -107,6 +148,18 @@
             row_limit_bytes: raw.row_limit_bytes,
             shutdown_limit: seconds("shutdown_limit_s", raw.shutdown_limit_s)?,
             lookup_lifetime_limit: seconds("lookup_lifetime_limit_s", raw.lookup_lifetime_limit_s)?,
+            key_withdrawal_limit: raw
+                .key_withdrawal_limit_ms
+                .map(|limit_ms| seconds("key_withdrawal_limit_ms", limit_ms / 1000.0))
+                .transpose()?,
+            team_limit_tolerance: TeamLimitTolerance {
+                window: seconds("team_limit_window_s", raw.team_limit_window_s)?,
+                excess_share: not_negative("team_limit_excess_share", raw.team_limit_excess_share)?,
+                excess_requests: not_negative(
+                    "team_limit_excess_requests",
+                    raw.team_limit_excess_requests,
+                )?,
+            },
         })
     }
 }
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -8,9 +8,10 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response};
-use sapphireford_platform::headers::CallHeaders;
+use sapphireford_platform::headers::{self, CallHeaders};
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
+use super::caller::{self, Caller};
 use super::forward::{RequestForwarder, ServerResponse};
 use super::origin::{EarlierRecords, OriginConstraint};
 use super::record::RequestRecord;
@@ -28,6 +29,7 @@
 use crate::process::gateway::peers::{self, RelayedRequest};
 use crate::process::gateway::running::Gateway;
 use crate::process::task;
+use crate::process::teams::limits::LimitedRequest;
 use crate::version::route_table::RouteTable;
 
 /// Who sent a request to this gateway.
@@ -97,19 +99,38 @@
             route.max_attempts = attempts_left.unwrap_or(u32::MAX).min(route.max_attempts);
         }
         record.set_route(&route.name, routes.version);
+        let config_age = &self.gateway.config_age;
+        let key = caller::presented_key(request.headers());
+        let caller = Caller::identify(&routes, &route, key, config_age)?;
+        if let Some(team) = &caller.team {
+            record.set_team(team.id.clone());
+        }
         if let Some(error) = self.gateway.crash_refusal(&identity) {
             return Err(error);
         }
         let deadline = deadline(&route, &call, record.started_at());
-        let caller = request.extensions().get::<CallerAddress>();
-        let caller_address = caller.map(|CallerAddress(address)| *address);
-        let (head, input) = request.into_parts();
+        let caller_address = request.extensions().get::<CallerAddress>();
+        let caller_address = caller_address.map(|CallerAddress(address)| *address);
+        let (mut head, input) = request.into_parts();
+        if routes.teams.is_some() {
+            headers::remove_team_headers(&mut head.headers);
+        }
+        if let Some(team) = &caller.team {
+            let limited = LimitedRequest {
+                program_id: call.program.as_ref().map(|program| &*program.program_id),
+                route: &route.name,
+                may_begin_program: may_begin_program(&route, &call),
+                deadline,
+            };
+            self.gateway.team_limits.admit(team, limited).await?;
+        }
         let last_event_id = call.last_event_id;
         let mut forwarder = RequestForwarder {
             gateway: self.gateway.clone(),
             routes,
             route,
             call,
+            caller,
             caller_headers: head.headers,
             method: head.method,
             uri: head.uri,
@@ -339,6 +360,12 @@
     })
 }
 
+/// Whether a request may be the first one of a program: a turn that continues no other one.
+fn may_begin_program(route: &RouteRecord, call: &CallHeaders) -> bool {
+    let is_turn = matches!(route.kind, RouteKind::Stream | RouteKind::ResumableStream);
+    is_turn && call.previous_turn_id.is_none() && call.last_event_id.is_none()
+}
+
 fn find_route(routes: &RouteTable, request: &Request<Bytes>) -> Result<RouteRecord> {
     let host = request
         .headers()
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -17,6 +17,7 @@
 use sapphireford_platform::headers::{self, CallHeaders, Forwarding, REQUEST_ID};
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
+use super::caller::Caller;
 use super::origin::{self, OriginConstraint};
 use super::record::RequestRecord;
 use super::retry::{self, AttemptCounts, AttemptFailure, RetryDecision};
@@ -46,7 +47,9 @@
     pub route: RouteRecord,
     /// The headers of the caller that the gateway interprets, decoded.
     pub call: CallHeaders,
-    /// All headers of the caller as received.
+    /// The caller, as its key identifies it.
+    pub caller: Caller,
+    /// The headers of the caller as received, without its key if the configuration has teams.
     pub caller_headers: HeaderMap,
     /// The request method, forwarded unchanged.
     pub method: Method,
@@ -118,6 +121,7 @@
             if let Some(error) = self.crash_refusal() {
                 return Err(error);
             }
+            self.require_valid_key()?;
             if self.must_relay() {
                 return self.relay(last_event_id).await.map(ServerResponse::Relayed);
             }
@@ -181,6 +185,17 @@
         }
     }
 
+    /// Fails if the key of the caller was withdrawn, or may have been, since the request arrived.
+    fn require_valid_key(&self) -> Result<()> {
+        let newest = self.gateway.routes();
+        let newest = newest.as_ref().unwrap_or(&self.routes);
+        let checked = self.caller.require_valid(newest, &self.gateway.config_age);
+        checked.map_err(|error| match self.attempts.may_have_run {
+            true => in_doubt_error(&error.message),
+            false => error,
+        })
+    }
+
     /// Tokens in each event of a stream.
     pub fn tokens_per_event(&self) -> u64 {
         let targets = self.route.targets.iter();
@@ -252,6 +267,7 @@
         let in_flight = server.start_request();
         let forwarding = Forwarding {
             server_id: &server.id,
+            team: self.caller.team.as_ref().map(|team| &*team.id),
             time_left,
             last_event_id,
         };
--- a/src/request/gateway/record.rs
+++ b/src/request/gateway/record.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
-use crate::ids::VersionNumber;
+use crate::ids::{TeamId, VersionNumber};
 use crate::process::gateway::fingerprint::Fingerprint;
 use crate::process::gateway::placement::LoadPermille;
 use crate::process::metrics;
@@ -16,6 +16,7 @@
     program_id: Option<String>,
     caller: String,
     fingerprint: Fingerprint,
+    team: RefCell<Option<TeamId>>,
     route: RefCell<String>,
     config_version: Cell<VersionNumber>,
     servers: RefCell<Vec<String>>,
@@ -64,6 +65,7 @@
             program_id,
             caller,
             fingerprint,
+            team: RefCell::default(),
             route: RefCell::default(),
             config_version: Cell::new(0),
             servers: RefCell::default(),
@@ -82,6 +84,11 @@
         self.started_at
     }
 
+    /// Sets the team of the caller.
+    pub fn set_team(&self, team: TeamId) {
+        self.team.replace(Some(team));
+    }
+
     /// Sets the matched route and the configuration version that it belongs to.
     pub fn set_route(&self, route: &str, config_version: VersionNumber) {
         self.route.replace(route.to_string());
@@ -155,6 +162,7 @@
             request_id = self.request_id,
             program_id = self.program_id.as_deref().unwrap_or(""),
             caller = self.caller,
+            team = self.team.borrow().as_deref().unwrap_or(""),
             fingerprint:% = self.fingerprint,
             route = *route,
             config_version = self.config_version.get(),
--- a/src/version.rs
+++ b/src/version.rs
@@ -5,7 +5,7 @@
 //! builds a [`config::Config`]. [`store`] persists the accepted versions in the platform, and
 //! [`diff`] lists the changes between two documents. [`key_digest`] and [`key_index`] find the team
 //! or operator of a key. [`route_table`] holds the routes of the platform operators' own
-//! configuration, which is versioned separately.
+//! configuration, which is versioned separately, and [`teams`] its teams.
 
 pub mod check;
 pub mod config;
@@ -16,3 +16,4 @@
 pub mod raw;
 pub mod route_table;
 pub mod store;
+pub mod teams;
--- a/src/version/key_index.rs
+++ b/src/version/key_index.rs
@@ -19,10 +19,10 @@
     Operator(Rc<str>),
 }
 
-/// The principals of one configuration version, by the SHA-256 digest of their key.
-#[derive(Debug, Default)]
-pub struct KeyIndex {
-    principals: IndexMap<[u8; 32], Principal>,
+/// The holders of the keys of one configuration version, by the SHA-256 digest of their key.
+#[derive(Debug)]
+pub struct KeyIndex<P = Principal> {
+    principals: IndexMap<[u8; 32], P>,
 }
 
 impl KeyIndex {
@@ -36,18 +36,26 @@
             .operators
             .iter()
             .map(|(name, operator)| (operator.key_sha256, Principal::Operator(name.clone())));
+        teams.chain(operators).collect()
+    }
+}
+
+impl<P> FromIterator<([u8; 32], P)> for KeyIndex<P> {
+    fn from_iter<I: IntoIterator<Item = ([u8; 32], P)>>(holders: I) -> Self {
         Self {
-            principals: teams.chain(operators).collect(),
+            principals: holders.into_iter().collect(),
         }
     }
+}
 
+impl<P> KeyIndex<P> {
     /// Looks up the principal of a key; `None` if the key is unknown.
-    pub fn find(&self, key: &str) -> Option<&Principal> {
+    pub fn find(&self, key: &str) -> Option<&P> {
         self.find_digest(&digest(key))
     }
 
     /// Looks up the principal of a key by its SHA-256 digest; `None` if the key is unknown.
-    pub fn find_digest(&self, digest: &[u8; 32]) -> Option<&Principal> {
+    pub fn find_digest(&self, digest: &[u8; 32]) -> Option<&P> {
         self.principals.get(digest)
     }
 }
--- a/src/version/route_table.rs
+++ b/src/version/route_table.rs
@@ -1,4 +1,4 @@
-//! The routes and services of one version of the platform operators' configuration.
+//! The routes, services and teams of one version of the platform operators' configuration.
 
 use std::time::Duration;
 
@@ -6,8 +6,9 @@
 use sapphireford_platform::operator::{ConfigRecord, RouteRecord, RouteTarget, ServiceRecord};
 
 use crate::ids::VersionNumber;
+use crate::version::teams::Teams;
 
-/// The routes and services of one configuration version.
+/// The routes, services and teams of one configuration version.
 #[derive(Debug)]
 pub struct RouteTable {
     /// Increases with each change.
@@ -15,6 +16,8 @@
     /// By host in lower case; the routes of a host are ordered by decreasing prefix length.
     routes: IndexMap<String, Vec<RouteRecord>>,
     services: IndexMap<String, ServiceRecord>,
+    /// `None` if the configuration has no teams, so that requests need no keys.
+    pub teams: Option<Teams>,
     /// Timeout of idle connections from callers; `None` if the configuration does not set it.
     pub idle_timeout: Option<Duration>,
 }
@@ -36,6 +39,7 @@
             services: services
                 .map(|service| (service.name.clone(), service))
                 .collect(),
+            teams: config.teams.map(Teams::from),
             idle_timeout: config.idle_timeout,
         }
     }
