Add a check of a platform configuration before it is sent

sapphireford-admin check-platform-config reports entries that gateways ignore, entries that can never match, limits that contradict each other, and the changes from the configuration in force.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -25,6 +25,7 @@
 pub mod cancel;
 pub mod certificates;
 pub mod check;
+pub mod check_platform_config;
 pub mod diff;
 pub mod drain;
 pub mod key;
@@ -179,6 +180,12 @@
         options: &[],
         description: "check a configuration folder without the platform",
     },
+    Command {
+        name: "check-platform-config",
+        arguments: "FILE [--in-force FILE] [--strict]",
+        options: &["in-force", "strict"],
+        description: "check a configuration for the users' platform before it is sent",
+    },
     Command {
         name: "diff",
         arguments: "FOLDER",
@@ -278,6 +285,7 @@
 async fn dispatch(arguments: &Arguments) -> Result<Report> {
     match arguments.command.name {
         "check" => check::run(arguments),
+        "check-platform-config" => check_platform_config::run(arguments),
         "diff" => diff::run(arguments).await,
         "apply" => apply::run(arguments).await,
         "show" => show::run(arguments).await,
@@ -339,6 +347,9 @@
     options.optopt("", "wait-ms", description, "N");
     options.optflag("", "origin", "show which file set each value");
     options.optmulti("", "entry", "id or address of an entry", "ID");
+    let description = "the configuration in force, to list the changes from it";
+    options.optopt("", "in-force", description, "FILE");
+    options.optflag("", "strict", "fail on warnings as well");
     let description = "file with the operator key (default: SAPPHIREFORD_OPERATOR_KEY)";
     options.optopt("", "key-file", description, "FILE");
     options
