Track how old the proof is that the configuration is current

Keys are usable only while the active configuration is known to have been the newest one within the withdrawal limit. Proofs come from the change feed, full reads, reads of the row and gossip responses, and count from the start of the call on CLOCK_BOOTTIME.

--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -29,6 +29,9 @@
 const DEFAULT_DOMAIN: &str = "d1";
 /// Software version of the backend servers of a new site.
 pub const FIRST_VERSION: &str = "v1";
+/// Time within which a withdrawn key must be unusable, as on the platform. It has no effect unless
+/// the configuration has teams.
+pub const KEY_WITHDRAWAL_LIMIT: Duration = Duration::from_millis(5_000);
 /// Value of `chunkTokens` of the engine service: tokens in each event of a stream.
 pub const TOKENS_PER_EVENT: u64 = 9;
 
@@ -388,6 +391,7 @@
             "peer_address": format!("{ip}:{PEER_PORT}"),
             "metrics_address": format!("{ip}:{METRICS_PORT}"),
             "store_address": store_proxy.address(),
+            "key_withdrawal_limit_ms": KEY_WITHDRAWAL_LIMIT.as_millis() as u64,
         });
         let settings_path = self.folder.join(format!("gateway-{index}.json"));
         fs::write(&settings_path, settings.to_string()).expect("the settings file can be written");
--- a/src/process/gateway/budget.rs
+++ b/src/process/gateway/budget.rs
@@ -310,7 +310,7 @@
         let request = peers::gossip_request(&request, &ServerNotices::default());
         let http = &self.shared.http;
         let response = http.fetch(peer, request, PEER_TIMEOUT, RESPONSE_LIMIT_BYTES);
-        let (response, _) = peers::decode_gossip(&response.await.ok()?)?;
+        let (response, _, _) = peers::decode_gossip(&response.await.ok()?)?;
         let start = response.heartbeats.first()?.start_hash;
         directory.apply_gossip(response, Instant::now());
         Some(start)
--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -31,6 +31,7 @@
 pub use connection::UnconnectedGateway;
 
 mod allowance_owner;
+mod config_reader;
 mod connection;
 mod heartbeats;
 
--- a/src/process/gateway/gossip.rs
+++ b/src/process/gateway/gossip.rs
@@ -18,6 +18,7 @@
 use super::store::Store;
 use super::writer::StoreWriter;
 use crate::connection::http_client::HttpClient;
+use crate::process::teams::config_age::ConfigAge;
 
 /// Interval between two rounds.
 pub const ROUND_INTERVAL: Duration = Duration::from_millis(500);
@@ -71,10 +72,12 @@
 
 /// Runs the rounds of the gossip until the process ends.
 ///
-/// The messages also carry what the gateways have heard from the backend servers.
+/// The messages also carry what the gateways have heard from the backend servers, and the responses
+/// how old the configuration of the peer is.
 pub async fn run_rounds(
     directory: Rc<Directory>,
     servers: Rc<Servers>,
+    config_age: Rc<ConfigAge>,
     http: HttpClient,
     store: Store,
 ) {
@@ -91,7 +94,7 @@
         }
         let tells_other_domains = crash_reports.has_fresh(started);
         let peers = directory.start_round(&mut rand::rng(), tells_other_domains, started);
-        send_to_all(&directory, &servers, &http, peers).await;
+        send_to_all(&directory, &servers, &config_age, &http, peers).await;
         // A gateway that starts to leave publishes it at once, without waiting for the next round,
         // and so does one that has seen a crash, or lost or regained its path to the servers.
         let leaving = pin!(directory.leaving().changed_since(seen_changes));
@@ -102,7 +105,7 @@
         timer.sleep_until(started + MIN_ROUND_INTERVAL).await;
         if directory.is_leaving() && !was_leaving {
             let all = directory.live_peers(Instant::now());
-            send_to_all(&directory, &servers, &http, all).await;
+            send_to_all(&directory, &servers, &config_age, &http, all).await;
         }
     }
 }
@@ -110,6 +113,7 @@
 async fn send_to_all(
     directory: &Directory,
     servers: &Servers,
+    config_age: &ConfigAge,
     http: &HttpClient,
     peers: Vec<SocketAddr>,
 ) {
@@ -119,11 +123,15 @@
     let exchanges = peers.into_iter().map(|peer| {
         let request = peers::gossip_request(&request, &notices);
         async move {
+            let sent_at = config_age.now();
             let response = http
                 .fetch(peer, request, REQUEST_TIMEOUT, RESPONSE_LIMIT_BYTES)
                 .await;
             match response.map(|response| peers::decode_gossip(&response)) {
-                Ok(Some((response, notices))) => {
+                Ok(Some((response, notices, config_proof))) => {
+                    if let Some(proof) = config_proof {
+                        config_age.learn_from_peer(proof, sent_at);
+                    }
                     servers.merge_notices(&notices, Instant::now());
                     directory.learn_unconnected(&notices.unconnected_gateways, Instant::now());
                     directory.apply_gossip(response, Instant::now());
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -27,6 +27,7 @@
 use crate::connection::body::Body;
 use crate::connection::http_server::CallerAddress;
 use crate::ids::BackendServerId;
+use crate::process::teams::config_age::PeerProof;
 
 /// Path prefix of relayed store calls; the path of the store follows.
 const RELAY_PATH_PREFIX: &str = "/store";
@@ -269,16 +270,39 @@
     post_with_notices(GOSSIP_PATH, request, notices)
 }
 
-/// Encodes the response to a gossip request.
-pub fn gossip_response(response: &GossipResponse, notices: &ServerNotices) -> Response<Body> {
-    Response::new(Body::full(with_notices(response, notices)))
+/// Precedes the age of the configuration in a response to the gossip, so that other bytes that a
+/// gateway of another build may append are not taken for it.
+const CONFIG_PROOF_MARK: u32 = 0x43_4f_4e_46;
+
+/// Encodes the response to a gossip request. The age of the configuration is appended like the
+/// notices.
+pub fn gossip_response(
+    response: &GossipResponse,
+    notices: &ServerNotices,
+    config_proof: Option<PeerProof>,
+) -> Response<Body> {
+    let body = with_notices(response, notices);
+    let body = match config_proof {
+        // The encoding of these types cannot fail.
+        Some(proof) => {
+            let proof = postcard::to_stdvec(&(CONFIG_PROOF_MARK, proof)).unwrap_or_default();
+            Bytes::from([&*body, &proof].concat())
+        }
+        None => body,
+    };
+    Response::new(Body::full(body))
 }
 
 /// Decodes the response of a peer to a gossip request; `None` if the status is not 200 or the body
-/// is malformed.
-pub fn decode_gossip(response: &Response<Bytes>) -> Option<(GossipResponse, ServerNotices)> {
+/// is malformed. Gateways of earlier builds do not state the age of their configuration.
+pub fn decode_gossip(
+    response: &Response<Bytes>,
+) -> Option<(GossipResponse, ServerNotices, Option<PeerProof>)> {
     let is_ok = response.status() == StatusCode::OK;
-    is_ok.then(|| split_notices(response.body()))?
+    let (message, notices, rest) = is_ok.then(|| split_message(response.body()))??;
+    let proof = postcard::from_bytes::<(u32, PeerProof)>(rest).ok();
+    let proof = proof.filter(|(mark, _)| *mark == CONFIG_PROOF_MARK);
+    Some((message, notices, proof.map(|(_, proof)| proof)))
 }
 
 /// Asks a peer what it has heard from the backend servers.
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -34,6 +34,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::process::metrics::{self, Metrics};
 use crate::process::teams::config_age::ConfigAge;
+use crate::process::teams::config_reads;
 use crate::process::teams::limits::TeamLimits;
 use crate::process::timer::TimerService;
 use crate::request::gateway::dispatch::GatewayDispatcher;
@@ -136,20 +137,30 @@
     }
 
     /// Activates a configuration unless it is older than the active one.
-    fn apply_config(&self, row: &Row) {
+    ///
+    /// Versions of rows order what was read: a response may arrive after that of a later call.
+    pub fn apply_config(&self, row: &Row) {
+        self.config_age.record_row(row.version);
+        if !self.config_age.is_newer(row.version) {
+            return;
+        }
         let Some(value) = &row.value else {
+            self.config_age.record_removal();
             log::warn!("configuration row was removed, the last configuration stays active");
             return;
         };
         let config = match operator::decode(value) {
             Ok(config) => config,
             Err(error) => {
+                self.config_age.skip(row.version);
                 log::error!(row_version = row.version; "configuration skipped, it could not be decoded: {error}");
                 return;
             }
         };
         let previous = self.routes().map(|routes| routes.version);
         if previous.is_some_and(|previous| previous >= config.version) {
+            self.config_age.skip(row.version);
+            log::warn!(row_version = row.version, config_version = config.version, previous_version = previous.unwrap_or(0); "configuration skipped, its version is not higher than that of the active one");
             return;
         }
         for skipped in &config.skipped {
@@ -162,10 +173,17 @@
         for (team, other) in table.teams.iter().flat_map(|teams| teams.ambiguous()) {
             log::error!(config_version = table.version, team = &**team, other = &**other; "two teams have a key in common, which identifies neither of them");
         }
+        let has_teams = table.teams.is_some();
         self.routes.replace(Some(Rc::new(table)));
+        self.config_age.activate(row.version, has_teams);
     }
 
     fn apply_operator_rows(&self, change: TableChange) {
+        if let TableChange::Snapshot(rows) = &change
+            && !rows.iter().any(|row| row.key == operator::CONFIG_KEY)
+        {
+            self.config_age.record_removal();
+        }
         let (TableChange::Snapshot(rows) | TableChange::Rows(rows)) = change;
         let configs = rows.iter().filter(|row| row.key == operator::CONFIG_KEY);
         configs.for_each(|row| self.apply_config(row));
@@ -217,7 +235,10 @@
         let last_success = self.store.last_success();
         let is_store_reachable = last_success
             .is_some_and(|success| now.saturating_duration_since(success) < STORE_CONTACT_TIMEOUT);
-        self.is_ready() && is_store_reachable && !self.server_path.is_lost()
+        self.is_ready()
+            && is_store_reachable
+            && !self.server_path.is_lost()
+            && self.config_age.may_serve()
     }
 }
 
@@ -418,23 +439,37 @@
 fn start_background_tasks(gateway: &Rc<Gateway>, writer: &StoreWriter, ledger: &Ledger) {
     let store = gateway.store.clone();
     let config_gateway = gateway.clone();
-    monoio::spawn(watch_table(store.clone(), OPERATOR_TABLE, move |change| {
-        config_gateway.apply_operator_rows(change);
-    }));
+    let config_age = gateway.config_age.clone();
+    monoio::spawn(watch_table(
+        store.clone(),
+        OPERATOR_TABLE,
+        move |change| config_gateway.apply_operator_rows(change),
+        move |source, started| config_age.prove(source, started),
+    ));
+    monoio::spawn(config_reads::run(gateway.clone()));
     let server_gateway = gateway.clone();
-    monoio::spawn(watch_table(store.clone(), SERVER_TABLE, move |change| {
+    let apply_servers = move |change| {
         let store_recovered_at = server_gateway.store.last_recovery();
         server_gateway
             .servers
             .apply(change, store_recovered_at, Instant::now());
-    }));
+    };
+    monoio::spawn(watch_table(
+        store.clone(),
+        SERVER_TABLE,
+        apply_servers,
+        |_, _| {},
+    ));
     monoio::spawn(start::learn_from_peers(gateway.clone()));
     let directory = gateway.directory.clone();
     let registrations = gossip::run_registrations(directory.clone(), store.clone(), writer.clone());
     monoio::spawn(registrations);
     let servers = gateway.servers.clone();
     let http = gateway.http.clone();
-    monoio::spawn(gossip::run_rounds(directory, servers, http, store));
+    let config_age = gateway.config_age.clone();
+    monoio::spawn(gossip::run_rounds(
+        directory, servers, config_age, http, store,
+    ));
     let maintenance_gateway = gateway.clone();
     let ledger = ledger.clone();
     monoio::spawn(async move {
--- a/src/process/gateway/running/handlers.rs
+++ b/src/process/gateway/running/handlers.rs
@@ -78,7 +78,7 @@
                 let response = directory.handle_gossip(&request, now);
                 let mut notices = gateway.servers.gossip_notices(now);
                 notices.unconnected_gateways = directory.unconnected_gateways(now);
-                peers::gossip_response(&response, &notices)
+                peers::gossip_response(&response, &notices, gateway.config_age.peer_proof())
             }
             Some(PeerCall::ListNotices) => {
                 peers::notices_response(&gateway.servers.notices(Instant::now()))
--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -17,7 +17,7 @@
 use rand::Rng;
 use sapphireford_platform::FormatError;
 use sapphireford_platform::store::{
-    self as format, RowCondition, RowKey, RowPage, RowWrite, StoreAnswer, TransactionAnswer,
+    self as format, Row, RowCondition, RowKey, RowPage, RowWrite, StoreAnswer, TransactionAnswer,
 };
 
 use super::peers;
@@ -225,13 +225,18 @@
         }
     }
 
-    /// Reads one row; `None` if it does not exist.
+    /// Reads the value of one row; `None` if it does not exist.
     pub async fn read_row(&self, row: &RowKey, deadline: Instant) -> Result<Option<Bytes>> {
+        let row = self.find_row(row, deadline).await?;
+        Ok(row.and_then(|row| row.value))
+    }
+
+    /// Reads one row with its version; `None` if it does not exist.
+    pub async fn find_row(&self, row: &RowKey, deadline: Instant) -> Result<Option<Row>> {
         let request = format::read_row_request(row)?;
         let response = self.call(request, Duration::ZERO, deadline).await?;
         let page = decode_rows(&response)?;
-        let row = page.rows.into_iter().find(|found| found.key == row.key);
-        Ok(row.and_then(|row| row.value))
+        Ok(page.rows.into_iter().find(|found| found.key == row.key))
     }
 
     /// Reads all rows of a partition whose keys start with `prefix`, page by page.
--- a/src/process/gateway/watch.rs
+++ b/src/process/gateway/watch.rs
@@ -8,6 +8,8 @@
 use sapphireford_platform::store::Row;
 
 use super::store::Store;
+use crate::process::boot_clock::{BootClock, BootTime, Clock};
+use crate::process::teams::config_age::ProofSource;
 
 /// A change that a watch observed.
 pub enum TableChange {
@@ -26,14 +28,22 @@
 const RETRY_DELAY_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
 
-/// Passes the rows of a table and their changes to `apply` until the process ends.
-pub async fn watch_table(store: Store, table: &'static str, mut apply: impl FnMut(TableChange)) {
+/// Passes the rows of a table and their changes to `apply` until the process ends. `confirm` is
+/// called when all rows that existed at a time, the start of a call, have been passed.
+pub async fn watch_table(
+    store: Store,
+    table: &'static str,
+    mut apply: impl FnMut(TableChange),
+    mut confirm: impl FnMut(ProofSource, BootTime),
+) {
     let mut delay = RETRY_DELAY_BOUNDS.0;
     loop {
+        let started = BootClock.now();
         let deadline = Instant::now() + READ_TIMEOUT;
         let version = match store.read_all(table, "", "", deadline).await {
             Ok(page) => {
                 apply(TableChange::Snapshot(page.rows));
+                confirm(ProofSource::Snapshot, started);
                 delay = RETRY_DELAY_BOUNDS.0;
                 page.version
             }
@@ -44,7 +54,7 @@
                 continue;
             }
         };
-        follow_feed(&store, table, version, &mut apply).await;
+        follow_feed(&store, table, version, &mut apply, &mut confirm).await;
     }
 }
 
@@ -54,9 +64,11 @@
     table: &'static str,
     mut version: u64,
     apply: &mut impl FnMut(TableChange),
+    confirm: &mut impl FnMut(ProofSource, BootTime),
 ) {
     let mut delay = RETRY_DELAY_BOUNDS.0;
     loop {
+        let started = BootClock.now();
         match store.feed(table, version, FEED_POLL_TIMEOUT).await {
             Ok(Some(page)) => {
                 version = version.max(page.version);
@@ -64,6 +76,9 @@
                 if !page.rows.is_empty() {
                     apply(TableChange::Rows(page.rows));
                 }
+                if !page.has_more {
+                    confirm(ProofSource::Feed, started);
+                }
             }
             Ok(None) => {
                 log::info!(table = table, version = version;
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -92,6 +92,10 @@
         "Duration of a call to the platform's store on one path, excluding feeds.";
     describe_counter LOG_LINES_DROPPED = "sapphireford_log_lines_dropped_total", Count,
         "Log lines dropped due to the limit of lines per second or because the output was blocked.";
+    describe_counter CONFIG_PROOFS = "sapphireford_config_proofs_total", Count,
+        "Proofs that the configuration in effect is the newest one, by `source`; only with teams.";
+    describe_gauge CONFIG_AGE_SECONDS = "sapphireford_config_age_seconds", Seconds,
+        "Time since the configuration in effect was known to be the newest one; only with teams.";
     describe_gauge CONFIG_VERSION = "sapphireford_config_version", Count,
         "The configuration version in effect.";
 }
