--- a/crates/standin/src/harness.rs
+++ b/crates/standin/src/harness.rs
@@ -17,8 +17,8 @@
 
 pub use caller::{Call, Caller, Reply, check_history};
 pub use gateway_site::{
-    BackendServer, ENGINE_SERVICE, GatewayProcess, GatewaySite, HOST, PLAIN_SERVICE,
-    TOKENS_PER_EVENT, default_routes, route,
+    BackendServer, ENGINE_SERVICE, GatewayProcess, GatewaySite, HOST, KEY_WITHDRAWAL_LIMIT,
+    PLAIN_SERVICE, TOKENS_PER_EVENT, default_routes, route,
 };
 pub use http::{Answer, EventStream, HttpRequest};
 pub use process::Process;
--- a/tests/config_age.rs
+++ b/tests/config_age.rs
@@ -4,10 +4,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::FutureExt;
+use http_body_util::BodyExt;
+use hyper::Response;
 use rand::rngs::StdRng;
 use rand::seq::index::sample;
 use rand::{Rng, SeedableRng};
 use sapphireford::process::boot_clock::{BootTime, Clock};
+use sapphireford::process::gateway::gossip::GossipResponse;
+use sapphireford::process::gateway::peers::{ServerNotices, decode_gossip, gossip_response};
 use sapphireford::process::teams::config_age::{
     AgeChange, ConfigAge, PeerProof, ProofSource, READ_INTERVAL, ReadContext,
 };
@@ -132,12 +138,12 @@
 /// Guards against a peer whose answer counts as newer than the request for it, and against a peer
 /// that vouches for another configuration than the active one.
 #[parameterized(
-    same_version = { 10, 200, Some(1_200) },
-    older_version = { 9, 0, None },
-    newer_version = { 11, 0, None },
-    proof_before_the_start_of_the_vm = { 10, 1_000_000, None },
+    same_version = { 10, 200, 1_200 },
+    older_version = { 9, 0, 4_000 },
+    newer_version = { 11, 0, 4_000 },
+    proof_before_the_start_of_the_vm = { 10, 1_000_000, 4_000 },
 )]
-fn a_peer_proves_only_the_active_version(row_version: u64, told_ms: u64, expected: Option<u128>) {
+fn a_peer_proves_only_the_active_version(row_version: u64, told_ms: u64, expected_ms: u128) {
     let (age, clock) = proved_age();
     clock.advance_ms(3_000);
     let sent_at = clock.now();
@@ -148,7 +154,7 @@
         age_ms: told_ms,
     };
     age.learn_from_peer(proof, sent_at);
-    assert_eq!(age_ms(&age), expected.unwrap_or(4_000));
+    assert_eq!(age_ms(&age), expected_ms);
 }
 
 /// Guards against gateways that are cut off together and keep each other's proofs alive.
@@ -272,6 +278,37 @@
     assert_eq!(age.observe(), None);
 }
 
+fn body_of(proof: Option<PeerProof>) -> Bytes {
+    let response = GossipResponse {
+        rows: Vec::new(),
+        heartbeats: Vec::new(),
+    };
+    let response = gossip_response(&response, &ServerNotices::default(), proof);
+    let body = response.into_body().collect().now_or_never();
+    body.expect("a complete body").expect("a body").to_bytes()
+}
+
+/// Guards against messages between gateways of two builds that one of them cannot read, and against
+/// bytes of another build that are taken for a proof.
+#[test]
+fn the_proof_is_appended_to_the_response_of_the_gossip() {
+    let proof = PeerProof {
+        row_version: 10,
+        age_ms: 1_200,
+    };
+    let without = body_of(None);
+    let with = body_of(Some(proof));
+    assert!(with.starts_with(&without));
+    let decode = |body: Bytes| {
+        let (_, _, proof) = decode_gossip(&Response::new(body)).expect("a valid message");
+        proof
+    };
+    assert_eq!(decode(with), Some(proof));
+    assert_eq!(decode(without.clone()), None);
+    let other_field = postcard::to_stdvec(&proof).expect("bytes");
+    assert_eq!(decode([&*without, &other_field].concat().into()), None);
+}
+
 /// Time that a simulated store call takes.
 const CALL_MS: u64 = 20;
 const STEP_MS: u64 = 10;
