--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -10,7 +10,8 @@
 //!   [`account`] is the token account of one program. [`history`] stores the turns of
 //!   conversations.
 //! - [`stream_origins`] knows which software version began a stream.
-//! - [`peers`] defines the calls between gateways.
+//! - [`peers`] defines the calls between gateways; [`relayed_team`] is what they say of the team of a
+//!   relayed request.
 //! - [`servers`] is the registry of backend servers, each a [`server`] with its load; [`placement`]
 //!   chooses one.
 //! - [`server_path`] finds out whether this gateway reaches servers, and which peers do.
@@ -35,6 +36,7 @@
 pub mod peers;
 pub mod placement;
 pub mod rate_limits;
+pub mod relayed_team;
 pub mod running;
 pub mod server;
 pub mod server_path;
--- a/src/process/gateway/allowance.rs
+++ b/src/process/gateway/allowance.rs
@@ -3,17 +3,25 @@
 //!
 //! One gateway owns the allowance of a server and counts for all; see
 //! [`rate_limits`](super::rate_limits). It is meant for load beyond what the limited servers take:
-//! urgent requests get the allowance first, and what exceeds it is told when to ask again, spread
+//! requests of urgent teams, then of urgent routes, get the allowance first, and what exceeds it is told when to ask again, spread
 //! over time. Among requests of one priority, those of programs that have begun go before those of
 //! new ones, because a program that is refused halfway has wasted its turns; first among them are
 //! those whose prefix the server holds, because every other server has to compute it again.
 
+use std::fmt;
 use std::time::{Duration, Instant};
 
-/// Priorities that an allowance distinguishes; less urgent ones count as the last of them.
+use serde::{Deserialize, Serialize};
+
+use crate::version::teams::{MAX_PRIORITY_RANKS, PriorityRank};
+
+/// Priorities of routes that an allowance distinguishes; less urgent ones count as the last of them.
 const PRIORITIES: usize = 3;
+/// Number of request classes that an allowance distinguishes among teams of one priority. Gateways of
+/// earlier builds know only these.
+pub const CLASSES_PER_RANK: usize = 3 * PRIORITIES;
 /// Number of request classes that an allowance distinguishes.
-pub const REQUEST_CLASSES: usize = 3 * PRIORITIES;
+pub const REQUEST_CLASSES: usize = CLASSES_PER_RANK * MAX_PRIORITY_RANKS;
 
 /// Part of a limit that may be saved up while it is not used. The platform tolerates half of the
 /// limit in excess over four seconds; the rest of that is left for a change of the owner.
@@ -31,9 +39,91 @@
 /// a gateway does without a server whose limit has ended.
 const RETRY_DELAY_RANGE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(4));
 
-/// The rank of a request among those that ask for the same allowance, below [`REQUEST_CLASSES`]; 0
-/// goes first.
-pub type RequestClass = usize;
+/// The rank of a request among those that ask for the same allowance.
+///
+/// The priority of the team goes before that of the route. Only the priorities that teams have are
+/// told apart, so that teams of one priority have the same classes as a deployment without teams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "(u8, u8)", into = "(u8, u8)")]
+pub struct RequestClass {
+    /// 0 goes first; less than `count`.
+    index: usize,
+    /// The number of classes that the teams have; a multiple of [`CLASSES_PER_RANK`], at most
+    /// [`REQUEST_CLASSES`].
+    count: usize,
+}
+
+/// The numbers do not make a [`RequestClass`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InvalidRequestClass;
+
+impl fmt::Display for InvalidRequestClass {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("invalid request class")
+    }
+}
+
+impl std::error::Error for InvalidRequestClass {}
+
+impl TryFrom<(u8, u8)> for RequestClass {
+    type Error = InvalidRequestClass;
+
+    fn try_from((index, count): (u8, u8)) -> std::result::Result<Self, InvalidRequestClass> {
+        let (index, count) = (usize::from(index), usize::from(count));
+        let is_valid =
+            index < count && count.is_multiple_of(CLASSES_PER_RANK) && count <= REQUEST_CLASSES;
+        is_valid
+            .then_some(Self { index, count })
+            .ok_or(InvalidRequestClass)
+    }
+}
+
+impl From<RequestClass> for (u8, u8) {
+    fn from(class: RequestClass) -> Self {
+        (class.index as u8, class.count as u8)
+    }
+}
+
+impl From<usize> for RequestClass {
+    /// A class without teams, or of a gateway of an earlier build; larger numbers count as the last
+    /// class.
+    fn from(index: usize) -> Self {
+        Self {
+            index: index.min(CLASSES_PER_RANK - 1),
+            count: CLASSES_PER_RANK,
+        }
+    }
+}
+
+impl RequestClass {
+    /// The class of such a request of a team with this rank.
+    pub fn of_team(self, team: PriorityRank) -> Self {
+        Self {
+            index: team.rank * CLASSES_PER_RANK + self.index,
+            count: team.count * CLASSES_PER_RANK,
+        }
+    }
+
+    /// Below [`REQUEST_CLASSES`]; 0 goes first.
+    pub fn index(self) -> usize {
+        self.index
+    }
+
+    /// Whether gateways of earlier builds know the class.
+    pub fn is_without_teams(self) -> bool {
+        self.count == CLASSES_PER_RANK
+    }
+
+    /// The nearest of the classes that gateways of earlier builds know.
+    pub fn nearest_without_teams(self) -> usize {
+        self.index * (CLASSES_PER_RANK - 1) / (self.count - 1)
+    }
+
+    /// The share of the burst that is kept from the class.
+    fn reserved_share(self) -> f64 {
+        URGENT_SHARE * self.index as f64 / (self.count - 1) as f64
+    }
+}
 
 /// What a server means to the program of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,10 +136,11 @@
     Begins,
 }
 
-/// The class of a request. `priority` is that of its route, where 0 is the most urgent one.
+/// The class of a request, apart from its team. `priority` is that of its route, where 0 is the most
+/// urgent one.
 pub fn request_class(priority: u32, stage: ProgramStage) -> RequestClass {
     let priority = (priority as usize).min(PRIORITIES - 1);
-    3 * priority + stage as usize
+    RequestClass::from(3 * priority + stage as usize)
 }
 
 /// Whether a request may be sent to a server.
@@ -108,9 +199,7 @@
     /// Decides on one request, and counts it if it is granted.
     pub fn take(&mut self, class: RequestClass, now: Instant) -> Decision {
         self.refill(now);
-        let class = class.min(REQUEST_CLASSES - 1);
-        let reserved_share = URGENT_SHARE * class as f64 / (REQUEST_CLASSES - 1) as f64;
-        let needed = 1.0 + (self.burst() - 1.0) * reserved_share;
+        let needed = 1.0 + (self.burst() - 1.0) * class.reserved_share();
         if self.available >= needed {
             self.available -= 1.0;
             return Decision::Granted;
@@ -119,9 +208,9 @@
         let spacing = Duration::from_secs_f64(1.0 / (self.rate_per_s * RETRY_RATE_FACTOR));
         let (shortest, longest) = RETRY_DELAY_RANGE;
         let retry_at = (now + refill_time.max(shortest))
-            .max(self.last_retry_at[class] + spacing)
+            .max(self.last_retry_at[class.index()] + spacing)
             .min(now + longest);
-        self.last_retry_at[class] = retry_at;
+        self.last_retry_at[class.index()] = retry_at;
         Decision::Exhausted {
             retry_after: retry_at - now,
         }
--- a/src/process/gateway/budget.rs
+++ b/src/process/gateway/budget.rs
@@ -101,6 +101,8 @@
     pub turn: TurnBudget,
     /// The place of the request in its turn, if the turn may be taken up again.
     pub part: Option<TurnPart>,
+    /// Whether the ids are qualified by a team.
+    pub are_ids_qualified: bool,
     /// The turn that it continues, if there is one with a stored history.
     pub previous_turn_id: Option<&'a str>,
     /// Where the turn will begin if it can be resumed later, as far as that can be predicted.
@@ -148,6 +150,7 @@
         let TurnAdmission {
             turn,
             part,
+            are_ids_qualified,
             proposed_origin,
             deadline,
             ..
@@ -174,6 +177,7 @@
                     location,
                     owner_start,
                     program_id: turn.program_id,
+                    are_ids_qualified,
                     grant_id,
                     spent_tokens: Cell::new(0),
                     completed_by: RefCell::default(),
@@ -213,6 +217,7 @@
         let TurnAdmission {
             turn,
             part,
+            are_ids_qualified,
             previous_turn_id,
             proposed_origin,
             deadline,
@@ -227,6 +232,7 @@
                 .map(str::to_string),
             proposed_origin: *proposed_origin,
             part: part.clone(),
+            are_ids_qualified: *are_ids_qualified,
         };
         let timeout = (PEER_TIMEOUT + PEER_STORE_TIMEOUT).min(time_left);
         let http = &self.shared.http;
@@ -370,6 +376,7 @@
     /// account is here or the start is not known.
     owner_start: Option<u64>,
     program_id: String,
+    are_ids_qualified: bool,
     grant_id: GrantId,
     spent_tokens: Cell<u64>,
     /// The server that completed the turn; `None` until then.
@@ -408,6 +415,7 @@
             spent_tokens: self.spent_tokens.get(),
             completed_by: self.completed_by.take().map(|id| id.to_string()),
             persisted_turn: persisted_turn.map(|(turn_id, chain)| (turn_id, (*chain).clone())),
+            are_ids_qualified: self.are_ids_qualified,
         };
         self.controller
             .settle(self.location, self.owner_start, request);
--- a/src/process/gateway/fingerprint.rs
+++ b/src/process/gateway/fingerprint.rs
@@ -23,7 +23,7 @@
     BodyStart,
 }
 
-/// Identifies requests with the same path, key and body. Their ids and their programs may differ.
+/// Identifies requests with the same path, caller and body. Their ids and their programs may differ.
 ///
 /// The digest is cryptographic, so that no request can be made to have the fingerprint of another
 /// one.
@@ -35,14 +35,14 @@
 }
 
 impl Fingerprint {
-    fn new(request: &Request<Bytes>, scope: FingerprintScope) -> Self {
+    /// `caller` is the header with the key, or the team.
+    fn new(request: &Request<Bytes>, caller: &[u8], scope: FingerprintScope) -> Self {
         let mut digest = Sha256::new();
         let mut add = |part: &[u8]| {
             digest.update((part.len() as u64).to_le_bytes());
             digest.update(part);
         };
-        let key = request.headers().get(AUTHORIZATION);
-        add(key.map_or(&[], |key| key.as_bytes()));
+        add(caller);
         let path = request.uri().path_and_query();
         add(path.map_or("", |path| path.as_str()).as_bytes());
         let body = request.body();
@@ -68,7 +68,7 @@
     }
 }
 
-/// Identifies a caller: by its key, or by its address if it sends none.
+/// Identifies a caller: by its team or key, or by its address if it has none.
 pub type CallerHash = u64;
 
 /// What recognizes a request and its caller.
@@ -83,10 +83,25 @@
 }
 
 impl RequestIdentity {
-    /// Computes the identity of a request as its caller sent it.
+    /// Computes the identity of a request as its caller sent it, if the configuration has no teams.
     pub fn new(request: &Request<Bytes>) -> Self {
-        let caller = match request.headers().get(AUTHORIZATION) {
-            Some(key) => hash_bytes(key.as_bytes()),
+        let key = request.headers().get(AUTHORIZATION);
+        let key = key.map(|key| key.as_bytes());
+        Self::of_caller(request, key.unwrap_or_default(), key)
+    }
+
+    /// Computes the identity of a request if the configuration has teams. `scope` is what qualifies
+    /// the ids of the team; `is_known` says whether there is a team, not only a caller of a public
+    /// route. Neither the key nor its digest is part of it, because fingerprints are logged.
+    pub fn of_team(request: &Request<Bytes>, scope: &str, is_known: bool) -> Self {
+        let scope = scope.as_bytes();
+        Self::of_caller(request, scope, is_known.then_some(scope))
+    }
+
+    /// `caller` tells callers apart; without it, their addresses do.
+    fn of_caller(request: &Request<Bytes>, scope: &[u8], caller: Option<&[u8]>) -> Self {
+        let caller = match caller {
+            Some(caller) => hash_bytes(caller),
             None => {
                 let caller = request.extensions().get::<CallerAddress>();
                 let ip = caller.map(|CallerAddress(address)| address.ip().to_string());
@@ -94,8 +109,8 @@
             }
         };
         Self {
-            exact: Fingerprint::new(request, FingerprintScope::WholeBody),
-            start: Fingerprint::new(request, FingerprintScope::BodyStart),
+            exact: Fingerprint::new(request, scope, FingerprintScope::WholeBody),
+            start: Fingerprint::new(request, scope, FingerprintScope::BodyStart),
             caller,
         }
     }
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -21,6 +21,7 @@
 use super::history::{TurnChain, TurnId};
 use super::ledger::{Admission, TurnBudget, TurnPart};
 use super::rate_limits::{AllowanceRequest, AllowanceResponse};
+use super::relayed_team::{self, RelayedTeam};
 use super::server::RateLimitReport;
 use super::servers::{LeavingServer, SharedLoad};
 use super::stream_origins::StreamOrigin;
@@ -110,6 +111,10 @@
     /// origin.
     #[serde(skip)]
     pub part: Option<TurnPart>,
+    /// Whether the ids are qualified by a team. Appended like the origin, only if it is true; gateways
+    /// of earlier builds pass on the ids of callers.
+    #[serde(skip)]
+    pub are_ids_qualified: bool,
 }
 
 /// The response to an [`AdmitRequest`].
@@ -153,6 +158,10 @@
     /// The turn and its chain, for the turns that continue it; `None` if the turn is not durable.
     #[serde(rename = "kept")]
     pub persisted_turn: Option<(TurnId, TurnChain)>,
+    /// Whether the ids are qualified by a team. Appended to the message, only if it is true; gateways
+    /// of earlier builds pass on the ids of callers.
+    #[serde(skip)]
+    pub are_ids_qualified: bool,
 }
 
 const GOSSIP_PATH: &str = "/gateways/gossip";
@@ -168,6 +177,12 @@
 /// builds do not know it: they would begin a stream at the origin of its program without a record,
 /// so that an earlier one stays the last, or reserve tokens twice.
 const STREAM_PATH_PREFIX: &str = "/streams";
+/// Path prefixes of all relayed requests.
+const RELAYED_PATH_PREFIXES: [&str; 3] = [
+    REQUEST_PATH_PREFIX,
+    STREAM_PATH_PREFIX,
+    relayed_team::PATH_PREFIX,
+];
 /// Header of a relayed request: the address of its caller.
 const CALLER_HEADER: HeaderName = HeaderName::from_static("x-caller-address");
 /// Header of a relayed request: the number of servers that it may still be sent to. Gateways of
@@ -181,7 +196,7 @@
 /// Header of such a request: the server that has the prefix of its prompt, which the peer would learn
 /// from the account otherwise.
 const PREFIX_HOLDER_HEADER: HeaderName = HeaderName::from_static("x-prefix-holder");
-/// Marks all responses to requests with [`STREAM_PATH_PREFIX`].
+/// Marks all responses to requests whose [`RelayTerms`] the peer must understand.
 const TERMS_UNDERSTOOD_HEADER: HeaderName = HeaderName::from_static("x-terms-understood");
 /// Marks the response of a peer that has not recorded an origin for a request that it did not take.
 const NOTHING_RECORDED_HEADER: HeaderName = HeaderName::from_static("x-nothing-recorded");
@@ -320,12 +335,14 @@
     pub are_tokens_reserved: bool,
     /// The server that has the prefix of the prompt, if it is known.
     pub prefix_holder: Option<&'a str>,
+    /// The team of the caller; `None` if the configuration has no teams.
+    pub team: Option<RelayedTeam>,
 }
 
 impl RelayTerms<'_> {
     /// Whether a peer must not serve the request without knowing these terms.
     pub fn must_be_understood(&self) -> bool {
-        self.origin_recorders > 0 || self.are_tokens_reserved
+        self.origin_recorders > 0 || self.are_tokens_reserved || self.team.is_some()
     }
 }
 
@@ -337,6 +354,7 @@
 ) -> Option<Request<Bytes>> {
     let path = request.uri().path_and_query()?.as_str();
     let prefix = match terms.must_be_understood() {
+        true if terms.team.is_some() => relayed_team::PATH_PREFIX,
         true => STREAM_PATH_PREFIX,
         false => REQUEST_PATH_PREFIX,
     };
@@ -351,6 +369,10 @@
     // These are not taken from the caller, who could have its turns admitted for free.
     headers.remove(TOKENS_RESERVED_HEADER);
     headers.remove(PREFIX_HOLDER_HEADER);
+    relayed_team::remove_headers(headers);
+    if let Some(team) = &terms.team {
+        team.insert_into(headers);
+    }
     if terms.are_tokens_reserved {
         let value = HeaderValue::from_static("1");
         headers.insert(TOKENS_RESERVED_HEADER, value);
@@ -375,18 +397,26 @@
     pub are_tokens_reserved: bool,
     /// The server that has the prefix of the prompt, if that gateway says so.
     pub prefix_holder: Option<BackendServerId>,
+    /// The team of the caller, if that gateway says so; otherwise the request has the key.
+    pub team: Option<RelayedTeam>,
     /// Whether that gateway expects the mark of [`mark_terms_understood`].
     pub must_be_understood: bool,
 }
 
 fn unwrap_request(mut request: Request<Bytes>) -> Option<RelayedRequest> {
     let path = request.uri().path_and_query()?.as_str();
-    let must_be_understood = path.starts_with(STREAM_PATH_PREFIX);
-    let path = path
-        .strip_prefix(REQUEST_PATH_PREFIX)
-        .or(path.strip_prefix(STREAM_PATH_PREFIX))?;
+    let has_team = path.starts_with(relayed_team::PATH_PREFIX);
+    let must_be_understood = path.starts_with(STREAM_PATH_PREFIX) || has_team;
+    let path = RELAYED_PATH_PREFIXES
+        .iter()
+        .find_map(|prefix| path.strip_prefix(prefix))?;
     let uri = path.parse().ok()?;
     *request.uri_mut() = uri;
+    let team = match has_team {
+        true => Some(RelayedTeam::take_from(request.headers_mut())?),
+        false => None,
+    };
+    relayed_team::remove_headers(request.headers_mut());
     let caller = request.headers_mut().remove(CALLER_HEADER);
     let caller = caller.and_then(|caller| caller.to_str().ok()?.parse().ok());
     if let Some(caller) = caller {
@@ -407,6 +437,7 @@
         origin_recorders,
         are_tokens_reserved,
         prefix_holder,
+        team,
         must_be_understood,
     })
 }
@@ -468,7 +499,20 @@
 
 /// Encodes a request to the owner of an allowance.
 pub fn allowance_request(request: &AllowanceRequest) -> Request<Bytes> {
-    post(ALLOWANCE_PATH, request)
+    let mut message = post(ALLOWANCE_PATH, request);
+    if let Some(class) = &request.team_class {
+        // The encoding of this type cannot fail.
+        let class = postcard::to_stdvec(class).unwrap_or_default();
+        let body = message.body_mut();
+        *body = Bytes::from([&**body, &*class].concat());
+    }
+    message
+}
+
+fn decode_allowance_request(body: &[u8]) -> Option<AllowanceRequest> {
+    let (mut request, rest) = postcard::take_from_bytes::<AllowanceRequest>(body).ok()?;
+    request.team_class = postcard::from_bytes(rest).ok();
+    Some(request)
 }
 
 /// Encodes the response of the owner of an allowance.
@@ -490,7 +534,8 @@
         let mut request = post_with_notices(ADMIT_PATH, self, notices);
         let body = request.body_mut();
         let part = postcard::to_stdvec(&self.part).unwrap_or_default();
-        *body = Bytes::from([&with_origin(body, self.proposed_origin), &*part].concat());
+        let mark = qualified_ids_mark(self.are_ids_qualified);
+        *body = Bytes::from([&with_origin(body, self.proposed_origin), &*part, mark].concat());
         request
     }
 
@@ -498,7 +543,9 @@
         let (mut request, notices, rest) = split_message::<Self>(body)?;
         let (proposed_origin, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
         request.proposed_origin = proposed_origin;
-        request.part = postcard::from_bytes(rest).unwrap_or_default();
+        let (part, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+        request.part = part;
+        request.are_ids_qualified = rest == QUALIFIED_IDS_MARK;
         Some((request, notices))
     }
 }
@@ -506,7 +553,26 @@
 impl SettleRequest {
     /// Encodes the HTTP request to a peer.
     pub fn encode(&self) -> Request<Bytes> {
-        post(SETTLE_PATH, self)
+        let mut request = post(SETTLE_PATH, self);
+        let body = request.body_mut();
+        *body = Bytes::from([&**body, qualified_ids_mark(self.are_ids_qualified)].concat());
+        request
+    }
+
+    fn decode(body: &[u8]) -> Option<Self> {
+        let (mut request, rest) = postcard::take_from_bytes::<Self>(body).ok()?;
+        request.are_ids_qualified = rest == QUALIFIED_IDS_MARK;
+        Some(request)
+    }
+}
+
+/// Follows a message whose ids are qualified by a team.
+const QUALIFIED_IDS_MARK: &[u8] = &[1];
+
+fn qualified_ids_mark(are_ids_qualified: bool) -> &'static [u8] {
+    match are_ids_qualified {
+        true => QUALIFIED_IDS_MARK,
+        false => &[],
     }
 }
 
@@ -564,15 +630,14 @@
             .map(|(request, notices)| PeerCall::Gossip(request, notices)),
         NOTICES_PATH => Some(PeerCall::ListNotices),
         SERVER_PATH_PATH => Some(PeerCall::AskServerPath),
-        path if path.starts_with(REQUEST_PATH_PREFIX) || path.starts_with(STREAM_PATH_PREFIX) => {
+        path if RELAYED_PATH_PREFIXES
+            .iter()
+            .any(|prefix| path.starts_with(prefix)) =>
+        {
             unwrap_request(request).map(|request| PeerCall::Request(Box::new(request)))
         }
-        ALLOWANCE_PATH => postcard::from_bytes(request.body())
-            .ok()
-            .map(PeerCall::Allowance),
-        SETTLE_PATH => postcard::from_bytes(request.body())
-            .ok()
-            .map(PeerCall::Settle),
+        ALLOWANCE_PATH => decode_allowance_request(request.body()).map(PeerCall::Allowance),
+        SETTLE_PATH => SettleRequest::decode(request.body()).map(PeerCall::Settle),
         _ => unwrap_store_call(request).map(|call| PeerCall::Relay(Box::new(call))),
     }
 }
--- a/src/process/gateway/rate_limits.rs
+++ b/src/process/gateway/rate_limits.rs
@@ -45,8 +45,30 @@
 pub struct AllowanceRequest {
     /// The limit as the asking gateway knows it. The owner may not have heard of it yet.
     pub limit: RateLimitReport,
+    /// The class of the request, as gateways of earlier builds know it.
+    #[serde(rename = "class")]
+    pub class_without_teams: usize,
+    /// The class if teams have several priorities; otherwise `None`. Appended to the message, because
+    /// gateways of earlier builds ignore what follows it.
+    #[serde(skip)]
+    pub team_class: Option<RequestClass>,
+}
+
+impl AllowanceRequest {
+    /// Asks for one request of this class.
+    pub fn new(limit: RateLimitReport, class: RequestClass) -> Self {
+        Self {
+            limit,
+            class_without_teams: class.nearest_without_teams(),
+            team_class: (!class.is_without_teams()).then_some(class),
+        }
+    }
+
     /// The class of the request.
-    pub class: RequestClass,
+    pub fn class(&self) -> RequestClass {
+        self.team_class
+            .unwrap_or_else(|| RequestClass::from(self.class_without_teams))
+    }
 }
 
 /// The response to an [`AllowanceRequest`].
@@ -159,7 +181,7 @@
             .retain(|_, failed_at| now.saturating_duration_since(*failed_at) < OWNER_RETRY_DELAY);
         let is_responsive = |owner: &SocketAddr| !self.unresponsive.borrow().contains_key(owner);
         let mut next = owners.into_iter().find(is_responsive);
-        let request = AllowanceRequest { limit, class };
+        let request = AllowanceRequest::new(limit, class);
         for _ in 0..MAX_OWNERS_ASKED {
             let owner = next.take()?;
             let sent = self.http.fetch(
@@ -209,13 +231,14 @@
             let owner = self.directory.allowance_owner_row(server_id, &domain, now);
             return AllowanceResponse::NotOwner(owner);
         }
+        let class = request.class();
         let known = server.rate_limit_report(now);
         let known = known.filter(|known| known.started_unix_ms == request.limit.started_unix_ms);
         let limit = known.unwrap_or(request.limit);
         if limit.limit_per_s.is_none() {
             return AllowanceResponse::Unlimited(limit);
         }
-        match self.take(&limit, request.class, now) {
+        match self.take(&limit, class, now) {
             Some(Decision::Granted) => AllowanceResponse::Granted,
             Some(Decision::Exhausted { retry_after }) => AllowanceResponse::Exhausted {
                 retry_after_ms: retry_after.as_millis() as u32,
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -135,6 +135,13 @@
         self.routes.borrow().clone()
     }
 
+    /// Whether the ids in the message of a peer can be used: with teams in the configuration, they
+    /// must be qualified by the team.
+    fn accepts_ids(&self, are_qualified: bool) -> bool {
+        let has_teams = self.routes().is_some_and(|routes| routes.teams.is_some());
+        are_qualified || !has_teams
+    }
+
     /// Activates a configuration unless it is older than the active one.
     fn apply_config(&self, row: &Row) {
         let Some(value) = &row.value else {
--- a/src/process/gateway/running/handlers.rs
+++ b/src/process/gateway/running/handlers.rs
@@ -61,12 +61,22 @@
         let gateway = &self.gateway;
         match peers::decode_call(request) {
             Some(PeerCall::Relay(call)) => peers::relay_response(gateway.store.relay(*call).await),
+            // The ids of callers that a gateway of an earlier build passes on could be those of any
+            // team. It admits the turn itself, from an account that no team uses.
+            Some(PeerCall::Admit(request, _))
+                if !gateway.accepts_ids(request.are_ids_qualified) =>
+            {
+                status(StatusCode::NOT_FOUND)
+            }
             Some(PeerCall::Admit(request, notices)) => {
                 gateway.servers.merge_notices(&notices, Instant::now());
                 let response = gateway.budgets.handle_admit(request).await;
                 response.encode(&gateway.servers.notices(Instant::now()))
             }
-            Some(PeerCall::Settle(report)) => {
+            Some(PeerCall::Settle(mut report)) => {
+                if !gateway.accepts_ids(report.are_ids_qualified) {
+                    report.persisted_turn = None;
+                }
                 gateway.budgets.apply_settlement(report);
                 status(StatusCode::OK)
             }
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -196,7 +196,7 @@
     /// after it.
     pub fn exhaust_allowance(&self, class: RequestClass, until: Instant) {
         let mut exhausted_until = self.exhausted_until.get();
-        for known in exhausted_until.iter_mut().skip(class) {
+        for known in exhausted_until.iter_mut().skip(class.index()) {
             *known = (*known).max(Some(until));
         }
         self.exhausted_until.set(exhausted_until);
@@ -204,7 +204,7 @@
 
     /// Until when the allowance is used up for a request class; `None` if it is not known to be.
     fn allowance_exhausted_until(&self, class: RequestClass, now: Instant) -> Option<Instant> {
-        self.exhausted_until.get()[class].filter(|until| now < *until)
+        self.exhausted_until.get()[class.index()].filter(|until| now < *until)
     }
 
     /// Whether the allowance is known to be used up for a request class.
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -42,6 +42,8 @@
 
 metric_names! {
     describe_counter ALLOWANCE_DECISIONS = "sapphireford_allowance_decisions_total", Count, "Decisions on requests to backend servers with a rate limit, by outcome.";
+    describe_counter KEY_REFUSALS = "sapphireford_key_refusals_total", Count,
+        "Requests refused because of their key, or because it could not be checked, by `reason`.";
     describe_counter REQUESTS = "sapphireford_requests_total", Count,
         "Requests of callers, by `route` and `outcome` (ok or the error kind; gateways: `status`).";
     describe_gauge REQUESTS_IN_PROGRESS = "sapphireford_requests_in_progress", Count,
--- a/src/request/gateway.rs
+++ b/src/request/gateway.rs
@@ -1,7 +1,8 @@
 //! Handling of caller requests in the gateway process, which speaks the protocol of the users'
 //! platform.
 //!
-//! [`dispatch`] looks up the route of a request, and [`caller`] the team of its key. For streams, [`turn`] reserves the tokens of the
+//! [`dispatch`] looks up the route of a request, and [`caller`] the team of its key, by which
+//! [`qualified_ids`] keeps the ids of teams apart. For streams, [`turn`] reserves the tokens of the
 //! turn and prepends the conversation history to its input. [`forward`] sends the request to a
 //! backend server of its [`selection`], by [`origin`] only to one whose events fit together with those that the caller
 //! has, and asks [`retry`] what to do after a failed attempt. [`stream`] forwards the
@@ -14,6 +15,7 @@
 pub mod dispatch;
 pub mod forward;
 pub mod origin;
+pub mod qualified_ids;
 pub mod record;
 pub mod refusal;
 pub mod relay;
--- a/src/request/gateway/caller.rs
+++ b/src/request/gateway/caller.rs
@@ -9,34 +9,140 @@
 use hyper::header::{AUTHORIZATION, HeaderMap};
 use sapphireford_platform::operator::RouteRecord;
 
+use super::qualified_ids::IdScope;
 use crate::error::{Error, ErrorKind, Result};
+use crate::process::metrics;
 use crate::process::teams::config_age::ConfigAge;
-use crate::version::key_digest::digest;
+use crate::version::key_digest::KeyDigest;
 use crate::version::route_table::RouteTable;
 use crate::version::teams::Team;
 
-/// The SHA-256 digest of a key.
-pub type KeyDigest = [u8; 32];
-
 /// Longest key that is looked up.
 const MAX_KEY_BYTES: usize = 256;
 /// Age of the configuration up to which an unknown key is refused for good. A key that was added
 /// later may be in use already, and callers do not repeat a request after that refusal.
 const UNKNOWN_KEY_AGE_LIMIT: Duration = Duration::from_millis(2_000);
 
-/// Decodes the key of a caller: a single header with the scheme `Bearer`, in any case, and a key of
-/// visible ASCII characters. `None` if there is no such key.
-pub fn presented_key(headers: &HeaderMap) -> Option<KeyDigest> {
-    let mut values = headers.get_all(AUTHORIZATION).iter();
-    let value = values.next()?.to_str().ok()?;
-    if values.next().is_some() {
-        return None;
+/// What a request says about the key of its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PresentedKey {
+    /// There is no key.
+    Missing,
+    /// There is something that cannot be a key.
+    Malformed,
+    /// The digest of the key.
+    Digest(KeyDigest),
+}
+
+impl PresentedKey {
+    /// Decodes the key of a caller: a single header with the scheme `Bearer`, in any case, one space
+    /// and a key of visible ASCII characters.
+    pub fn decode(headers: &HeaderMap) -> Self {
+        let mut values = headers.get_all(AUTHORIZATION).iter();
+        let Some(value) = values.next() else {
+            return Self::Missing;
+        };
+        let value = value.to_str().ok().filter(|_| values.next().is_none());
+        let Some((scheme, key)) = value.and_then(|value| value.split_once(' ')) else {
+            return Self::Malformed;
+        };
+        let is_valid = scheme.eq_ignore_ascii_case("bearer")
+            && !key.is_empty()
+            && key.len() <= MAX_KEY_BYTES
+            && key.bytes().all(|byte| byte.is_ascii_graphic());
+        match is_valid {
+            true => Self::Digest(KeyDigest::of_key(key)),
+            false => Self::Malformed,
+        }
+    }
+
+    fn digest(&self) -> Option<&KeyDigest> {
+        match self {
+            Self::Digest(digest) => Some(digest),
+            Self::Missing | Self::Malformed => None,
+        }
+    }
+
+    /// The team of the key in a configuration, whether or not the configuration is current.
+    pub fn find_team<'a>(&self, routes: &'a RouteTable) -> Option<&'a Rc<Team>> {
+        let teams = routes.teams.as_ref()?;
+        teams.find_digest(self.digest()?.as_bytes())
+    }
+}
+
+impl From<Option<KeyDigest>> for PresentedKey {
+    fn from(digest: Option<KeyDigest>) -> Self {
+        digest.map_or(Self::Missing, Self::Digest)
+    }
+}
+
+/// Why a request was refused because of its key; a label of the metric.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum KeyRefusal {
+    Missing,
+    Malformed,
+    Unknown,
+    /// The key was withdrawn while the request waited.
+    Withdrawn,
+    /// The configuration may lag behind one that has the key, or that needs none.
+    ConfigMayLag,
+    /// The configuration may lag behind one that withdraws keys.
+    ConfigTooOld,
+}
+
+impl KeyRefusal {
+    fn reason(self) -> &'static str {
+        match self {
+            Self::Missing => "missing",
+            Self::Malformed => "malformed",
+            Self::Unknown => "unknown",
+            Self::Withdrawn => "withdrawn",
+            Self::ConfigMayLag => "config_may_lag",
+            Self::ConfigTooOld => "config_too_old",
+        }
+    }
+
+    fn count(self) {
+        ::metrics::counter!(metrics::KEY_REFUSALS, "reason" => self.reason()).increment(1);
+    }
+
+    /// The error of a request without a key that the newest configuration is known to have.
+    fn error(self) -> Error {
+        self.count();
+        let message = match self {
+            Self::Missing => "the request has no key; send `Authorization: Bearer KEY`",
+            Self::Malformed => {
+                "the key is malformed; send one header `Authorization: Bearer KEY` with one space \
+                 and a key of 1 to 256 visible ASCII characters"
+            }
+            Self::Unknown => "the key is in no configuration, or belongs to two teams; check it",
+            Self::Withdrawn => "the key was withdrawn before the request was sent to a server",
+            Self::ConfigMayLag | Self::ConfigTooOld => {
+                let message = "the key is not in the configuration of this gateway, which may lag \
+                               behind; retry later";
+                return Error::new(ErrorKind::NotReady, message);
+            }
+        };
+        Error::new(ErrorKind::Unauthorized, message)
+    }
+}
+
+/// Fails if the configuration may lag behind one that withdraws keys.
+fn require_current(config_age: &ConfigAge) -> Result<()> {
+    let checked = config_age.require_current();
+    checked.inspect_err(|_| KeyRefusal::ConfigTooOld.count())
+}
+
+/// The error for a key that the newest known configuration does not have. It is final only if no
+/// newer configuration can be in use.
+fn unknown_key_error(refusal: KeyRefusal, config_age: &ConfigAge) -> Error {
+    if let Err(error) = require_current(config_age) {
+        return error;
+    }
+    match config_age.is_fresher_than(UNKNOWN_KEY_AGE_LIMIT) {
+        true => refusal.error(),
+        false => KeyRefusal::ConfigMayLag.error(),
     }
-    let (scheme, key) = value.split_once(' ')?;
-    let is_valid = !key.is_empty()
-        && key.len() <= MAX_KEY_BYTES
-        && key.bytes().all(|byte| byte.is_ascii_graphic());
-    (scheme.eq_ignore_ascii_case("bearer") && is_valid).then(|| digest(key))
 }
 
 /// The caller of a request, as its key identifies it.
@@ -44,8 +150,15 @@
 pub struct Caller {
     /// `None` if the configuration has no teams, or if the route is public and the key unknown.
     pub team: Option<Rc<Team>>,
-    /// The digest of the key that identifies the team. It stands in no log and no metric.
+    /// The digest of the key, if the configuration has teams. On a public route it may be unknown.
     pub key_digest: Option<KeyDigest>,
+    /// Whether the route needs no key.
+    pub is_key_optional: bool,
+    /// Whether the caller has no team only as far as this gateway knows: on a public route, its key
+    /// may be in a newer configuration.
+    pub may_have_team: bool,
+    /// Keeps the ids of the caller apart from those of other teams.
+    pub id_scope: IdScope,
 }
 
 impl Caller {
@@ -53,54 +166,65 @@
     pub fn identify(
         routes: &RouteTable,
         route: &RouteRecord,
-        key: Option<KeyDigest>,
+        key: PresentedKey,
         config_age: &ConfigAge,
     ) -> Result<Self> {
-        let Some(teams) = &routes.teams else {
-            return Ok(Self::default());
-        };
-        let team = key.and_then(|key| teams.find_digest(&key));
-        if let Some(team) = team {
-            return match config_age.require_current() {
-                Ok(()) => Ok(Self {
-                    team: Some(team.clone()),
-                    key_digest: key,
-                }),
-                Err(_) if route.is_public => Ok(Self::default()),
-                Err(error) => Err(error),
-            };
-        }
-        if route.is_public {
+        if routes.teams.is_none() {
             return Ok(Self::default());
         }
-        if key.is_none() {
-            let message = "the request has no key; send `Authorization: Bearer KEY`";
-            return Err(Error::new(ErrorKind::Unauthorized, message));
-        }
-        config_age.require_current()?;
-        if !config_age.is_fresher_than(UNKNOWN_KEY_AGE_LIMIT) {
-            let message = "the key is not in the configuration of this gateway, which may lag \
-                           behind; retry later";
-            return Err(Error::new(ErrorKind::NotReady, message));
+        let refusal = match (key.find_team(routes), key) {
+            (Some(team), _) => match config_age.require_current() {
+                Ok(()) => {
+                    return Ok(Self {
+                        team: Some(team.clone()),
+                        key_digest: key.digest().copied(),
+                        is_key_optional: route.is_public,
+                        may_have_team: false,
+                        id_scope: IdScope::of_team(Some(&team.id)),
+                    });
+                }
+                Err(_) if route.is_public => KeyRefusal::ConfigTooOld,
+                Err(error) => {
+                    KeyRefusal::ConfigTooOld.count();
+                    return Err(error);
+                }
+            },
+            (None, PresentedKey::Missing) => KeyRefusal::Missing,
+            (None, PresentedKey::Malformed) => KeyRefusal::Malformed,
+            (None, PresentedKey::Digest(_)) => KeyRefusal::Unknown,
+        };
+        if !route.is_public {
+            return Err(unknown_key_error(refusal, config_age));
         }
-        let message = "the key is in no configuration; check it";
-        Err(Error::new(ErrorKind::Unauthorized, message))
+        Ok(Self {
+            key_digest: key.digest().copied(),
+            is_key_optional: true,
+            may_have_team: refusal == KeyRefusal::ConfigTooOld
+                || (refusal == KeyRefusal::Unknown
+                    && !config_age.is_fresher_than(UNKNOWN_KEY_AGE_LIMIT)),
+            id_scope: IdScope::of_team(None),
+            ..Self::default()
+        })
     }
 
     /// Checks the key again by the newest configuration.
     pub fn require_valid(&self, newest: &RouteTable, config_age: &ConfigAge) -> Result<()> {
-        let (Some(team), Some(key)) = (&self.team, &self.key_digest) else {
+        let (Some(team), Some(key)) = (&self.team, self.key_digest) else {
             return Ok(());
         };
-        config_age.require_current()?;
-        let holder = newest
-            .teams
-            .as_ref()
-            .and_then(|teams| teams.find_digest(key));
+        if newest.teams.is_none() {
+            return Ok(());
+        }
+        require_current(config_age)?;
+        let holder = PresentedKey::Digest(key).find_team(newest);
         if holder.is_some_and(|holder| holder.id == team.id) {
             return Ok(());
         }
-        let message = "the key was withdrawn before the request was sent to a server";
-        Err(Error::new(ErrorKind::Unauthorized, message))
+        if self.is_key_optional {
+            KeyRefusal::Withdrawn.count();
+            let message = "the key was withdrawn before the request was sent to a server; retry";
+            return Err(Error::new(ErrorKind::NotReady, message));
+        }
+        Err(unknown_key_error(KeyRefusal::Withdrawn, config_age))
     }
 }
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -6,14 +6,15 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::HOST;
+use hyper::header::{HOST, HeaderMap};
 use hyper::{Request, Response};
 use sapphireford_platform::headers::{self, CallHeaders};
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
-use super::caller::{self, Caller};
+use super::caller::{Caller, PresentedKey};
 use super::forward::{RequestForwarder, ServerResponse};
 use super::origin::{EarlierRecords, OriginConstraint};
+use super::qualified_ids::{IdScope, QualifiedIds};
 use super::record::RequestRecord;
 use super::refusal;
 use super::relay::{self, BodyEnd};
@@ -27,6 +28,7 @@
 use crate::process::gateway::fingerprint::RequestIdentity;
 use crate::process::gateway::ledger::TurnPart;
 use crate::process::gateway::peers::{self, RelayedRequest};
+use crate::process::gateway::relayed_team::RelayedTeam;
 use crate::process::gateway::running::Gateway;
 use crate::process::task;
 use crate::process::teams::limits::LimitedRequest;
@@ -43,6 +45,8 @@
         earlier_records: EarlierRecords,
         /// Whether it has reserved the tokens of the request and counts them.
         are_tokens_reserved: bool,
+        /// The team of the caller; `None` if it says nothing, so that the request has the key.
+        team: Option<RelayedTeam>,
     },
 }
 
@@ -66,6 +70,64 @@
             } => !are_tokens_reserved,
         }
     }
+
+    /// What a peer says of the team of the caller.
+    fn relayed_team(self) -> Option<RelayedTeam> {
+        match self {
+            Source::Caller => None,
+            Source::Peer { team, .. } => team,
+        }
+    }
+
+    /// The key of the caller. Only a peer may give its digest.
+    fn presented_key(self, headers: &HeaderMap) -> PresentedKey {
+        match self.relayed_team() {
+            Some(team) => PresentedKey::from(team.key_digest),
+            None => PresentedKey::decode(headers),
+        }
+    }
+}
+
+/// A request on its arrival, with what is known before its route is looked up.
+struct Arrival {
+    source: Source,
+    call: CallHeaders,
+    /// The active configuration.
+    routes: Option<Rc<RouteTable>>,
+    key: PresentedKey,
+    identity: RequestIdentity,
+    prefix_holder: Option<BackendServerId>,
+}
+
+impl Arrival {
+    fn new(
+        request: &Request<Bytes>,
+        routes: Option<Rc<RouteTable>>,
+        source: Source,
+        prefix_holder: Option<BackendServerId>,
+    ) -> Self {
+        let (key, identity) = match &routes {
+            Some(routes) if routes.teams.is_none() => {
+                (PresentedKey::Missing, RequestIdentity::new(request))
+            }
+            // Without a configuration, there may be teams, and the request is refused.
+            routes => {
+                let key = source.presented_key(request.headers());
+                let team = routes.as_ref().and_then(|routes| key.find_team(routes));
+                let scope = IdScope::of_team(team.map(|team| &*team.id));
+                let identity = RequestIdentity::of_team(request, scope.prefix(), team.is_some());
+                (key, identity)
+            }
+        };
+        Self {
+            source,
+            call: CallHeaders::decode(request.headers()),
+            routes,
+            key,
+            identity,
+            prefix_holder,
+        }
+    }
 }
 
 /// Handles the HTTP requests of callers.
@@ -82,26 +144,33 @@
     async fn respond(
         &self,
         request: Request<Bytes>,
-        call: CallHeaders,
-        identity: RequestIdentity,
-        source: Source,
-        prefix_holder: Option<BackendServerId>,
+        arrival: Arrival,
         record: Rc<RequestRecord>,
     ) -> Result<Response<Body>> {
-        let routes = self.gateway.routes();
+        let Arrival {
+            source,
+            call,
+            routes,
+            key,
+            identity,
+            prefix_holder,
+        } = arrival;
         let routes = routes.filter(|_| self.gateway.is_informed()).ok_or_else(|| {
             let message = "this gateway has not read its configuration, the backend servers and \
                            the other gateways yet; retry at another gateway";
             Error::new(ErrorKind::NotReady, message)
         })?;
+        if routes.teams.is_none() && source.relayed_team().is_some() {
+            let message = "this gateway has not read the configuration with the teams yet";
+            return Err(Error::new(ErrorKind::NotReady, message));
+        }
         let mut route = find_route(&routes, &request)?;
         if let Source::Peer { attempts_left, .. } = source {
             route.max_attempts = attempts_left.unwrap_or(u32::MAX).min(route.max_attempts);
         }
         record.set_route(&route.name, routes.version);
-        let config_age = &self.gateway.config_age;
-        let key = caller::presented_key(request.headers());
-        let caller = Caller::identify(&routes, &route, key, config_age)?;
+        let caller = Caller::identify(&routes, &route, key, &self.gateway.config_age)?;
+        let ids = QualifiedIds::new(&caller.id_scope, &call);
         if let Some(team) = &caller.team {
             record.set_team(team.id.clone());
         }
@@ -115,9 +184,12 @@
         if routes.teams.is_some() {
             headers::remove_team_headers(&mut head.headers);
         }
-        if let Some(team) = &caller.team {
+        let is_limit_counted = source
+            .relayed_team()
+            .is_some_and(|team| team.is_limit_counted);
+        if let Some(team) = caller.team.as_ref().filter(|_| !is_limit_counted) {
             let limited = LimitedRequest {
-                program_id: call.program.as_ref().map(|program| &*program.program_id),
+                program_id: ids.program_id.as_deref(),
                 route: &route.name,
                 may_begin_program: may_begin_program(&route, &call),
                 deadline,
@@ -130,6 +202,7 @@
             routes,
             route,
             call,
+            ids,
             caller,
             caller_headers: head.headers,
             method: head.method,
@@ -224,10 +297,10 @@
         source: Source,
     ) -> Result<Option<UnsavedTurn>> {
         let origins = &self.gateway.stream_origins;
-        let (route, call) = (&forwarder.route, &forwarder.call);
+        let (route, call, ids) = (&forwarder.route, &forwarder.call, &forwarder.ids);
         let deadline = forwarder.deadline;
         let earlier_records = source.earlier_records();
-        let origin = OriginConstraint::new(route, call, earlier_records, origins, deadline);
+        let origin = OriginConstraint::new(route, call, ids, earlier_records, origins, deadline);
         forwarder.origin = origin.await?;
         if let Some(origin) = forwarder.origin.required() {
             let note = format!("the stream began at origin {origin:016x}");
@@ -244,11 +317,19 @@
             &self.gateway,
             &forwarder.route,
             &forwarder.call,
+            &forwarder.ids,
             input,
             reservation_request,
             forwarder.deadline,
         );
-        let prepared = prepared.await?;
+        let prepared = prepared.await.map_err(|error| match error.kind {
+            // The previous turn may be one of the team that the caller may have.
+            ErrorKind::NotFound if forwarder.caller.may_have_team => {
+                Error::new(ErrorKind::NotReady, error.message)
+            }
+            _ => error,
+        });
+        let prepared = prepared?;
         forwarder.record.mark_prepared();
         forwarder.body = prepared.body;
         if source.reserves_tokens() {
@@ -273,6 +354,7 @@
             attempts_left: relayed.attempts_left,
             earlier_records: EarlierRecords::of_relayed(relayed.origin_recorders),
             are_tokens_reserved: relayed.are_tokens_reserved,
+            team: relayed.team,
         };
         self.serve(relayed.request, source, relayed.prefix_holder)
             .await
@@ -284,7 +366,8 @@
         source: Source,
         prefix_holder: Option<BackendServerId>,
     ) -> Response<Body> {
-        let call = CallHeaders::decode(request.headers());
+        let arrival = Arrival::new(&request, self.gateway.routes(), source, prefix_holder);
+        let call = &arrival.call;
         let program_id = call
             .program
             .as_ref()
@@ -292,12 +375,11 @@
         let request_id = call.request_id.clone().unwrap_or_default();
         let caller = request.extensions().get::<CallerAddress>();
         let caller = caller.map(|CallerAddress(address)| address.ip().to_string());
-        let identity = RequestIdentity::new(&request);
         let record = Rc::new(RequestRecord::new(
             request_id,
             program_id,
             caller.unwrap_or_default(),
-            identity.exact,
+            arrival.identity.exact,
         ));
         if let Some(last_event_id) = call.last_event_id {
             record.set_resumed_stream(call.resumed_request_id.as_deref(), last_event_id);
@@ -305,15 +387,7 @@
         if let Source::Peer { .. } = source {
             record.note("relayed by a gateway without a path to servers");
         }
-        let response = self.respond(
-            request,
-            call,
-            identity,
-            source,
-            prefix_holder,
-            record.clone(),
-        );
-        match response.await {
+        match self.respond(request, arrival, record.clone()).await {
             Ok(response) => response,
             Err(error) => {
                 let status = error.kind.answer().status;
@@ -334,6 +408,10 @@
             ErrorKind::NoBackendServer if gateway.server_path.is_lost() => {
                 return peers::not_taken_response();
             }
+            // Another peer may have a newer configuration, or proof that its own is current.
+            ErrorKind::NotReady if source.relayed_team().is_some() => {
+                return peers::not_taken_response();
+            }
             ErrorKind::ServiceInDoubt => peers::mark_in_doubt(&mut response),
             _ => {}
         }
@@ -343,10 +421,10 @@
 
 /// The place of a request in its turn; `None` if the turn cannot be taken up.
 fn turn_part(forwarder: &RequestForwarder) -> Option<TurnPart> {
-    let call = &forwarder.call;
+    let (call, ids) = (&forwarder.call, &forwarder.ids);
     let turn_id = match call.last_event_id {
-        None => call.request_id.as_ref(),
-        Some(_) => call.resumed_request_id.as_ref(),
+        None => ids.turn_id.as_ref(),
+        Some(_) => ids.resumed_turn_id.as_ref(),
     };
     let turn_id = turn_id.filter(|_| forwarder.route.kind == RouteKind::ResumableStream)?;
     // Events are numbered from 1.
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -19,6 +19,7 @@
 
 use super::caller::Caller;
 use super::origin::{self, OriginConstraint};
+use super::qualified_ids::QualifiedIds;
 use super::record::RequestRecord;
 use super::retry::{self, AttemptCounts, AttemptFailure, RetryDecision};
 use crate::connection::http_client::ClientError;
@@ -47,6 +48,8 @@
     pub route: RouteRecord,
     /// The headers of the caller that the gateway interprets, decoded.
     pub call: CallHeaders,
+    /// The ids of `call` as they are stored and told to peers.
+    pub ids: QualifiedIds,
     /// The caller, as its key identifies it.
     pub caller: Caller,
     /// The headers of the caller as received, without its key if the configuration has teams.
--- a/src/request/gateway/origin.rs
+++ b/src/request/gateway/origin.rs
@@ -5,6 +5,7 @@
 use sapphireford_platform::headers::CallHeaders;
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
+use super::qualified_ids::QualifiedIds;
 use crate::error::{Error, ErrorKind, Result};
 use crate::process::gateway::store::StoreError;
 use crate::process::gateway::stream_origins::{
@@ -58,18 +59,19 @@
     pub async fn new(
         route: &RouteRecord,
         call: &CallHeaders,
+        ids: &QualifiedIds,
         earlier: EarlierRecords,
         origins: &StreamOrigins,
         deadline: Instant,
     ) -> Result<Self> {
         match (route.kind, call.last_event_id) {
-            (RouteKind::ResumableStream, None) => Ok(Self::for_new_stream(call, earlier)),
+            (RouteKind::ResumableStream, None) => Ok(Self::for_new_stream(call, ids, earlier)),
             // Without the events that the caller has, the turn would be stored in part.
             (RouteKind::ResumableStream, Some(_)) if route.has_stored_history => {
                 Err(cannot_resume_error("turns of this route are stored whole"))
             }
             (RouteKind::ResumableStream, Some(_)) => {
-                Self::for_resumed_stream(call, origins, deadline).await
+                Self::for_resumed_stream(call, ids, origins, deadline).await
             }
             (RouteKind::Stream, Some(_)) => Err(cannot_resume_error(
                 "streams of this route cannot be resumed",
@@ -79,10 +81,10 @@
     }
 
     /// The constraint of a new stream that may be resumed later.
-    fn for_new_stream(call: &CallHeaders, earlier: EarlierRecords) -> Self {
-        let request_id = call.request_id.as_deref();
+    fn for_new_stream(call: &CallHeaders, ids: &QualifiedIds, earlier: EarlierRecords) -> Self {
+        let request_id = ids.turn_id.as_deref();
         Self {
-            stream: request_id.map(|id| StreamKey::new(account_program(call), id)),
+            stream: request_id.map(|id| StreamKey::new(ids.account_program(call), id)),
             earlier,
             ..Self::default()
         }
@@ -91,14 +93,15 @@
     /// Reads where the stream began that a caller takes up, and fails if that is unknown.
     async fn for_resumed_stream(
         call: &CallHeaders,
+        ids: &QualifiedIds,
         origins: &StreamOrigins,
         deadline: Instant,
     ) -> Result<Self> {
         if !origins.can_record() {
             return Err(unknown_origin_error(StoreError::Outage));
         }
-        let request_id = call.resumed_request_id.as_deref();
-        let found = origins.find(account_program(call), request_id, deadline);
+        let request_id = ids.resumed_turn_id.as_deref();
+        let found = origins.find(ids.account_program(call), request_id, deadline);
         match found.await {
             Ok(Some(origin)) => Ok(Self {
                 required: Some(origin),
@@ -201,13 +204,6 @@
     Error::new(ErrorKind::CannotResume, message)
 }
 
-/// The program of a request, if it has an account.
-fn account_program(call: &CallHeaders) -> Option<&str> {
-    let program = call.program.as_ref()?;
-    program.budget_tokens?;
-    Some(&program.program_id)
-}
-
 fn unknown_origin_error(error: StoreError) -> Error {
     let message = "the store is unavailable, so it cannot be read which software version began \
                    the stream; retry later, or begin it anew";
--- a/src/request/gateway/relay.rs
+++ b/src/request/gateway/relay.rs
@@ -27,6 +27,7 @@
 use crate::connection::sse::EventSplitter;
 use crate::error::{Error, ErrorKind, Result};
 use crate::process::gateway::peers::{self, RelayTerms};
+use crate::process::gateway::relayed_team::RelayedTeam;
 
 /// Peers that are asked to take a request. Those that do not take it answer at once.
 const MAX_PEERS: usize = 3;
@@ -131,7 +132,8 @@
         for peer in server_path.helpers().into_iter().take(MAX_PEERS) {
             let attempts = self.attempts.left_to_peer(kind, max_attempts);
             let mut outcome = self.attempt_at_peer(peer, attempts, last_event_id).await;
-            if matches!(outcome, PeerOutcome::TermsNotUnderstood) && self.reservation.is_some() {
+            let may_reserve = self.reservation.is_some() && self.relayed_team().is_none();
+            if matches!(outcome, PeerOutcome::TermsNotUnderstood) && may_reserve {
                 // A gateway of an earlier build reserves the tokens itself.
                 self.reservation = None;
                 outcome = self.attempt_at_peer(peer, attempts, last_event_id).await;
@@ -145,7 +147,7 @@
                     return Err(in_doubt_error(&format!("relayed: {reason}")));
                 }
                 PeerOutcome::TermsNotUnderstood => {
-                    let reason = "its build does not know the order of origins";
+                    let reason = "its build does not know teams or the order of origins";
                     self.record.note(format!("{peer}: {reason}"));
                     server_path.remove_helper(peer);
                     continue;
@@ -192,6 +194,7 @@
             },
             are_tokens_reserved: self.reservation.is_some(),
             prefix_holder: self.prefix_holder.as_deref(),
+            team: self.relayed_team(),
         };
         let sent = self.send_to_peer(peer, terms, last_event_id);
         let mut response = match sent.await {
@@ -304,6 +307,15 @@
         }
     }
 
+    /// What a peer is told of the team of the caller; `None` if the configuration has no teams.
+    fn relayed_team(&self) -> Option<RelayedTeam> {
+        let caller = &self.caller;
+        self.routes.teams.is_some().then(|| RelayedTeam {
+            key_digest: caller.key_digest,
+            is_limit_counted: caller.team.is_some(),
+        })
+    }
+
     /// Whether a peer would begin a stream whose origin is recorded.
     fn begins_stream(&self, last_event_id: Option<u64>) -> bool {
         self.route.kind == RouteKind::ResumableStream && last_event_id.is_none()
--- a/src/request/gateway/selection.rs
+++ b/src/request/gateway/selection.rs
@@ -129,7 +129,11 @@
             Some(_) => ProgramStage::ContinuesElsewhere,
             None => ProgramStage::Begins,
         };
-        request_class(self.route.priority, stage)
+        let class = request_class(self.route.priority, stage);
+        match &self.routes.teams {
+            Some(teams) => class.of_team(teams.priority_rank(self.caller.team.as_deref())),
+            None => class,
+        }
     }
 
     fn is_untried(&self, server: &Server) -> bool {
@@ -155,13 +159,13 @@
     /// The key by which placement ranks servers. Requests with the same key are expected to share a
     /// prefix.
     fn affinity_key(&self) -> u64 {
-        if let Some(program) = &self.call.program {
-            return hash_bytes(program.program_id.as_bytes());
+        if let Some(program_id) = &self.ids.program_id {
+            return hash_bytes(program_id.as_bytes());
         }
         if let Some(part) = self.call.prompt.parts.first() {
             return part.id;
         }
-        let request_id = self.call.request_id.as_deref().unwrap_or_default();
+        let request_id = self.ids.turn_id.as_deref().unwrap_or_default();
         hash_bytes(request_id.as_bytes())
     }
 
--- a/src/request/gateway/turn.rs
+++ b/src/request/gateway/turn.rs
@@ -8,6 +8,7 @@
 use sapphireford_platform::headers::CallHeaders;
 use sapphireford_platform::operator::RouteRecord;
 
+use super::qualified_ids::QualifiedIds;
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::BackendServerId;
 use crate::process::gateway::budget::{
@@ -37,7 +38,7 @@
 
 /// A turn in progress that is saved to the conversation history when it is complete.
 pub struct UnsavedTurn {
-    /// The id under which the turn is saved: the request id of the caller.
+    /// The id under which the turn is saved: the request id of the caller, qualified by its team.
     pub turn_id: String,
     /// The history that the turn continues.
     pub chain: Rc<TurnChain>,
@@ -68,19 +69,22 @@
     gateway: &Gateway,
     route: &RouteRecord,
     headers: &CallHeaders,
+    ids: &QualifiedIds,
     input: Bytes,
     reservation_request: Option<ReservationRequest>,
     deadline: Instant,
 ) -> Result<PreparedTurn> {
-    let budget = reservation_request.and_then(|request| Some((request, turn_budget(headers)?)));
+    let budget =
+        reservation_request.and_then(|request| Some((request, turn_budget(headers, ids)?)));
     if route.has_stored_history && !gateway.store.is_available() {
         return Err(store_unavailable_error(StoreError::Outage));
     }
-    let previous = headers.previous_turn_id.as_deref();
+    let previous = ids.previous_turn_id.as_deref();
     let previous = previous.filter(|_| route.has_stored_history);
     let admission = budget.map(|(request, turn)| TurnAdmission {
         turn,
         part: request.part,
+        are_ids_qualified: ids.are_qualified,
         previous_turn_id: previous,
         proposed_origin: request.proposed_origin,
         deadline,
@@ -97,7 +101,7 @@
     };
     let chain = match owner_chain {
         Some(chain) => Some(Rc::new(chain)),
-        None => load_history(gateway, route, headers, deadline).await?,
+        None => load_history(gateway, route, headers, ids, deadline).await?,
     };
     let body = match &chain {
         Some(chain) if !chain.text.is_empty() => {
@@ -105,7 +109,7 @@
         }
         _ => input.clone(),
     };
-    let unsaved_turn = match (chain, &headers.request_id) {
+    let unsaved_turn = match (chain, &ids.turn_id) {
         (Some(chain), Some(turn_id)) => Some(UnsavedTurn {
             turn_id: turn_id.clone(),
             chain,
@@ -122,12 +126,11 @@
     })
 }
 
-fn turn_budget(headers: &CallHeaders) -> Option<TurnBudget> {
-    let program = headers.program.as_ref()?;
+fn turn_budget(headers: &CallHeaders, ids: &QualifiedIds) -> Option<TurnBudget> {
     Some(TurnBudget {
-        program_id: program.program_id.clone(),
+        program_id: ids.program_id.clone()?,
         max_tokens: headers.prompt.max_output_tokens,
-        budget_tokens: program.budget_tokens?,
+        budget_tokens: headers.program.as_ref()?.budget_tokens?,
     })
 }
 
@@ -154,17 +157,19 @@
     gateway: &Gateway,
     route: &RouteRecord,
     headers: &CallHeaders,
+    ids: &QualifiedIds,
     deadline: Instant,
 ) -> Result<Option<Rc<TurnChain>>> {
     if !route.has_stored_history {
         return Ok(None);
     }
-    let Some(previous) = &headers.previous_turn_id else {
+    let Some(previous) = &ids.previous_turn_id else {
         return Ok(Some(Rc::default()));
     };
     match gateway.history.load(previous, deadline).await {
         Ok(Lookup::Found(chain)) => Ok(Some(chain)),
         Ok(Lookup::NotFound) => {
+            let previous = headers.previous_turn_id.as_deref().unwrap_or_default();
             let message = format!("the previous turn `{previous}` does not exist");
             Err(Error::new(ErrorKind::NotFound, message))
         }
--- a/src/version/key_digest.rs
+++ b/src/version/key_digest.rs
@@ -2,8 +2,42 @@
 //!
 //! A configuration contains only digests, so that read access to it does not expose any key.
 
+use std::fmt;
+
 use sha2::{Digest, Sha256};
 
+/// The SHA-256 digest of a caller's key. It is passed between gateways and must not get into logs.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// Computes the digest of a key.
+    pub fn of_key(key: &str) -> Self {
+        Self(digest(key))
+    }
+
+    /// Decodes 64 hexadecimal digits; `None` if the text is anything else.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        decode_hex(text).map(Self)
+    }
+
+    /// Encodes the digest as 64 hexadecimal digits.
+    pub fn to_hex(&self) -> String {
+        encode_hex(&self.0)
+    }
+
+    /// The bytes of the digest.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("KeyDigest(..)")
+    }
+}
+
 /// Computes the SHA-256 digest of a key, over the bytes of the bearer token.
 pub fn digest(key: &str) -> [u8; 32] {
     Sha256::digest(key.as_bytes()).into()
--- a/src/version/teams.rs
+++ b/src/version/teams.rs
@@ -21,18 +21,41 @@
     pub limit: Option<TeamLimit>,
 }
 
+/// Priorities of teams that are told apart; less urgent ones count as the last of them.
+pub const MAX_PRIORITY_RANKS: usize = 3;
+
+/// The place of a team among the priorities that the teams of its configuration have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PriorityRank {
+    /// 0 for the most urgent priority; less than `count`.
+    pub rank: usize,
+    /// The number of ranks; at least 1.
+    pub count: usize,
+}
+
 /// The teams of one configuration version. Keys are kept as digests only.
 #[derive(Debug)]
 pub struct Teams {
     by_key: KeyIndex<Rc<Team>>,
     /// Names of teams that share a key. Such a key identifies none of them.
     ambiguous: Vec<(TeamId, TeamId)>,
+    /// The priorities of the teams, each once, in ascending order.
+    priorities: Vec<u32>,
+}
+
+/// The holder of a key while an index is built.
+struct Holder {
+    team: Rc<Team>,
+    is_ambiguous: bool,
 }
 
 impl From<Vec<TeamRecord>> for Teams {
     fn from(records: Vec<TeamRecord>) -> Self {
-        let mut holders: IndexMap<[u8; 32], Option<Rc<Team>>> = IndexMap::new();
+        let mut holders: IndexMap<[u8; 32], Holder> = IndexMap::new();
         let mut ambiguous = Vec::new();
+        let mut priorities: Vec<u32> = records.iter().map(|record| record.priority).collect();
+        priorities.sort_unstable();
+        priorities.dedup();
         for record in records {
             let team = Rc::new(Team {
                 id: record.name.as_str().into(),
@@ -40,22 +63,25 @@
                 limit: record.limit,
             });
             for key in &record.keys {
-                let holder = holders
-                    .entry(digest(key))
-                    .or_insert_with(|| Some(team.clone()));
-                let other = holder.as_ref().filter(|holder| holder.id != team.id);
-                if let Some(other) = other.cloned() {
-                    ambiguous.push((other.id.clone(), team.id.clone()));
-                    *holder = None;
+                let holder = holders.entry(digest(key)).or_insert_with(|| Holder {
+                    team: team.clone(),
+                    is_ambiguous: false,
+                });
+                if holder.team.id != team.id {
+                    ambiguous.push((holder.team.id.clone(), team.id.clone()));
+                    holder.is_ambiguous = true;
                 }
             }
         }
-        let holders = holders.into_iter();
+        let unique = holders
+            .into_iter()
+            .filter(|(_, holder)| !holder.is_ambiguous);
         Self {
-            by_key: holders
-                .filter_map(|(digest, holder)| Some((digest, holder?)))
+            by_key: unique
+                .map(|(digest, holder)| (digest, holder.team))
                 .collect(),
             ambiguous,
+            priorities,
         }
     }
 }
@@ -70,4 +96,16 @@
     pub fn ambiguous(&self) -> &[(TeamId, TeamId)] {
         &self.ambiguous
     }
+
+    /// The rank of a team's priority. Callers without a team have the priority 0, like teams whose
+    /// priority is not set.
+    pub fn priority_rank(&self, team: Option<&Team>) -> PriorityRank {
+        let priority = team.map_or(0, |team| team.priority);
+        let rank = self.priorities.partition_point(|other| *other < priority);
+        let count = self.priorities.len().clamp(1, MAX_PRIORITY_RANKS);
+        PriorityRank {
+            rank: rank.min(count - 1),
+            count,
+        }
+    }
 }
--- a/tests/gateway_allowance.rs
+++ b/tests/gateway_allowance.rs
@@ -11,7 +11,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use sapphireford::process::gateway::allowance::{
-    Allowance, Decision, ProgramStage, REQUEST_CLASSES, request_class,
+    Allowance, CLASSES_PER_RANK, Decision, ProgramStage, RequestClass, request_class,
 };
 use sapphireford::process::gateway::directory::AllowanceOwner;
 use sapphireford_platform::store::Row;
@@ -57,7 +57,7 @@
     let demand_interval = Duration::from_secs_f64(1.0 / (3.0 * limit_per_s.max(1.0)));
     while now.duration_since(start) < RUN {
         now += demand_interval.mul_f64(rng.random_range(0.0..2.0));
-        let class = rng.random_range(0..REQUEST_CLASSES);
+        let class = RequestClass::from(rng.random_range(0..CLASSES_PER_RANK));
         if is_granted(allowance.take(class, now)) {
             granted_at.push(now);
         }
@@ -84,7 +84,7 @@
         request_class(1, ProgramStage::ContinuesElsewhere), request_class(1, ProgramStage::Begins)
     },
 )]
-fn the_better_class_goes_first(better: usize, other: usize) {
+fn the_better_class_goes_first(better: RequestClass, other: RequestClass) {
     const LIMIT_PER_S: f64 = 10.0;
     let start = Instant::now();
     let mut allowance = Allowance::new(LIMIT_PER_S, start);
@@ -108,7 +108,7 @@
     const LIMIT_PER_S: f64 = 10.0;
     let now = Instant::now();
     let mut allowance = Allowance::new(LIMIT_PER_S, now);
-    let retries = (0..60).map(|_| match allowance.take(0, now) {
+    let retries = (0..60).map(|_| match allowance.take(RequestClass::from(0), now) {
         Decision::Exhausted { retry_after } => retry_after,
         Decision::Granted => panic!("a new allowance is empty"),
     });
@@ -183,7 +183,10 @@
             .allowances
             .entry((index, number))
             .or_insert_with(|| Allowance::new(LIMIT_PER_S, now));
-        if is_granted(allowance.take(self.rng.random_range(0..REQUEST_CLASSES), now)) {
+        if is_granted(allowance.take(
+            RequestClass::from(self.rng.random_range(0..CLASSES_PER_RANK)),
+            now,
+        )) {
             server.granted_at.push(now);
         }
     }
--- a/tests/gateway_crash_reports.rs
+++ b/tests/gateway_crash_reports.rs
@@ -57,6 +57,7 @@
         origin_recorders,
         are_tokens_reserved: false,
         prefix_holder: None,
+        team: None,
     };
     let relayed = wrap_request(relayed, Some(address), terms);
     let relayed = relayed.expect("a valid path");
--- a/tests/gateway_taken_up_turns.rs
+++ b/tests/gateway_taken_up_turns.rs
@@ -110,6 +110,7 @@
             origin_recorders: 1,
             are_tokens_reserved: false,
             prefix_holder: None,
+            team: None,
         };
         request = wrap_request(request, None, terms).expect("a valid path");
     }
