--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -12,6 +12,7 @@
 use getopts::Options;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use indexmap::IndexMap;
 use sapphireford::connection::body::{Body, BodySender};
 use sapphireford::connection::http_server::Handler;
 use sapphireford::process::slots::placement::hash_bytes;
@@ -72,6 +73,8 @@
     path: String,
     body: String,
     last_event_id: Option<u64>,
+    /// Values by name, if [`Control::record_headers`] is set; otherwise empty.
+    headers: IndexMap<String, String>,
     events: u64,
     /// False while the request is running, and permanently if its stream was cut, stalled or closed
     /// by the caller.
@@ -102,6 +105,8 @@
     crash_on: Option<String>,
     /// Returns status 500 after execution; streams are not affected.
     fail: bool,
+    /// Records the headers of requests.
+    record_headers: bool,
 }
 
 impl BackendServer {
@@ -147,6 +152,16 @@
     Some(headers.get(name)?.to_str().ok()?.to_string())
 }
 
+/// All headers by name; several values of one name are joined.
+fn all_headers(headers: &HeaderMap) -> IndexMap<String, String> {
+    let mut values: IndexMap<String, String> = IndexMap::new();
+    for (name, value) in headers {
+        let text = values.entry(name.to_string()).or_default();
+        text.push_str(&String::from_utf8_lossy(value.as_bytes()));
+    }
+    values
+}
+
 fn header_number(headers: &HeaderMap, name: &str) -> Option<u64> {
     header_text(headers, name)?.parse().ok()
 }
@@ -185,6 +200,10 @@
             path: request.uri().to_string(),
             body: String::from_utf8_lossy(request.body()).into_owned(),
             last_event_id,
+            headers: match control.record_headers {
+                true => all_headers(headers),
+                false => IndexMap::new(),
+            },
             events: 0,
             is_finished: false,
         });
--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -119,11 +119,14 @@
 
     /// Starts the gateway with its settings file; returns once it listens.
     pub fn start(&mut self) {
+        self.start_with(&[]);
+    }
+
+    /// Like [`GatewayProcess::start`], with further options of the command line.
+    pub fn start_with(&mut self, options: &[&str]) {
         let path = self.settings_path.to_string_lossy().into_owned();
-        self.process = Some(Process::start(
-            "sapphireford-gateway",
-            &["--settings", &path],
-        ));
+        let options = [&["--settings", &path], options].concat();
+        self.process = Some(Process::start("sapphireford-gateway", &options));
     }
 
     /// Requests a graceful shutdown (SIGTERM); returns without waiting for it.
@@ -359,8 +362,13 @@
 
     /// Writes a configuration with these routes and a higher version.
     pub fn configure(&mut self, routes: Value) {
+        self.configure_with(routes, json!({}));
+    }
+
+    /// Like [`GatewaySite::configure`], with further fields, such as `tenants`.
+    pub fn configure_with(&mut self, routes: Value, fields: Value) {
         self.config_version += 3;
-        let value = json!({
+        let mut value = json!({
             "version": self.config_version,
             "routes": routes,
             "services": [
@@ -371,6 +379,9 @@
             "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
                         "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
         });
+        if let (Some(value), Some(fields)) = (value.as_object_mut(), fields.as_object()) {
+            value.extend(fields.clone());
+        }
         let put = json!({ "table": "op", "key": "config", "value": value });
         self.store.control(&json!({ "put": put }));
     }
--- a/crates/standin/src/harness/process.rs
+++ b/crates/standin/src/harness/process.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::mpsc;
+use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::Duration;
 
@@ -21,8 +21,15 @@
     name: String,
     child: Child,
     address: SocketAddr,
+    output: Output,
 }
 
+/// What a process has written to its standard output.
+type Output = Arc<Mutex<String>>;
+
+/// Most bytes of the output that are kept; what exceeds them is dropped.
+const OUTPUT_LIMIT_BYTES: usize = 4 << 20;
+
 impl Process {
     /// Starts a binary of the workspace and waits until it prints `listening on ADDRESS`.
     ///
@@ -40,7 +47,9 @@
                 let path = path.display();
                 panic!("could not start `{path}` ({error}); run `cargo build --workspace --bins`")
             });
-        let address = child.stdout.take().and_then(wait_for_address);
+        let output = Output::default();
+        let stdout = child.stdout.take();
+        let address = stdout.and_then(|stdout| wait_for_address(stdout, output.clone()));
         let Some(address) = address else {
             let _ = child.kill();
             let _ = child.wait();
@@ -50,9 +59,19 @@
             name: name.to_string(),
             child,
             address,
+            output,
         }
     }
 
+    /// What the process has written to its standard output so far, up to a limit.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the thread that reads the output has panicked.
+    pub fn output(&self) -> String {
+        self.output.lock().expect("no reader has panicked").clone()
+    }
+
     /// The address that the process printed at its start.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -153,8 +172,8 @@
 }
 
 /// Waits for the line with the listening address. A thread keeps reading the output, because the
-/// process would block on a full pipe, and prints it if `SAPPHIREFORD_TEST_LOG` is set.
-fn wait_for_address(stdout: impl Read + Send + 'static) -> Option<SocketAddr> {
+/// process would block on a full pipe, keeps it and prints it if `SAPPHIREFORD_TEST_LOG` is set.
+fn wait_for_address(stdout: impl Read + Send + 'static, output: Output) -> Option<SocketAddr> {
     let (sender, receiver) = mpsc::channel();
     let is_shown = std::env::var_os("SAPPHIREFORD_TEST_LOG").is_some();
     thread::spawn(move || {
@@ -164,6 +183,12 @@
             } else if is_shown {
                 eprintln!("{line}");
             }
+            if let Ok(mut output) = output.lock()
+                && output.len() < OUTPUT_LIMIT_BYTES
+            {
+                output.push_str(&line);
+                output.push('\n');
+            }
         }
     });
     receiver.recv_timeout(START_TIMEOUT).ok().flatten()
