--- a/src/request/gateway/caller.rs
+++ b/src/request/gateway/caller.rs
@@ -106,7 +106,7 @@
         ::metrics::counter!(metrics::KEY_REFUSALS, "reason" => self.reason()).increment(1);
     }
 
-    /// The error of a request without a key that the newest configuration is known to have.
+    /// The error of a refused request; counts it.
     fn error(self) -> Error {
         self.count();
         let message = match self {
@@ -118,12 +118,17 @@
             Self::Unknown => "the key is in no configuration, or belongs to two teams; check it",
             Self::Withdrawn => "the key was withdrawn before the request was sent to a server",
             Self::ConfigMayLag | Self::ConfigTooOld => {
-                let message = "the key is not in the configuration of this gateway, which may lag \
-                               behind; retry later";
-                return Error::new(ErrorKind::NotReady, message);
+                "the key is not in the configuration of this gateway, which may lag behind; retry \
+                 later"
             }
         };
-        Error::new(ErrorKind::Unauthorized, message)
+        let kind = match self {
+            Self::ConfigMayLag | Self::ConfigTooOld => ErrorKind::NotReady,
+            Self::Missing | Self::Malformed | Self::Unknown | Self::Withdrawn => {
+                ErrorKind::Unauthorized
+            }
+        };
+        Error::new(kind, message)
     }
 }
 
@@ -207,6 +212,15 @@
         })
     }
 
+    /// The error for a previous turn that the caller does not have. It is not final if the turn may be
+    /// one of the team that the caller may have.
+    pub fn not_found_error(&self, error: Error) -> Error {
+        match self.may_have_team {
+            true => KeyRefusal::ConfigMayLag.error(),
+            false => error,
+        }
+    }
+
     /// Checks the key again by the newest configuration.
     pub fn require_valid(&self, newest: &RouteTable, config_age: &ConfigAge) -> Result<()> {
         let (Some(team), Some(key)) = (&self.team, self.key_digest) else {
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -323,10 +323,7 @@
             forwarder.deadline,
         );
         let prepared = prepared.await.map_err(|error| match error.kind {
-            // The previous turn may be one of the team that the caller may have.
-            ErrorKind::NotFound if forwarder.caller.may_have_team => {
-                Error::new(ErrorKind::NotReady, error.message)
-            }
+            ErrorKind::NotFound => forwarder.caller.not_found_error(error),
             _ => error,
         });
         let prepared = prepared?;
--- a/src/request/gateway/relay.rs
+++ b/src/request/gateway/relay.rs
@@ -129,7 +129,12 @@
     ) -> Result<Option<Response<Incoming>>> {
         let server_path = self.gateway.server_path.clone();
         let (kind, max_attempts) = (self.route.kind, self.route.max_attempts);
-        for peer in server_path.helpers().into_iter().take(MAX_PEERS) {
+        let mut asked_peers = 0;
+        for peer in server_path.helpers() {
+            if asked_peers == MAX_PEERS {
+                break;
+            }
+            asked_peers += 1;
             let attempts = self.attempts.left_to_peer(kind, max_attempts);
             let mut outcome = self.attempt_at_peer(peer, attempts, last_event_id).await;
             let may_reserve = self.reservation.is_some() && self.relayed_team().is_none();
@@ -150,6 +155,8 @@
                     let reason = "its build does not know teams or the order of origins";
                     self.record.note(format!("{peer}: {reason}"));
                     server_path.remove_helper(peer);
+                    // Among many gateways of earlier builds, one of this build is still found.
+                    asked_peers -= 1;
                     continue;
                 }
                 PeerOutcome::NotTaken {
--- a/tests/gateway_keys.rs
+++ b/tests/gateway_keys.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use hyper::Request;
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderValue};
-use sapphireford::error::ErrorKind;
+use sapphireford::error::{Error, ErrorKind};
 use sapphireford::process::gateway::fingerprint::RequestIdentity;
 use sapphireford::process::gateway::ledger::TurnBudget;
 use sapphireford::process::gateway::peers::{
@@ -122,6 +122,29 @@
     }
 }
 
+/// Guards against a final 404 for a turn of a team whose key this gateway may not know yet, on a route
+/// that needs no key.
+#[test]
+fn a_turn_that_may_belong_to_the_team_of_an_unknown_key_is_not_refused_for_good() {
+    let routes = two_teams();
+    let route = routes.find("a.example", "/open/").expect("a route");
+    let not_found = |key: PresentedKey, config_age: &ConfigAge| {
+        let caller = Caller::identify(&routes, route, key, config_age).expect("a caller");
+        caller
+            .not_found_error(Error::new(ErrorKind::NotFound, "no such turn"))
+            .kind
+    };
+    let unproved = ConfigAge::new(Some(Duration::from_secs(5)));
+    let current = ConfigAge::new(None);
+    let unknown = PresentedKey::Digest(KeyDigest::of_key("k-none"));
+    assert_eq!(not_found(unknown, &unproved), ErrorKind::NotReady);
+    assert_eq!(not_found(unknown, &current), ErrorKind::NotFound);
+    assert_eq!(
+        not_found(PresentedKey::Missing, &unproved),
+        ErrorKind::NotFound
+    );
+}
+
 /// Guards against requests that outlast their key while they wait, and against a final refusal of one
 /// that needs no key.
 #[test]
--- a/tests/gateway_teams.rs
+++ b/tests/gateway_teams.rs
@@ -2,9 +2,13 @@
 
 #[path = "support/gateway.rs"]
 mod gateway;
+#[path = "support/raw_server.rs"]
+mod raw_server;
 #[path = "support/server_paths.rs"]
 mod server_paths;
 
+use std::io::Write;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use base64::Engine;
@@ -12,6 +16,7 @@
 use gateway::{
     Turn, WAIT_TIMEOUT, caller_request, expected_stream_data, new_request_id, recorded_runs,
 };
+use raw_server::RawServer;
 use sapphireford::process::gateway::ledger::TurnBudget;
 use sapphireford::process::gateway::peers::{AdmitRequest, ServerNotices};
 use sapphireford::version::key_digest::KeyDigest;
@@ -390,6 +395,51 @@
     assert_eq!(send(&ping, stranded).status, 200);
 }
 
+/// Guards against a key, or a `Tenant` of the caller, that is sent to a peer, and against a request that a
+/// gateway of an earlier build serves without a team because it gets it under a path that it knows.
+#[test]
+fn a_gateway_of_an_earlier_build_gets_no_request_that_it_would_serve() {
+    let mut site = start(2);
+    cut_off(&site.gateways[0], Cut::Silent);
+    find_out(&[&site.gateways[0]]);
+    let peer_address = site.gateways[1].peer_address();
+    site.gateways[1].kill();
+    let received: Arc<Mutex<Vec<(String, String)>>> = Arc::default();
+    let requests = received.clone();
+    let _peer = RawServer::start_at(peer_address, move |stream, request| {
+        let head = match request.path.as_str() {
+            "/servers/path" => "HTTP/1.1 200 OK",
+            _ => "HTTP/1.1 404 Not Found",
+        };
+        let headers = format!("{:?}", request.headers);
+        requests
+            .lock()
+            .expect("a lock")
+            .push((request.path.clone(), headers));
+        stream.write_all(format!("{head}\r\ncontent-length: 0\r\n\r\n").as_bytes())
+    });
+    let request = booking(&new_request_id(), Some(ACME_KEY)).header("tenant", "made-up");
+    let answer = send(&request, &site.gateways[0]);
+    assert_eq!(answer.status, 503, "{}", answer.text());
+    assert!(answer.header("retry-after").is_some());
+    let received = received.lock().expect("a lock");
+    let relayed = received
+        .iter()
+        .filter(|(path, _)| path.ends_with("/book/a"));
+    let relayed: Vec<_> = relayed.collect();
+    assert!(!relayed.is_empty(), "{received:?}");
+    let digest = KeyDigest::of_key(ACME_KEY).to_hex();
+    for (path, headers) in relayed {
+        assert_eq!(path, "/team-requests/book/a");
+        let has = |text: &str| headers.contains(text);
+        assert!(
+            has(&digest) && has("(\"x-limit-counted\", \"1\")"),
+            "{headers}"
+        );
+        assert!(!has(ACME_KEY) && !has("made-up"), "{headers}");
+    }
+}
+
 /// Guards against messages of gateways of an earlier build, which know no teams: a request without a key
 /// that runs, headers of a caller that pass for those of a gateway, and ids of a caller that pass for
 /// those of a team.
--- a/tests/support/raw_server.rs
+++ b/tests/support/raw_server.rs
@@ -51,7 +51,15 @@
     pub fn start(
         respond: impl Fn(&mut TcpStream, &RawRequest) -> std::io::Result<()> + Send + Sync + 'static,
     ) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), respond)
+    }
+
+    /// Like [`RawServer::start`], at this address.
+    pub fn start_at(
+        address: SocketAddr,
+        respond: impl Fn(&mut TcpStream, &RawRequest) -> std::io::Result<()> + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind(address).expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let counters = Arc::new(Counters::default());
         let respond = Arc::new(respond);
