--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -359,8 +359,13 @@
 
     /// Writes a configuration with these routes and a higher version.
     pub fn configure(&mut self, routes: Value) {
+        self.configure_with(routes, json!({}));
+    }
+
+    /// Like [`GatewaySite::configure`], with further fields of the configuration, such as `tenants`.
+    pub fn configure_with(&mut self, routes: Value, fields: Value) {
         self.config_version += 3;
-        let value = json!({
+        let mut value = json!({
             "version": self.config_version,
             "routes": routes,
             "services": [
@@ -371,6 +376,9 @@
             "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
                         "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
         });
+        if let (Some(value), Some(fields)) = (value.as_object_mut(), fields.as_object()) {
+            value.extend(fields.clone());
+        }
         let put = json!({ "table": "op", "key": "config", "value": value });
         self.store.control(&json!({ "put": put }));
     }
@@ -388,6 +396,9 @@
             "peer_address": format!("{ip}:{PEER_PORT}"),
             "metrics_address": format!("{ip}:{METRICS_PORT}"),
             "store_address": store_proxy.address(),
+            "team_limit_window_s": 5.0,
+            "team_limit_excess_share": 0.1,
+            "team_limit_excess_requests": 20.0,
         });
         let settings_path = self.folder.join(format!("gateway-{index}.json"));
         fs::write(&settings_path, settings.to_string()).expect("the settings file can be written");
--- a/crates/standin/src/platform/rows.rs
+++ b/crates/standin/src/platform/rows.rs
@@ -5,7 +5,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
-use std::time::Duration;
+use std::sync::OnceLock;
+use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -256,7 +257,9 @@
             (name, None)
         });
         let version = self.write(writes.chain(removals).collect());
-        TransactionOutcome::Committed(response::ok(&json!({ "rowVersion": version, "nowMs": 0 })))
+        TransactionOutcome::Committed(response::ok(
+            &json!({ "rowVersion": version, "nowMs": now_ms() }),
+        ))
     }
 
     fn conflict_response(&self, conditions: &[Condition]) -> Option<Response<Body>> {
@@ -273,7 +276,7 @@
             is_met &= row.map_or(0, |row| row.version) == condition.version;
             found.extend(row.map(|row| RowResponse::new(&name, Some(&row.value), row.version)));
         }
-        let body = json!({ "rows": found, "rowVersion": self.version.get(), "nowMs": 0 });
+        let body = json!({ "rows": found, "rowVersion": self.version.get(), "nowMs": now_ms() });
         (!is_met).then(|| json_response(StatusCode::PRECONDITION_FAILED, &body))
     }
 
@@ -299,7 +302,7 @@
         let has_more = found.len() > limit;
         found.truncate(limit);
         response::ok(
-            &json!({ "rows": found, "hasMore": has_more, "rowVersion": self.version.get(), "nowMs": 0 }),
+            &json!({ "rows": found, "hasMore": has_more, "rowVersion": self.version.get(), "nowMs": now_ms() }),
         )
     }
 
@@ -331,10 +334,18 @@
         let rows: Vec<RowResponse> = new
             .map(|change| RowResponse::new(&change.name, change.value.as_ref(), change.version))
             .collect();
-        response::ok(&json!({ "rows": rows, "rowVersion": self.version.get(), "nowMs": 0 }))
+        response::ok(&json!({ "rows": rows, "rowVersion": self.version.get(), "nowMs": now_ms() }))
     }
 }
 
+/// The steady clock of the store, in milliseconds.
+fn now_ms() -> u64 {
+    static STARTED: OnceLock<Instant> = OnceLock::new();
+    let started = STARTED.get_or_init(Instant::now);
+    // It does not begin at 0, as after a restart of the store.
+    1_000_000 + started.elapsed().as_millis() as u64
+}
+
 /// Parses the parameters of a query string and decodes their values.
 pub fn parse_query(query: &str) -> IndexMap<String, String> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
--- a/src/process.rs
+++ b/src/process.rs
@@ -1,6 +1,7 @@
 //! State and tasks that live as long as the process, of entries and of gateways.
 
 pub mod audit;
+pub mod boot_clock;
 pub mod breaker;
 pub mod command_line;
 pub mod config_watch;
--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -33,6 +33,7 @@
 mod allowance_owner;
 mod connection;
 mod heartbeats;
+mod team_limits;
 
 /// Table of the rows by which gateways register.
 pub const TABLE: &str = "gateways";
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -27,6 +27,7 @@
 use crate::connection::body::Body;
 use crate::connection::http_server::CallerAddress;
 use crate::ids::BackendServerId;
+use crate::process::teams::limit_messages::{LimitRequest, LimitResponse};
 
 /// Path prefix of relayed store calls; the path of the store follows.
 const RELAY_PATH_PREFIX: &str = "/store";
@@ -159,6 +160,7 @@
 /// Path of what a gateway has heard from backend servers; named after its first list.
 const NOTICES_PATH: &str = "/servers/leaving";
 const ALLOWANCE_PATH: &str = "/servers/allowance";
+const TEAM_LIMITS_PATH: &str = "/teams/allowance";
 const ADMIT_PATH: &str = "/programs/admit";
 const SETTLE_PATH: &str = "/programs/settle";
 const SERVER_PATH_PATH: &str = "/servers/path";
@@ -484,6 +486,27 @@
     is_ok.then(|| postcard::from_bytes(response.body()).ok())?
 }
 
+/// Encodes a request to the owner of limits of teams.
+pub fn team_limits_request(request: &LimitRequest) -> Request<Bytes> {
+    post(TEAM_LIMITS_PATH, request)
+}
+
+/// Encodes the response of the owner of limits of teams.
+pub fn team_limits_response(response: &LimitResponse) -> Response<Body> {
+    let body = postcard::to_stdvec(response).unwrap_or_default();
+    Response::new(Body::full(body))
+}
+
+/// Decodes the response of the owner of limits of teams; `None` if the status is not 200 or the body
+/// is malformed. Fields may follow in later builds.
+pub fn decode_team_limits(response: &Response<Bytes>) -> Option<LimitResponse> {
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let (response, _) = postcard::take_from_bytes(response.body()).ok()?;
+    Some(response)
+}
+
 impl AdmitRequest {
     /// Encodes the HTTP request to a peer, with what this gateway has heard from servers.
     pub fn encode(&self, notices: &ServerNotices) -> Request<Bytes> {
@@ -549,6 +572,8 @@
     Gossip(GossipRequest, ServerNotices),
     /// The peer asks for a request to a server with a rate limit.
     Allowance(AllowanceRequest),
+    /// The peer asks for requests of teams with a limit.
+    TeamLimits(LimitRequest),
     /// The peer asks whether this gateway reaches backend servers.
     AskServerPath,
     /// A request of a caller, relayed by a gateway that reaches no backend server.
@@ -573,6 +598,9 @@
         SETTLE_PATH => postcard::from_bytes(request.body())
             .ok()
             .map(PeerCall::Settle),
+        TEAM_LIMITS_PATH => postcard::take_from_bytes(request.body())
+            .ok()
+            .map(|(request, _)| PeerCall::TeamLimits(request)),
         _ => unwrap_store_call(request).map(|call| PeerCall::Relay(Box::new(call))),
     }
 }
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -162,7 +162,9 @@
         for (team, other) in table.teams.iter().flat_map(|teams| teams.ambiguous()) {
             log::error!(config_version = table.version, team = &**team, other = &**other; "two teams have a key in common, which identifies neither of them");
         }
-        self.routes.replace(Some(Rc::new(table)));
+        let table = Rc::new(table);
+        self.team_limits.set_config(table.clone());
+        self.routes.replace(Some(table));
     }
 
     fn apply_operator_rows(&self, change: TableChange) {
@@ -252,6 +254,12 @@
         );
         let rate_limits = RateLimits::new(http.clone(), directory.clone(), servers.clone());
         let server_path = ServerPath::new(http.clone(), directory.clone(), servers.clone());
+        let team_limits = TeamLimits::new(
+            settings.team_limit_tolerance,
+            http.clone(),
+            store.clone(),
+            directory.clone(),
+        );
         let gateway = Rc::new(Gateway {
             timer: timer.clone(),
             budgets,
@@ -262,7 +270,7 @@
             server_path,
             rate_limits,
             config_age: Rc::new(ConfigAge::new(settings.key_withdrawal_limit)),
-            team_limits: Rc::new(TeamLimits::new(settings.team_limit_tolerance)),
+            team_limits: Rc::new(team_limits),
             directory,
             routes: RefCell::default(),
             metrics,
@@ -304,6 +312,8 @@
                 .shutdown_limit
                 .saturating_sub(FLUSH_TIMEOUT + EXIT_RESERVE);
         self.gateway.directory.leave();
+        let team_limits = self.gateway.team_limits.clone();
+        monoio::spawn(async move { team_limits.release().await });
         self.caller_server.disable_keep_alive();
         timer.sleep(ACCEPT_GRACE_PERIOD).await;
         if timer
--- a/src/process/gateway/running/handlers.rs
+++ b/src/process/gateway/running/handlers.rs
@@ -101,6 +101,9 @@
             Some(PeerCall::Allowance(request)) => {
                 peers::allowance_response(&gateway.rate_limits.handle(request))
             }
+            Some(PeerCall::TeamLimits(request)) => {
+                peers::team_limits_response(&gateway.team_limits.handle(request).await)
+            }
             None => status(StatusCode::NOT_FOUND),
         }
     }
--- a/src/process/gateway/store.rs
+++ b/src/process/gateway/store.rs
@@ -17,7 +17,7 @@
 use rand::Rng;
 use sapphireford_platform::FormatError;
 use sapphireford_platform::store::{
-    self as format, RowCondition, RowKey, RowPage, RowWrite, StoreAnswer, TransactionAnswer,
+    self as format, Row, RowCondition, RowKey, RowPage, RowWrite, StoreAnswer, TransactionAnswer,
 };
 
 use super::peers;
@@ -234,6 +234,35 @@
         Ok(row.and_then(|row| row.value))
     }
 
+    /// Reads one row with its version and the time of the store.
+    pub async fn read_versioned(
+        &self,
+        row: &RowKey,
+        deadline: Instant,
+    ) -> Result<(Option<Row>, u64)> {
+        let request = format::read_row_request(row)?;
+        let response = self.call(request, Duration::ZERO, deadline).await?;
+        let page = decode_rows(&response)?;
+        let found = page.rows.into_iter().find(|found| found.key == row.key);
+        Ok((found, store_ms(&response)?))
+    }
+
+    /// Writes a row if the condition holds. Returns the answer with the time of the store. After a
+    /// call without an answer, the write may still be performed as long as the condition holds.
+    pub async fn write_if(
+        &self,
+        condition: RowCondition,
+        write: RowWrite,
+        deadline: Instant,
+    ) -> Result<(TransactionAnswer, u64)> {
+        let request = format::transaction_request(&[condition], &[write])?;
+        let response = self.call(request, Duration::ZERO, deadline).await?;
+        match format::decode_transaction(&response)? {
+            TransactionAnswer::Refused(status) => Err(StoreError::Refused(status)),
+            answer => Ok((answer, store_ms(&response)?)),
+        }
+    }
+
     /// Reads all rows of a partition whose keys start with `prefix`, page by page.
     ///
     /// The version is that of the first page, because a row of it may change while the others are read.
@@ -535,6 +564,11 @@
     }
 }
 
+fn store_ms(response: &Response<Bytes>) -> Result<u64> {
+    let missing = || FormatError::Field("nowMs", "missing".to_string());
+    Ok(format::decode_store_ms(response).ok_or_else(missing)?)
+}
+
 fn clone_request(request: &Request<Bytes>) -> Request<Bytes> {
     let mut copy = Request::new(request.body().clone());
     *copy.method_mut() = request.method().clone();
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -92,6 +92,14 @@
         "Duration of a call to the platform's store on one path, excluding feeds.";
     describe_counter LOG_LINES_DROPPED = "sapphireford_log_lines_dropped_total", Count,
         "Log lines dropped due to the limit of lines per second or because the output was blocked.";
+    describe_counter TEAM_LIMIT_CALLS = "sapphireford_team_limit_calls_total", Count,
+        "Calls to the owners of limits of teams, by `outcome` (decided, not owner, no answer).";
+    describe_counter TEAM_LIMIT_DECISIONS = "sapphireford_team_limit_decisions_total", Count,
+        "Requests of teams with a limit, by `outcome` (held, granted, limit reached, no owner share, no owner).";
+    describe_counter TEAM_LIMIT_REFUSALS = "sapphireford_team_limit_refusals_total", Count,
+        "Requests refused because of a limit of a team, by `reason` and `team` (the ten with the highest limits, else other).";
+    describe_counter TEAM_LIMIT_LEASES = "sapphireford_team_limit_leases_total", Count,
+        "Changes of the leases of limits of teams at this gateway, by `change` (taken, lost, released).";
     describe_gauge CONFIG_VERSION = "sapphireford_config_version", Count,
         "The configuration version in effect.";
 }
--- a/src/process/teams.rs
+++ b/src/process/teams.rs
@@ -3,7 +3,17 @@
 //!
 //! - [`config_age`] keeps the time at which the active configuration is known to have been the
 //!   newest one, so that a withdrawn key does not stay in use at a gateway that is cut off.
-//! - [`limits`] admits requests within the limits of their teams.
+//! - [`limits`] admits requests within the limits of their teams. The decisions are in
+//!   [`limit_bucket`] and [`limit_owner`] for the gateway that counts the requests of a team, in
+//!   [`limit_holdings`] for the others, and in [`limit_leases`] for the choice of the former, which
+//!   [`limit_ownership`] carries out; [`limit_messages`] has the calls between them.
 
 pub mod config_age;
+pub mod limit_bucket;
+pub mod limit_holdings;
+pub mod limit_leases;
+pub mod limit_messages;
+pub mod limit_owner;
+pub mod limit_ownership;
+pub mod limit_report;
 pub mod limits;
--- /dev/null
+++ b/src/process/teams/limit_bucket.rs
@@ -0,0 +1,373 @@
+//! How the owner of a team's limit decides on requests.
+//!
+//! A token bucket with the rate and the burst of the limit counts all requests. A second one counts
+//! the first turns of programs: its rate and burst are those of the limit divided by the requests
+//! that a program of the team needs. So a team near its limit finishes the programs that it has
+//! begun, and begins fewer new ones.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use sapphireford_platform::operator::TeamLimit;
+
+use super::limit_messages::{ProgramDigest, Verdict};
+use crate::ids::VersionNumber;
+use crate::process::boot_clock::BootTime;
+use crate::process::gateway::settings::TeamLimitTolerance;
+
+/// Longest time for which a request waits for its token instead of being refused.
+pub const MAX_WAIT: Duration = Duration::from_millis(50);
+/// Time for which a grant may be used, from the start of the call that asked for it.
+pub const GRANT_VALIDITY: Duration = Duration::from_millis(500);
+/// A program without a request for this time counts as ended.
+const PROGRAM_TIMEOUT: Duration = Duration::from_secs(30);
+/// Most programs of a team that are remembered, which is 256 KiB. Only the first turns of further
+/// programs that come twice are counted twice.
+const MAX_PROGRAMS: usize = 8_192;
+/// Denied requests are spread over at most this time, unless the token takes longer. A flood does
+/// not move the time for those that come after it any further.
+const MAX_SPREAD: Duration = Duration::from_secs(5);
+/// Longest time that is told to a denied request; also keeps times of tiny rates representable.
+const MAX_RETRY: Duration = Duration::from_secs(600);
+/// Share of the window's slack that tokens granted beyond the waiting requests may take up. Such a
+/// token may be used up to [`GRANT_VALIDITY`] after it was counted. Half of the slack is left to
+/// gateways without an owner, and a fortieth to each new owner.
+const EXTRA_SLACK_SHARE: f64 = 0.25;
+/// Share of the window's slack that a new owner starts with.
+const START_SLACK_SHARE: f64 = 1.0 / 40.0;
+/// Share of its burst that a bucket must hold for more tokens than requests wait.
+const GENEROUS_SHARE: f64 = 0.5;
+
+/// The requests by which a window may exceed a limit.
+pub fn slack(limit: TeamLimit, tolerance: TeamLimitTolerance) -> f64 {
+    let window = limit.rate_per_s * tolerance.window.as_secs_f64() + limit.burst;
+    window * tolerance.excess_share + tolerance.excess_requests
+}
+
+/// What the buckets of an owner begin with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum BucketStart {
+    /// Nobody has granted anything before.
+    Full,
+    /// An earlier owner granted up to this time, and nothing after it.
+    Since(BootTime),
+}
+
+#[derive(Clone, Debug)]
+struct TokenBucket {
+    /// Tokens; negative while tokens are promised to requests that wait for them.
+    level: f64,
+    refilled_at: BootTime,
+}
+
+impl TokenBucket {
+    fn refill(&mut self, rate_per_s: f64, capacity: f64, now: BootTime) {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        self.level = (self.level + rate_per_s * elapsed.as_secs_f64()).min(capacity);
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    /// Time until one token is there.
+    fn wait(&self, rate_per_s: f64) -> Duration {
+        seconds((1.0 - self.level) / rate_per_s)
+    }
+}
+
+fn seconds(value: f64) -> Duration {
+    let value = value.clamp(0.0, MAX_RETRY.as_secs_f64());
+    Duration::try_from_secs_f64(value).unwrap_or(MAX_RETRY)
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Program {
+    last_request: BootTime,
+    requests: u32,
+}
+
+/// The limit of one team at its owner.
+#[derive(Clone, Debug)]
+pub struct TeamBucket {
+    limit: TeamLimit,
+    slack: f64,
+    config_version: VersionNumber,
+    requests: TokenBucket,
+    first_turns: TokenBucket,
+    /// The last time that was told to a denied request that begins no program.
+    promised_until: BootTime,
+    /// The last time that was told to a denied first turn.
+    first_promised_until: BootTime,
+    /// Programs with requests within `PROGRAM_TIMEOUT`.
+    programs: IndexMap<ProgramDigest, Program>,
+    /// The sum of the requests of `programs`.
+    program_requests: u64,
+    programs_swept_at: BootTime,
+    /// Extra tokens granted since `extra_since`, and in the `GRANT_VALIDITY` before it.
+    extra_granted: [f64; 2],
+    extra_since: BootTime,
+    used_at: BootTime,
+}
+
+impl TeamBucket {
+    /// Makes the bucket of a team at an owner that begins with `start`.
+    pub fn new(
+        limit: TeamLimit,
+        config_version: VersionNumber,
+        tolerance: TeamLimitTolerance,
+        start: BucketStart,
+        now: BootTime,
+    ) -> Self {
+        let slack = slack(limit, tolerance);
+        let level = match start {
+            BucketStart::Full => f64::INFINITY,
+            BucketStart::Since(ended) => {
+                let elapsed = now.saturating_duration_since(ended).as_secs_f64();
+                slack * START_SLACK_SHARE + limit.rate_per_s * elapsed
+            }
+        };
+        let bucket = TokenBucket {
+            level,
+            refilled_at: now,
+        };
+        let mut team = Self {
+            limit,
+            slack,
+            config_version,
+            requests: bucket.clone(),
+            first_turns: bucket,
+            promised_until: now,
+            first_promised_until: now,
+            programs: IndexMap::new(),
+            program_requests: 0,
+            programs_swept_at: now,
+            extra_granted: [0.0; 2],
+            extra_since: now,
+            used_at: now,
+        };
+        team.refill(now);
+        team
+    }
+
+    /// The most tokens that the bucket holds. Less than one would admit nothing.
+    fn capacity(&self) -> f64 {
+        self.limit.burst.max(1.0)
+    }
+
+    /// Requests that a program of the team needs, at least 1.
+    pub fn requests_per_program(&self) -> f64 {
+        let programs = self.programs.len().max(1) as f64;
+        (self.program_requests as f64 / programs).max(1.0)
+    }
+
+    fn first_turn_rate_per_s(&self) -> f64 {
+        self.limit.rate_per_s / self.requests_per_program()
+    }
+
+    fn first_turn_capacity(&self) -> f64 {
+        (self.limit.burst / self.requests_per_program()).max(1.0)
+    }
+
+    fn refill(&mut self, now: BootTime) {
+        let (rate, capacity) = (self.limit.rate_per_s, self.capacity());
+        self.requests.refill(rate, capacity, now);
+        let (rate, capacity) = (self.first_turn_rate_per_s(), self.first_turn_capacity());
+        self.first_turns.refill(rate, capacity, now);
+        let bin_age = now.saturating_duration_since(self.extra_since);
+        if bin_age >= GRANT_VALIDITY {
+            let is_adjacent = bin_age < 2 * GRANT_VALIDITY;
+            let previous = if is_adjacent {
+                self.extra_granted[0]
+            } else {
+                0.0
+            };
+            self.extra_granted = [0.0, previous];
+            self.extra_since = now;
+        }
+        if now.saturating_duration_since(self.programs_swept_at) >= PROGRAM_TIMEOUT / 10 {
+            self.sweep_programs(now);
+        }
+    }
+
+    fn sweep_programs(&mut self, now: BootTime) {
+        self.programs_swept_at = now;
+        let is_running = |program: &Program| {
+            now.saturating_duration_since(program.last_request) < PROGRAM_TIMEOUT
+        };
+        self.programs.retain(|_, program| is_running(program));
+        let requests = self.programs.values();
+        self.program_requests = requests.map(|program| u64::from(program.requests)).sum();
+        if self.programs.is_empty() {
+            self.programs.shrink_to_fit();
+        }
+    }
+
+    /// Applies the limit of a configuration, unless a newer one is known.
+    pub fn set_limit(
+        &mut self,
+        limit: TeamLimit,
+        config_version: VersionNumber,
+        tolerance: TeamLimitTolerance,
+        now: BootTime,
+    ) {
+        if config_version <= self.config_version {
+            return;
+        }
+        self.config_version = config_version;
+        if limit == self.limit {
+            return;
+        }
+        self.refill(now);
+        // What a full bucket has granted is refilled already, so it may be full under the new limit
+        // as well. Any other bucket keeps its tokens.
+        let was_full = self.requests.level >= self.capacity();
+        let were_first_turns_full = self.first_turns.level >= self.first_turn_capacity();
+        self.limit = limit;
+        self.slack = slack(limit, tolerance);
+        if was_full {
+            self.requests.level = f64::INFINITY;
+        }
+        if were_first_turns_full {
+            self.first_turns.level = f64::INFINITY;
+        }
+        // These times followed the rate of the earlier limit.
+        self.promised_until = self.promised_until.min(now);
+        self.first_promised_until = self.first_promised_until.min(now);
+        self.refill(now);
+    }
+
+    /// Counts requests of programs that used tokens of earlier grants.
+    pub fn record_program(&mut self, program: ProgramDigest, requests: u32, now: BootTime) {
+        if program == 0 {
+            return;
+        }
+        if self.programs.len() >= MAX_PROGRAMS && !self.programs.contains_key(&program) {
+            return;
+        }
+        let entry = self.programs.entry(program).or_insert(Program {
+            last_request: now,
+            requests: 0,
+        });
+        entry.last_request = now;
+        entry.requests = entry.requests.saturating_add(requests);
+        self.program_requests = self.program_requests.saturating_add(u64::from(requests));
+    }
+
+    /// Whether a request that may begin `program` does so.
+    fn begins(&self, program: ProgramDigest, now: BootTime) -> bool {
+        let known = self.programs.get(&program);
+        !known.is_some_and(|known| {
+            now.saturating_duration_since(known.last_request) < PROGRAM_TIMEOUT
+        })
+    }
+
+    /// Decides on a request of `program`, and counts it if it is granted.
+    pub fn take(
+        &mut self,
+        program: ProgramDigest,
+        may_begin_program: bool,
+        now: BootTime,
+    ) -> Verdict {
+        self.refill(now);
+        self.used_at = now;
+        let is_first = may_begin_program && program != 0 && self.begins(program, now);
+        let verdict = match is_first {
+            true => self.take_first(now),
+            false => self.take_later(now),
+        };
+        if let Verdict::Granted { .. } = verdict {
+            self.record_program(program, 1, now);
+        }
+        verdict
+    }
+
+    fn take_later(&mut self, now: BootTime) -> Verdict {
+        let rate_per_s = self.limit.rate_per_s;
+        let wait = self.requests.wait(rate_per_s);
+        if wait <= MAX_WAIT {
+            self.requests.level -= 1.0;
+            return Verdict::granted(wait);
+        }
+        let spacing = seconds(1.0 / rate_per_s);
+        let retry_at = spread(now, wait, self.promised_until, spacing);
+        self.promised_until = retry_at;
+        Verdict::denied(retry_at.saturating_duration_since(now))
+    }
+
+    fn take_first(&mut self, now: BootTime) -> Verdict {
+        let first_rate_per_s = self.first_turn_rate_per_s();
+        // The tokens of denied requests of programs that have begun are not for first turns.
+        let promised = self.promised_until.saturating_duration_since(now);
+        let missing = 1.0 - self.requests.level;
+        let wait = seconds(promised.as_secs_f64() + missing / self.limit.rate_per_s);
+        let wait = wait.max(self.first_turns.wait(first_rate_per_s));
+        if wait <= MAX_WAIT {
+            self.requests.level -= 1.0;
+            self.first_turns.level -= 1.0;
+            return Verdict::granted(wait);
+        }
+        let spacing = seconds(1.0 / first_rate_per_s);
+        let retry_at = spread(now, wait, self.first_promised_until, spacing);
+        self.first_promised_until = retry_at;
+        Verdict::denied(retry_at.saturating_duration_since(now))
+    }
+
+    /// Grants up to this many tokens in addition, while the buckets are more than half full. Returns
+    /// the tokens for requests that begin no program and those for first turns.
+    pub fn take_extra(&mut self, wanted: u32, wanted_first: u32, now: BootTime) -> (u32, u32) {
+        self.refill(now);
+        if self.promised_until > now {
+            return (0, 0);
+        }
+        let granted_before = self.extra_granted[0] + self.extra_granted[1];
+        let room = self.slack * EXTRA_SLACK_SHARE - granted_before;
+        let room = room.min(self.requests.level - self.capacity() * GENEROUS_SHARE);
+        let extra = f64::from(wanted).min(room).max(0.0).floor();
+        let first_room = self.first_turns.level - self.first_turn_capacity() * GENEROUS_SHARE;
+        let first_room = first_room.min(room - extra);
+        let extra_first = f64::from(wanted_first).min(first_room).max(0.0).floor();
+        self.requests.level -= extra + extra_first;
+        self.first_turns.level -= extra_first;
+        self.extra_granted[0] += extra + extra_first;
+        (extra as u32, extra_first as u32)
+    }
+
+    /// Takes back tokens that were granted and not used.
+    pub fn put_back(&mut self, unused: u32, unused_first: u32, now: BootTime) {
+        self.refill(now);
+        let (unused, unused_first) = (f64::from(unused), f64::from(unused_first));
+        self.requests.level += unused + unused_first;
+        self.first_turns.level += unused_first;
+        let [current, previous] = &mut self.extra_granted;
+        let returned = unused + unused_first;
+        let from_previous = returned.min(*previous);
+        *previous -= from_previous;
+        *current = (*current - (returned - from_previous)).max(0.0);
+        self.refill(now);
+    }
+
+    /// Whether nothing would change if the bucket were made anew: it is full, and no program of the
+    /// team is known.
+    pub fn is_idle(&mut self, now: BootTime) -> bool {
+        let is_unused = now.saturating_duration_since(self.used_at) >= PROGRAM_TIMEOUT;
+        if !is_unused {
+            return false;
+        }
+        self.refill(now);
+        self.programs.is_empty() && self.requests.level >= self.capacity()
+    }
+
+    /// The version of the configuration that the limit is taken from.
+    pub fn config_version(&self) -> VersionNumber {
+        self.config_version
+    }
+
+    /// Tokens that were there at the last call.
+    pub fn level(&self) -> f64 {
+        self.requests.level
+    }
+}
+
+/// The time for a denied request: after those denied before it, and not before its token is there.
+fn spread(now: BootTime, wait: Duration, last: BootTime, spacing: Duration) -> BootTime {
+    let next = (last + spacing).min(now + MAX_SPREAD);
+    next.max(now + wait).min(now + MAX_RETRY)
+}
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -120,6 +120,7 @@
                 program_id: call.program.as_ref().map(|program| &*program.program_id),
                 route: &route.name,
                 may_begin_program: may_begin_program(&route, &call),
+                config_version: routes.version,
                 deadline,
             };
             self.gateway.team_limits.admit(team, limited).await?;
--- a/src/version/key_index.rs
+++ b/src/version/key_index.rs
@@ -58,6 +58,11 @@
     pub fn find_digest(&self, digest: &[u8; 32]) -> Option<&P> {
         self.principals.get(digest)
     }
+
+    /// The principals of all keys.
+    pub fn principals(&self) -> impl Iterator<Item = &P> {
+        self.principals.values()
+    }
 }
 
 /// Caches the index of the most recently requested version.
--- a/src/version/teams.rs
+++ b/src/version/teams.rs
@@ -66,6 +66,11 @@
         self.by_key.find_digest(digest)
     }
 
+    /// Looks up a team that has a key by its name. It takes time in proportion to the number of teams.
+    pub fn find_name(&self, name: &str) -> Option<&Rc<Team>> {
+        self.by_key.principals().find(|team| &*team.id == name)
+    }
+
     /// Pairs of teams that have a key in common.
     pub fn ambiguous(&self) -> &[(TeamId, TeamId)] {
         &self.ambiguous
