--- a/src/process/gateway/directory.rs
+++ b/src/process/gateway/directory.rs
@@ -97,6 +97,9 @@
     known: RefCell<IndexMap<EntryId, KnownGateway>>,
     /// Whether the rows of the other gateways have been read, or a peer has told of them.
     is_loaded: Cell<bool>,
+    /// Whether the rows of the other gateways have been read. Peers tell of their own failure domain
+    /// only.
+    are_rows_read: Cell<bool>,
     /// When this gateway last had contact with a peer or the store. Nothing is known of the others
     /// after that, so they do not age.
     last_contact: Cell<Option<Instant>>,
@@ -134,6 +137,7 @@
             own_counter: Cell::new(1),
             known: RefCell::default(),
             is_loaded: Cell::new(false),
+            are_rows_read: Cell::new(false),
             last_contact: Cell::new(None),
             relays,
             leaving: Notify::default(),
@@ -292,6 +296,7 @@
     /// Applies the rows of a read of the table.
     pub fn apply(&self, rows: &[Row], now: Instant) {
         self.is_loaded.set(true);
+        self.are_rows_read.set(true);
         self.record_contact(now);
         // A row that is missing was removed, unless the gateway is so new that others told of it.
         let is_listed = |id: &EntryId| rows.iter().any(|row| *row.key == **id);
--- a/src/process/gateway/directory/team_limits.rs
+++ b/src/process/gateway/directory/team_limits.rs
@@ -30,9 +30,10 @@
     }
 
     /// The number of gateways that are registered, of all failure domains, with this one; `None`
-    /// while the registrations are not known.
+    /// until the registrations have been read from the store.
     pub fn registered_count(&self) -> Option<usize> {
-        self.is_loaded().then(|| self.known.borrow().len() + 1)
+        let are_rows_read = self.are_rows_read.get();
+        are_rows_read.then(|| self.known.borrow().len() + 1)
     }
 
     /// Identifies this start of this gateway in the leases of limits.
--- /dev/null
+++ b/tests/team_limits.rs
@@ -0,0 +1,355 @@
+//! Limits of teams over all gateways together, without a network and with a controlled clock.
+
+#[path = "support/team_site.rs"]
+mod team_site;
+
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use sapphireford::process::boot_clock::BootTime;
+use sapphireford::process::teams::limit_bucket::BucketStart;
+use sapphireford::process::teams::limit_messages::{LimitRequest, LimitResponse, TeamAsk, Verdict};
+use sapphireford::process::teams::limit_owner::ShardBuckets;
+use team_site::{Reply, StoreMode, TOLERANCE, TeamSite, limit, most_in_a_window};
+use yare::parameterized;
+
+const MS: Duration = Duration::from_millis(1);
+const S: Duration = Duration::from_secs(1);
+
+fn assert_limit_kept(site: &TeamSite, team: &str) {
+    let (limit, _) = site.limits[team];
+    let (runs, most) = (site.busiest_window(team), most_in_a_window(limit));
+    assert!(
+        runs <= most,
+        "{runs} runs of `{team}` in a window, at most {most} may run"
+    );
+}
+
+fn runs(site: &TeamSite, team: &str) -> usize {
+    site.runs.get(team).map_or(0, Vec::len)
+}
+
+/// Guards against new owners that begin with a full bucket: a caller never stops while all gateways
+/// are killed again and again.
+#[parameterized(
+    below_one_a_second = { 0.3, 1.0, 3 * S },
+    ten = { 10.0, 5.0, 3 * S },
+    large_burst = { 20.0, 400.0, 4 * S },
+    hundreds = { 400.0, 100.0, 3 * S },
+    often = { 100.0, 50.0, 1 * S },
+)]
+fn a_window_keeps_the_limit_over_kills_of_all_gateways(rate: f64, burst: f64, period: Duration) {
+    let mut site = TeamSite::new(4, &[("a", limit(rate, burst))]);
+    for _ in 0..12 {
+        site.flood(&["a"], 5 * MS, period);
+        for index in 0..4 {
+            site.gateways[index].is_alive = false;
+        }
+        site.advance(100 * MS);
+        for index in 0..4 {
+            site.restart(index);
+        }
+    }
+    assert_limit_kept(&site, "a");
+    let used = runs(&site, "a") as f64 / (rate * 12.0 * period.as_secs_f64() + burst);
+    assert!(used > 0.8, "only {used} of the limit was used");
+}
+
+/// Guards against a second owner that begins while an earlier one, cut off from the store, still
+/// grants tokens to the gateways on its side.
+#[test]
+fn an_owner_that_is_cut_off_has_stopped_before_another_one_begins() {
+    let mut site = TeamSite::new(6, &[("a", limit(100.0, 40.0))]);
+    site.flood(&["a"], 5 * MS, 6 * S);
+    let first = site.holder().expect("an owner");
+    for (index, gateway) in site.gateways.iter_mut().enumerate() {
+        let is_with_owner = index == first || index == 5;
+        (gateway.side, gateway.reaches_store) = (u8::from(is_with_owner), !is_with_owner);
+    }
+    let mut has_changed = false;
+    for _ in 0..1_500 {
+        site.flood(&["a"], 10 * MS, 10 * MS);
+        assert!(site.holders() <= 1, "two owners at a time");
+        has_changed |= site.holder().is_some_and(|holder| holder != first);
+    }
+    assert!(has_changed, "no other gateway became the owner");
+    assert_limit_kept(&site, "a");
+}
+
+/// Guards against an owner that continues after it was frozen for longer than its lease, and one that
+/// counts anew after a shorter time.
+#[parameterized(within_the_lease = { 3 * S }, beyond_the_lease = { 14 * S })]
+fn a_frozen_owner_does_not_count_twice(time: Duration) {
+    let mut site = TeamSite::new(3, &[("a", limit(50.0, 100.0))]);
+    site.flood(&["a"], 5 * MS, 4 * S);
+    let frozen = site.holder().expect("an owner");
+    site.gateways[frozen].is_frozen = true;
+    site.flood(&["a"], 5 * MS, time);
+    site.gateways[frozen].is_frozen = false;
+    assert!(site.holders() <= 1, "two owners at a time");
+    site.flood(&["a"], 5 * MS, 12 * S);
+    assert_limit_kept(&site, "a");
+    assert_eq!(site.holder() == Some(frozen), time < 10 * S);
+}
+
+/// Guards against a lower limit that is exceeded later than the grants of the earlier one are valid,
+/// and against a gateway with the earlier configuration that brings the earlier limit back.
+#[test]
+fn a_limit_that_is_lowered_tenfold_under_load_is_kept() {
+    let (old, new) = (limit(200.0, 100.0), limit(20.0, 10.0));
+    let mut site = TeamSite::new(5, &[("a", old)]);
+    site.flood(&["a"], 5 * MS, 8 * S);
+    assert_limit_kept(&site, "a");
+    site.limits.insert("a".to_string(), (new, 2));
+    site.request(0, "a", 0, false);
+    site.limits.insert("a".to_string(), (old, 1));
+    site.flood(&["a"], 5 * MS, 1 * S);
+    site.runs.clear();
+    site.flood(&["a"], 5 * MS, 5 * S);
+    site.limits.insert("a".to_string(), (new, 2));
+    site.flood(&["a"], 5 * MS, 10 * S);
+    assert_limit_kept(&site, "a");
+    assert!(
+        runs(&site, "a") > 15 * 20 - 20,
+        "the lower limit is not used"
+    );
+    site.limits.insert("a".to_string(), (old, 3));
+    site.runs.clear();
+    site.flood(&["a"], 5 * MS, 4 * S);
+    assert!(runs(&site, "a") >= 780, "the raised limit is not used");
+}
+
+/// Guards against a flood that takes what other teams may use, and one that is told to come back all
+/// at once.
+#[test]
+fn a_team_that_floods_does_not_reduce_what_another_gets() {
+    let teams = [("flood", limit(50.0, 50.0)), ("calm", limit(50.0, 50.0))];
+    let mut site = TeamSite::new(8, &teams);
+    let mut refused = 0;
+    for step in 0..3_000 {
+        for index in 0..8 {
+            site.request(index, "flood", 0, false);
+        }
+        if step % 4 == 0 {
+            let reply = site.request(step / 4 % 8, "calm", 0, false);
+            refused += usize::from(reply != Reply::Runs);
+        }
+        site.advance(10 * MS);
+    }
+    assert_eq!(refused, 0);
+    assert_limit_kept(&site, "flood");
+    assert!(
+        runs(&site, "flood") >= 1_500,
+        "the limit of the flood is not used"
+    );
+    let retries = (0..20).map(|_| match site.request(0, "flood", 0, false) {
+        Reply::Denied(retry_after) => retry_after,
+        reply => panic!("{reply:?}"),
+    });
+    let retries: Vec<Duration> = retries.collect();
+    assert!(retries.iter().all(|retry| *retry <= 6 * S), "{retries:?}");
+}
+
+/// Guards against answers of the store that are lost: a write without an answer that was performed
+/// must neither block the limit nor begin it anew.
+#[test]
+fn lost_answers_of_the_store_change_no_limit() {
+    let mut site = TeamSite::new(3, &[("a", limit(100.0, 20.0))]);
+    site.store_mode = StoreMode::LosesAnswers;
+    site.flood(&["a"], 5 * MS, 20 * S);
+    assert_limit_kept(&site, "a");
+    assert!(runs(&site, "a") >= 1_800, "{} runs", runs(&site, "a"));
+    site.store_mode = StoreMode::Down;
+    site.flood(&["a"], 5 * MS, 5 * S);
+    assert!(site.holder().is_some(), "a lease ended in an outage of 5 s");
+    site.flood(&["a"], 5 * MS, 15 * S);
+    assert_eq!(site.holder(), None);
+    site.store_mode = StoreMode::Up;
+    site.flood(&["a"], 5 * MS, 5 * S);
+    assert!(site.holder().is_some());
+    assert_limit_kept(&site, "a");
+}
+
+/// Guards against tokens that stay at gateways without requests.
+#[test]
+fn unused_tokens_come_back() {
+    let mut site = TeamSite::new(10, &[("a", limit(20.0, 100.0))]);
+    // Every gateway gets more tokens than it needs.
+    for _ in 0..6 {
+        for index in 0..10 {
+            site.request(index, "a", 0, false);
+        }
+        site.advance(10 * MS);
+    }
+    site.advance(290 * MS);
+    site.advance(100 * MS);
+    let before = runs(&site, "a");
+    while site.request(0, "a", 0, false) == Reply::Runs {}
+    // 60 of 100 have run, and 9 have come since.
+    let rest = runs(&site, "a") - before;
+    assert!(rest >= 47, "only {rest} of 49 tokens are there");
+    assert_limit_kept(&site, "a");
+}
+
+/// Guards against gateways without an owner that together exceed the tolerance, and against an owner
+/// whose limit is used up in addition.
+#[parameterized(small = { 1.0, 0.0, 6 }, large = { 300.0, 200.0, 40 })]
+fn shares_without_an_owner_stay_within_half_of_the_slack(rate: f64, burst: f64, gateways: usize) {
+    let team = limit(rate, burst);
+    let mut site = TeamSite::new(gateways, &[("a", team)]);
+    site.store_mode = StoreMode::Down;
+    site.flood(&["a"], 20 * MS, 20 * S);
+    let slack = (rate * 5.0 + burst) * 0.1 + 20.0;
+    let most = site.busiest_window("a");
+    assert!(
+        most as f64 <= slack / 2.0,
+        "{most} runs with a slack of {slack}"
+    );
+    assert!(most > 0, "nothing runs without an owner");
+    site.store_mode = StoreMode::Up;
+    site.flood(&["a"], 20 * MS, 6 * S);
+    site.store_mode = StoreMode::Down;
+    site.flood(&["a"], 20 * MS, 20 * S);
+    assert_limit_kept(&site, "a");
+}
+
+/// Guards against a limit that is not usable because of the way it is counted: requests at 60 % of
+/// it, at random times and gateways, are served.
+#[test]
+fn requests_below_the_limit_are_served() {
+    let mut site = TeamSite::new(30, &[("a", limit(200.0, 100.0))]);
+    let mut rng = StdRng::seed_from_u64(7);
+    let (mut refused, mut sent) = (0, 0);
+    for _ in 0..60_000 {
+        let is_first = rng.random_bool(0.2);
+        if rng.random_bool(0.12) {
+            let gateway = rng.random_range(0..30);
+            let program = match is_first {
+                true => rng.random_range(1..u64::MAX),
+                false => 0,
+            };
+            let reply = site.request(gateway, "a", program, is_first);
+            sent += 1;
+            refused += u32::from(reply != Reply::Runs);
+        }
+        site.advance(MS);
+    }
+    assert!(refused * 500 <= sent, "{refused} of {sent} were refused");
+}
+
+/// Guards against messages for each request of a team far below its limit.
+#[test]
+fn a_team_far_below_its_limit_needs_few_calls() {
+    let mut site = TeamSite::new(3, &[("a", limit(2_000.0, 2_000.0))]);
+    site.flood(&["a"], 20 * MS, 20 * S);
+    let (runs, calls) = (runs(&site, "a") as u64, site.calls);
+    assert_eq!(runs, 3_000);
+    assert!(calls * 5 < runs, "{calls} calls for {runs} requests");
+}
+
+/// Guards against a team near its limit that begins more programs than it can finish.
+#[test]
+fn programs_that_have_begun_finish_and_fewer_begin() {
+    const REQUESTS: u32 = 8;
+    struct Program {
+        id: u64,
+        done: u32,
+        next_at: BootTime,
+        begun_at: BootTime,
+    }
+    let mut site = TeamSite::new(4, &[("a", limit(40.0, 40.0))]);
+    let mut rng = StdRng::seed_from_u64(11);
+    let start = site.now;
+    let mut programs: Vec<Program> = Vec::new();
+    let (mut begun, mut finished, mut late) = (0, 0, 0);
+    for step in 0..9_000u64 {
+        // Programs that need 2.5 times the limit.
+        if rng.random_bool(0.125) {
+            programs.push(Program {
+                id: step + 1,
+                done: 0,
+                next_at: site.now,
+                begun_at: site.now,
+            });
+        }
+        let now = site.now;
+        let is_counted = now.saturating_duration_since(start) >= 30 * S;
+        for program in programs.iter_mut().filter(|program| program.next_at <= now) {
+            let gateway = rng.random_range(0..4);
+            match site.request(gateway, "a", program.id, program.done == 0) {
+                Reply::Runs => {
+                    if program.done == 0 {
+                        program.begun_at = now;
+                        begun += u32::from(is_counted);
+                    }
+                    program.done += 1;
+                    program.next_at = now + 400 * MS;
+                }
+                Reply::Denied(retry_after) => program.next_at = now + retry_after,
+                Reply::NoOwner => panic!("there is an owner"),
+            }
+        }
+        programs.retain(|program| {
+            let is_begun = program.done > 0;
+            let time = now.saturating_duration_since(program.begun_at);
+            let is_done = program.done == REQUESTS;
+            // A program takes 3.2 s on its own.
+            let is_late = is_begun && time > 6 * S;
+            let is_given_up = !is_begun && time > 4 * S;
+            if is_counted {
+                finished += u32::from(is_done);
+                late += u32::from(is_late && !is_done);
+            }
+            !is_done && !is_late && !is_given_up
+        });
+        site.advance(10 * MS);
+    }
+    assert_limit_kept(&site, "a");
+    assert!(
+        late * 20 <= begun,
+        "{late} of {begun} programs that have begun did not finish in time"
+    );
+    // 60 s at 40 requests a second are 300 programs.
+    assert!(finished >= 255, "only {finished} of 300 programs finished");
+}
+
+/// Guards against work and memory for all teams instead of the active ones.
+#[test]
+fn a_decision_costs_the_same_with_41_000_teams() {
+    const DECISIONS: u32 = 100_000;
+    let now = BootTime::from_boot(10 * S);
+    let mut buckets = ShardBuckets::new(1, BucketStart::Full, TOLERANCE, now);
+    let ask = |team: u32| LimitRequest {
+        shard: 0,
+        issuer: 0,
+        teams: vec![TeamAsk {
+            team: format!("team-{team}"),
+            config_version: 1,
+            rate_per_s: 1e6,
+            burst: 1e6,
+            waiting: vec![1],
+            ..TeamAsk::default()
+        }],
+    };
+    for team in 0..41_000 {
+        buckets.decide(&ask(team), now);
+    }
+    let now = now + 40 * S;
+    buckets.remove_idle(now);
+    // Programs are forgotten in the round after their time-out.
+    buckets.remove_idle(now + 4 * S);
+    assert_eq!(buckets.active_teams(), 0);
+    let requests: Vec<LimitRequest> = (0..100).map(ask).collect();
+    let started = Instant::now();
+    for index in 0..DECISIONS as usize {
+        let response = buckets.decide(&requests[index % 100], now);
+        let LimitResponse::Decided { teams, .. } = response else {
+            panic!("not decided");
+        };
+        assert!(matches!(teams[0].waiting[0], Verdict::Granted { .. }));
+    }
+    let each = started.elapsed() / DECISIONS;
+    assert!(each < Duration::from_micros(50), "{each:?} for a decision");
+    assert_eq!(buckets.active_teams(), 100);
+}
