--- a/crates/standin/src/harness/gateway_site.rs
+++ b/crates/standin/src/harness/gateway_site.rs
@@ -403,6 +403,9 @@
             "metrics_address": format!("{ip}:{METRICS_PORT}"),
             "store_address": store_proxy.address(),
             "key_withdrawal_limit_ms": KEY_WITHDRAWAL_LIMIT.as_millis() as u64,
+            "team_limit_window_s": 5.0,
+            "team_limit_excess_share": 0.1,
+            "team_limit_excess_requests": 20.0,
         });
         let settings_path = self.folder.join(format!("gateway-{index}.json"));
         fs::write(&settings_path, settings.to_string()).expect("the settings file can be written");
--- a/src/process/boot_clock.rs
+++ b/src/process/boot_clock.rs
@@ -3,12 +3,13 @@
 //! `Instant` stops while a VM is suspended. Promises that other VMs rely on are therefore timed by
 //! this clock; sleeps and timeouts are not.
 
+use std::ops::Add;
 use std::time::Duration;
 
 use nix::time::{ClockId, clock_gettime};
 
 /// A time of `CLOCK_BOOTTIME`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BootTime(Duration);
 
 impl BootTime {
@@ -16,9 +17,15 @@
     /// recorded earlier counts as old.
     pub const UNKNOWN: Self = Self(Duration::MAX);
 
-    /// The time `duration` after the start of the VM.
-    pub fn from_start(duration: Duration) -> Self {
-        Self(duration)
+    /// Reads the clock of the operating system.
+    pub fn now() -> Self {
+        let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+        time.map_or(Self::UNKNOWN, |time| Self(Duration::from(time)))
+    }
+
+    /// The time `since_boot` after the start of the VM.
+    pub fn from_boot(since_boot: Duration) -> Self {
+        Self(since_boot)
     }
 
     /// Time since `earlier`; zero if that is later than this time.
@@ -26,6 +33,11 @@
         self.0.saturating_sub(earlier.0)
     }
 
+    /// The time `duration` earlier, but not before the start of the VM.
+    pub fn saturating_sub(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration))
+    }
+
     /// The time `duration` earlier; `None` if the VM was not running then, or if this time is
     /// [`BootTime::UNKNOWN`].
     pub fn checked_sub(self, duration: Duration) -> Option<Self> {
@@ -34,6 +46,14 @@
     }
 }
 
+impl Add<Duration> for BootTime {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        Self(self.0.saturating_add(duration))
+    }
+}
+
 /// A source of [`BootTime`].
 pub trait Clock {
     /// The current time.
@@ -46,7 +66,6 @@
 
 impl Clock for BootClock {
     fn now(&self) -> BootTime {
-        let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
-        time.map_or(BootTime::UNKNOWN, |time| BootTime(Duration::from(time)))
+        BootTime::now()
     }
 }
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -192,6 +192,7 @@
                 program_id: ids.program_id.as_deref(),
                 route: &route.name,
                 may_begin_program: may_begin_program(&route, &call),
+                config_version: routes.version,
                 deadline,
             };
             self.gateway.team_limits.admit(team, limited).await?;
--- a/tests/config_age.rs
+++ b/tests/config_age.rs
@@ -28,7 +28,7 @@
 
 impl Clock for TestClock {
     fn now(&self) -> BootTime {
-        BootTime::from_start(self.0.get())
+        BootTime::from_boot(self.0.get())
     }
 }
 
