--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -1,9 +1,10 @@
 //! How the owner of a team's limit decides on requests.
 //!
-//! A token bucket with the rate and the burst of the limit counts all requests. A second one counts
-//! the first turns of programs: its rate and burst are those of the limit divided by the requests
-//! that a program of the team needs. So a team near its limit finishes the programs that it has
-//! begun, and begins fewer new ones.
+//! A token bucket with the rate of the limit counts all requests. It holds the burst and a part of
+//! what the platform tolerates, because the requests of a single program come in bursts. The first
+//! turn of a program is admitted if the tokens of the next seconds are enough for what the running
+//! programs still need. So a team near its limit finishes the programs that it has begun, and begins
+//! fewer new ones.
 
 use std::time::Duration;
 
@@ -30,13 +31,27 @@
 /// Longest time that is told to a denied request; also keeps times of tiny rates representable.
 const MAX_RETRY: Duration = Duration::from_secs(600);
 /// Share of the window's slack that tokens granted beyond the waiting requests may take up. Such a
-/// token may be used up to [`GRANT_VALIDITY`] after it was counted. Half of the slack is left to
-/// gateways without an owner, and a fortieth to each new owner.
-const EXTRA_SLACK_SHARE: f64 = 0.25;
+/// token may be used up to [`GRANT_VALIDITY`] after it was counted.
+const EXTRA_SLACK_SHARE: f64 = 0.2;
+/// Share of the window's slack that the bucket holds beyond the burst. A program needs more requests
+/// in a few seconds than the burst of a small team.
+const BURST_SLACK_SHARE: f64 = 0.25;
+/// Share of the window's slack that all gateways together use without an owner. What is left of the
+/// slack is for new owners.
+pub const NO_OWNER_SLACK_SHARE: f64 = 0.5;
 /// Share of the window's slack that a new owner starts with.
 const START_SLACK_SHARE: f64 = 1.0 / 40.0;
-/// Share of its burst that a bucket must hold for more tokens than requests wait.
+/// Share of its capacity that a bucket must hold for more tokens than requests wait.
 const GENEROUS_SHARE: f64 = 0.5;
+/// Time in which the programs that run are expected to need what is left of their requests.
+const PROGRAM_DURATION: Duration = Duration::from_secs(3);
+/// A program without a request for this time is expected to need no more of them.
+const PROGRAM_PAUSE: Duration = Duration::from_secs(2);
+/// Share of a program's requests that must be likely to be available for it to begin. The rest is
+/// there when other programs end.
+const FIRST_TURN_SHARE: f64 = 0.5;
+/// Interval at which the requests that running programs still need are counted anew.
+const OUTSTANDING_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The requests by which a window may exceed a limit.
 pub fn slack(limit: TeamLimit, tolerance: TeamLimitTolerance) -> f64 {
@@ -91,7 +106,9 @@
     slack: f64,
     config_version: VersionNumber,
     requests: TokenBucket,
-    first_turns: TokenBucket,
+    /// Requests that the running programs are expected to need still, as of `outstanding_at`.
+    outstanding: f64,
+    outstanding_at: BootTime,
     /// The last time that was told to a denied request that begins no program.
     promised_until: BootTime,
     /// The last time that was told to a denied first turn.
@@ -132,8 +149,9 @@
             limit,
             slack,
             config_version,
-            requests: bucket.clone(),
-            first_turns: bucket,
+            requests: bucket,
+            outstanding: 0.0,
+            outstanding_at: now,
             promised_until: now,
             first_promised_until: now,
             programs: IndexMap::new(),
@@ -149,7 +167,7 @@
 
     /// The most tokens that the bucket holds. Less than one would admit nothing.
     fn capacity(&self) -> f64 {
-        self.limit.burst.max(1.0)
+        (self.limit.burst + self.slack * BURST_SLACK_SHARE).max(1.0)
     }
 
     /// Requests that a program of the team needs, at least 1.
@@ -162,15 +180,29 @@
         self.limit.rate_per_s / self.requests_per_program()
     }
 
-    fn first_turn_capacity(&self) -> f64 {
-        (self.limit.burst / self.requests_per_program()).max(1.0)
+    /// Tokens beyond what the running programs still need; negative if they need more.
+    fn unclaimed(&mut self, now: BootTime) -> f64 {
+        let needed = self.requests_per_program();
+        if now.saturating_duration_since(self.outstanding_at) >= OUTSTANDING_INTERVAL {
+            let running = self.programs.values().filter(|program| {
+                now.saturating_duration_since(program.last_request) < PROGRAM_PAUSE
+            });
+            let left = running.map(|program| (needed - f64::from(program.requests)).max(0.0));
+            self.outstanding = left.sum();
+            self.outstanding_at = now;
+        }
+        let refill = self.limit.rate_per_s * PROGRAM_DURATION.as_secs_f64();
+        self.requests.level + refill - self.outstanding
+    }
+
+    /// Tokens that must be unclaimed for a program to begin.
+    fn first_turn_need(&self) -> f64 {
+        1.0 + (self.requests_per_program() - 1.0) * FIRST_TURN_SHARE
     }
 
     fn refill(&mut self, now: BootTime) {
         let (rate, capacity) = (self.limit.rate_per_s, self.capacity());
         self.requests.refill(rate, capacity, now);
-        let (rate, capacity) = (self.first_turn_rate_per_s(), self.first_turn_capacity());
-        self.first_turns.refill(rate, capacity, now);
         let bin_age = now.saturating_duration_since(self.extra_since);
         if bin_age >= GRANT_VALIDITY {
             let is_adjacent = bin_age < 2 * GRANT_VALIDITY;
@@ -219,15 +251,11 @@
         // What a full bucket has granted is refilled already, so it may be full under the new limit
         // as well. Any other bucket keeps its tokens.
         let was_full = self.requests.level >= self.capacity();
-        let were_first_turns_full = self.first_turns.level >= self.first_turn_capacity();
         self.limit = limit;
         self.slack = slack(limit, tolerance);
         if was_full {
             self.requests.level = f64::INFINITY;
         }
-        if were_first_turns_full {
-            self.first_turns.level = f64::INFINITY;
-        }
         // These times followed the rate of the earlier limit.
         self.promised_until = self.promised_until.min(now);
         self.first_promised_until = self.first_promised_until.min(now);
@@ -293,18 +321,18 @@
     }
 
     fn take_first(&mut self, now: BootTime) -> Verdict {
-        let first_rate_per_s = self.first_turn_rate_per_s();
         // The tokens of denied requests of programs that have begun are not for first turns.
         let promised = self.promised_until.saturating_duration_since(now);
         let missing = 1.0 - self.requests.level;
         let wait = seconds(promised.as_secs_f64() + missing / self.limit.rate_per_s);
-        let wait = wait.max(self.first_turns.wait(first_rate_per_s));
+        let missing_for_program = self.first_turn_need() - self.unclaimed(now);
+        let wait = wait.max(seconds(missing_for_program / self.limit.rate_per_s));
         if wait <= MAX_WAIT {
             self.requests.level -= 1.0;
-            self.first_turns.level -= 1.0;
+            self.outstanding += self.requests_per_program() - 1.0;
             return Verdict::granted(wait);
         }
-        let spacing = seconds(1.0 / first_rate_per_s);
+        let spacing = seconds(1.0 / self.first_turn_rate_per_s());
         let retry_at = spread(now, wait, self.first_promised_until, spacing);
         self.first_promised_until = retry_at;
         Verdict::denied(retry_at.saturating_duration_since(now))
@@ -321,11 +349,10 @@
         let room = self.slack * EXTRA_SLACK_SHARE - granted_before;
         let room = room.min(self.requests.level - self.capacity() * GENEROUS_SHARE);
         let extra = f64::from(wanted).min(room).max(0.0).floor();
-        let first_room = self.first_turns.level - self.first_turn_capacity() * GENEROUS_SHARE;
+        let first_room = self.unclaimed(now) / self.first_turn_need() - 1.0;
         let first_room = first_room.min(room - extra);
         let extra_first = f64::from(wanted_first).min(first_room).max(0.0).floor();
         self.requests.level -= extra + extra_first;
-        self.first_turns.level -= extra_first;
         self.extra_granted[0] += extra + extra_first;
         (extra as u32, extra_first as u32)
     }
@@ -335,7 +362,6 @@
         self.refill(now);
         let (unused, unused_first) = (f64::from(unused), f64::from(unused_first));
         self.requests.level += unused + unused_first;
-        self.first_turns.level += unused_first;
         let [current, previous] = &mut self.extra_granted;
         let returned = unused + unused_first;
         let from_previous = returned.min(*previous);
--- a/src/process/teams/limit_holdings.rs
+++ b/src/process/teams/limit_holdings.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use sapphireford_platform::operator::TeamLimit;
 
-use super::limit_bucket::{GRANT_VALIDITY, slack};
+use super::limit_bucket::{GRANT_VALIDITY, NO_OWNER_SLACK_SHARE, slack};
 use super::limit_messages::{Issuer, ProgramDigest, TeamAsk};
 use crate::ids::{TeamId, VersionNumber};
 use crate::process::boot_clock::BootTime;
@@ -211,7 +211,7 @@
     }
 
     /// Whether one more request may run without an owner. In any window, all gateways together admit
-    /// at most half of the slack this way.
+    /// at most `NO_OWNER_SLACK_SHARE` of the slack this way.
     pub fn take_without_owner(
         &mut self,
         tolerance: TeamLimitTolerance,
@@ -222,7 +222,7 @@
         while self.ran_without_owner.front().is_some_and(is_past) {
             self.ran_without_owner.pop_front();
         }
-        let share = slack(self.limit, tolerance) / 2.0 / gateways.max(1) as f64;
+        let share = slack(self.limit, tolerance) * NO_OWNER_SLACK_SHARE / gateways.max(1) as f64;
         let has_share = (self.ran_without_owner.len() as f64) < share.floor();
         if has_share {
             self.ran_without_owner.push_back(now);
