--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -32,13 +32,13 @@
 const MAX_RETRY: Duration = Duration::from_secs(600);
 /// Share of the window's slack that tokens granted beyond the waiting requests may take up. Such a
 /// token may be used up to [`GRANT_VALIDITY`] after it was counted.
-const EXTRA_SLACK_SHARE: f64 = 0.2;
+const EXTRA_SLACK_SHARE: f64 = 0.15;
 /// Share of the window's slack that the bucket holds beyond the burst. A program needs more requests
 /// in a few seconds than the burst of a small team.
-const BURST_SLACK_SHARE: f64 = 0.25;
+const BURST_SLACK_SHARE: f64 = 0.4;
 /// Share of the window's slack that all gateways together use without an owner. What is left of the
 /// slack is for new owners.
-pub const NO_OWNER_SLACK_SHARE: f64 = 0.5;
+pub const NO_OWNER_SLACK_SHARE: f64 = 0.15;
 /// Share of the window's slack that a new owner starts with.
 const START_SLACK_SHARE: f64 = 1.0 / 40.0;
 /// Share of its capacity that a bucket must hold for more tokens than requests wait.
@@ -50,8 +50,8 @@
 /// Share of a program's requests that must be likely to be available for it to begin. The rest is
 /// there when other programs end.
 const FIRST_TURN_SHARE: f64 = 0.5;
-/// Interval at which the requests that running programs still need are counted anew.
-const OUTSTANDING_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which the needs of programs are estimated anew.
+const ESTIMATE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The requests by which a window may exceed a limit.
 pub fn slack(limit: TeamLimit, tolerance: TeamLimitTolerance) -> f64 {
@@ -106,17 +106,17 @@
     slack: f64,
     config_version: VersionNumber,
     requests: TokenBucket,
-    /// Requests that the running programs are expected to need still, as of `outstanding_at`.
+    /// Requests that a program of the team needs, as of `estimated_at`; at least 1.
+    requests_per_program: f64,
+    /// Requests that the running programs are expected to need still.
     outstanding: f64,
-    outstanding_at: BootTime,
+    estimated_at: BootTime,
     /// The last time that was told to a denied request that begins no program.
     promised_until: BootTime,
     /// The last time that was told to a denied first turn.
     first_promised_until: BootTime,
     /// Programs with requests within `PROGRAM_TIMEOUT`.
     programs: IndexMap<ProgramDigest, Program>,
-    /// The sum of the requests of `programs`.
-    program_requests: u64,
     programs_swept_at: BootTime,
     /// Extra tokens granted since `extra_since`, and in the `GRANT_VALIDITY` before it.
     extra_granted: [f64; 2],
@@ -150,12 +150,12 @@
             slack,
             config_version,
             requests: bucket,
+            requests_per_program: 1.0,
             outstanding: 0.0,
-            outstanding_at: now,
+            estimated_at: now,
             promised_until: now,
             first_promised_until: now,
             programs: IndexMap::new(),
-            program_requests: 0,
             programs_swept_at: now,
             extra_granted: [0.0; 2],
             extra_since: now,
@@ -172,24 +172,42 @@
 
     /// Requests that a program of the team needs, at least 1.
     pub fn requests_per_program(&self) -> f64 {
-        let programs = self.programs.len().max(1) as f64;
-        (self.program_requests as f64 / programs).max(1.0)
+        self.requests_per_program
     }
 
     fn first_turn_rate_per_s(&self) -> f64 {
         self.limit.rate_per_s / self.requests_per_program()
     }
 
+    /// Estimates what a program needs, from those that have ended if there are any, and what the
+    /// running ones need still.
+    fn estimate_needs(&mut self, now: BootTime) {
+        self.estimated_at = now;
+        let is_running = |program: &&Program| {
+            now.saturating_duration_since(program.last_request) < PROGRAM_PAUSE
+        };
+        let programs = self.programs.values();
+        let (running, ended): (Vec<&Program>, Vec<&Program>) = programs.partition(is_running);
+        let known = if ended.is_empty() { &running } else { &ended };
+        let mut requests: Vec<u32> = known.iter().map(|known| known.requests).collect();
+        // Programs that loop without end would raise the mean.
+        let middle = requests.len() / 2;
+        let median = requests
+            .get(middle)
+            .is_some()
+            .then(|| *requests.select_nth_unstable(middle).1);
+        let needed = f64::from(median.unwrap_or(1).max(1));
+        let left = running
+            .iter()
+            .map(|program| needed - f64::from(program.requests));
+        self.outstanding = left.map(|left| left.max(0.0)).sum();
+        self.requests_per_program = needed;
+    }
+
     /// Tokens beyond what the running programs still need; negative if they need more.
     fn unclaimed(&mut self, now: BootTime) -> f64 {
-        let needed = self.requests_per_program();
-        if now.saturating_duration_since(self.outstanding_at) >= OUTSTANDING_INTERVAL {
-            let running = self.programs.values().filter(|program| {
-                now.saturating_duration_since(program.last_request) < PROGRAM_PAUSE
-            });
-            let left = running.map(|program| (needed - f64::from(program.requests)).max(0.0));
-            self.outstanding = left.sum();
-            self.outstanding_at = now;
+        if now.saturating_duration_since(self.estimated_at) >= ESTIMATE_INTERVAL {
+            self.estimate_needs(now);
         }
         let refill = self.limit.rate_per_s * PROGRAM_DURATION.as_secs_f64();
         self.requests.level + refill - self.outstanding
@@ -225,8 +243,6 @@
             now.saturating_duration_since(program.last_request) < PROGRAM_TIMEOUT
         };
         self.programs.retain(|_, program| is_running(program));
-        let requests = self.programs.values();
-        self.program_requests = requests.map(|program| u64::from(program.requests)).sum();
         if self.programs.is_empty() {
             self.programs.shrink_to_fit();
         }
@@ -276,7 +292,6 @@
         });
         entry.last_request = now;
         entry.requests = entry.requests.saturating_add(requests);
-        self.program_requests = self.program_requests.saturating_add(u64::from(requests));
     }
 
     /// Whether a request that may begin `program` does so.
@@ -353,6 +368,7 @@
         let first_room = first_room.min(room - extra);
         let extra_first = f64::from(wanted_first).min(first_room).max(0.0).floor();
         self.requests.level -= extra + extra_first;
+        self.outstanding += extra_first * (self.requests_per_program - 1.0);
         self.extra_granted[0] += extra + extra_first;
         (extra as u32, extra_first as u32)
     }
