--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -43,8 +43,13 @@
 const START_SLACK_SHARE: f64 = 1.0 / 40.0;
 /// Share of its capacity that a bucket must hold for more tokens than requests wait.
 const GENEROUS_SHARE: f64 = 0.5;
-/// Time in which the programs that run are expected to need what is left of their requests.
-const PROGRAM_DURATION: Duration = Duration::from_secs(3);
+/// Time in which the running programs are expected to need what is left of their requests, before
+/// any program of the team has ended, and its bounds. It is half of the time that a program takes.
+const DEFAULT_TIME_LEFT: Duration = Duration::from_millis(1_500);
+const TIME_LEFT_RANGE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(5));
+/// A program counts with at most this many times the requests of a typical one. Programs that loop
+/// without end would make all others seem to need more than the limit.
+const TYPICAL_REQUESTS_FACTOR: u32 = 4;
 /// A program without a request for this time is expected to need no more of them.
 const PROGRAM_PAUSE: Duration = Duration::from_secs(2);
 /// Share of a program's requests that must be likely to be available for it to begin. The rest is
@@ -95,6 +100,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Program {
+    first_request: BootTime,
     last_request: BootTime,
     requests: u32,
 }
@@ -110,6 +116,8 @@
     requests_per_program: f64,
     /// Requests that the running programs are expected to need still.
     outstanding: f64,
+    /// Time in which they are expected to need them.
+    time_left: Duration,
     estimated_at: BootTime,
     /// The last time that was told to a denied request that begins no program.
     promised_until: BootTime,
@@ -152,6 +160,7 @@
             requests: bucket,
             requests_per_program: 1.0,
             outstanding: 0.0,
+            time_left: DEFAULT_TIME_LEFT,
             estimated_at: now,
             promised_until: now,
             first_promised_until: now,
@@ -189,14 +198,16 @@
         let programs = self.programs.values();
         let (running, ended): (Vec<&Program>, Vec<&Program>) = programs.partition(is_running);
         let known = if ended.is_empty() { &running } else { &ended };
-        let mut requests: Vec<u32> = known.iter().map(|known| known.requests).collect();
-        // Programs that loop without end would raise the mean.
-        let middle = requests.len() / 2;
-        let median = requests
-            .get(middle)
-            .is_some()
-            .then(|| *requests.select_nth_unstable(middle).1);
-        let needed = f64::from(median.unwrap_or(1).max(1));
+        let needed = typical_requests(known).max(1.0);
+        if !ended.is_empty() {
+            let durations = ended.iter().map(|program| {
+                let last = program.last_request;
+                last.saturating_duration_since(program.first_request)
+            });
+            let mean = durations.sum::<Duration>() / ended.len() as u32;
+            let (shortest, longest) = TIME_LEFT_RANGE;
+            self.time_left = (mean / 2).clamp(shortest, longest);
+        }
         let left = running
             .iter()
             .map(|program| needed - f64::from(program.requests));
@@ -209,7 +220,7 @@
         if now.saturating_duration_since(self.estimated_at) >= ESTIMATE_INTERVAL {
             self.estimate_needs(now);
         }
-        let refill = self.limit.rate_per_s * PROGRAM_DURATION.as_secs_f64();
+        let refill = self.limit.rate_per_s * self.time_left.as_secs_f64();
         self.requests.level + refill - self.outstanding
     }
 
@@ -287,6 +298,7 @@
             return;
         }
         let entry = self.programs.entry(program).or_insert(Program {
+            first_request: now,
             last_request: now,
             requests: 0,
         });
@@ -408,6 +420,23 @@
     }
 }
 
+/// The mean of the requests of programs, each of them with at most [`TYPICAL_REQUESTS_FACTOR`] times
+/// the median; 0 without programs.
+fn typical_requests(programs: &[&Program]) -> f64 {
+    let mut requests: Vec<u32> = programs.iter().map(|known| known.requests).collect();
+    if requests.is_empty() {
+        return 0.0;
+    }
+    let middle = requests.len() / 2;
+    let median = *requests.select_nth_unstable(middle).1;
+    let most = median.saturating_mul(TYPICAL_REQUESTS_FACTOR);
+    let total: f64 = requests
+        .iter()
+        .map(|count| f64::from(*count.min(&most)))
+        .sum();
+    total / requests.len() as f64
+}
+
 /// The time for a denied request: after those denied before it, and not before its token is there.
 fn spread(now: BootTime, wait: Duration, last: BootTime, spacing: Duration) -> BootTime {
     let next = (last + spacing).min(now + MAX_SPREAD);
