--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -33,7 +33,7 @@
 use crate::connection::http_server::{self, Handler, HttpLimits, Server};
 use crate::error::{Error, ErrorKind};
 use crate::process::metrics::{self, Metrics};
-use crate::process::teams::config_age::ConfigAge;
+use crate::process::teams::config_age::{ConfigAge, ProofSource};
 use crate::process::teams::config_reads;
 use crate::process::teams::limits::TeamLimits;
 use crate::process::timer::TimerService;
@@ -139,28 +139,35 @@
     /// Activates a configuration unless it is older than the active one.
     ///
     /// Versions of rows order what was read: a response may arrive after that of a later call.
-    pub fn apply_config(&self, row: &Row) {
-        self.config_age.record_row(row.version);
+    pub fn apply_config(&self, row: &Row, source: ProofSource) {
+        if source == ProofSource::Feed {
+            self.config_age.record_feed_row(row.version);
+        }
         if !self.config_age.is_newer(row.version) {
             return;
         }
+        // Reads are repeated, and the change feed brings the row as well.
+        let level = |level| match source {
+            ProofSource::Read => log::Level::Debug,
+            _ => level,
+        };
         let Some(value) = &row.value else {
-            self.config_age.record_removal();
-            log::warn!("configuration row was removed, the last configuration stays active");
+            self.config_age.skip(source, row.version);
+            log::log!(level(log::Level::Warn), row_version = row.version; "configuration row was removed, the last configuration stays active");
             return;
         };
         let config = match operator::decode(value) {
             Ok(config) => config,
             Err(error) => {
-                self.config_age.skip(row.version);
-                log::error!(row_version = row.version; "configuration skipped, it could not be decoded: {error}");
+                self.config_age.skip(source, row.version);
+                log::log!(level(log::Level::Error), row_version = row.version; "configuration skipped, it could not be decoded: {error}");
                 return;
             }
         };
         let previous = self.routes().map(|routes| routes.version);
         if previous.is_some_and(|previous| previous >= config.version) {
-            self.config_age.skip(row.version);
-            log::warn!(row_version = row.version, config_version = config.version, previous_version = previous.unwrap_or(0); "configuration skipped, its version is not higher than that of the active one");
+            self.config_age.skip(source, row.version);
+            log::log!(level(log::Level::Warn), row_version = row.version, config_version = config.version, previous_version = previous.unwrap_or(0); "configuration skipped, its version is not higher than that of the active one");
             return;
         }
         for skipped in &config.skipped {
@@ -179,14 +186,15 @@
     }
 
     fn apply_operator_rows(&self, change: TableChange) {
-        if let TableChange::Snapshot(rows) = &change
-            && !rows.iter().any(|row| row.key == operator::CONFIG_KEY)
-        {
-            self.config_age.record_removal();
-        }
-        let (TableChange::Snapshot(rows) | TableChange::Rows(rows)) = change;
+        let (rows, source) = match change {
+            TableChange::Snapshot(rows) => (rows, ProofSource::Snapshot),
+            TableChange::Rows(rows) => (rows, ProofSource::Feed),
+        };
         let configs = rows.iter().filter(|row| row.key == operator::CONFIG_KEY);
-        configs.for_each(|row| self.apply_config(row));
+        if source == ProofSource::Snapshot && configs.clone().next().is_none() {
+            self.config_age.record_absence();
+        }
+        configs.for_each(|row| self.apply_config(row, source));
     }
 
     /// Whether this gateway knows what it needs to serve a request: the configuration, the backend
--- a/src/process/teams/config_age.rs
+++ b/src/process/teams/config_age.rs
@@ -58,7 +58,7 @@
 /// What a gateway tells its peers of its configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerProof {
-    /// Version of the row of the configuration.
+    /// Version of the newest row of the configuration.
     pub row_version: RowVersion,
     /// Time since this row is known to have been the newest one, rounded up.
     pub age_ms: u64,
@@ -89,14 +89,17 @@
     clock: C,
     /// Oldest proof with which keys may be used; `None` if the platform sets no limit.
     limit: Option<Duration>,
-    /// The newest row that was read. It is the active configuration, unless it could not be decoded.
+    /// The row of the active configuration.
     active_row: Cell<Option<RowVersion>>,
+    /// The newest row that was applied, or skipped because it has no usable configuration; at least
+    /// `active_row`. All usable ones before it were applied, or are older than the active one.
+    seen_row: Cell<Option<RowVersion>>,
     /// Whether the active configuration has teams.
     has_teams: Cell<bool>,
-    /// Whether the row was removed after `active_row`. A row that was written and removed since may
-    /// have been missed, so nothing is proved until there is a row again.
-    is_removed: Cell<bool>,
-    /// All configurations that the store acknowledged before this time have a row up to
+    /// Rows up to this version may have been missed: a full read showed no usable one, and there may
+    /// have been others before. Nothing is proved until a row of at least this version is active.
+    missed_up_to: Cell<RowVersion>,
+    /// All usable configurations that the store acknowledged before this time have a row up to
     /// `active_row`. It never decreases.
     proved_at: Cell<Option<BootTime>>,
     is_read_wanted: Cell<bool>,
@@ -122,8 +125,9 @@
             clock,
             limit: withdrawal_limit.map(|limit| limit.saturating_sub(LIMIT_MARGIN)),
             active_row: Cell::new(None),
+            seen_row: Cell::new(None),
             has_teams: Cell::new(false),
-            is_removed: Cell::new(false),
+            missed_up_to: Cell::new(0),
             proved_at: Cell::new(None),
             is_read_wanted: Cell::new(false),
             last_read: Cell::new(None),
@@ -195,40 +199,49 @@
 
     /// Whether a row that was read is to be applied: it is newer than all others that were read.
     pub fn is_newer(&self, row_version: RowVersion) -> bool {
-        self.active_row
-            .get()
-            .is_none_or(|active| row_version > active)
+        self.seen_row.get().is_none_or(|seen| row_version > seen)
     }
 
     /// Records that the configuration of this row is active.
     pub fn activate(&self, row_version: RowVersion, has_teams: bool) {
         self.has_teams.set(has_teams);
-        self.skip(row_version);
+        self.active_row.set(Some(row_version));
+        self.seen_row.set(Some(row_version));
         self.changed.notify();
     }
 
-    /// Records that the configuration of this row is not used, and that the last one stays active.
-    pub fn skip(&self, row_version: RowVersion) {
-        self.active_row.set(Some(row_version));
-        self.is_removed.set(false);
+    /// Records that a row newer than all others has no usable configuration, so that the last one
+    /// stays active.
+    ///
+    /// Only the change feed shows all rows before it. A read may have missed a usable one; after a
+    /// full read, the feed does not bring that one either.
+    pub fn skip(&self, source: ProofSource, row_version: RowVersion) {
+        match source {
+            ProofSource::Feed => self.seen_row.set(Some(row_version)),
+            ProofSource::Snapshot => self.missed_up_to.set(row_version),
+            ProofSource::Read | ProofSource::Peer => {}
+        }
     }
 
-    /// Records that the row of the configuration was read.
-    pub fn record_row(&self, row_version: RowVersion) {
-        if self.active_row.get() == Some(row_version) {
-            self.is_removed.set(false);
-        }
+    /// Records that a full read showed no row of the configuration.
+    pub fn record_absence(&self) {
+        let active_row = self.active_row.get();
+        self.missed_up_to.set(active_row.map_or(0, |row| row + 1));
     }
 
-    /// Records that the row of the configuration does not exist any more.
-    pub fn record_removal(&self) {
-        self.is_removed.set(true);
+    /// Records that the change feed showed a row. If it is the active one, it is newer than the last
+    /// full read, which a read of the row may have overtaken.
+    pub fn record_feed_row(&self, row_version: RowVersion) {
+        if self.active_row.get() == Some(row_version) {
+            self.missed_up_to.set(0);
+        }
     }
 
     /// Records that all rows that existed at `started` have been applied.
     pub fn prove(&self, source: ProofSource, started: BootTime) {
-        let is_known = self.active_row.get().is_some() && started != BootTime::UNKNOWN;
-        if !is_known || self.is_removed.get() {
+        let active_row = self.active_row.get();
+        let is_complete = active_row.is_some_and(|row| row >= self.missed_up_to.get());
+        if !is_complete || started == BootTime::UNKNOWN {
             return;
         }
         self.proved_at.set(self.proved_at.get().max(Some(started)));
@@ -241,14 +254,14 @@
     pub fn prove_row(&self, source: ProofSource, row_version: RowVersion, started: BootTime) {
         if self.is_newer(row_version) {
             self.request_read();
-        } else if self.active_row.get() == Some(row_version) {
+        } else if self.seen_row.get() == Some(row_version) {
             self.prove(source, started);
         }
     }
 
     /// What to tell peers; `None` if there is nothing to tell, or the configuration has no teams.
     pub fn peer_proof(&self) -> Option<PeerProof> {
-        let row_version = self.active_row.get().filter(|_| self.has_teams())?;
+        let row_version = self.seen_row.get().filter(|_| self.has_teams())?;
         let age_ms = u64::try_from(self.age()?.as_millis()).unwrap_or(u64::MAX);
         Some(PeerProof {
             row_version,
--- a/src/process/teams/config_reads.rs
+++ b/src/process/teams/config_reads.rs
@@ -55,10 +55,10 @@
     let deadline = Instant::now() + READ_TIMEOUT;
     match gateway.store.find_row(&row, deadline).await {
         Ok(Some(row)) => {
-            gateway.apply_config(&row);
+            gateway.apply_config(&row, ProofSource::Read);
             age.prove_row(ProofSource::Read, row.version, started);
         }
-        // The change feed reports the removal. A response that was late proves nothing.
+        // The change feed reports the removal. This read may have missed a row that was removed.
         Ok(None) => log::debug!("configuration row does not exist"),
         Err(error) => {
             log::debug!("configuration could not be read, retrying: {error}");
