--- a/tests/gateway_teams.rs
+++ b/tests/gateway_teams.rs
@@ -19,7 +19,7 @@
 use sapphireford::process::gateway::peers::{AdmitRequest, ServerNotices};
 use sapphireford::version::key_digest::KeyDigest;
 use sapphireford_standin::harness::{
-    Answer, GatewayProcess, GatewaySite, HttpRequest, default_routes, wait_until,
+    Answer, GatewayProcess, GatewaySite, HttpRequest, TOKENS_PER_EVENT, default_routes, wait_until,
 };
 use serde_json::{Value, json};
 use server_paths::{Cut, cut_off, find_out};
@@ -319,7 +319,20 @@
     let [stranded, connected] = &site.gateways[..] else {
         unreachable!("the site has two gateways");
     };
+    // The peer must neither reserve the tokens again, which the budget does not cover, nor ask for the
+    // origin of a stream of another team.
+    let in_progress = Turn {
+        program: "p-2",
+        events: 60,
+        budget_tokens: 60 * TOKENS_PER_EVENT,
+        ..turn("/quote/a", "t-1", None)
+    };
+    let stream = in_progress.request().bearer(BOLT_KEY);
+    let mut stream = stream.open(stranded.caller_address()).expect("an answer");
+    stream.next_event().expect("an event").expect("an event");
     cut_off(stranded, Cut::Silent);
+    let rest = stream.remaining_events().expect("a complete stream");
+    assert_eq!(rest.len(), 59);
     find_out(&[stranded]);
     for (key, team) in [(ACME_KEY, "acme"), (BOLT_KEY, "bolt")] {
         let id = new_request_id();
