--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -405,8 +405,9 @@
             ErrorKind::NoBackendServer if gateway.server_path.is_lost() => {
                 return peers::not_taken_response();
             }
-            // Another peer may have a newer configuration, or proof that its own is current.
-            ErrorKind::NotReady if source.relayed_team().is_some() => {
+            // Another peer may have a newer configuration, or proof that its own is current. The
+            // gateway that relays the request has the key, so a 401 would be final too early.
+            ErrorKind::NotReady | ErrorKind::Unauthorized if source.relayed_team().is_some() => {
                 return peers::not_taken_response();
             }
             ErrorKind::ServiceInDoubt => peers::mark_in_doubt(&mut response),
