--- a/src/process/teams.rs
+++ b/src/process/teams.rs
@@ -6,7 +6,8 @@
 //! - [`limits`] admits requests within the limits of their teams. The decisions are in
 //!   [`limit_bucket`] and [`limit_owner`] for the gateway that counts the requests of a team, in
 //!   [`limit_holdings`] for the others, and in [`limit_leases`] for the choice of the former, which
-//!   [`limit_ownership`] carries out; [`limit_messages`] has the calls between them.
+//!   [`limit_ownership`] carries out; [`limit_owners`] and [`limit_messages`] have the calls between
+//!   them.
 
 pub mod config_age;
 pub mod limit_bucket;
@@ -14,6 +15,7 @@
 pub mod limit_leases;
 pub mod limit_messages;
 pub mod limit_owner;
+pub mod limit_owners;
 pub mod limit_ownership;
 pub mod limit_report;
 pub mod limits;
--- a/src/process/teams/limit_report.rs
+++ b/src/process/teams/limit_report.rs
@@ -1,12 +1,10 @@
 //! Log lines and counters of refused requests of teams, bounded in number.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use sapphireford_platform::operator::TeamLimit;
 
-use crate::connection::http_client::ClientError;
 use crate::ids::TeamId;
 use crate::process::metrics;
 
@@ -15,7 +13,7 @@
 /// Shortest time between two log lines on refusals.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Reports refusals and gateways that do not answer.
+/// Reports refusals.
 #[derive(Default)]
 pub struct LimitReport {
     /// The teams with the highest rates among those that were refused.
@@ -23,7 +21,6 @@
     refusal_logged_at: Cell<Option<Instant>>,
     /// Refusals since the last log line.
     unlogged: Cell<u64>,
-    silence_logged_at: Cell<Option<Instant>>,
 }
 
 impl LimitReport {
@@ -47,13 +44,6 @@
         log::info!(team = &**team, reason = reason, rate_per_s = limit.rate_per_s, burst = limit.burst, tokens:? = tokens, retry_after_ms = retry_after_ms, refusals_since_last_line = refusals; "request refused by the limit of its team");
     }
 
-    /// Logs that a gateway did not answer.
-    pub fn record_silence(&self, peer: SocketAddr, error: &ClientError) {
-        if is_due(&self.silence_logged_at) {
-            log::info!(peer:% = peer; "peer did not answer for limits of teams: {error}");
-        }
-    }
-
     /// The name of the team if it is one of the largest, else `other`.
     fn label(&self, team: &TeamId, rate_per_s: f64) -> String {
         let mut largest = self.largest.borrow_mut();
--- a/src/process/teams/limits.rs
+++ b/src/process/teams/limits.rs
@@ -6,7 +6,6 @@
 //! is at most one call for a shard in flight; requests that come meanwhile are in the next one.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,9 +18,9 @@
 use super::limit_bucket::GRANT_VALIDITY;
 use super::limit_holdings::TeamHoldings;
 use super::limit_messages::{
-    Issuer, LimitRequest, LimitResponse, ProgramDigest, SHARDS, ShardId, TeamAnswer, TeamAsk,
-    Verdict,
+    Issuer, LimitRequest, LimitResponse, ProgramDigest, SHARDS, ShardId, TeamAnswer, Verdict,
 };
+use super::limit_owners::LimitOwners;
 use super::limit_ownership::LimitOwnership;
 use super::limit_report::LimitReport;
 use crate::connection::http_client::HttpClient;
@@ -29,7 +28,6 @@
 use crate::ids::{TeamId, VersionNumber};
 use crate::process::boot_clock::BootTime;
 use crate::process::gateway::directory::Directory;
-use crate::process::gateway::peers;
 use crate::process::gateway::settings::TeamLimitTolerance;
 use crate::process::gateway::store::Store;
 use crate::process::metrics;
@@ -40,33 +38,12 @@
 use crate::version::route_table::RouteTable;
 use crate::version::teams::Team;
 
-/// Longest wait for a gateway that is asked. The owner answers from its memory.
-const CALL_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time in which an asked gateway that is not the owner answers, whether it has taken the lease or
-/// not; shorter than `CALL_TIMEOUT`.
-const ACQUIRE_TIMEOUT: Duration = Duration::from_millis(110);
-/// Time for which a gateway that did not answer is not asked again.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time for which a gateway that does not know the call, of an earlier build, is not asked again.
-const UNSUPPORTED_TIMEOUT: Duration = Duration::from_secs(30);
-/// Gateways that are asked for one decision and know the call.
-const MAX_ASKED: usize = 3;
-/// Gateways that are asked for one decision, including those that do not know the call.
-const MAX_CALLS: usize = 6;
-/// Largest response that is accepted from a peer.
-const RESPONSE_LIMIT_BYTES: usize = 256 << 10;
 /// Requests of one team in one call. Other teams do not wait for those of a flood.
 const MAX_REQUESTS_IN_CALL: usize = 256;
 /// Teams in one call.
 const MAX_TEAMS_IN_CALL: usize = 256;
 /// Requests of one team that wait for a decision; further ones are refused.
 const MAX_WAITING: usize = 1_024;
-/// Pause for each registered gateway before more requests of a team are sent to an owner that has
-/// denied some, and before an owner is looked for again. All gateways together then send 750 calls a
-/// second, which a VM with 0.12 cores can answer.
-const PAUSE_PER_GATEWAY: Duration = Duration::from_micros(1_333);
-/// Bounds of that pause.
-const PAUSE_RANGE: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(250));
 /// Range of the retry delay without an owner. The next one is found within this time.
 const NO_OWNER_DELAY_MS: Range<u64> = 200..500;
 /// Range of the retry delay of requests beyond `MAX_WAITING`.
@@ -112,13 +89,9 @@
 
 #[derive(Default)]
 struct Shard {
-    /// The gateway that last decided, or that another one named.
-    holder: Cell<Option<SocketAddr>>,
     waiting: RefCell<IndexMap<TeamId, Vec<Waiter>>>,
     /// Teams of which requests were denied, and until when no more are sent.
     paused: RefCell<IndexMap<TeamId, Instant>>,
-    /// Until when no owner is looked for, because none was found.
-    no_owner_until: Cell<Option<Instant>>,
     /// Notified when requests wait or tokens are to go back.
     added: Notify,
     /// Teams with tokens that are to go back.
@@ -134,16 +107,12 @@
 
 struct Shared {
     tolerance: TeamLimitTolerance,
-    http: HttpClient,
     timer: TimerService,
     directory: Rc<Directory>,
     ownership: Rc<LimitOwnership>,
+    owners: LimitOwners,
     shards: Vec<Shard>,
     teams: RefCell<IndexMap<TeamId, TeamHoldings>>,
-    /// Gateways that are not asked, and until when.
-    not_asked: RefCell<IndexMap<SocketAddr, Instant>>,
-    /// The active configuration.
-    config: RefCell<Option<Rc<RouteTable>>>,
     is_upkeep_running: Cell<bool>,
     report: LimitReport,
 }
@@ -157,16 +126,15 @@
         directory: Rc<Directory>,
     ) -> Self {
         let ownership = LimitOwnership::new(directory.limit_owner_start(), store, tolerance);
+        let ownership = Rc::new(ownership);
         let shared = Shared {
             tolerance,
             timer: http.timer().clone(),
-            http,
+            owners: LimitOwners::new(http, directory.clone(), ownership.clone()),
             directory,
-            ownership: Rc::new(ownership),
+            ownership,
             shards: (0..SHARDS).map(|_| Shard::default()).collect(),
             teams: RefCell::default(),
-            not_asked: RefCell::default(),
-            config: RefCell::default(),
             is_upkeep_running: Cell::new(false),
             report: LimitReport::default(),
         };
@@ -177,7 +145,7 @@
 
     /// Tells the active configuration, whose limits an owner applies to gateways that lag behind.
     pub fn set_config(&self, config: Rc<RouteTable>) {
-        self.shared.config.replace(Some(config));
+        self.shared.owners.set_config(config);
     }
 
     /// Counts a request against the limit of its team; fails if the limit is used up, or if it is
@@ -202,20 +170,9 @@
     }
 
     /// Decides on a call of another gateway, if this one owns the shard or may take it.
-    pub async fn handle(&self, mut request: LimitRequest) -> LimitResponse {
-        let shared = &self.shared;
-        shared.apply_newer_limits(&mut request);
-        shared.start_upkeep();
-        if let Some(response) = shared.ownership.decide(&request, BootTime::now()) {
-            return response;
-        }
-        let acquiring = shared.ownership.acquire(request.shard);
-        // A caller that goes away does not end the attempt.
-        let _ = shared.timer.timeout(ACQUIRE_TIMEOUT, acquiring).await;
-        let decided = shared.ownership.decide(&request, BootTime::now());
-        decided.unwrap_or_else(|| LimitResponse::NotOwner {
-            owner: shared.ownership.other_holder(request.shard),
-        })
+    pub async fn handle(&self, request: LimitRequest) -> LimitResponse {
+        self.shared.start_upkeep();
+        self.shared.owners.handle(&request).await
     }
 
     /// Ends the leases of this gateway. It asks the next owner from then on.
@@ -317,16 +274,6 @@
         use_holdings(holdings)
     }
 
-    /// Time before an owner is asked again that has denied requests, or that was not found.
-    fn pause(&self) -> Duration {
-        let gateways = self.directory.registered_count().unwrap_or(1);
-        let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
-        let (shortest, longest) = PAUSE_RANGE;
-        PAUSE_PER_GATEWAY
-            .saturating_mul(gateways)
-            .clamp(shortest, longest)
-    }
-
     fn start_calls(self: &Rc<Self>, id: ShardId) {
         self.shard(id).added.notify();
         if self.shard(id).is_calling.replace(true) {
@@ -355,7 +302,7 @@
                 continue;
             };
             let call_started = BootTime::now();
-            match self.ask(&batch.request).await {
+            match self.owners.ask(&batch.request).await {
                 Some((issuer, answers)) => {
                     self.distribute(batch, issuer, answers, call_started);
                 }
@@ -443,7 +390,7 @@
         call_started: BootTime,
     ) {
         let shard = self.shard(batch.request.shard);
-        let pause_end = Instant::now() + self.pause();
+        let pause_end = Instant::now() + self.owners.pause();
         let mut teams = self.teams.borrow_mut();
         let parts = batch.names.into_iter().zip(batch.waiters).zip(answers);
         for ((team, waiters), answer) in parts {
@@ -475,122 +422,6 @@
         }
     }
 
-    /// Asks the owner of a shard; `None` if no owner answers.
-    async fn ask(&self, request: &LimitRequest) -> Option<(Issuer, Vec<TeamAnswer>)> {
-        let id = request.shard;
-        if let Some(LimitResponse::Decided { issuer, teams }) = self.decide_here(request) {
-            return Some((issuer, teams));
-        }
-        let own = self.ownership.own_address();
-        let now = Instant::now();
-        let no_owner_until = self.shard(id).no_owner_until.get();
-        if no_owner_until.is_some_and(|until| now < until) {
-            return None;
-        }
-        self.not_asked.borrow_mut().retain(|_, until| now < *until);
-        let mut tried: Vec<SocketAddr> = Vec::new();
-        let mut asked = 0;
-        let mut named = self.shard(id).holder.get();
-        let mut candidates = self.directory.limit_owners(u64::from(id), now).into_iter();
-        while asked < MAX_ASKED && tried.len() < MAX_CALLS {
-            let may_ask = |address: &SocketAddr| {
-                !tried.contains(address) && !self.not_asked.borrow().contains_key(address)
-            };
-            let target = named.take().filter(|address| may_ask(address));
-            let Some(target) = target.or_else(|| candidates.find(|address| may_ask(address)))
-            else {
-                break;
-            };
-            tried.push(target);
-            if target == own {
-                asked += 1;
-                let acquiring = self.ownership.acquire(id);
-                let _ = self.timer.timeout(ACQUIRE_TIMEOUT, acquiring).await;
-                if let Some(LimitResponse::Decided { issuer, teams }) = self.decide_here(request) {
-                    return Some((issuer, teams));
-                }
-                named = self.ownership.other_holder(id);
-                continue;
-            }
-            match self.call(target, request).await {
-                Called::Answered(LimitResponse::Decided { issuer, teams }) => {
-                    self.shard(id).holder.set(Some(target));
-                    return Some((issuer, teams));
-                }
-                Called::Answered(LimitResponse::NotOwner { owner }) => {
-                    asked += 1;
-                    named = owner;
-                }
-                Called::Unsupported => {}
-                Called::Silent => asked += 1,
-            }
-        }
-        self.shard(id).holder.set(None);
-        let pause_end = Instant::now() + self.pause();
-        self.shard(id).no_owner_until.set(Some(pause_end));
-        None
-    }
-
-    fn decide_here(&self, request: &LimitRequest) -> Option<LimitResponse> {
-        let mut request = request.clone();
-        self.apply_newer_limits(&mut request);
-        self.ownership.decide(&request, BootTime::now())
-    }
-
-    async fn call(&self, peer: SocketAddr, request: &LimitRequest) -> Called {
-        let call = peers::team_limits_request(request);
-        let sent = self
-            .http
-            .fetch(peer, call, CALL_TIMEOUT, RESPONSE_LIMIT_BYTES);
-        let (called, outcome, pause) = match sent.await {
-            Ok(response) => match peers::decode_team_limits(&response) {
-                Some(response) => {
-                    let is_decided = matches!(response, LimitResponse::Decided { .. });
-                    let outcome = if is_decided { "decided" } else { "not owner" };
-                    (Called::Answered(response), outcome, None)
-                }
-                None => (
-                    Called::Unsupported,
-                    "unsupported",
-                    Some(UNSUPPORTED_TIMEOUT),
-                ),
-            },
-            Err(error) => {
-                self.report.record_silence(peer, &error);
-                (Called::Silent, "no answer", Some(SILENCE_TIMEOUT))
-            }
-        };
-        if let Some(pause) = pause {
-            let until = Instant::now() + pause;
-            self.not_asked.borrow_mut().insert(peer, until);
-        }
-        ::metrics::counter!(metrics::TEAM_LIMIT_CALLS, "outcome" => outcome).increment(1);
-        called
-    }
-
-    /// Replaces limits of an earlier configuration than the active one, as far as the owner does not
-    /// have a later limit already.
-    fn apply_newer_limits(&self, request: &mut LimitRequest) {
-        let config = self.config.borrow();
-        let Some(config) = config.as_ref() else {
-            return;
-        };
-        let Some(teams) = &config.teams else { return };
-        let is_older = |ask: &&mut TeamAsk| ask.config_version < config.version;
-        for ask in request.teams.iter_mut().filter(is_older) {
-            let applied = self.ownership.config_version(request.shard, &ask.team);
-            if applied.is_some_and(|applied| applied >= config.version) {
-                continue;
-            }
-            let limit = teams.find_name(&ask.team).and_then(|team| team.limit);
-            if let Some(limit) = limit {
-                ask.config_version = config.version;
-                ask.rate_per_s = limit.rate_per_s;
-                ask.burst = limit.burst;
-            }
-        }
-    }
-
     /// Starts the task that returns tokens and renews leases, which ends when no team is active.
     fn start_upkeep(self: &Rc<Self>) {
         if self.is_upkeep_running.replace(true) {
@@ -650,13 +481,6 @@
     waiters: Vec<Vec<Waiter>>,
 }
 
-enum Called {
-    Answered(LimitResponse),
-    /// The peer does not know the call.
-    Unsupported,
-    Silent,
-}
-
 fn limit_reached(limit: TeamLimit, retry_after: Duration) -> Error {
     let message = format!(
         "the limit of the team, {} requests a second with a burst of {}, is used up; retry later",
--- a/tests/support/team_site.rs
+++ b/tests/support/team_site.rs
@@ -205,7 +205,8 @@
         }
         self.store_calls += 1;
         let answer = perform(self);
-        let is_lost = self.store_mode == StoreMode::LosesAnswers && self.store_calls % 2 == 0;
+        let is_lost =
+            self.store_mode == StoreMode::LosesAnswers && self.store_calls.is_multiple_of(2);
         (!is_lost).then_some(answer)
     }
 
@@ -228,10 +229,14 @@
     }
 
     /// Performs a conditional write; returns the row instead if the condition does not hold.
-    fn write(&mut self, condition: u64, row: LeaseRow) -> Result<(u64, StoreTime), ObservedRow> {
+    fn write(
+        &mut self,
+        condition: u64,
+        row: LeaseRow,
+    ) -> Result<(u64, StoreTime), Box<ObservedRow>> {
         let current = self.row.as_ref().map_or(0, |(version, _)| *version);
         if current != condition {
-            return Err(self.observed());
+            return Err(Box::new(self.observed()));
         }
         self.version += 1;
         self.row = Some((self.version, row));
@@ -241,7 +246,13 @@
     /// Stops a gateway, which releases its lease.
     pub fn stop(&mut self, index: usize) {
         let gateway = &mut self.gateways[index];
-        if let Some(write) = gateway.lease.release(self.now) {
+        let released = gateway.lease.release(self.now);
+        assert_eq!(
+            gateway.lease.held(self.now),
+            None,
+            "it decides after its release"
+        );
+        if let Some(write) = released {
             let (condition, _) = write.transaction(0).expect("a row");
             let _ = self.write(condition.version, write.row().clone());
         }
@@ -279,8 +290,8 @@
                 LeaseStep::Write(write) => {
                     let (condition, _) = write.transaction(0).expect("a row");
                     let row = write.row().clone();
-                    let is_delayed =
-                        self.store_mode == StoreMode::DelaysWrites && self.store_calls % 2 == 0;
+                    let is_delayed = self.store_mode == StoreMode::DelaysWrites
+                        && self.store_calls.is_multiple_of(2);
                     let answer = self.call_store(index, |site| match is_delayed {
                         true => {
                             let due = now + Duration::from_secs(1 + site.store_calls % 4);
@@ -293,7 +304,7 @@
                     let gateway = &mut self.gateways[index];
                     match answer {
                         None => return gateway.lease.unanswered(now),
-                        Some(Err(observed)) => gateway.lease.observe(observed),
+                        Some(Err(observed)) => gateway.lease.observe(*observed),
                         Some(Ok((version, time))) => {
                             gateway.lease.committed(*write, version, time);
                             return;
@@ -370,9 +381,7 @@
             .filter(|other| is_asked(&self.gateways[*other]))
             .collect();
         let holders = asked.iter().copied();
-        let holder = holders
-            .filter(|other| self.gateways[*other].lease.held(now).is_some())
-            .next();
+        let holder = { holders }.find(|other| self.gateways[*other].lease.held(now).is_some());
         let owner = holder.or_else(|| {
             let mut takers = asked.into_iter().take(3);
             takers.find(|taker| {
--- a/tests/team_limits.rs
+++ b/tests/team_limits.rs
@@ -409,7 +409,9 @@
     );
     // The first turn of a program that has begun may come again.
     assert_eq!(site.request(0, "a", 100, true), Reply::Runs);
+    site.advance(10 * S);
     while site.request(0, "a", 100, false) == Reply::Runs {}
+    (0..3).for_each(|_| assert_ne!(site.request(0, "a", 100, false), Reply::Runs));
     site.advance(150 * MS);
     assert!(matches!(site.request(0, "a", 200, true), Reply::Denied(_)));
     assert_eq!(site.request(0, "a", 100, false), Reply::Runs);
