--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -21,7 +21,7 @@
 pub const GRANT_VALIDITY: Duration = Duration::from_millis(500);
 /// A program without a request for this time counts as ended.
 const PROGRAM_TIMEOUT: Duration = Duration::from_secs(30);
-/// Most programs of a team that are remembered, which is 256 KiB. Only the first turns of further
+/// Most programs of a team that are remembered, about 400 KB. Only the first turns of further
 /// programs that come twice are counted twice.
 const MAX_PROGRAMS: usize = 8_192;
 /// Denied requests are spread over at most this time, unless the token takes longer. A flood does
--- a/src/process/teams/limit_ownership.rs
+++ b/src/process/teams/limit_ownership.rs
@@ -267,6 +267,10 @@
         let mut lease = shard.lease.borrow_mut();
         let was_owner = lease.has_tenure();
         lease.observe(observed);
+        if !was_owner && lease.has_tenure() {
+            count_change("taken");
+            log::info!(shard = id; "lease of limits of teams taken by a write without an answer, this gateway counts their requests");
+        }
         if was_owner && !lease.has_tenure() {
             count_change("lost");
             let holder = lease.other_holder().map(|holder| holder.to_string());
