--- a/src/process/teams/limit_holdings.rs
+++ b/src/process/teams/limit_holdings.rs
@@ -17,9 +17,11 @@
 pub const RETURN_DELAY: Duration = Duration::from_millis(300);
 /// Time without a request after which nothing of a team is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Programs that are named in one call. The requests of further ones are not counted for their
-/// program, which only changes how many requests a program is taken to need.
+/// Programs of a team that are remembered and named in one call. The requests of further ones are not
+/// counted for their program, which only changes how many requests a program is taken to need.
 const MAX_NAMED_PROGRAMS: usize = 256;
+/// A program without a request for this time counts as ended.
+const PROGRAM_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Counts requests over about the last [`GRANT_VALIDITY`].
 #[derive(Clone, Copy, Debug, Default)]
@@ -78,6 +80,11 @@
     last_request: BootTime,
     /// Programs whose requests used tokens of `grant` since the last call, and how many.
     used_by: IndexMap<ProgramDigest, u32>,
+    /// Programs that have begun or continued at this gateway, how many of their requests it has had,
+    /// and when the last one.
+    programs: IndexMap<ProgramDigest, (u32, BootTime)>,
+    /// Who decided last; 0 before the first decision.
+    last_issuer: Issuer,
     /// When requests ran without an owner, within the last window.
     ran_without_owner: VecDeque<BootTime>,
     /// Requests since the team became active.
@@ -96,6 +103,8 @@
             recent_first: RecentCount::default(),
             last_request: now,
             used_by: IndexMap::new(),
+            programs: IndexMap::new(),
+            last_issuer: 0,
             ran_without_owner: VecDeque::new(),
             requests: 0,
         }
@@ -141,9 +150,41 @@
         if program != 0 && self.used_by.len() < MAX_NAMED_PROGRAMS {
             *self.used_by.entry(program).or_insert(0) += 1;
         }
+        self.record_run(program, now);
         true
     }
 
+    /// Remembers that a request of a program has been admitted.
+    pub fn record_run(&mut self, program: ProgramDigest, now: BootTime) {
+        let is_known = self.programs.contains_key(&program);
+        if program == 0 || (!is_known && self.programs.len() >= MAX_NAMED_PROGRAMS) {
+            return;
+        }
+        let (requests, last_request) = self.programs.entry(program).or_insert((0, now));
+        *requests = requests.saturating_add(1);
+        *last_request = now;
+    }
+
+    /// Forgets the programs that have ended.
+    pub fn forget_ended_programs(&mut self, now: BootTime) {
+        let is_running = |last: BootTime| now.saturating_duration_since(last) < PROGRAM_TIMEOUT;
+        self.programs.retain(|_, (_, last)| is_running(*last));
+    }
+
+    /// Records who has decided. A new owner does not know the programs of the team, so the next call
+    /// names those that this gateway knows.
+    pub fn record_issuer(&mut self, issuer: Issuer, now: BootTime) {
+        let last_issuer = std::mem::replace(&mut self.last_issuer, issuer);
+        if last_issuer == 0 || last_issuer == issuer {
+            return;
+        }
+        self.forget_ended_programs(now);
+        let programs = self.programs.iter();
+        self.used_by = programs
+            .map(|(id, (requests, _))| (*id, *requests))
+            .collect();
+    }
+
     /// Makes the part of a call for this team; all unused tokens of `issuer` go back with it.
     pub fn ask(
         &mut self,
--- a/src/process/teams/limit_report.rs
+++ b/src/process/teams/limit_report.rs
@@ -1,10 +1,13 @@
-//! Log lines and counters of refused requests of teams, bounded in number.
+//! The refusals of requests of teams, with their log lines and counters, which are bounded in number.
 
 use std::cell::{Cell, RefCell};
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
+use rand::Rng;
 use sapphireford_platform::operator::TeamLimit;
 
+use crate::error::{Error, ErrorKind};
 use crate::ids::TeamId;
 use crate::process::metrics;
 
@@ -13,6 +16,9 @@
 /// Shortest time between two log lines on refusals.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Range of the retry delay without an owner. The next one is found within this time.
+const NO_OWNER_DELAY_MS: Range<u64> = 200..500;
+
 /// Reports refusals.
 #[derive(Default)]
 pub struct LimitReport {
@@ -77,3 +83,23 @@
     }
     is_due
 }
+
+/// The refusal of a request whose team has used up its limit.
+pub fn limit_reached(limit: TeamLimit, retry_after: Duration) -> Error {
+    let message = format!(
+        "the limit of the team, {} requests a second with a burst of {}, is used up; retry later",
+        limit.rate_per_s, limit.burst
+    );
+    Error::new(ErrorKind::TeamLimitReached, message).with_retry_after(retry_after)
+}
+
+/// The refusal of a request for which nobody says whether the limit is used up.
+pub fn no_owner() -> Error {
+    let message = "the gateway that counts the requests of the team does not answer; retry later";
+    Error::new(ErrorKind::NotReady, message).with_retry_after(random_ms(NO_OWNER_DELAY_MS))
+}
+
+/// A random time from a range in milliseconds.
+pub fn random_ms(range: Range<u64>) -> Duration {
+    Duration::from_millis(rand::rng().random_range(range))
+}
--- a/src/process/teams/limits.rs
+++ b/src/process/teams/limits.rs
@@ -12,7 +12,6 @@
 
 use futures_channel::oneshot;
 use indexmap::IndexMap;
-use rand::Rng;
 use sapphireford_platform::operator::TeamLimit;
 
 use super::limit_bucket::GRANT_VALIDITY;
@@ -22,9 +21,9 @@
 };
 use super::limit_owners::LimitOwners;
 use super::limit_ownership::LimitOwnership;
-use super::limit_report::LimitReport;
+use super::limit_report::{LimitReport, limit_reached, no_owner, random_ms};
 use crate::connection::http_client::HttpClient;
-use crate::error::{Error, ErrorKind, Result};
+use crate::error::{ErrorKind, Result};
 use crate::ids::{TeamId, VersionNumber};
 use crate::process::boot_clock::BootTime;
 use crate::process::gateway::directory::Directory;
@@ -44,8 +43,6 @@
 const MAX_TEAMS_IN_CALL: usize = 256;
 /// Requests of one team that wait for a decision; further ones are refused.
 const MAX_WAITING: usize = 1_024;
-/// Range of the retry delay without an owner. The next one is found within this time.
-const NO_OWNER_DELAY_MS: Range<u64> = 200..500;
 /// Range of the retry delay of requests beyond `MAX_WAITING`.
 const FLOOD_DELAY_MS: Range<u64> = 1_000..4_000;
 /// Interval at which tokens are returned and leases renewed, while teams are active.
@@ -394,6 +391,10 @@
         let mut teams = self.teams.borrow_mut();
         let parts = batch.names.into_iter().zip(batch.waiters).zip(answers);
         for ((team, waiters), answer) in parts {
+            let Some(holdings) = teams.get_mut(&team) else {
+                continue;
+            };
+            holdings.record_issuer(issuer, BootTime::now());
             let mut unused = 0;
             let verdicts = answer.waiting.into_iter().chain(answer.waiting_first);
             for (waiter, verdict) in waiters.into_iter().zip(verdicts) {
@@ -408,16 +409,17 @@
                         Outcome::Denied { retry_after }
                     }
                 };
+                if let Outcome::Granted { .. } = outcome {
+                    holdings.record_run(waiter.program, BootTime::now());
+                }
                 // The caller of a request that is gone does not use its token.
                 if let Err(Outcome::Granted { .. }) = waiter.outcome.send(outcome) {
                     unused += 1;
                 }
             }
-            if let Some(holdings) = teams.get_mut(&team) {
-                let tokens = answer.extra.saturating_add(unused);
-                if tokens > 0 || answer.extra_first > 0 {
-                    holdings.keep(issuer, tokens, answer.extra_first, call_started);
-                }
+            let tokens = answer.extra.saturating_add(unused);
+            if tokens > 0 || answer.extra_first > 0 {
+                holdings.keep(issuer, tokens, answer.extra_first, call_started);
             }
         }
     }
@@ -447,6 +449,9 @@
                 self.ownership.remove_idle(now);
                 let mut teams = self.teams.borrow_mut();
                 teams.retain(|_, holdings| !holdings.is_idle(now));
+                teams
+                    .values_mut()
+                    .for_each(|team| team.forget_ended_programs(now));
                 if teams.is_empty() {
                     teams.shrink_to_fit();
                 }
@@ -480,20 +485,3 @@
     /// The requests of each team, in the order of its verdicts.
     waiters: Vec<Vec<Waiter>>,
 }
-
-fn limit_reached(limit: TeamLimit, retry_after: Duration) -> Error {
-    let message = format!(
-        "the limit of the team, {} requests a second with a burst of {}, is used up; retry later",
-        limit.rate_per_s, limit.burst
-    );
-    Error::new(ErrorKind::TeamLimitReached, message).with_retry_after(retry_after)
-}
-
-fn no_owner() -> Error {
-    let message = "the gateway that counts the requests of the team does not answer; retry later";
-    Error::new(ErrorKind::NotReady, message).with_retry_after(random_ms(NO_OWNER_DELAY_MS))
-}
-
-fn random_ms(range: Range<u64>) -> Duration {
-    Duration::from_millis(rand::rng().random_range(range))
-}
--- a/tests/gateway_team_limits.rs
+++ b/tests/gateway_team_limits.rs
@@ -55,6 +55,14 @@
     values.sum()
 }
 
+/// The first gateway that has taken a lease.
+fn owner(site: &GatewaySite) -> usize {
+    let taken = "sapphireford_team_limit_leases_total{change=\"taken\"}";
+    let mut gateways = site.gateways.iter();
+    let owner = gateways.position(|gateway| metric(gateway, taken) >= 1.0);
+    owner.expect("an owner")
+}
+
 /// When requests ran, and the statuses of the others.
 #[derive(Default)]
 struct Load {
@@ -64,9 +72,14 @@
 
 impl Load {
     /// Sends about 200 requests a second of `team`, one to each gateway in turn.
-    fn run(&mut self, gateways: &[GatewayProcess], team: &str, time: Duration) {
+    fn run<'a>(
+        &mut self,
+        gateways: impl IntoIterator<Item = &'a GatewayProcess, IntoIter: Clone>,
+        team: &str,
+        time: Duration,
+    ) {
         let start = Instant::now();
-        for gateway in gateways.iter().cycle() {
+        for gateway in gateways.into_iter().cycle() {
             if start.elapsed() >= time {
                 return;
             }
@@ -161,13 +174,7 @@
     let mut load = Load::default();
     for is_killed in [true, false] {
         load.run(&site.gateways, "limited", Duration::from_secs(2));
-        let owner = site.gateways.iter().position(|gateway| {
-            metric(
-                gateway,
-                "sapphireford_team_limit_leases_total{change=\"taken\"}",
-            ) >= 1.0
-        });
-        let owner = owner.expect("an owner");
+        let owner = owner(&site);
         match is_killed {
             true => site.gateways[owner].kill(),
             false => site.gateways[owner].terminate(),
@@ -184,6 +191,28 @@
     assert!(most <= MOST_IN_A_WINDOW, "{most} ran in a window");
 }
 
+/// Guards against an owner that counts beside its successor after it was frozen.
+#[test]
+fn a_frozen_owner_is_replaced_and_counts_no_more() {
+    let mut site = start_site(3);
+    let mut load = Load::default();
+    load.run(&site.gateways, "limited", Duration::from_secs(2));
+    let owner = owner(&site);
+    site.gateways[owner].process().pause();
+    let others = site.gateways.iter().enumerate();
+    let others: Vec<_> = others.filter(|(index, _)| *index != owner).collect();
+    let others = others.into_iter().map(|(_, gateway)| gateway);
+    load.run(others.clone(), "limited", Duration::from_secs(11));
+    let before = load.ran_at.len();
+    load.run(others, "limited", Duration::from_secs(3));
+    let ran = load.ran_at.len() - before;
+    assert!(ran >= 20, "only {ran} of 30 ran without the frozen owner");
+    site.gateways[owner].process().resume();
+    load.run(&site.gateways, "limited", Duration::from_secs(6));
+    let most = load.busiest_window();
+    assert!(most <= MOST_IN_A_WINDOW, "{most} ran in a window");
+}
+
 /// Guards against limits that are not kept, or a service that ends, while the store is unavailable.
 #[test]
 fn the_limit_is_kept_without_the_store() {
--- a/tests/support/team_site.rs
+++ b/tests/support/team_site.rs
@@ -395,8 +395,17 @@
         };
         let answer = teams.into_iter().next()?;
         let holdings = self.gateways[index].holdings.get_mut(team)?;
+        holdings.record_issuer(issuer, now);
+        let asked = &request.teams[0];
+        let programs = asked.waiting.iter().chain(&asked.waiting_first);
+        let verdicts = [answer.waiting, answer.waiting_first].concat();
+        for (program, verdict) in programs.zip(&verdicts) {
+            if let Verdict::Granted { .. } = verdict {
+                holdings.record_run(*program, now);
+            }
+        }
         holdings.keep(issuer, answer.extra, answer.extra_first, now);
-        Some([answer.waiting, answer.waiting_first].concat())
+        Some(verdicts)
     }
 
     fn return_unused(&mut self, index: usize) {
--- a/tests/team_limits.rs
+++ b/tests/team_limits.rs
@@ -322,9 +322,10 @@
     assert!(calls * 5 < runs, "{calls} calls for {runs} requests");
 }
 
-/// Guards against a team near its limit that begins more programs than it can finish.
-#[test]
-fn programs_that_have_begun_finish_and_fewer_begin() {
+/// Guards against a team near its limit that begins more programs than it can finish, also after a new
+/// owner that does not know them.
+#[parameterized(one_owner = { false }, owners_that_die = { true })]
+fn programs_that_have_begun_finish_and_fewer_begin(owners_die: bool) {
     const REQUESTS: u32 = 8;
     struct Program {
         id: u64,
@@ -347,6 +348,10 @@
                 begun_at: site.now,
             });
         }
+        if owners_die && step % 1_000 == 500 {
+            let owner = site.holder().expect("an owner");
+            site.restart(owner);
+        }
         let now = site.now;
         let is_counted = now.saturating_duration_since(start) >= 30 * S;
         for program in programs.iter_mut().filter(|program| program.next_at <= now) {
