--- a/tests/team_limits.rs
+++ b/tests/team_limits.rs
@@ -394,18 +394,23 @@
 }
 
 /// Guards against first turns beyond what the limit covers with the turns that follow them, and
-/// against first turns that take the tokens of requests that were told to come back.
-#[test]
-fn first_turns_leave_tokens_to_the_programs_that_have_begun() {
-    let mut site = TeamSite::new(1, &[("a", limit(10.0, 80.0))]);
+/// against first turns that take the tokens of requests that were told to come back; also after a new
+/// owner that does not know the programs.
+#[parameterized(one_owner = { false }, owner_that_dies = { true })]
+fn first_turns_leave_tokens_to_the_programs_that_have_begun(owner_dies: bool) {
+    let mut site = TeamSite::new(2, &[("a", limit(10.0, 80.0))]);
     for program in 1..=5 {
         for turn in 0..8 {
-            site.request(0, "a", program, turn == 0);
+            site.request(1, "a", program, turn == 0);
         }
     }
+    if owner_dies {
+        site.restart(0);
+        site.request(1, "a", 0, false);
+    }
     site.advance(10 * S);
     let mut begun = 0;
-    while site.request(0, "a", 100 + begun, true) == Reply::Runs {
+    while site.request(1, "a", 100 + begun, true) == Reply::Runs {
         begun += 1;
     }
     assert!(
@@ -413,13 +418,13 @@
         "{begun} programs of eight requests begun at once"
     );
     // The first turn of a program that has begun may come again.
-    assert_eq!(site.request(0, "a", 100, true), Reply::Runs);
+    assert_eq!(site.request(1, "a", 100, true), Reply::Runs);
     site.advance(10 * S);
-    while site.request(0, "a", 100, false) == Reply::Runs {}
-    (0..3).for_each(|_| assert_ne!(site.request(0, "a", 100, false), Reply::Runs));
+    while site.request(1, "a", 100, false) == Reply::Runs {}
+    (0..3).for_each(|_| assert_ne!(site.request(1, "a", 100, false), Reply::Runs));
     site.advance(150 * MS);
-    assert!(matches!(site.request(0, "a", 200, true), Reply::Denied(_)));
-    assert_eq!(site.request(0, "a", 100, false), Reply::Runs);
+    assert!(matches!(site.request(1, "a", 200, true), Reply::Denied(_)));
+    assert_eq!(site.request(1, "a", 100, false), Reply::Runs);
 }
 
 /// Guards against work and memory for all teams instead of the active ones.
