--- a/src/process/teams/limit_report.rs
+++ b/src/process/teams/limit_report.rs
@@ -1,12 +1,13 @@
-//! Log lines and counters of refused requests of teams, bounded in number.
+//! The refusals of requests of teams, with their log lines and counters, which are bounded in number.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
+use rand::Rng;
 use sapphireford_platform::operator::TeamLimit;
 
-use crate::connection::http_client::ClientError;
+use crate::error::{Error, ErrorKind};
 use crate::ids::TeamId;
 use crate::process::metrics;
 
@@ -15,7 +16,10 @@
 /// Shortest time between two log lines on refusals.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Reports refusals and gateways that do not answer.
+/// Range of the retry delay without an owner. The next one is found within this time.
+const NO_OWNER_DELAY_MS: Range<u64> = 200..500;
+
+/// Reports refusals.
 #[derive(Default)]
 pub struct LimitReport {
     /// The teams with the highest rates among those that were refused.
@@ -23,7 +27,6 @@
     refusal_logged_at: Cell<Option<Instant>>,
     /// Refusals since the last log line.
     unlogged: Cell<u64>,
-    silence_logged_at: Cell<Option<Instant>>,
 }
 
 impl LimitReport {
@@ -47,13 +50,6 @@
         log::info!(team = &**team, reason = reason, rate_per_s = limit.rate_per_s, burst = limit.burst, tokens:? = tokens, retry_after_ms = retry_after_ms, refusals_since_last_line = refusals; "request refused by the limit of its team");
     }
 
-    /// Logs that a gateway did not answer.
-    pub fn record_silence(&self, peer: SocketAddr, error: &ClientError) {
-        if is_due(&self.silence_logged_at) {
-            log::info!(peer:% = peer; "peer did not answer for limits of teams: {error}");
-        }
-    }
-
     /// The name of the team if it is one of the largest, else `other`.
     fn label(&self, team: &TeamId, rate_per_s: f64) -> String {
         let mut largest = self.largest.borrow_mut();
@@ -87,3 +83,23 @@
     }
     is_due
 }
+
+/// The refusal of a request whose team has used up its limit.
+pub fn limit_reached(limit: TeamLimit, retry_after: Duration) -> Error {
+    let message = format!(
+        "the limit of the team, {} requests a second with a burst of {}, is used up; retry later",
+        limit.rate_per_s, limit.burst
+    );
+    Error::new(ErrorKind::TeamLimitReached, message).with_retry_after(retry_after)
+}
+
+/// The refusal of a request for which nobody says whether the limit is used up.
+pub fn no_owner() -> Error {
+    let message = "the gateway that counts the requests of the team does not answer; retry later";
+    Error::new(ErrorKind::NotReady, message).with_retry_after(random_ms(NO_OWNER_DELAY_MS))
+}
+
+/// A random time from a range in milliseconds.
+pub fn random_ms(range: Range<u64>) -> Duration {
+    Duration::from_millis(rand::rng().random_range(range))
+}
