Place requests by the speed that servers state

Requests are placed by expected time: the request's own time and the wait for the load before it, at the speed of the server. Servers that state no speed compare as before. The gossip carries loads while servers state speeds.

--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -236,6 +236,28 @@
     Some((message, notices))
 }
 
+/// Appends the speeds of the servers to a message, in the order of its loads. 0 stands for a speed
+/// that is not stated; the list is empty if none is. Gateways of earlier builds ignore it.
+fn with_speeds(body: &[u8], loads: &[SharedLoad]) -> Bytes {
+    let speeds = loads.iter().map(|load| load.speed_percent.unwrap_or(0));
+    let mut speeds: Vec<u32> = speeds.collect();
+    if speeds.iter().all(|speed| *speed == 0) {
+        speeds.clear();
+    }
+    // The encoding of this type cannot fail.
+    let speeds = postcard::to_stdvec(&speeds).unwrap_or_default();
+    Bytes::from([body, &speeds].concat())
+}
+
+/// Decodes the list of [`with_speeds`], empty in messages of earlier builds, into the loads.
+fn take_speeds<'a>(rest: &'a [u8], loads: &mut [SharedLoad]) -> &'a [u8] {
+    let (speeds, rest): (Vec<u32>, _) = postcard::take_from_bytes(rest).unwrap_or_default();
+    for (load, speed_percent) in loads.iter_mut().zip(speeds) {
+        load.speed_percent = (speed_percent > 0).then_some(speed_percent);
+    }
+    rest
+}
+
 /// Decodes a message, the notices and what follows them.
 fn split_message<T: DeserializeOwned>(body: &[u8]) -> Option<(T, ServerNotices, &[u8])> {
     let (message, rest) = postcard::take_from_bytes(body).ok()?;
@@ -266,19 +288,29 @@
 
 /// Encodes a gossip request.
 pub fn gossip_request(request: &GossipRequest, notices: &ServerNotices) -> Request<Bytes> {
-    post_with_notices(GOSSIP_PATH, request, notices)
+    let mut request = post_with_notices(GOSSIP_PATH, request, notices);
+    *request.body_mut() = with_speeds(request.body(), &notices.loads);
+    request
 }
 
 /// Encodes the response to a gossip request.
 pub fn gossip_response(response: &GossipResponse, notices: &ServerNotices) -> Response<Body> {
-    Response::new(Body::full(with_notices(response, notices)))
+    let body = with_notices(response, notices);
+    Response::new(Body::full(with_speeds(&body, &notices.loads)))
+}
+
+/// Decodes a gossip message and what the peer has heard from servers.
+fn split_gossip<T: DeserializeOwned>(body: &[u8]) -> Option<(T, ServerNotices)> {
+    let (message, mut notices, rest) = split_message(body)?;
+    take_speeds(rest, &mut notices.loads);
+    Some((message, notices))
 }
 
 /// Decodes the response of a peer to a gossip request; `None` if the status is not 200 or the body
 /// is malformed.
 pub fn decode_gossip(response: &Response<Bytes>) -> Option<(GossipResponse, ServerNotices)> {
     let is_ok = response.status() == StatusCode::OK;
-    is_ok.then(|| split_notices(response.body()))?
+    is_ok.then(|| split_gossip(response.body()))?
 }
 
 /// Asks a peer what it has heard from the backend servers.
@@ -490,7 +522,8 @@
         let mut request = post_with_notices(ADMIT_PATH, self, notices);
         let body = request.body_mut();
         let part = postcard::to_stdvec(&self.part).unwrap_or_default();
-        *body = Bytes::from([&with_origin(body, self.proposed_origin), &*part].concat());
+        let message = [&with_origin(body, self.proposed_origin), &*part].concat();
+        *body = with_speeds(&message, &self.loads);
         request
     }
 
@@ -498,7 +531,9 @@
         let (mut request, notices, rest) = split_message::<Self>(body)?;
         let (proposed_origin, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
         request.proposed_origin = proposed_origin;
-        request.part = postcard::from_bytes(rest).unwrap_or_default();
+        let (part, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+        request.part = part;
+        take_speeds(rest, &mut request.loads);
         Some((request, notices))
     }
 }
@@ -514,7 +549,8 @@
     /// Encodes the HTTP response to a peer, with what this gateway has heard from servers.
     pub fn encode(&self, notices: &ServerNotices) -> Response<Body> {
         let body = with_notices(self, notices);
-        Response::new(Body::full(with_origin(&body, self.stream_origin)))
+        let body = with_origin(&body, self.stream_origin);
+        Response::new(Body::full(with_speeds(&body, &self.loads)))
     }
 
     /// Decodes the response of a peer and what the peer has heard from servers; `None` if the
@@ -523,7 +559,9 @@
         let body = response.body();
         let is_ok = response.status() == StatusCode::OK;
         let (mut answer, notices, rest) = is_ok.then(|| split_message::<Self>(body))??;
-        answer.stream_origin = postcard::from_bytes(rest).unwrap_or_default();
+        let (stream_origin, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+        answer.stream_origin = stream_origin;
+        take_speeds(rest, &mut answer.loads);
         Some((answer, notices))
     }
 }
@@ -560,7 +598,7 @@
     match request.uri().path() {
         ADMIT_PATH => AdmitRequest::decode(request.body())
             .map(|(request, notices)| PeerCall::Admit(request, notices)),
-        GOSSIP_PATH => split_notices(request.body())
+        GOSSIP_PATH => split_gossip(request.body())
             .map(|(request, notices)| PeerCall::Gossip(request, notices)),
         NOTICES_PATH => Some(PeerCall::ListNotices),
         SERVER_PATH_PATH => Some(PeerCall::AskServerPath),
--- a/src/process/gateway/placement.rs
+++ b/src/process/gateway/placement.rs
@@ -15,6 +15,9 @@
 //! [`exclude_loaded`] then keeps new programs from queueing with those that have begun.
 //!
 //! Calls to services without a prefix cache go to the least loaded server.
+//!
+//! Servers that state the speed of their VM are compared by the time that a request is expected to
+//! take there, wherever these rules compare loads; see [`Candidate::expected_time`].
 
 use std::cmp::Reverse;
 
@@ -30,12 +33,35 @@
     pub server_id: &'a str,
     /// Estimated load, which may exceed 1000 while requests are queued.
     pub load: LoadPermille,
+    /// How long work takes on the server, in percent of the normal time.
+    pub speed_percent: u32,
     /// Whether the server may be chosen at all.
     pub is_eligible: bool,
     /// Whether the server runs in the failure domain of this gateway.
     pub is_same_domain: bool,
 }
 
+/// The speed of a server that states none.
+pub const NORMAL_SPEED_PERCENT: u32 = 100;
+/// Lowest speed that placement uses. A server that states a higher one than it has gets at most
+/// twice the requests of the others.
+const MIN_SPEED_PERCENT: u32 = 50;
+
+impl Candidate<'_> {
+    /// The time that a request is expected to take, in thousandths of its time on an idle server of
+    /// normal speed: its own time and the wait for the load before it, at the speed of the server.
+    /// At normal speed, two servers compare as their loads do.
+    pub fn expected_time(&self) -> LoadPermille {
+        let load = u64::from(self.load) + u64::from(IDLE_TIME_PERMILLE);
+        let speed_percent = u64::from(self.speed_percent.max(MIN_SPEED_PERCENT));
+        LoadPermille::try_from(load * speed_percent / u64::from(NORMAL_SPEED_PERCENT))
+            .unwrap_or(LoadPermille::MAX)
+    }
+}
+
+/// The expected time of a request on an idle server of normal speed.
+const IDLE_TIME_PERMILLE: LoadPermille = 1_000;
+
 /// How much less loaded a server must be than the one before it in the ranking to be chosen
 /// instead. Changing the server costs the time to compute the prefix again, which is about that of
 /// half a batch.
@@ -92,7 +118,8 @@
     });
     if prefix.is_growing && prefix.holder.is_none() {
         let accepts_new_prefix = |candidate: &Candidate<'_>| {
-            candidate.is_same_domain && candidate.load <= SAME_DOMAIN_LOAD_LIMIT_PERMILLE
+            let limit = IDLE_TIME_PERMILLE + SAME_DOMAIN_LOAD_LIMIT_PERMILLE;
+            candidate.is_same_domain && candidate.expected_time() <= limit
         };
         let same_domain = ranked
             .iter()
@@ -106,13 +133,16 @@
         .enumerate()
         .map(|(position, (index, candidate))| {
             let spillover_cost = position as LoadPermille * SPILLOVER_MARGIN_PERMILLE;
-            (candidate.load.saturating_add(spillover_cost), *index)
+            (
+                candidate.expected_time().saturating_add(spillover_cost),
+                *index,
+            )
         });
     let best = costs.min_by_key(|(cost, _)| *cost);
     best.map(|(_, index)| index)
 }
 
-/// Selects the least loaded server. Among equals, servers of the own failure domain are preferred,
+/// Selects the server with the shortest expected time. Among equals, servers of the own failure domain are preferred,
 /// then the ranking of `tie_break_key` decides. Returns an index into `candidates`, or `None` if
 /// none is eligible.
 pub fn select_by_load(tie_break_key: u64, candidates: &[Candidate<'_>]) -> Option<usize> {
@@ -120,7 +150,7 @@
     let eligible = all.filter(|(_, candidate)| candidate.is_eligible);
     let best = eligible.min_by_key(|(_, candidate)| {
         (
-            candidate.load,
+            candidate.expected_time(),
             !candidate.is_same_domain,
             ranking_weight(tie_break_key, candidate),
         )
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -14,7 +14,7 @@
 
 use super::allowance::{REQUEST_CLASSES, RequestClass};
 use super::crash_reports::CrashId;
-use super::placement::LoadPermille;
+use super::placement::{LoadPermille, NORMAL_SPEED_PERCENT};
 use super::stream_origins::{StreamOrigin, stream_origin};
 use crate::ids::BackendServerId;
 use crate::process::breaker::CircuitBreaker;
@@ -27,6 +27,9 @@
 /// for seconds then, and on a large site most gateways know only reports that are older than
 /// [`LOAD_REPORT_TTL`].
 pub(super) const OVERLOAD_REPORT_TTL: Duration = Duration::from_secs(4);
+/// Time for which a stated speed is used, with less weight as it ages. Speeds change many times a
+/// second.
+pub(super) const SPEED_TTL: Duration = Duration::from_millis(1_000);
 /// Longest delay after which a caller is told to come back because of a rate limit. Callers that
 /// wait longer have given up.
 const MAX_RETURN_DELAY: Duration = Duration::from_secs(4);
@@ -38,6 +41,9 @@
     pub(super) record: RefCell<ServerRecord>,
     in_flight: Cell<u32>,
     pub(super) report: Cell<Option<(ReportedLoad, Instant)>>,
+    /// The last stated speed in percent, and when it was stated. It may be older than the report, which
+    /// a gateway of an earlier build may have passed on without it.
+    stated_speed: Cell<Option<(u32, Instant)>>,
     /// Requests that this gateway has sent since the report was made.
     sent_since_report: Cell<u32>,
     breaker: RefCell<CircuitBreaker>,
@@ -66,6 +72,7 @@
             record: RefCell::new(record),
             in_flight: Cell::new(0),
             report: Cell::new(None),
+            stated_speed: Cell::new(None),
             sent_since_report: Cell::new(0),
             breaker: RefCell::default(),
             is_leaving: Cell::new(false),
@@ -91,11 +98,15 @@
 
     /// Records the load that the server reported with a response.
     pub fn record_load(&self, load: ReportedLoad) {
+        self.stated_speed.set(None);
         self.set_report(load, Instant::now());
     }
 
     pub(super) fn set_report(&self, load: ReportedLoad, reported_at: Instant) {
         self.report.set(Some((load, reported_at)));
+        if let Some(speed_percent) = load.speed_percent {
+            self.stated_speed.set(Some((speed_percent, reported_at)));
+        }
         self.sent_since_report.set(0);
     }
 
@@ -266,6 +277,18 @@
         requests.saturating_mul(1000) / slots
     }
 
+    /// The stated speed, moved towards the normal one as it ages; `None` if the server has
+    /// stated none within [`SPEED_TTL`].
+    pub fn speed_percent(&self, now: Instant) -> Option<u32> {
+        let (stated, stated_at) = self.stated_speed.get()?;
+        let stated = i64::from(stated);
+        let age = now.saturating_duration_since(stated_at);
+        let left_ms = SPEED_TTL.saturating_sub(age).as_millis() as i64;
+        let normal = i64::from(NORMAL_SPEED_PERCENT);
+        let speed = normal + (stated - normal) * left_ms / SPEED_TTL.as_millis() as i64;
+        (left_ms > 0).then_some(speed as u32)
+    }
+
     pub(super) fn is_eligible(&self, connection_limit: u32, now: Instant) -> bool {
         let is_ready = self.record.borrow().state == ServerState::Ready;
         let own = self.in_flight.get();
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -11,14 +11,14 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use sapphireford_platform::answer::ReportedLoad;
+use sapphireford_platform::answer::{ReportedLoad, is_valid_speed};
 use sapphireford_platform::server::{self as format, ServerRecord, ServerState};
 use sapphireford_platform::store::Row;
 use serde::{Deserialize, Serialize};
 
 use super::crash_reports::CrashReports;
 use super::peers::ServerNotices;
-use super::placement::Candidate;
+use super::placement::{Candidate, NORMAL_SPEED_PERCENT};
 use super::server::{LOAD_REPORT_TTL, OVERLOAD_REPORT_TTL, RateLimitReport, Server};
 use super::watch::TableChange;
 use crate::ids::{BackendServerId, FailureDomainId};
@@ -54,6 +54,10 @@
     pub slots: u32,
     /// Age of the report when it was shared. The transfer time between gateways is not included.
     pub age_ms: u32,
+    /// The speed that the server stated, if any. Appended to the message as a list, because gateways
+    /// of earlier builds do not know it.
+    #[serde(skip)]
+    pub speed_percent: Option<u32>,
 }
 
 /// A start of a server that has said that it is about to stop, as gateways tell each other.
@@ -76,6 +80,8 @@
     own_failure_domain: Option<FailureDomainId>,
     /// Whether a server limited its request rate at the last [`Servers::maintain`].
     has_rate_limits: Cell<bool>,
+    /// Whether a server had stated its speed lately at the last [`Servers::maintain`].
+    has_speeds: Cell<bool>,
     /// The requests that were running when servers crashed.
     pub crash_reports: CrashReports,
 }
@@ -89,6 +95,7 @@
             is_loaded: Cell::new(false),
             own_failure_domain: Some(own_failure_domain),
             has_rate_limits: Cell::new(false),
+            has_speeds: Cell::new(false),
             crash_reports: CrashReports::default(),
         }
     }
@@ -217,8 +224,8 @@
     }
 
     /// Deregisters the servers whose rows were not renewed in time after an outage of the store,
-    /// forgets old reports of crashes, and checks whether servers limit their request rates. Called
-    /// several times a second.
+    /// forgets old reports of crashes, and checks whether servers limit their request rates or
+    /// state their speed. Called several times a second.
     pub fn maintain(&self, now: Instant) {
         self.crash_reports.remove_expired(now);
         self.removed
@@ -227,6 +234,9 @@
         let is_limited = |server: &Rc<Server>| server.has_rate_limit();
         let has_rate_limits = self.by_id.borrow().values().any(is_limited);
         self.has_rate_limits.set(has_rate_limits);
+        let states_speed = |server: &Rc<Server>| server.speed_percent(now).is_some();
+        let has_speeds = self.by_id.borrow().values().any(states_speed);
+        self.has_speeds.set(has_speeds);
         self.by_id.borrow_mut().retain(|id, server| { let is_expired = server.renewal_deadline.get().is_some_and(|end| now >= end); if is_expired { log::info!(server = &**id; "backend server deregistered: its row was not renewed after a store outage"); } !is_expired });
     }
 
@@ -250,6 +260,7 @@
             waiting: load.waiting,
             slots: load.slots,
             age_ms: age.as_millis() as u32,
+            speed_percent: load.speed_percent,
         });
         shared.collect()
     }
@@ -274,6 +285,7 @@
                     running: load.running,
                     waiting: load.waiting,
                     slots: load.slots,
+                    speed_percent: load.speed_percent.filter(is_valid_speed),
                 };
                 server.set_report(reported, reported_at);
             }
@@ -290,11 +302,12 @@
         }
     }
 
-    /// What is told in the gossip: the notices, and the loads while servers limit their rates. The
-    /// admissions of turns exchange the loads at other times, which is enough without an overload.
+    /// What is told in the gossip: the notices, and the loads while servers limit their rates or
+    /// state their speed. The admissions of turns exchange the loads at other times, which is enough
+    /// without an overload.
     pub fn gossip_notices(&self, now: Instant) -> ServerNotices {
         let mut notices = self.notices(now);
-        if self.has_rate_limits.get() {
+        if self.has_rate_limits.get() || self.has_speeds.get() {
             notices.loads = self.shared_loads(now);
         }
         notices
@@ -417,6 +430,7 @@
         Candidate {
             server_id: &server.id,
             load: server.load(self.load_report_ttl(), now),
+            speed_percent: server.speed_percent(now).unwrap_or(NORMAL_SPEED_PERCENT),
             is_eligible: server.is_eligible(connection_limit, now),
             is_same_domain: own_failure_domain == Some(domain.as_str()),
         }
--- a/src/request/gateway/record.rs
+++ b/src/request/gateway/record.rs
@@ -41,6 +41,8 @@
     pub version: &'a str,
     /// The estimated load at the time of the choice.
     pub load: LoadPermille,
+    /// The speed that the choice was based on; `None` if the server states none.
+    pub speed_percent: Option<u32>,
     /// Age of the load report behind the estimate; `None` if the server has not reported.
     pub report_age: Option<Duration>,
     /// Whether the server completed the previous turn of the program and so has its prefix cached.
@@ -109,11 +111,15 @@
             server_id,
             version,
             load,
+            speed_percent,
             report_age,
             holds_prefix,
         } = choice;
         let age = report_age.map_or("none".to_string(), |age| age.as_millis().to_string());
         let mut text = format!("{server_id} version={version} load={load} report_age_ms={age}");
+        if let Some(speed_percent) = speed_percent {
+            text.push_str(&format!(" speed={speed_percent}"));
+        }
         if *holds_prefix {
             text.push_str(" holds_prefix");
         }
--- a/src/request/gateway/selection.rs
+++ b/src/request/gateway/selection.rs
@@ -51,11 +51,14 @@
     /// Chooses an untried server, and adds the choice to the record.
     fn choose_server(&self) -> Option<Rc<Server>> {
         let SelectedServer { server, load } = self.select_server()?;
-        let report_age = server.reported_load(Instant::now()).map(|(_, age)| age);
+        let now = Instant::now();
+        let report_age = server.reported_load(now).map(|(_, age)| age);
+        let speed_percent = server.speed_percent(now);
         self.record.add_server(&ServerChoice {
             server_id: &server.id,
             version: &server.version(),
             load,
+            speed_percent,
             report_age,
             holds_prefix: self.prefix_holder.as_ref() == Some(&server.id),
         });
--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -12,6 +12,7 @@
         .map(|(index, server_id)| Candidate {
             server_id,
             load: load(index),
+            speed_percent: 100,
             is_eligible: true,
             is_same_domain: false,
         })
@@ -260,3 +261,39 @@
     assert!(with_exclusion > 500, "{with_exclusion}");
     assert!(without < with_exclusion / 2, "{without}");
 }
+
+/// Guards against an idle server on a busy VM that gets requests which other servers complete
+/// sooner.
+#[test]
+fn a_slow_server_gets_requests_only_when_the_others_are_more_loaded() {
+    let mut servers = candidates(|_| 500);
+    servers[2].load = 0;
+    servers[2].speed_percent = 250;
+    assert_ne!(select_by_load(1, &servers), Some(2));
+    for (index, candidate) in servers.iter_mut().enumerate() {
+        candidate.load = if index == 2 { 0 } else { 2_000 };
+    }
+    assert_eq!(select_by_load(1, &servers), Some(2));
+    let held = Prefix {
+        holder: Some(SERVERS[2]),
+        ..unknown_prefix(1)
+    };
+    servers[2].speed_percent = 10_000;
+    assert_ne!(select_by_prefix(held, &servers), Some(2));
+}
+
+/// Guards against a server that gets most requests because it states a speed that it does not have.
+#[test]
+fn a_server_that_states_a_high_speed_gets_at_most_twice_the_requests() {
+    let mut in_flight = [0; SERVERS.len()];
+    for _ in 0..300 {
+        let mut servers = candidates(|index| in_flight[index] * 1_000 / 8);
+        servers[4].speed_percent = 10;
+        let chosen = select_by_load(1, &servers).expect("a server");
+        in_flight[chosen] += 1;
+    }
+    let others = in_flight.iter().sum::<u32>() - in_flight[4];
+    let mean_of_others = others / (SERVERS.len() as u32 - 1);
+    // An idle server of twice the speed takes one batch more than twice the load.
+    assert!(in_flight[4] <= 2 * mean_of_others + 8, "{in_flight:?}");
+}
--- a/tests/gateway_servers.rs
+++ b/tests/gateway_servers.rs
@@ -4,7 +4,7 @@
 
 use sapphireford::process::gateway::servers::{Servers, SharedLoad};
 use sapphireford::process::gateway::watch::TableChange;
-use sapphireford_platform::answer::RateLimitStatement;
+use sapphireford_platform::answer::{RateLimitStatement, ReportedLoad};
 use sapphireford_platform::store::Row;
 use serde_json::{Value, json};
 use yare::parameterized;
@@ -144,6 +144,7 @@
         waiting: 0,
         slots: 4,
         age_ms,
+        speed_percent: None,
     };
     let load_permille = || {
         let all = servers.for_service("llm");
@@ -173,6 +174,7 @@
         waiting: 4,
         slots: 4,
         age_ms: 0,
+        speed_percent: None,
     };
     servers.merge_loads(&[load], now);
     let later = now + Duration::from_secs(3);
@@ -203,6 +205,7 @@
         waiting: 0,
         slots: 4,
         age_ms: 0,
+        speed_percent: None,
     };
     servers.merge_loads(&[load], now);
     let all = servers.for_service("llm");
@@ -228,6 +231,7 @@
             waiting: 0,
             slots: 4,
             age_ms: 1 + (number as u32 * 37) % 200,
+            speed_percent: None,
         })
         .collect();
     servers.merge_loads(&loads, now);
@@ -270,3 +274,47 @@
     let all = servers.for_service("llm");
     assert!(all.iter().any(|server| servers.is_in_service(server)));
 }
+
+/// Guards against speeds that are used long after they were stated, although they change many times
+/// a second.
+#[test]
+fn a_stated_speed_becomes_normal_within_a_second() {
+    let now = Instant::now();
+    let servers = two_ready_servers(now);
+    let load = |speed_percent, age_ms| SharedLoad {
+        server_id: "i-1".to_string(),
+        running: 2,
+        waiting: 0,
+        slots: 4,
+        age_ms,
+        speed_percent,
+    };
+    let speed_at = |after_ms| {
+        let server = servers.get("i-1").expect("a server");
+        let at = now + Duration::from_millis(after_ms);
+        (
+            server.speed_percent(at),
+            servers.candidate(&server, 10, at).speed_percent,
+        )
+    };
+    assert_eq!(speed_at(0), (None, 100));
+    servers.merge_loads(&[load(Some(300), 100)], now);
+    assert_eq!(speed_at(0), (Some(280), 280));
+    assert_eq!(speed_at(400), (Some(200), 200));
+    assert_eq!(speed_at(900), (None, 100));
+    // Peers may send any number, and peers of earlier builds pass reports on without the speed.
+    servers.merge_loads(&[load(Some(4_000_000_000), 60)], now);
+    servers.merge_loads(&[load(None, 50)], now);
+    assert_eq!(speed_at(0), (Some(280), 280));
+    assert_eq!(servers.shared_loads(now)[0].speed_percent, None);
+    servers.merge_loads(&[load(Some(50), 0)], now);
+    assert_eq!(speed_at(0), (Some(50), 50));
+    let server = servers.get("i-1").expect("a server");
+    server.record_load(ReportedLoad {
+        running: 1,
+        waiting: 0,
+        slots: 4,
+        speed_percent: None,
+    });
+    assert_eq!(speed_at(0), (None, 100));
+}
--- /dev/null
+++ b/tests/gateway_shared_speeds.rs
@@ -0,0 +1,70 @@
+//! The speeds of servers in the messages between gateways, of this build and of earlier ones.
+
+use bytes::Bytes;
+use hyper::Request;
+use sapphireford::process::gateway::ledger::TurnBudget;
+use sapphireford::process::gateway::peers::{AdmitRequest, PeerCall, ServerNotices, decode_call};
+use sapphireford::process::gateway::servers::SharedLoad;
+use yare::parameterized;
+
+fn load(server_id: &str, speed_percent: Option<u32>) -> SharedLoad {
+    SharedLoad {
+        server_id: server_id.to_string(),
+        running: 2,
+        waiting: 1,
+        slots: 4,
+        age_ms: 30,
+        speed_percent,
+    }
+}
+
+fn admission(loads: Vec<SharedLoad>) -> AdmitRequest {
+    AdmitRequest {
+        turn: TurnBudget {
+            program_id: "program".to_string(),
+            max_tokens: 100,
+            budget_tokens: 1_000,
+        },
+        time_left_ms: 500,
+        loads,
+        previous_turn_id: None,
+        proposed_origin: Some(7),
+        part: None,
+    }
+}
+
+/// The message that arrives if its last `lost_bytes` are missing.
+fn received(message: &AdmitRequest, lost_bytes: usize) -> AdmitRequest {
+    let mut encoded: Request<Bytes> = message.encode(&ServerNotices::default());
+    let length = encoded.body().len() - lost_bytes;
+    encoded.body_mut().truncate(length);
+    match decode_call(encoded) {
+        Some(PeerCall::Admit(message, _)) => message,
+        _ => panic!("the message is not decoded as an admission"),
+    }
+}
+
+/// Guards against speeds that belong to another server after the transfer, and against fields of
+/// earlier builds that are lost because of the appended list.
+#[parameterized(
+    all = { vec![load("i-1", Some(250)), load("i-2", Some(10_000))] },
+    some = { vec![load("i-1", None), load("i-2", Some(90)), load("i-3", None)] },
+    none_stated = { vec![load("i-1", None)] },
+    no_loads = { vec![] },
+)]
+fn speeds_arrive_with_their_loads(loads: Vec<SharedLoad>) {
+    let sent = admission(loads);
+    assert_eq!(received(&sent, 0), sent);
+}
+
+/// Guards against admissions that fail while gateways of the build before run, which send no speeds,
+/// and against a message that is cut off within the list.
+#[test]
+fn messages_without_speeds_are_read() {
+    let sent = admission(vec![load("i-1", Some(250)), load("i-2", Some(120))]);
+    let without = admission(vec![load("i-1", None), load("i-2", None)]);
+    // The list takes a byte for its length, and one or two for each speed.
+    for lost_bytes in 1..=4 {
+        assert_eq!(received(&sent, lost_bytes), without);
+    }
+}
