--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -12,7 +12,7 @@
 //! - [`stream_origins`] knows which software version began a stream.
 //! - [`peers`] defines the calls between gateways.
 //! - [`servers`] is the registry of backend servers, each a [`server`] with its load; [`placement`]
-//!   chooses one.
+//!   chooses one. [`outcomes`] excludes servers that fail or hang while their health is good.
 //! - [`server_path`] finds out whether this gateway reaches servers, and which peers do.
 //! - [`rate_limits`] keeps the rates that servers limit, with the gateway that owns the
 //!   [`allowance`] of a server.
@@ -32,6 +32,7 @@
 pub mod gossip;
 pub mod history;
 pub mod ledger;
+pub mod outcomes;
 pub mod peers;
 pub mod placement;
 pub mod rate_limits;
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -20,6 +20,7 @@
 use super::gossip::{GossipRequest, GossipResponse};
 use super::history::{TurnChain, TurnId};
 use super::ledger::{Admission, TurnBudget, TurnPart};
+use super::outcomes::ReportedOutcomes;
 use super::rate_limits::{AllowanceRequest, AllowanceResponse};
 use super::server::RateLimitReport;
 use super::servers::{LeavingServer, SharedLoad};
@@ -212,6 +213,8 @@
     pub loads: Vec<SharedLoad>,
     /// Gateways that reach no server; only in the gossip.
     pub unconnected_gateways: Vec<UnconnectedGateway>,
+    /// Outcomes at suspected servers, as the sender has seen them; only in the gossip.
+    pub outcomes: ReportedOutcomes,
 }
 
 /// Encodes a message followed by notices.
@@ -272,6 +275,7 @@
         crash_reports,
         loads,
         unconnected_gateways,
+        outcomes: ReportedOutcomes::default(),
     };
     Some((message, notices, rest))
 }
@@ -289,20 +293,30 @@
 /// Encodes a gossip request.
 pub fn gossip_request(request: &GossipRequest, notices: &ServerNotices) -> Request<Bytes> {
     let mut request = post_with_notices(GOSSIP_PATH, request, notices);
-    *request.body_mut() = with_speeds(request.body(), &notices.loads);
+    *request.body_mut() = with_server_reports(request.body(), notices);
     request
 }
 
 /// Encodes the response to a gossip request.
 pub fn gossip_response(response: &GossipResponse, notices: &ServerNotices) -> Response<Body> {
     let body = with_notices(response, notices);
-    Response::new(Body::full(with_speeds(&body, &notices.loads)))
+    Response::new(Body::full(with_server_reports(&body, notices)))
+}
+
+/// Appends the speeds and the outcomes of servers to a gossip message. Gateways of earlier builds
+/// ignore them.
+fn with_server_reports(body: &[u8], notices: &ServerNotices) -> Bytes {
+    let speeds = with_speeds(body, &notices.loads);
+    // The encoding of this type cannot fail.
+    let outcomes = postcard::to_stdvec(&notices.outcomes).unwrap_or_default();
+    Bytes::from([&*speeds, &outcomes].concat())
 }
 
 /// Decodes a gossip message and what the peer has heard from servers.
 fn split_gossip<T: DeserializeOwned>(body: &[u8]) -> Option<(T, ServerNotices)> {
     let (message, mut notices, rest) = split_message(body)?;
-    take_speeds(rest, &mut notices.loads);
+    let rest = take_speeds(rest, &mut notices.loads);
+    notices.outcomes = postcard::from_bytes(rest).unwrap_or_default();
     Some((message, notices))
 }
 
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -14,6 +14,7 @@
 
 use super::allowance::{REQUEST_CLASSES, RequestClass};
 use super::crash_reports::CrashId;
+use super::outcomes::ServerOutcomes;
 use super::placement::{LoadPermille, NORMAL_SPEED_PERCENT};
 use super::stream_origins::{StreamOrigin, stream_origin};
 use crate::ids::BackendServerId;
@@ -30,6 +31,9 @@
 /// Time for which a stated speed is used, with less weight as it ages. Speeds change many times a
 /// second.
 pub(super) const SPEED_TTL: Duration = Duration::from_millis(1_000);
+/// A request without an answer whose caller leaves after this time counts as a failure of the
+/// server. Callers disconnect after two seconds at the earliest if they get nothing.
+const MIN_ABANDONED_WAIT: Duration = Duration::from_millis(1_000);
 /// Longest delay after which a caller is told to come back because of a rate limit. Callers that
 /// wait longer have given up.
 const MAX_RETURN_DELAY: Duration = Duration::from_secs(4);
@@ -47,6 +51,9 @@
     /// Requests that this gateway has sent since the report was made.
     sent_since_report: Cell<u32>,
     breaker: RefCell<CircuitBreaker>,
+    /// What callers got from the server; counted only if it states its speed.
+    pub(super) outcomes: RefCell<ServerOutcomes>,
+    pub(super) exclusion: Cell<Option<Exclusion>>,
     /// Whether the server has said in an answer that it is about to stop. This start of the server
     /// takes no new requests from then on, whatever its row says.
     pub(super) is_leaving: Cell<bool>,
@@ -75,6 +82,8 @@
             stated_speed: Cell::new(None),
             sent_since_report: Cell::new(0),
             breaker: RefCell::default(),
+            outcomes: RefCell::default(),
+            exclusion: Cell::new(None),
             is_leaving: Cell::new(false),
             has_crashed: Cell::new(false),
             rate_limit: Cell::new(None),
@@ -93,7 +102,11 @@
     pub fn start_request(self: &Rc<Self>) -> InFlightGuard {
         self.in_flight.set(self.in_flight.get() + 1);
         self.sent_since_report.set(self.sent_since_report.get() + 1);
-        InFlightGuard(self.clone())
+        InFlightGuard {
+            server: self.clone(),
+            started_at: Instant::now(),
+            has_outcome: Cell::new(false),
+        }
     }
 
     /// Records the load that the server reported with a response.
@@ -119,6 +132,51 @@
     /// Reports a failed request or connection to the circuit breaker.
     pub fn record_failure(&self) {
         self.breaker.borrow_mut().record_failure(Instant::now());
+        self.record_outcome(false, Instant::now());
+    }
+
+    /// Counts an outcome if the server states its speed.
+    pub(super) fn record_outcome(&self, is_good: bool, now: Instant) {
+        if self.stated_speed.get().is_some() {
+            self.outcomes.borrow_mut().record(is_good, now);
+        }
+    }
+
+    /// Whether the server is excluded because of its outcomes; see [`super::outcomes`].
+    pub fn is_excluded(&self) -> bool {
+        self.exclusion.get().is_some()
+    }
+
+    /// Excludes the server, or ends its exclusion.
+    pub(super) fn set_excluded(&self, is_excluded: bool, now: Instant) {
+        if is_excluded == self.is_excluded() {
+            return;
+        }
+        let exclusion = is_excluded.then_some(Exclusion { next_probe_at: now });
+        self.exclusion.set(exclusion);
+        let own = self.outcomes.borrow().own();
+        match is_excluded {
+            true => {
+                log::warn!(server = &*self.id, good = own.good, bad = own.bad; "backend server gets only probes: its outcomes are worse than those of its peers")
+            }
+            false => {
+                log::info!(server = &*self.id, good = own.good, bad = own.bad; "backend server gets requests again")
+            }
+        }
+    }
+
+    /// Whether an excluded server may get a request, which shows whether it has recovered.
+    pub fn is_probe_due(&self, now: Instant) -> bool {
+        let exclusion = self.exclusion.get();
+        exclusion.is_some_and(|exclusion| now >= exclusion.next_probe_at)
+    }
+
+    /// Records that an excluded server gets a request. The next one is due after `interval`.
+    pub fn start_probe(&self, interval: Duration, now: Instant) {
+        let next_probe_at = now + interval;
+        let exclusion = self.exclusion.get();
+        self.exclusion
+            .set(exclusion.map(|_| Exclusion { next_probe_at }));
     }
 
     /// Makes the server available again, because its failures were not its own.
@@ -297,13 +355,38 @@
     }
 }
 
+/// The state of a server that is excluded because of its outcomes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Exclusion {
+    /// When this gateway may send it the next request.
+    pub(super) next_probe_at: Instant,
+}
+
 /// Counts a request as in flight on a server until it is dropped.
-pub struct InFlightGuard(Rc<Server>);
+pub struct InFlightGuard {
+    server: Rc<Server>,
+    started_at: Instant,
+    /// Whether the request has been answered or has failed.
+    has_outcome: Cell<bool>,
+}
+
+impl InFlightGuard {
+    /// Records that the request has been answered or has failed. Returns whether it is the first
+    /// time.
+    pub fn settle(&self) -> bool {
+        !self.has_outcome.replace(true)
+    }
+}
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        let in_flight = &self.0.in_flight;
+        let in_flight = &self.server.in_flight;
         in_flight.set(in_flight.get() - 1);
+        let now = Instant::now();
+        let waited = now.saturating_duration_since(self.started_at);
+        if self.settle() && waited >= MIN_ABANDONED_WAIT {
+            self.server.record_outcome(false, now);
+        }
     }
 }
 
--- a/src/request/gateway/selection.rs
+++ b/src/request/gateway/selection.rs
@@ -8,8 +8,9 @@
 
 use super::forward::RequestForwarder;
 use super::record::ServerChoice;
+use super::retry;
 use crate::process::gateway::allowance::{ProgramStage, RequestClass, request_class};
-use crate::process::gateway::placement::{self, LoadPermille, Prefix};
+use crate::process::gateway::placement::{self, Candidate, LoadPermille, Prefix};
 use crate::process::gateway::server::Server;
 use crate::process::gateway::stream_origins::StreamOrigin;
 use crate::process::slots::placement::hash_bytes;
@@ -19,6 +20,11 @@
 /// are lost in the transfer.
 const MIN_RETURN_DELAY: Duration = Duration::from_millis(20);
 
+/// Interval between the probes of one gateway at an excluded server, for each live gateway.
+const PROBE_INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(200);
+/// Shortest interval between the probes of one gateway at an excluded server.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// A server that placement has selected, and the load that it estimated.
 struct SelectedServer {
     server: Rc<Server>,
@@ -54,6 +60,12 @@
         let now = Instant::now();
         let report_age = server.reported_load(now).map(|(_, age)| age);
         let speed_percent = server.speed_percent(now);
+        if server.is_excluded() {
+            // All gateways together send a few probes a second.
+            let gateways = self.gateway.directory.live_count();
+            let interval = PROBE_INTERVAL_PER_GATEWAY * gateways;
+            server.start_probe(interval.max(MIN_PROBE_INTERVAL), now);
+        }
         self.record.add_server(&ServerChoice {
             server_id: &server.id,
             version: &server.version(),
@@ -106,6 +118,7 @@
             candidate
         });
         let mut candidates: Vec<_> = candidates.collect();
+        self.exclude_failing(&servers, &mut candidates, now);
         if is_engine && is_rate_limited {
             placement::exclude_loaded(&mut candidates, self.prefix_holder.is_some());
         }
@@ -125,6 +138,26 @@
         })
     }
 
+    /// Makes servers ineligible that are excluded because of their outcomes, unless no other one is
+    /// eligible or a probe is due.
+    fn exclude_failing(
+        &self,
+        servers: &[Rc<Server>],
+        candidates: &mut [Candidate<'_>],
+        now: Instant,
+    ) {
+        // A probe may fail, so only requests that can be sent again are used.
+        let may_probe = retry::is_retryable(self.route.kind);
+        let is_passed_over =
+            |server: &Server| server.is_excluded() && !(may_probe && server.is_probe_due(now));
+        let mut all = candidates.iter().zip(servers);
+        if all.any(|(candidate, server)| candidate.is_eligible && !is_passed_over(server)) {
+            for (candidate, server) in candidates.iter_mut().zip(servers) {
+                candidate.is_eligible &= !is_passed_over(server);
+            }
+        }
+    }
+
     /// The class of this request at a server with a rate limit.
     fn class_at(&self, server: &Server) -> RequestClass {
         let stage = match &self.prefix_holder {
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -152,6 +152,10 @@
             self.output.extend_from_slice(&event.data);
             self.output.push(b'\n');
         }
+        let ServerStream {
+            server, in_flight, ..
+        } = &self.upstream;
+        self.forwarder.record_answer_time(server, in_flight);
         self.forwarder.record.add_event();
         self.forwarder.gateway.server_path.record_answer();
         // A caller that does not read must not keep the request alive beyond its deadline.
@@ -184,6 +188,7 @@
     /// Resumes the stream at another server. Returns the rest of the stream if a peer serves it; the
     /// error is the reason why it cannot be resumed.
     async fn resume(&mut self, reason: String) -> std::result::Result<Option<Incoming>, String> {
+        self.upstream.in_flight.settle();
         self.upstream.server.record_failure();
         self.forwarder
             .report_if_crashed(&self.upstream.server)
--- a/tests/gateway_shared_speeds.rs
+++ b/tests/gateway_shared_speeds.rs
@@ -2,8 +2,13 @@
 
 use bytes::Bytes;
 use hyper::Request;
+use sapphireford::process::gateway::directory::GatewayRow;
+use sapphireford::process::gateway::gossip::GossipRequest;
 use sapphireford::process::gateway::ledger::TurnBudget;
-use sapphireford::process::gateway::peers::{AdmitRequest, PeerCall, ServerNotices, decode_call};
+use sapphireford::process::gateway::outcomes::{OutcomeCounts, ReportedOutcomes, SharedOutcomes};
+use sapphireford::process::gateway::peers::{
+    AdmitRequest, PeerCall, ServerNotices, decode_call, gossip_request,
+};
 use sapphireford::process::gateway::servers::SharedLoad;
 use yare::parameterized;
 
@@ -68,3 +73,35 @@
         assert_eq!(received(&sent, lost_bytes), without);
     }
 }
+
+/// Guards against outcomes and speeds that are read as those of another field of the gossip.
+#[test]
+fn the_gossip_carries_speeds_and_outcomes() {
+    let outcomes = ReportedOutcomes {
+        reporter: 11,
+        by_server: vec![SharedOutcomes {
+            server_id: "i-1".to_string(),
+            counts: OutcomeCounts { good: 4, bad: 9 },
+        }],
+    };
+    let notices = ServerNotices {
+        loads: vec![load("i-1", None), load("i-2", Some(170))],
+        outcomes,
+        ..ServerNotices::default()
+    };
+    let request = GossipRequest {
+        gateway_id: "g-1".to_string(),
+        row: GatewayRow {
+            caller_address: "127.0.0.1:1".parse().expect("an address"),
+            peer_address: "127.0.0.1:2".parse().expect("an address"),
+            failure_domain: "d1".to_string(),
+            is_leaving: false,
+            started_unix_ms: 1,
+        },
+        heartbeats: Vec::new(),
+    };
+    match decode_call(gossip_request(&request, &notices)) {
+        Some(PeerCall::Gossip(_, received)) => assert_eq!(received, notices),
+        _ => panic!("the message is not decoded as gossip"),
+    }
+}
