--- a/src/process.rs
+++ b/src/process.rs
@@ -23,3 +23,4 @@
 pub mod task;
 pub mod teams;
 pub mod timer;
+pub mod topics;
--- a/src/process/gateway/placement.rs
+++ b/src/process/gateway/placement.rs
@@ -33,6 +33,8 @@
     pub server_id: &'a str,
     /// Estimated load, which may exceed 1000 while requests are queued.
     pub load: LoadPermille,
+    /// Whether the load is estimated from a fresh report, not only from the requests of this gateway.
+    pub is_load_known: bool,
     /// How long work takes on the server, in percent of the normal time.
     pub speed_percent: u32,
     /// Whether the server may be chosen at all.
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -320,6 +320,11 @@
         Some((load, now.saturating_duration_since(at)))
     }
 
+    pub(super) fn is_load_known(&self, report_ttl: Duration, now: Instant) -> bool {
+        let reported = self.reported_load(now);
+        reported.is_some_and(|(_, age)| age < report_ttl)
+    }
+
     pub(super) fn load(&self, report_ttl: Duration, now: Instant) -> LoadPermille {
         let own = self.in_flight.get();
         let reported = self.reported_load(now);
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -503,6 +503,7 @@
         Candidate {
             server_id: &server.id,
             load: server.load(self.load_report_ttl(), now),
+            is_load_known: server.is_load_known(self.load_report_ttl(), now),
             speed_percent: server.speed_percent(now).unwrap_or(NORMAL_SPEED_PERCENT),
             is_eligible: server.is_eligible(connection_limit, now),
             is_same_domain: own_failure_domain == Some(domain.as_str()),
--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -12,6 +12,7 @@
         .map(|(index, server_id)| Candidate {
             server_id,
             load: load(index),
+            is_load_known: true,
             speed_percent: 100,
             is_eligible: true,
             is_same_domain: false,
