Place requests of sticky routes by topic

Requests of plain services use their affinity key, and first turns of programs the shared parts of their prompt. The log line of a request and the counter sapphireford_placements_total state what each server was chosen by.

--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -32,6 +32,8 @@
 /// Most rate limits in one message between gateways; beyond that, the oldest statements are left
 /// out.
 const MAX_SHARED_RATE_LIMITS: usize = 128;
+/// Time after the last placement by topic in which the gossip carries the loads.
+const LOADS_REQUESTED_FOR: Duration = Duration::from_secs(10);
 /// Most servers in one message whose outcomes are told.
 const MAX_SHARED_OUTCOMES: usize = 64;
 /// Time for which gateways tell each other that a limit has ended. It exceeds the time in which a
@@ -87,6 +89,8 @@
     has_rate_limits: Cell<bool>,
     /// Whether a server had stated its speed lately at the last [`Servers::maintain`].
     has_speeds: Cell<bool>,
+    /// When the loads were last needed to place a request by its topic.
+    loads_requested_at: Cell<Option<Instant>>,
     usual_times: RefCell<UsualTimes>,
     /// Identifies this start of the gateway in the outcomes that it reports.
     reporter: ReporterId,
@@ -104,6 +108,7 @@
             own_failure_domain: Some(own_failure_domain),
             has_rate_limits: Cell::new(false),
             has_speeds: Cell::new(false),
+            loads_requested_at: Cell::new(None),
             usual_times: RefCell::default(),
             reporter: rand::random(),
             crash_reports: CrashReports::default(),
@@ -373,12 +378,20 @@
         }
     }
 
+    /// Makes the gossip carry the loads for a while, because requests are placed by topic.
+    pub fn request_loads(&self, now: Instant) {
+        self.loads_requested_at.set(Some(now));
+    }
+
     /// What is told in the gossip: the notices, and the loads while servers limit their rates or
-    /// state their speed. The admissions of turns exchange the loads at other times, which is enough
+    /// state their speed, or requests are placed by topic. The admissions of turns exchange the loads at other times, which is enough
     /// without an overload.
     pub fn gossip_notices(&self, now: Instant) -> ServerNotices {
         let mut notices = self.notices(now);
-        if self.has_rate_limits.get() || self.has_speeds.get() {
+        let requested_at = self.loads_requested_at.get();
+        let are_requested =
+            requested_at.is_some_and(|at| now.saturating_duration_since(at) < LOADS_REQUESTED_FOR);
+        if self.has_rate_limits.get() || self.has_speeds.get() || are_requested {
             notices.loads = self.shared_loads(now);
         }
         notices.outcomes = self.shared_outcomes();
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -42,6 +42,10 @@
 
 metric_names! {
     describe_counter ALLOWANCE_DECISIONS = "sapphireford_allowance_decisions_total", Count, "Decisions on requests to backend servers with a rate limit, by outcome.";
+    describe_counter PLACEMENTS = "sapphireford_placements_total", Count,
+        "Backend servers chosen, by `route`, `by` (topic, prefix or load) and `speed` (used or none).";
+    describe_gauge TOPIC_AFFINITY_PAYS = "sapphireford_topic_affinity_pays", Count,
+        "Whether placement by topic pays, by `route`: 1 if it does, 0 if it does not or is not known yet.";
     describe_counter REQUESTS = "sapphireford_requests_total", Count,
         "Requests of callers, by `route` and `outcome` (ok or the error kind; gateways: `status`).";
     describe_gauge REQUESTS_IN_PROGRESS = "sapphireford_requests_in_progress", Count,
--- a/src/request/gateway.rs
+++ b/src/request/gateway.rs
@@ -3,7 +3,7 @@
 //!
 //! [`dispatch`] looks up the route of a request, and [`caller`] the team of its key. For streams, [`turn`] reserves the tokens of the
 //! turn and prepends the conversation history to its input. [`forward`] sends the request to a
-//! backend server of its [`selection`], by [`origin`] only to one whose events fit together with those that the caller
+//! backend server of its [`selection`], if possible one that knows its [`topic`], by [`origin`] only to one whose events fit together with those that the caller
 //! has, and asks [`retry`] what to do after a failed attempt. [`stream`] forwards the
 //! events of a stream to the caller and resumes a broken stream at another server. [`relay`] sends
 //! a request through a peer while this gateway reaches no server. [`refusal`]
@@ -20,4 +20,5 @@
 pub mod retry;
 pub mod selection;
 pub mod stream;
+pub mod topic;
 pub mod turn;
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -1,6 +1,7 @@
 //! Entry point of caller requests: looks up the route, prepares turns, forwards the request and
 //! builds the response.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -141,6 +142,7 @@
             reservation: None,
             deadline,
             prefix_holder,
+            topic_plan: OnceCell::new(),
             origin: OriginConstraint::default(),
             record: record.clone(),
             attempts: AttemptCounts::default(),
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -4,6 +4,7 @@
 //! server may have run the request. [`retry`] decides on that basis whether another server is
 //! tried, so that a request which must not run twice is never sent again in doubt.
 
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -29,6 +30,7 @@
 use crate::process::gateway::fingerprint::RequestIdentity;
 use crate::process::gateway::running::Gateway;
 use crate::process::gateway::server::{InFlightGuard, Server};
+use crate::process::topics::TopicPlan;
 use crate::version::route_table::RouteTable;
 
 /// Size limit of a response that is not a stream.
@@ -69,6 +71,8 @@
     pub deadline: Instant,
     /// The server that has the prefix of the prompt in its cache, if known.
     pub prefix_holder: Option<BackendServerId>,
+    /// How the request is placed by its topic, once that is decided.
+    pub topic_plan: OnceCell<TopicPlan>,
     /// Keeps a stream at the software version that began it.
     pub origin: OriginConstraint,
     /// Collects the log line and the metrics of the request.
@@ -439,6 +443,7 @@
             let time = now.saturating_duration_since(self.attempt_started_at);
             let servers = &self.gateway.servers;
             servers.record_answer(server, &self.route.name, time, now);
+            self.record_topic_time(time);
         }
     }
 
--- a/src/request/gateway/record.rs
+++ b/src/request/gateway/record.rs
@@ -45,10 +45,33 @@
     pub speed_percent: Option<u32>,
     /// Age of the load report behind the estimate; `None` if the server has not reported.
     pub report_age: Option<Duration>,
+    /// What the server was chosen by.
+    pub basis: PlacementBasis,
     /// Whether the server completed the previous turn of the program and so has its prefix cached.
     pub holds_prefix: bool,
 }
 
+/// What a server is chosen by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementBasis {
+    /// The topic of the request.
+    Topic,
+    /// The cached prefix of a model call.
+    Prefix,
+    /// The load alone.
+    Load,
+}
+
+impl PlacementBasis {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Topic => "topic",
+            Self::Prefix => "prefix",
+            Self::Load => "load",
+        }
+    }
+}
+
 /// Outcome of a request that was dropped before [`RequestRecord::finish`], because its caller
 /// disconnected.
 const UNFINISHED_OUTCOME: &str = "caller left";
@@ -113,6 +136,7 @@
             load,
             speed_percent,
             report_age,
+            basis,
             holds_prefix,
         } = choice;
         let age = report_age.map_or("none".to_string(), |age| age.as_millis().to_string());
@@ -120,6 +144,18 @@
         if let Some(speed_percent) = speed_percent {
             text.push_str(&format!(" speed={speed_percent}"));
         }
+        text.push_str(" by=");
+        text.push_str(basis.name());
+        let speed = match speed_percent {
+            Some(_) => "used",
+            None => "none",
+        };
+        let labels = [
+            ("route", self.route.borrow().clone()),
+            ("by", basis.name().to_string()),
+            ("speed", speed.to_string()),
+        ];
+        ::metrics::counter!(metrics::PLACEMENTS, &labels).increment(1);
         if *holds_prefix {
             text.push_str(" holds_prefix");
         }
--- a/src/request/gateway/selection.rs
+++ b/src/request/gateway/selection.rs
@@ -7,7 +7,7 @@
 use sapphireford_platform::operator::RouteTarget;
 
 use super::forward::RequestForwarder;
-use super::record::ServerChoice;
+use super::record::{PlacementBasis, ServerChoice};
 use super::retry;
 use crate::process::gateway::allowance::{ProgramStage, RequestClass, request_class};
 use crate::process::gateway::placement::{self, Candidate, LoadPermille, Prefix};
@@ -29,6 +29,7 @@
 struct SelectedServer {
     server: Rc<Server>,
     load: LoadPermille,
+    basis: PlacementBasis,
 }
 
 impl RequestForwarder {
@@ -56,7 +57,11 @@
 
     /// Chooses an untried server, and adds the choice to the record.
     fn choose_server(&self) -> Option<Rc<Server>> {
-        let SelectedServer { server, load } = self.select_server()?;
+        let SelectedServer {
+            server,
+            load,
+            basis,
+        } = self.select_server()?;
         let now = Instant::now();
         let report_age = server.reported_load(now).map(|(_, age)| age);
         let speed_percent = server.speed_percent(now);
@@ -72,6 +77,7 @@
             load,
             speed_percent,
             report_age,
+            basis,
             holds_prefix: self.prefix_holder.as_ref() == Some(&server.id),
         });
         Some(server)
@@ -122,19 +128,26 @@
         if is_engine && is_rate_limited {
             placement::exclude_loaded(&mut candidates, self.prefix_holder.is_some());
         }
-        let chosen = if is_engine {
+        let by_topic = self.select_by_topic(is_engine, &candidates, now);
+        let (chosen, basis) = if let Some(chosen) = by_topic {
+            (Some(chosen), PlacementBasis::Topic)
+        } else if is_engine {
             let prefix = Prefix {
                 key: self.affinity_key(),
                 holder: self.prefix_holder.as_deref(),
                 is_growing: self.route.has_stored_history,
             };
-            placement::select_by_prefix(prefix, &candidates)
+            let chosen = placement::select_by_prefix(prefix, &candidates);
+            (chosen, PlacementBasis::Prefix)
         } else {
-            placement::select_by_load(rand::rng().random(), &candidates)
-        }?;
+            let chosen = placement::select_by_load(rand::rng().random(), &candidates);
+            (chosen, PlacementBasis::Load)
+        };
+        let chosen = chosen?;
         Some(SelectedServer {
             server: servers[chosen].clone(),
             load: candidates[chosen].load,
+            basis,
         })
     }
 
