--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -98,6 +98,8 @@
     leaving: bool,
     /// States in all responses that the server takes this many requests a second; it takes all.
     limit_per_s: Option<f64>,
+    /// States in all responses how long work takes, in percent of the normal time.
+    speed_percent: Option<u32>,
     /// Ends the process when it runs a request whose body contains this text.
     crash_on: Option<String>,
     /// Returns status 500 after execution; streams are not affected.
@@ -238,7 +240,10 @@
         request_id: &str,
         control: &Control,
     ) {
-        let load = format!("{},0,{}", self.running.get(), self.slots);
+        let mut load = format!("{},0,{}", self.running.get(), self.slots);
+        if let Some(speed_percent) = control.speed_percent {
+            load.push_str(&format!(",{speed_percent}"));
+        }
         let headers = response.headers_mut();
         let mut insert = |name: &'static str, value: &str| {
             if let Ok(value) = value.parse() {
--- a/src/process/gateway/outcomes.rs
+++ b/src/process/gateway/outcomes.rs
@@ -11,6 +11,8 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::process::topics::RouteHash;
+
 /// Outcomes are counted for one to two of these periods.
 const COUNTING_PERIOD: Duration = Duration::from_secs(4);
 /// Bad outcomes without which a server is not excluded.
@@ -175,17 +177,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct UsualTimes {
     /// For each route, the mean of the logarithms of the times in seconds, and the number of answers.
-    by_route: IndexMap<String, (f64, u32)>,
+    by_route: IndexMap<RouteHash, (f64, u32)>,
 }
 
 impl UsualTimes {
     /// Records the time to the first event or the answer; returns whether it is within the usual
     /// time of the route.
-    pub fn record(&mut self, route: &str, time: Duration) -> bool {
+    pub fn record(&mut self, route: RouteHash, time: Duration) -> bool {
         let log_time = time.as_secs_f64().max(1e-4).ln();
-        let Some((mean, answers)) = self.by_route.get_mut(route) else {
+        let Some((mean, answers)) = self.by_route.get_mut(&route) else {
             if self.by_route.len() < MAX_ROUTES {
-                self.by_route.insert(route.to_string(), (log_time, 1));
+                self.by_route.insert(route, (log_time, 1));
             }
             return true;
         };
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -183,6 +183,8 @@
     pub fn forget_failures(&self) {
         self.has_crashed.set(false);
         self.breaker.take();
+        self.outcomes.take();
+        self.exclusion.set(None);
     }
 
     /// Identifies the crash of this start of the server, the same at all gateways.
@@ -381,6 +383,12 @@
     pub fn settle(&self) -> bool {
         !self.has_outcome.replace(true)
     }
+
+    /// Records that the request has failed because of the server.
+    pub fn record_failure(&self) {
+        self.settle();
+        self.server.record_failure();
+    }
 }
 
 impl Drop for InFlightGuard {
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -5,6 +5,8 @@
 //! A server whose row is missing right after an outage of the store stays registered for a grace
 //! period: the row may have expired only because the server could not renew it.
 
+mod exclusions;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,9 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::crash_reports::CrashReports;
-use super::outcomes::{
-    ReportedOutcomes, ReporterId, ServerOutcomes, SharedOutcomes, UsualTimes, select_excluded,
-};
+use super::outcomes::{ReporterId, UsualTimes};
 use super::peers::ServerNotices;
 use super::placement::{Candidate, NORMAL_SPEED_PERCENT};
 use super::server::{LOAD_REPORT_TTL, OVERLOAD_REPORT_TTL, RateLimitReport, Server};
@@ -34,8 +34,6 @@
 const MAX_SHARED_RATE_LIMITS: usize = 128;
 /// Time after the last placement by topic in which the gossip carries the loads.
 const LOADS_REQUESTED_FOR: Duration = Duration::from_secs(10);
-/// Most servers in one message whose outcomes are told.
-const MAX_SHARED_OUTCOMES: usize = 64;
 /// Time for which gateways tell each other that a limit has ended. It exceeds the time in which a
 /// message reaches all gateways of a failure domain.
 const ENDED_LIMIT_TOLD_FOR: Duration = Duration::from_secs(10);
@@ -256,66 +254,6 @@
         self.by_id.borrow_mut().retain(|id, server| { let is_expired = server.renewal_deadline.get().is_some_and(|end| now >= end); if is_expired { log::info!(server = &**id; "backend server deregistered: its row was not renewed after a store outage"); } !is_expired });
     }
 
-    /// Records the time to the first event or the answer of a server.
-    pub fn record_answer(&self, server: &Server, route: &str, time: Duration, now: Instant) {
-        let is_usual = self.usual_times.borrow_mut().record(route, time);
-        server.record_outcome(is_usual, now);
-    }
-
-    /// Excludes the servers whose outcomes are bad, and ends the exclusion of the others.
-    fn update_exclusions(&self, now: Instant) {
-        let by_id = self.by_id.borrow();
-        let mut by_service: IndexMap<String, Vec<&Rc<Server>>> = IndexMap::new();
-        for server in by_id.values() {
-            server.outcomes.borrow_mut().forget_old(now);
-            let service = server.record.borrow().service.clone();
-            by_service.entry(service).or_default().push(server);
-        }
-        for servers in by_service.values() {
-            let is_excluded = |server: &&Rc<Server>| server.is_excluded();
-            let is_suspected = |server: &&Rc<Server>| server.outcomes.borrow().is_suspected();
-            if !servers.iter().any(is_excluded) && !servers.iter().any(is_suspected) {
-                continue;
-            }
-            let outcomes: Vec<_> = servers
-                .iter()
-                .map(|server| server.outcomes.borrow())
-                .collect();
-            let outcomes: Vec<&ServerOutcomes> = outcomes.iter().map(|counts| &**counts).collect();
-            let excluded = select_excluded(&outcomes);
-            for (index, server) in servers.iter().enumerate() {
-                server.set_excluded(excluded.contains(&index), now);
-            }
-        }
-    }
-
-    /// The outcomes at suspected servers that this gateway has seen, to be told to its peers.
-    pub fn shared_outcomes(&self) -> ReportedOutcomes {
-        let by_id = self.by_id.borrow();
-        let suspected = by_id.values().filter_map(|server| {
-            let outcomes = server.outcomes.borrow();
-            outcomes.is_suspected().then(|| SharedOutcomes {
-                server_id: server.id.to_string(),
-                counts: outcomes.own(),
-            })
-        });
-        ReportedOutcomes {
-            reporter: self.reporter,
-            by_server: suspected.take(MAX_SHARED_OUTCOMES).collect(),
-        }
-    }
-
-    /// Adopts what another gateway has seen.
-    fn merge_outcomes(&self, reported: &ReportedOutcomes, now: Instant) {
-        let by_id = self.by_id.borrow();
-        for told in &reported.by_server {
-            if let Some(server) = by_id.get(told.server_id.as_str()) {
-                let mut outcomes = server.outcomes.borrow_mut();
-                outcomes.merge(reported.reporter, told.counts, now);
-            }
-        }
-    }
-
     /// The most recent load reports, to be shared with other gateways.
     ///
     /// With many gateways, each one receives reports from each server too rarely to know its load.
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -301,8 +301,7 @@
                 response
             }
             Err(error) => {
-                in_flight.settle();
-                server.record_failure();
+                in_flight.record_failure();
                 match error {
                     ClientError::Interrupted(_) => self.report_if_crashed(server).await,
                     // The server is reached.
@@ -347,8 +346,7 @@
             return AttemptOutcome::Failed(AttemptFailure::NotExecuted, reason);
         }
         if status.is_success() && !answer.is_signed {
-            in_flight.settle();
-            server.record_failure();
+            in_flight.record_failure();
             let reason = "the answer is not signed".to_string();
             return AttemptOutcome::Failed(AttemptFailure::InDoubt, reason);
         }
@@ -372,8 +370,7 @@
         let body = match timer.timeout_at(self.deadline, read).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
-                in_flight.settle();
-                server.record_failure();
+                in_flight.record_failure();
                 self.report_if_crashed(server).await;
                 return AttemptOutcome::Failed(AttemptFailure::InDoubt, error.to_string());
             }
@@ -395,8 +392,7 @@
                 AttemptOutcome::Failed(AttemptFailure::InDoubt, reason)
             }
             500.. => {
-                in_flight.settle();
-                server.record_failure();
+                in_flight.record_failure();
                 AttemptOutcome::ServerError(response)
             }
             _ => {
@@ -436,17 +432,6 @@
         servers.crash_reports.record_crash(&self.identity, crash);
     }
 
-    /// Records the time to the first event or the answer of a server, once for each attempt.
-    pub fn record_answer_time(&self, server: &Server, in_flight: &InFlightGuard) {
-        if in_flight.settle() {
-            let now = Instant::now();
-            let time = now.saturating_duration_since(self.attempt_started_at);
-            let servers = &self.gateway.servers;
-            servers.record_answer(server, &self.route.name, time, now);
-            self.record_topic_time(time);
-        }
-    }
-
     /// Records that a server answered the request completely, so it does not crash servers.
     pub fn record_answered(&self) {
         let crash_reports = &self.gateway.servers.crash_reports;
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -188,8 +188,7 @@
     /// Resumes the stream at another server. Returns the rest of the stream if a peer serves it; the
     /// error is the reason why it cannot be resumed.
     async fn resume(&mut self, reason: String) -> std::result::Result<Option<Incoming>, String> {
-        self.upstream.in_flight.settle();
-        self.upstream.server.record_failure();
+        self.upstream.in_flight.record_failure();
         self.forwarder
             .report_if_crashed(&self.upstream.server)
             .await;
--- a/src/request/gateway/topic.rs
+++ b/src/request/gateway/topic.rs
@@ -1,4 +1,4 @@
-//! What a request is about, and whether it is placed by that.
+//! What a request is about, whether it is placed by that, and how long its answer took.
 
 use std::time::{Duration, Instant, SystemTime};
 
@@ -7,6 +7,7 @@
 
 use super::forward::RequestForwarder;
 use crate::process::gateway::placement::Candidate;
+use crate::process::gateway::server::{InFlightGuard, Server};
 use crate::process::metrics;
 use crate::process::slots::placement::hash_bytes;
 use crate::process::topics::selection::select_by_topic;
@@ -87,9 +88,20 @@
         in_domain.flatten().or_else(|| select(|_| true))
     }
 
+    /// Records the time to the first event or the answer of a server, once for each attempt.
+    pub fn record_answer_time(&self, server: &Server, in_flight: &InFlightGuard) {
+        if in_flight.settle() {
+            let now = Instant::now();
+            let time = now.saturating_duration_since(self.attempt_started_at);
+            let servers = &self.gateway.servers;
+            servers.record_answer(server, route_hash(&self.route), time, now);
+            self.record_topic_time(time);
+        }
+    }
+
     /// Records the time to the first event or the answer, if the request is compared. Times of later
     /// attempts say nothing about the server that was chosen first.
-    pub(super) fn record_topic_time(&self, time: Duration) {
+    fn record_topic_time(&self, time: Duration) {
         let group = self.topic_plan.get().and_then(|plan| plan.group);
         let is_first_attempt = self.tried_servers.is_empty();
         // The holder of the prefix is learned after the plan is made.
--- a/tests/gateway_outcomes.rs
+++ b/tests/gateway_outcomes.rs
@@ -10,6 +10,10 @@
 use sapphireford_platform::answer::ReportedLoad;
 use sapphireford_platform::store::Row;
 
+/// Two routes.
+const QUICK: u64 = 1;
+const SLOW: u64 = 2;
+
 /// A server with what this gateway has seen and what others report, as numbers of good and bad
 /// outcomes.
 fn server(own: (u32, u32), peers: &[(u32, u32)], now: Instant) -> ServerOutcomes {
@@ -81,12 +85,12 @@
 fn an_answer_is_late_compared_with_others_of_its_route() {
     let mut times = UsualTimes::default();
     for _ in 0..40 {
-        assert!(times.record("quick", Duration::from_millis(20)));
-        assert!(times.record("slow", Duration::from_millis(2_000)));
+        assert!(times.record(QUICK, Duration::from_millis(20)));
+        assert!(times.record(SLOW, Duration::from_millis(2_000)));
     }
-    assert!(times.record("quick", Duration::from_millis(60)));
-    assert!(!times.record("quick", Duration::from_millis(200)));
-    assert!(times.record("slow", Duration::from_millis(4_000)));
+    assert!(times.record(QUICK, Duration::from_millis(60)));
+    assert!(!times.record(QUICK, Duration::from_millis(200)));
+    assert!(times.record(SLOW, Duration::from_millis(4_000)));
 }
 
 fn five_servers(now: Instant) -> Servers {
@@ -121,7 +125,7 @@
             for _ in 0..4 {
                 match &*server.id {
                     "i-2" => server.record_failure(),
-                    _ => servers.record_answer(&server, "route", Duration::from_millis(50), now),
+                    _ => servers.record_answer(&server, QUICK, Duration::from_millis(50), now),
                 }
             }
         }
