--- a/src/process/gateway/outcomes.rs
+++ b/src/process/gateway/outcomes.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::process::topics::RouteHash;
+use crate::process::topics::learning::ReporterId;
 
 /// Outcomes are counted for one to two of these periods.
 const COUNTING_PERIOD: Duration = Duration::from_secs(4);
@@ -33,9 +34,6 @@
 /// Most routes whose usual time is kept.
 const MAX_ROUTES: usize = 1_024;
 
-/// Identifies one start of a gateway that reports counts.
-pub type ReporterId = u64;
-
 /// Numbers of outcomes at a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OutcomeCounts {
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -28,6 +28,8 @@
 use crate::connection::body::Body;
 use crate::connection::http_server::CallerAddress;
 use crate::ids::BackendServerId;
+use crate::process::topics::RouteHash;
+use crate::process::topics::learning::GroupTimes;
 
 /// Path prefix of relayed store calls; the path of the store follows.
 const RELAY_PATH_PREFIX: &str = "/store";
@@ -215,6 +217,9 @@
     pub unconnected_gateways: Vec<UnconnectedGateway>,
     /// Outcomes at suspected servers, as the sender has seen them; only in the gossip.
     pub outcomes: ReportedOutcomes,
+    /// Times of answers by route with and without affinity, as the gateway that reports the outcomes
+    /// has measured them; only in the gossip.
+    pub topic_times: Vec<(RouteHash, GroupTimes)>,
 }
 
 /// Encodes a message followed by notices.
@@ -276,6 +281,7 @@
         loads,
         unconnected_gateways,
         outcomes: ReportedOutcomes::default(),
+        topic_times: Vec::new(),
     };
     Some((message, notices, rest))
 }
@@ -303,20 +309,23 @@
     Response::new(Body::full(with_server_reports(&body, notices)))
 }
 
-/// Appends the speeds and the outcomes of servers to a gossip message. Gateways of earlier builds
-/// ignore them.
+/// Appends the speeds and the outcomes of servers and the times of topics to a gossip message.
+/// Gateways of earlier builds ignore them.
 fn with_server_reports(body: &[u8], notices: &ServerNotices) -> Bytes {
     let speeds = with_speeds(body, &notices.loads);
-    // The encoding of this type cannot fail.
+    // The encoding of these types cannot fail.
     let outcomes = postcard::to_stdvec(&notices.outcomes).unwrap_or_default();
-    Bytes::from([&*speeds, &outcomes].concat())
+    let topic_times = postcard::to_stdvec(&notices.topic_times).unwrap_or_default();
+    Bytes::from([&*speeds, &*outcomes, &*topic_times].concat())
 }
 
 /// Decodes a gossip message and what the peer has heard from servers.
 fn split_gossip<T: DeserializeOwned>(body: &[u8]) -> Option<(T, ServerNotices)> {
     let (message, mut notices, rest) = split_message(body)?;
     let rest = take_speeds(rest, &mut notices.loads);
-    notices.outcomes = postcard::from_bytes(rest).unwrap_or_default();
+    let (outcomes, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+    notices.outcomes = outcomes;
+    notices.topic_times = postcard::from_bytes(rest).unwrap_or_default();
     Some((message, notices))
 }
 
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -36,7 +36,6 @@
 use crate::process::teams::config_age::ConfigAge;
 use crate::process::teams::limits::TeamLimits;
 use crate::process::timer::TimerService;
-use crate::process::topics::Topics;
 use crate::request::gateway::dispatch::GatewayDispatcher;
 use crate::version::route_table::RouteTable;
 use handlers::{DirectoryHandler, MetricsHandler, PeerHandler, ReadinessHandler};
@@ -112,8 +111,6 @@
     pub stream_origins: StreamOrigins,
     /// Registry of the backend servers.
     pub servers: Rc<Servers>,
-    /// What is learned of the topics of requests.
-    pub topics: Topics,
     /// Whether this gateway reaches the backend servers.
     pub server_path: Rc<ServerPath>,
     /// Keeps the request rates that backend servers limit.
@@ -262,7 +259,6 @@
             history,
             stream_origins: StreamOrigins::new(store.clone(), writer.clone()),
             servers,
-            topics: Topics::default(),
             server_path,
             rate_limits,
             config_age: Rc::new(ConfigAge::new(settings.key_withdrawal_limit)),
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -19,12 +19,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::crash_reports::CrashReports;
-use super::outcomes::{ReporterId, UsualTimes};
+use super::outcomes::UsualTimes;
 use super::peers::ServerNotices;
 use super::placement::{Candidate, NORMAL_SPEED_PERCENT};
 use super::server::{LOAD_REPORT_TTL, OVERLOAD_REPORT_TTL, RateLimitReport, Server};
 use super::watch::TableChange;
 use crate::ids::{BackendServerId, FailureDomainId};
+use crate::process::topics::Topics;
+use crate::process::topics::learning::ReporterId;
 
 /// Most loads in one message between gateways. A site with up to this many servers shares all of
 /// them; on larger sites the message size stays bounded.
@@ -92,6 +94,8 @@
     usual_times: RefCell<UsualTimes>,
     /// Identifies this start of the gateway in the outcomes that it reports.
     reporter: ReporterId,
+    /// What is learned of the topics of requests.
+    pub topics: Topics,
     /// The requests that were running when servers crashed.
     pub crash_reports: CrashReports,
 }
@@ -109,6 +113,7 @@
             loads_requested_at: Cell::new(None),
             usual_times: RefCell::default(),
             reporter: rand::random(),
+            topics: Topics::default(),
             crash_reports: CrashReports::default(),
         }
     }
@@ -333,6 +338,7 @@
             notices.loads = self.shared_loads(now);
         }
         notices.outcomes = self.shared_outcomes();
+        notices.topic_times = self.topics.reports();
         notices
     }
 
@@ -343,6 +349,8 @@
         self.crash_reports.merge(&notices.crash_reports, now);
         self.merge_loads(&notices.loads, now);
         self.merge_outcomes(&notices.outcomes, now);
+        let reporter = notices.outcomes.reporter;
+        self.topics.merge(reporter, &notices.topic_times, now);
     }
 
     /// The registered servers that have said that they are about to stop.
--- a/src/process/topics.rs
+++ b/src/process/topics.rs
@@ -13,12 +13,12 @@
 pub mod selection;
 
 use std::cell::RefCell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 
 use counts::TopicCounts;
-use learning::{Group, Learning};
+use learning::{Group, GroupTimes, Learning, ReporterId};
 
 /// Hash of what a request is about.
 pub type TopicHash = u64;
@@ -27,6 +27,8 @@
 
 /// Most routes that are learned; beyond that, the one that was added first is forgotten.
 const MAX_ROUTES: usize = 256;
+/// Most routes in one message between gateways.
+const MAX_REPORTED_ROUTES: usize = 32;
 
 /// How a request with a topic is placed.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,6 +47,8 @@
 struct RouteTopics {
     counts: TopicCounts,
     learning: Learning,
+    /// The last result of [`Topics::take_decision`].
+    taken_decision: Option<bool>,
 }
 
 /// What this gateway has learned of the topics of all routes.
@@ -85,6 +89,34 @@
         }
     }
 
+    /// What this gateway has measured, to be told to its peers.
+    pub fn reports(&self) -> Vec<(RouteHash, GroupTimes)> {
+        let by_route = self.by_route.borrow();
+        let reports = by_route
+            .iter()
+            .filter_map(|(route, known)| Some((*route, known.learning.report()?)));
+        reports.take(MAX_REPORTED_ROUTES).collect()
+    }
+
+    /// Adopts what another gateway has measured on the routes that this one serves.
+    pub fn merge(&self, reporter: ReporterId, reports: &[(RouteHash, GroupTimes)], now: Instant) {
+        let mut by_route = self.by_route.borrow_mut();
+        for (route, times) in reports {
+            if let Some(known) = by_route.get_mut(route) {
+                known.learning.merge(reporter, *times, now);
+            }
+        }
+    }
+
+    /// Whether affinity pays on a route, if that has been decided since the last call.
+    pub fn take_decision(&self, route: RouteHash) -> Option<bool> {
+        let mut by_route = self.by_route.borrow_mut();
+        let known = by_route.get_mut(&route)?;
+        let decision = known.learning.pays();
+        let previous = std::mem::replace(&mut known.taken_decision, decision);
+        decision.filter(|_| decision != previous)
+    }
+
     /// Whether affinity is known to pay on a route; `None` if it is not known yet.
     pub fn pays(&self, route: RouteHash) -> Option<bool> {
         let by_route = self.by_route.borrow();
--- a/src/process/topics/learning.rs
+++ b/src/process/topics/learning.rs
@@ -4,8 +4,13 @@
 //! The groups are drawn at random for each request, so they have the same mix of topics. Times are
 //! compared by the means of their logarithms, because a few very long answers would dominate plain
 //! means.
+//!
+//! Gateways tell each other their sums, because one of many sees too few answers to decide soon.
+
+use std::time::{Duration, Instant};
 
-use std::time::Duration;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 /// Shortest gain for which requests are placed by topic: the logarithm of 1 / 0.95.
 const MIN_GAIN: f64 = 0.0513;
@@ -38,14 +43,29 @@
     Load,
 }
 
+/// Time after which the sums of a gateway that does not repeat them are forgotten.
+const PEER_TTL: Duration = Duration::from_secs(10);
+/// Most gateways whose sums are kept for a route.
+const MAX_PEERS: usize = 128;
+
+/// Identifies one start of a gateway that reports its sums.
+pub type ReporterId = u64;
+
 /// The logarithms of the times of a group.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 struct Times {
     count: f64,
     sum: f64,
     sum_of_squares: f64,
 }
 
+/// The times of both groups that one gateway has measured on a route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct GroupTimes {
+    by_topic: Times,
+    by_load: Times,
+}
+
 impl Times {
     fn record(&mut self, time: Duration) {
         if self.count >= MAX_ANSWERS {
@@ -59,6 +79,18 @@
         self.sum_of_squares += log * log;
     }
 
+    fn add(&mut self, other: &Self) {
+        self.count += other.count;
+        self.sum += other.sum;
+        self.sum_of_squares += other.sum_of_squares;
+    }
+
+    /// Whether a gateway can have measured this.
+    fn is_valid(&self) -> bool {
+        let is_count = (0.0..=MAX_ANSWERS).contains(&self.count);
+        is_count && self.sum.is_finite() && self.sum_of_squares.is_finite()
+    }
+
     fn mean(&self) -> f64 {
         self.sum / self.count
     }
@@ -81,8 +113,8 @@
 /// What is known of the gain of affinity on one route.
 #[derive(Clone, Debug, Default)]
 pub struct Learning {
-    by_topic: Times,
-    by_load: Times,
+    own: GroupTimes,
+    by_peer: IndexMap<ReporterId, (GroupTimes, Instant)>,
     verdict: Verdict,
     answers_since_review: u32,
 }
@@ -106,8 +138,8 @@
     /// Records the time to the first event or the answer of a compared request.
     pub fn record(&mut self, group: Group, time: Duration) {
         match group {
-            Group::Topic => self.by_topic.record(time),
-            Group::Load => self.by_load.record(time),
+            Group::Topic => self.own.by_topic.record(time),
+            Group::Load => self.own.by_load.record(time),
         }
         self.answers_since_review += 1;
         if self.answers_since_review >= ANSWERS_PER_REVIEW {
@@ -116,8 +148,31 @@
         }
     }
 
+    /// What this gateway has measured, to be told to its peers; `None` if there is nothing.
+    pub fn report(&self) -> Option<GroupTimes> {
+        (self.own != GroupTimes::default()).then_some(self.own)
+    }
+
+    /// Adopts what another gateway has measured in place of what it reported before.
+    pub fn merge(&mut self, reporter: ReporterId, times: GroupTimes, now: Instant) {
+        let is_fresh = |at: &Instant| now.saturating_duration_since(*at) < PEER_TTL;
+        self.by_peer.retain(|_, (_, at)| is_fresh(at));
+        let has_room = self.by_peer.len() < MAX_PEERS || self.by_peer.contains_key(&reporter);
+        if has_room && times.by_topic.is_valid() && times.by_load.is_valid() {
+            self.by_peer.insert(reporter, (times, now));
+            self.review();
+        }
+    }
+
     fn review(&mut self) {
-        let (by_topic, by_load) = (&self.by_topic, &self.by_load);
+        let GroupTimes {
+            mut by_topic,
+            mut by_load,
+        } = self.own;
+        for (times, _) in self.by_peer.values() {
+            by_topic.add(&times.by_topic);
+            by_load.add(&times.by_load);
+        }
         if by_topic.count < MIN_ANSWERS || by_load.count < MIN_ANSWERS {
             return;
         }
--- a/src/request/gateway/topic.rs
+++ b/src/request/gateway/topic.rs
@@ -52,12 +52,23 @@
         let plan = self.topic_plan.get_or_init(|| {
             let since_epoch = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
             let draw = rand::rng().random();
-            let topics = &self.gateway.topics;
-            topics.plan(route_hash(&self.route), topic, draw, since_epoch)
+            let topics = &self.gateway.servers.topics;
+            let route = route_hash(&self.route);
+            if let Some(pays) = topics.take_decision(route) {
+                self.report_decision(pays);
+            }
+            topics.plan(route, topic, draw, since_epoch)
         });
         Some(*plan)
     }
 
+    fn report_decision(&self, pays: bool) {
+        let name = &self.route.name;
+        log::info!(route = name.as_str(), pays = pays; "placement by topic is decided for a route");
+        let labels = [("route", name.clone())];
+        ::metrics::gauge!(metrics::TOPIC_AFFINITY_PAYS, &labels).set(f64::from(pays));
+    }
+
     /// Selects a server by the topic of the request. `None` if the request is to be placed as one
     /// without a topic.
     pub(super) fn select_by_topic(
@@ -106,20 +117,9 @@
         let is_first_attempt = self.tried_servers.is_empty();
         // The holder of the prefix is learned after the plan is made.
         let is_placed_as_planned = is_first_attempt && self.prefix_holder.is_none();
-        let Some(group) = group.filter(|_| is_placed_as_planned) else {
-            return;
-        };
-        let topics = &self.gateway.topics;
-        let route = route_hash(&self.route);
-        let paid = topics.pays(route);
-        topics.record_time(route, group, time);
-        let pays = topics.pays(route);
-        if pays != paid {
-            let name = &self.route.name;
-            log::info!(route = name.as_str(), pays:? = pays; "gain of placement by topic is decided");
-            let labels = [("route", name.clone())];
-            ::metrics::gauge!(metrics::TOPIC_AFFINITY_PAYS, &labels)
-                .set(f64::from(pays == Some(true)));
+        if let Some(group) = group.filter(|_| is_placed_as_planned) {
+            let topics = &self.gateway.servers.topics;
+            topics.record_time(route_hash(&self.route), group, time);
         }
     }
 }
--- a/tests/gateway_shared_speeds.rs
+++ b/tests/gateway_shared_speeds.rs
@@ -1,5 +1,7 @@
 //! The speeds of servers in the messages between gateways, of this build and of earlier ones.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use hyper::Request;
 use sapphireford::process::gateway::directory::GatewayRow;
@@ -10,6 +12,8 @@
     AdmitRequest, PeerCall, ServerNotices, decode_call, gossip_request,
 };
 use sapphireford::process::gateway::servers::SharedLoad;
+use sapphireford::process::topics::Topics;
+use sapphireford::process::topics::learning::Group;
 use yare::parameterized;
 
 fn load(server_id: &str, speed_percent: Option<u32>) -> SharedLoad {
@@ -74,9 +78,9 @@
     }
 }
 
-/// Guards against outcomes and speeds that are read as those of another field of the gossip.
+/// Guards against outcomes, speeds and times of topics that are read as those of another field of the gossip.
 #[test]
-fn the_gossip_carries_speeds_and_outcomes() {
+fn the_gossip_carries_what_servers_and_topics_showed() {
     let outcomes = ReportedOutcomes {
         reporter: 11,
         by_server: vec![SharedOutcomes {
@@ -84,9 +88,13 @@
             counts: OutcomeCounts { good: 4, bad: 9 },
         }],
     };
+    let topics = Topics::default();
+    topics.plan(5, 1, 0.9, Duration::ZERO);
+    topics.record_time(5, Group::Topic, Duration::from_millis(70));
     let notices = ServerNotices {
         loads: vec![load("i-1", None), load("i-2", Some(170))],
         outcomes,
+        topic_times: topics.reports(),
         ..ServerNotices::default()
     };
     let request = GossipRequest {
@@ -101,7 +109,10 @@
         heartbeats: Vec::new(),
     };
     match decode_call(gossip_request(&request, &notices)) {
-        Some(PeerCall::Gossip(_, received)) => assert_eq!(received, notices),
+        Some(PeerCall::Gossip(_, received)) => {
+            assert_eq!(received.topic_times.len(), 1);
+            assert_eq!(received, notices);
+        }
         _ => panic!("the message is not decoded as gossip"),
     }
 }
--- a/tests/topics.rs
+++ b/tests/topics.rs
@@ -9,7 +9,7 @@
 use sapphireford::process::gateway::placement::{Candidate, select_by_load};
 use sapphireford::process::topics::Topics;
 use sapphireford::process::topics::counts::{MAX_TOPICS, TopicCounts};
-use sapphireford::process::topics::learning::{Group, Learning};
+use sapphireford::process::topics::learning::{Group, GroupTimes, Learning};
 use sapphireford::process::topics::selection::{select_by_topic, servers_needed};
 use yare::parameterized;
 
@@ -455,3 +455,41 @@
     println!("{servers} servers: {by_topic:?} by topic, {by_load:?} by load");
     assert!(by_topic < Duration::from_micros(200 + 10 * servers as u64));
 }
+
+/// Guards against a gain that is found late because each of many gateways sees a few answers a
+/// second, and against sums of a peer that no gateway can have measured.
+#[test]
+fn gateways_learn_together_whether_affinity_pays() {
+    let now = Instant::now();
+    let mut rng = StdRng::seed_from_u64(4);
+    let mut gateways = vec![Learning::default(); 20];
+    for learning in &mut gateways {
+        for number in 0..24 {
+            let (group, time_ms) = match number % 2 {
+                0 => (Group::Topic, 60),
+                _ => (Group::Load, 100),
+            };
+            let time_ms = time_ms * rng.random_range(50..=150) / 100;
+            learning.record(group, Duration::from_millis(time_ms));
+        }
+        assert_eq!(learning.pays(), None);
+    }
+    let reports: Vec<_> = gateways.iter().filter_map(Learning::report).collect();
+    let (first, others) = reports.split_first().expect("a report");
+    let learning = &mut gateways[0];
+    for _ in 0..20 {
+        learning.merge(1, *first, now);
+    }
+    assert_eq!(learning.pays(), None, "repeated reports count once");
+    for (reporter, times) in others.iter().enumerate() {
+        learning.merge(reporter as u64, *times, now);
+    }
+    assert_eq!(learning.pays(), Some(true));
+    let impossible: GroupTimes =
+        postcard::from_bytes(&postcard::to_stdvec(&[[f64::NAN; 3]; 2]).expect("bytes"))
+            .expect("times");
+    let mut alone = Learning::default();
+    alone.merge(1, impossible, now);
+    alone.record(Group::Topic, Duration::from_millis(100));
+    assert_eq!(alone.pays(), None);
+}
