--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -298,3 +298,20 @@
     // An idle server of twice the speed takes one batch more than twice the load.
     assert!(in_flight[4] <= 2 * mean_of_others + 8, "{in_flight:?}");
 }
+
+/// Guards against servers without a speed, or at normal speed, that are placed otherwise than by their
+/// loads.
+#[test]
+fn loads_decide_among_servers_of_normal_speed() {
+    for case in 0..1_000_u32 {
+        // Any spread of loads; neighbouring cases differ.
+        let load = |index: usize| (case * 7_919 + index as u32 * 104_729) % 5_000;
+        let servers = candidates(load);
+        let least = (0..SERVERS.len()).min_by_key(|index| load(*index));
+        assert_eq!(select_by_load(u64::from(case), &servers), least);
+        for (one, other) in servers.iter().zip(servers.iter().skip(1)) {
+            let by_time = one.expected_time().cmp(&other.expected_time());
+            assert_eq!(by_time, one.load.cmp(&other.load));
+        }
+    }
+}
