--- a/src/process/topics/selection.rs
+++ b/src/process/topics/selection.rs
@@ -12,8 +12,9 @@
 /// is added. With the request, the server carries at most this and one request.
 const MAX_LOAD_PERCENT: u64 = 125;
 /// Servers of a popular topic, in percent of those that its requests alone would fill to the mean.
-/// More than these are needed because the servers have other topics as well.
-const SERVERS_PERCENT: f64 = 125.0;
+/// More than these are needed because the servers have other topics as well, and because the share of
+/// a topic that has just become popular is known too low.
+const SERVERS_PERCENT: f64 = 200.0;
 
 /// The number of servers that a topic with this share of the requests needs.
 pub fn servers_needed(share: f64, servers: usize) -> usize {
