--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -20,6 +20,7 @@
 use super::gossip::{GossipRequest, GossipResponse};
 use super::history::{TurnChain, TurnId};
 use super::ledger::{Admission, TurnBudget, TurnPart};
+use super::outcomes::ReportedOutcomes;
 use super::rate_limits::{AllowanceRequest, AllowanceResponse};
 use super::relayed_team::{self, RelayedTeam};
 use super::server::RateLimitReport;
@@ -30,6 +31,8 @@
 use crate::ids::BackendServerId;
 use crate::process::teams::config_age::PeerProof;
 use crate::process::teams::limit_messages::{LimitRequest, LimitResponse};
+use crate::process::topics::RouteHash;
+use crate::process::topics::learning::GroupTimes;
 
 /// Path prefix of relayed store calls; the path of the store follows.
 const RELAY_PATH_PREFIX: &str = "/store";
@@ -230,6 +233,11 @@
     pub loads: Vec<SharedLoad>,
     /// Gateways that reach no server; only in the gossip.
     pub unconnected_gateways: Vec<UnconnectedGateway>,
+    /// Outcomes at suspected servers, as the sender has seen them; only in the gossip.
+    pub outcomes: ReportedOutcomes,
+    /// Times of answers by route with and without affinity, as the gateway that reports the outcomes
+    /// has measured them; only in the gossip.
+    pub topic_times: Vec<(RouteHash, GroupTimes)>,
 }
 
 /// Encodes a message followed by notices.
@@ -254,6 +262,28 @@
     Some((message, notices))
 }
 
+/// Appends the speeds of the servers to a message, in the order of its loads. 0 stands for a speed
+/// that is not stated; the list is empty if none is. Gateways of earlier builds ignore it.
+fn with_speeds(body: &[u8], loads: &[SharedLoad]) -> Bytes {
+    let speeds = loads.iter().map(|load| load.speed_percent.unwrap_or(0));
+    let mut speeds: Vec<u32> = speeds.collect();
+    if speeds.iter().all(|speed| *speed == 0) {
+        speeds.clear();
+    }
+    // The encoding of this type cannot fail.
+    let speeds = postcard::to_stdvec(&speeds).unwrap_or_default();
+    Bytes::from([body, &speeds].concat())
+}
+
+/// Decodes the list of [`with_speeds`], empty in messages of earlier builds, into the loads.
+fn take_speeds<'a>(rest: &'a [u8], loads: &mut [SharedLoad]) -> &'a [u8] {
+    let (speeds, rest): (Vec<u32>, _) = postcard::take_from_bytes(rest).unwrap_or_default();
+    for (load, speed_percent) in loads.iter_mut().zip(speeds) {
+        load.speed_percent = (speed_percent > 0).then_some(speed_percent);
+    }
+    rest
+}
+
 /// Decodes a message, the notices and what follows them.
 fn split_message<T: DeserializeOwned>(body: &[u8]) -> Option<(T, ServerNotices, &[u8])> {
     let (message, rest) = postcard::take_from_bytes(body).ok()?;
@@ -268,6 +298,8 @@
         crash_reports,
         loads,
         unconnected_gateways,
+        outcomes: ReportedOutcomes::default(),
+        topic_times: Vec::new(),
     };
     Some((message, notices, rest))
 }
@@ -284,7 +316,9 @@
 
 /// Encodes a gossip request.
 pub fn gossip_request(request: &GossipRequest, notices: &ServerNotices) -> Request<Bytes> {
-    post_with_notices(GOSSIP_PATH, request, notices)
+    let mut request = post_with_notices(GOSSIP_PATH, request, notices);
+    *request.body_mut() = with_server_reports(request.body(), notices);
+    request
 }
 
 /// Precedes the age of the configuration in a response to the gossip, so that other bytes that a
@@ -299,6 +333,7 @@
     config_proof: Option<PeerProof>,
 ) -> Response<Body> {
     let body = with_notices(response, notices);
+    let body = with_server_reports(&body, notices);
     let body = match config_proof {
         // The encoding of these types cannot fail.
         Some(proof) => {
@@ -310,13 +345,34 @@
     Response::new(Body::full(body))
 }
 
+/// Appends the speeds and the outcomes of servers and the times of topics to a gossip message.
+/// Gateways of earlier builds ignore them.
+fn with_server_reports(body: &[u8], notices: &ServerNotices) -> Bytes {
+    let speeds = with_speeds(body, &notices.loads);
+    // The encoding of these types cannot fail.
+    let outcomes = postcard::to_stdvec(&notices.outcomes).unwrap_or_default();
+    let topic_times = postcard::to_stdvec(&notices.topic_times).unwrap_or_default();
+    Bytes::from([&*speeds, &*outcomes, &*topic_times].concat())
+}
+
+/// Decodes a gossip message, what the peer has heard from servers, and what follows it.
+fn split_gossip<T: DeserializeOwned>(body: &[u8]) -> Option<(T, ServerNotices, &[u8])> {
+    let (message, mut notices, rest) = split_message(body)?;
+    let rest = take_speeds(rest, &mut notices.loads);
+    let (outcomes, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+    notices.outcomes = outcomes;
+    let (topic_times, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+    notices.topic_times = topic_times;
+    Some((message, notices, rest))
+}
+
 /// Decodes the response of a peer to a gossip request; `None` if the status is not 200 or the body
 /// is malformed. Gateways of earlier builds do not state the age of their configuration.
 pub fn decode_gossip(
     response: &Response<Bytes>,
 ) -> Option<(GossipResponse, ServerNotices, Option<PeerProof>)> {
     let is_ok = response.status() == StatusCode::OK;
-    let (message, notices, rest) = is_ok.then(|| split_message(response.body()))??;
+    let (message, notices, rest) = is_ok.then(|| split_gossip(response.body()))??;
     let proof = postcard::from_bytes::<(u32, PeerProof)>(rest).ok();
     let proof = proof.filter(|(mark, _)| *mark == CONFIG_PROOF_MARK);
     Some((message, notices, proof.map(|(_, proof)| proof)))
@@ -581,8 +637,10 @@
         let mut request = post_with_notices(ADMIT_PATH, self, notices);
         let body = request.body_mut();
         let part = postcard::to_stdvec(&self.part).unwrap_or_default();
+        let message = [&with_origin(body, self.proposed_origin), &*part].concat();
+        let message = with_speeds(&message, &self.loads);
         let mark = qualified_ids_mark(self.are_ids_qualified);
-        *body = Bytes::from([&with_origin(body, self.proposed_origin), &*part, mark].concat());
+        *body = Bytes::from([&*message, mark].concat());
         request
     }
 
@@ -592,6 +650,7 @@
         request.proposed_origin = proposed_origin;
         let (part, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
         request.part = part;
+        let rest = take_speeds(rest, &mut request.loads);
         request.are_ids_qualified = rest == QUALIFIED_IDS_MARK;
         Some((request, notices))
     }
@@ -627,7 +686,8 @@
     /// Encodes the HTTP response to a peer, with what this gateway has heard from servers.
     pub fn encode(&self, notices: &ServerNotices) -> Response<Body> {
         let body = with_notices(self, notices);
-        Response::new(Body::full(with_origin(&body, self.stream_origin)))
+        let body = with_origin(&body, self.stream_origin);
+        Response::new(Body::full(with_speeds(&body, &self.loads)))
     }
 
     /// Decodes the response of a peer and what the peer has heard from servers; `None` if the
@@ -636,7 +696,9 @@
         let body = response.body();
         let is_ok = response.status() == StatusCode::OK;
         let (mut answer, notices, rest) = is_ok.then(|| split_message::<Self>(body))??;
-        answer.stream_origin = postcard::from_bytes(rest).unwrap_or_default();
+        let (stream_origin, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+        answer.stream_origin = stream_origin;
+        take_speeds(rest, &mut answer.loads);
         Some((answer, notices))
     }
 }
@@ -675,8 +737,8 @@
     match request.uri().path() {
         ADMIT_PATH => AdmitRequest::decode(request.body())
             .map(|(request, notices)| PeerCall::Admit(request, notices)),
-        GOSSIP_PATH => split_notices(request.body())
-            .map(|(request, notices)| PeerCall::Gossip(request, notices)),
+        GOSSIP_PATH => split_gossip(request.body())
+            .map(|(request, notices, _)| PeerCall::Gossip(request, notices)),
         NOTICES_PATH => Some(PeerCall::ListNotices),
         SERVER_PATH_PATH => Some(PeerCall::AskServerPath),
         path if RELAYED_PATH_PREFIXES
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -14,7 +14,8 @@
 
 use super::allowance::{REQUEST_CLASSES, RequestClass};
 use super::crash_reports::CrashId;
-use super::placement::LoadPermille;
+use super::outcomes::ServerOutcomes;
+use super::placement::{LoadPermille, NORMAL_SPEED_PERCENT};
 use super::stream_origins::{StreamOrigin, stream_origin};
 use crate::ids::BackendServerId;
 use crate::process::breaker::CircuitBreaker;
@@ -27,6 +28,12 @@
 /// for seconds then, and on a large site most gateways know only reports that are older than
 /// [`LOAD_REPORT_TTL`].
 pub(super) const OVERLOAD_REPORT_TTL: Duration = Duration::from_secs(4);
+/// Time for which a stated speed is used, with less weight as it ages. Speeds change many times a
+/// second.
+pub(super) const SPEED_TTL: Duration = Duration::from_millis(1_000);
+/// A request without an answer whose caller leaves after this time counts as a failure of the
+/// server. Callers disconnect after two seconds at the earliest if they get nothing.
+const MIN_ABANDONED_WAIT: Duration = Duration::from_millis(1_000);
 /// Longest delay after which a caller is told to come back because of a rate limit. Callers that
 /// wait longer have given up.
 const MAX_RETURN_DELAY: Duration = Duration::from_secs(4);
@@ -38,9 +45,15 @@
     pub(super) record: RefCell<ServerRecord>,
     in_flight: Cell<u32>,
     pub(super) report: Cell<Option<(ReportedLoad, Instant)>>,
+    /// The last stated speed in percent, and when it was stated. It may be older than the report, which
+    /// a gateway of an earlier build may have passed on without it.
+    stated_speed: Cell<Option<(u32, Instant)>>,
     /// Requests that this gateway has sent since the report was made.
     sent_since_report: Cell<u32>,
     breaker: RefCell<CircuitBreaker>,
+    /// What callers got from the server; counted only if it states its speed.
+    pub(super) outcomes: RefCell<ServerOutcomes>,
+    pub(super) exclusion: Cell<Option<Exclusion>>,
     /// Whether the server has said in an answer that it is about to stop. This start of the server
     /// takes no new requests from then on, whatever its row says.
     pub(super) is_leaving: Cell<bool>,
@@ -66,8 +79,11 @@
             record: RefCell::new(record),
             in_flight: Cell::new(0),
             report: Cell::new(None),
+            stated_speed: Cell::new(None),
             sent_since_report: Cell::new(0),
             breaker: RefCell::default(),
+            outcomes: RefCell::default(),
+            exclusion: Cell::new(None),
             is_leaving: Cell::new(false),
             has_crashed: Cell::new(false),
             rate_limit: Cell::new(None),
@@ -86,16 +102,24 @@
     pub fn start_request(self: &Rc<Self>) -> InFlightGuard {
         self.in_flight.set(self.in_flight.get() + 1);
         self.sent_since_report.set(self.sent_since_report.get() + 1);
-        InFlightGuard(self.clone())
+        InFlightGuard {
+            server: self.clone(),
+            started_at: Instant::now(),
+            has_outcome: Cell::new(false),
+        }
     }
 
     /// Records the load that the server reported with a response.
     pub fn record_load(&self, load: ReportedLoad) {
+        self.stated_speed.set(None);
         self.set_report(load, Instant::now());
     }
 
     pub(super) fn set_report(&self, load: ReportedLoad, reported_at: Instant) {
         self.report.set(Some((load, reported_at)));
+        if let Some(speed_percent) = load.speed_percent {
+            self.stated_speed.set(Some((speed_percent, reported_at)));
+        }
         self.sent_since_report.set(0);
     }
 
@@ -108,12 +132,59 @@
     /// Reports a failed request or connection to the circuit breaker.
     pub fn record_failure(&self) {
         self.breaker.borrow_mut().record_failure(Instant::now());
+        self.record_outcome(false, Instant::now());
+    }
+
+    /// Counts an outcome if the server states its speed.
+    pub(super) fn record_outcome(&self, is_good: bool, now: Instant) {
+        if self.stated_speed.get().is_some() {
+            self.outcomes.borrow_mut().record(is_good, now);
+        }
+    }
+
+    /// Whether the server is excluded because of its outcomes; see [`super::outcomes`].
+    pub fn is_excluded(&self) -> bool {
+        self.exclusion.get().is_some()
+    }
+
+    /// Excludes the server, or ends its exclusion.
+    pub(super) fn set_excluded(&self, is_excluded: bool, now: Instant) {
+        if is_excluded == self.is_excluded() {
+            return;
+        }
+        let exclusion = is_excluded.then_some(Exclusion { next_probe_at: now });
+        self.exclusion.set(exclusion);
+        let own = self.outcomes.borrow().own();
+        match is_excluded {
+            true => {
+                log::warn!(server = &*self.id, good = own.good, bad = own.bad; "backend server gets only probes: its outcomes are worse than those of its peers")
+            }
+            false => {
+                log::info!(server = &*self.id, good = own.good, bad = own.bad; "backend server gets requests again")
+            }
+        }
+    }
+
+    /// Whether an excluded server may get a request, which shows whether it has recovered.
+    pub fn is_probe_due(&self, now: Instant) -> bool {
+        let exclusion = self.exclusion.get();
+        exclusion.is_some_and(|exclusion| now >= exclusion.next_probe_at)
+    }
+
+    /// Records that an excluded server gets a request. The next one is due after `interval`.
+    pub fn start_probe(&self, interval: Duration, now: Instant) {
+        let next_probe_at = now + interval;
+        let exclusion = self.exclusion.get();
+        self.exclusion
+            .set(exclusion.map(|_| Exclusion { next_probe_at }));
     }
 
     /// Makes the server available again, because its failures were not its own.
     pub fn forget_failures(&self) {
         self.has_crashed.set(false);
         self.breaker.take();
+        self.outcomes.take();
+        self.exclusion.set(None);
     }
 
     /// Identifies the crash of this start of the server, the same at all gateways.
@@ -251,6 +322,11 @@
         Some((load, now.saturating_duration_since(at)))
     }
 
+    pub(super) fn is_load_known(&self, report_ttl: Duration, now: Instant) -> bool {
+        let reported = self.reported_load(now);
+        reported.is_some_and(|(_, age)| age < report_ttl)
+    }
+
     pub(super) fn load(&self, report_ttl: Duration, now: Instant) -> LoadPermille {
         let own = self.in_flight.get();
         let reported = self.reported_load(now);
@@ -266,6 +342,18 @@
         requests.saturating_mul(1000) / slots
     }
 
+    /// The stated speed, moved towards the normal one as it ages; `None` if the server has
+    /// stated none within [`SPEED_TTL`].
+    pub fn speed_percent(&self, now: Instant) -> Option<u32> {
+        let (stated, stated_at) = self.stated_speed.get()?;
+        let stated = i64::from(stated);
+        let age = now.saturating_duration_since(stated_at);
+        let left_ms = SPEED_TTL.saturating_sub(age).as_millis() as i64;
+        let normal = i64::from(NORMAL_SPEED_PERCENT);
+        let speed = normal + (stated - normal) * left_ms / SPEED_TTL.as_millis() as i64;
+        (left_ms > 0).then_some(speed as u32)
+    }
+
     pub(super) fn is_eligible(&self, connection_limit: u32, now: Instant) -> bool {
         let is_ready = self.record.borrow().state == ServerState::Ready;
         let own = self.in_flight.get();
@@ -274,13 +362,44 @@
     }
 }
 
+/// The state of a server that is excluded because of its outcomes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Exclusion {
+    /// When this gateway may send it the next request.
+    pub(super) next_probe_at: Instant,
+}
+
 /// Counts a request as in flight on a server until it is dropped.
-pub struct InFlightGuard(Rc<Server>);
+pub struct InFlightGuard {
+    server: Rc<Server>,
+    started_at: Instant,
+    /// Whether the request has been answered or has failed.
+    has_outcome: Cell<bool>,
+}
+
+impl InFlightGuard {
+    /// Records that the request has been answered or has failed. Returns whether it is the first
+    /// time.
+    pub fn settle(&self) -> bool {
+        !self.has_outcome.replace(true)
+    }
+
+    /// Records that the request has failed because of the server.
+    pub fn record_failure(&self) {
+        self.settle();
+        self.server.record_failure();
+    }
+}
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        let in_flight = &self.0.in_flight;
+        let in_flight = &self.server.in_flight;
         in_flight.set(in_flight.get() - 1);
+        let now = Instant::now();
+        let waited = now.saturating_duration_since(self.started_at);
+        if self.settle() && waited >= MIN_ABANDONED_WAIT {
+            self.server.record_outcome(false, now);
+        }
     }
 }
 
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -5,23 +5,28 @@
 //! A server whose row is missing right after an outage of the store stays registered for a grace
 //! period: the row may have expired only because the server could not renew it.
 
+mod exclusions;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use sapphireford_platform::answer::ReportedLoad;
+use sapphireford_platform::answer::{ReportedLoad, is_valid_speed};
 use sapphireford_platform::server::{self as format, ServerRecord, ServerState};
 use sapphireford_platform::store::Row;
 use serde::{Deserialize, Serialize};
 
 use super::crash_reports::CrashReports;
+use super::outcomes::UsualTimes;
 use super::peers::ServerNotices;
-use super::placement::Candidate;
+use super::placement::{Candidate, NORMAL_SPEED_PERCENT};
 use super::server::{LOAD_REPORT_TTL, OVERLOAD_REPORT_TTL, RateLimitReport, Server};
 use super::watch::TableChange;
 use crate::ids::{BackendServerId, FailureDomainId};
+use crate::process::topics::Topics;
+use crate::process::topics::learning::ReporterId;
 
 /// Most loads in one message between gateways. A site with up to this many servers shares all of
 /// them; on larger sites the message size stays bounded.
@@ -29,6 +34,8 @@
 /// Most rate limits in one message between gateways; beyond that, the oldest statements are left
 /// out.
 const MAX_SHARED_RATE_LIMITS: usize = 128;
+/// Time after the last placement by topic in which the gossip carries the loads.
+const LOADS_REQUESTED_FOR: Duration = Duration::from_secs(10);
 /// Time for which gateways tell each other that a limit has ended. It exceeds the time in which a
 /// message reaches all gateways of a failure domain.
 const ENDED_LIMIT_TOLD_FOR: Duration = Duration::from_secs(10);
@@ -54,6 +61,10 @@
     pub slots: u32,
     /// Age of the report when it was shared. The transfer time between gateways is not included.
     pub age_ms: u32,
+    /// The speed that the server stated, if any. Appended to the message as a list, because gateways
+    /// of earlier builds do not know it.
+    #[serde(skip)]
+    pub speed_percent: Option<u32>,
 }
 
 /// A start of a server that has said that it is about to stop, as gateways tell each other.
@@ -76,6 +87,15 @@
     own_failure_domain: Option<FailureDomainId>,
     /// Whether a server limited its request rate at the last [`Servers::maintain`].
     has_rate_limits: Cell<bool>,
+    /// Whether a server had stated its speed lately at the last [`Servers::maintain`].
+    has_speeds: Cell<bool>,
+    /// When the loads were last needed to place a request by its topic.
+    loads_requested_at: Cell<Option<Instant>>,
+    usual_times: RefCell<UsualTimes>,
+    /// Identifies this start of the gateway in the outcomes that it reports.
+    reporter: ReporterId,
+    /// What is learned of the topics of requests.
+    pub topics: Topics,
     /// The requests that were running when servers crashed.
     pub crash_reports: CrashReports,
 }
@@ -89,6 +109,11 @@
             is_loaded: Cell::new(false),
             own_failure_domain: Some(own_failure_domain),
             has_rate_limits: Cell::new(false),
+            has_speeds: Cell::new(false),
+            loads_requested_at: Cell::new(None),
+            usual_times: RefCell::default(),
+            reporter: rand::random(),
+            topics: Topics::default(),
             crash_reports: CrashReports::default(),
         }
     }
@@ -217,8 +242,8 @@
     }
 
     /// Deregisters the servers whose rows were not renewed in time after an outage of the store,
-    /// forgets old reports of crashes, and checks whether servers limit their request rates. Called
-    /// several times a second.
+    /// forgets old reports of crashes, and checks whether servers limit their request rates or
+    /// state their speed. Called several times a second.
     pub fn maintain(&self, now: Instant) {
         self.crash_reports.remove_expired(now);
         self.removed
@@ -227,6 +252,10 @@
         let is_limited = |server: &Rc<Server>| server.has_rate_limit();
         let has_rate_limits = self.by_id.borrow().values().any(is_limited);
         self.has_rate_limits.set(has_rate_limits);
+        let states_speed = |server: &Rc<Server>| server.speed_percent(now).is_some();
+        let has_speeds = self.by_id.borrow().values().any(states_speed);
+        self.has_speeds.set(has_speeds);
+        self.update_exclusions(now);
         self.by_id.borrow_mut().retain(|id, server| { let is_expired = server.renewal_deadline.get().is_some_and(|end| now >= end); if is_expired { log::info!(server = &**id; "backend server deregistered: its row was not renewed after a store outage"); } !is_expired });
     }
 
@@ -250,6 +279,7 @@
             waiting: load.waiting,
             slots: load.slots,
             age_ms: age.as_millis() as u32,
+            speed_percent: load.speed_percent,
         });
         shared.collect()
     }
@@ -274,6 +304,7 @@
                     running: load.running,
                     waiting: load.waiting,
                     slots: load.slots,
+                    speed_percent: load.speed_percent.filter(is_valid_speed),
                 };
                 server.set_report(reported, reported_at);
             }
@@ -290,13 +321,24 @@
         }
     }
 
-    /// What is told in the gossip: the notices, and the loads while servers limit their rates. The
-    /// admissions of turns exchange the loads at other times, which is enough without an overload.
+    /// Makes the gossip carry the loads for a while, because requests are placed by topic.
+    pub fn request_loads(&self, now: Instant) {
+        self.loads_requested_at.set(Some(now));
+    }
+
+    /// What is told in the gossip: the notices, and the loads while servers limit their rates or
+    /// state their speed, or requests are placed by topic. The admissions of turns exchange the loads at other times, which is enough
+    /// without an overload.
     pub fn gossip_notices(&self, now: Instant) -> ServerNotices {
         let mut notices = self.notices(now);
-        if self.has_rate_limits.get() {
+        let requested_at = self.loads_requested_at.get();
+        let are_requested =
+            requested_at.is_some_and(|at| now.saturating_duration_since(at) < LOADS_REQUESTED_FOR);
+        if self.has_rate_limits.get() || self.has_speeds.get() || are_requested {
             notices.loads = self.shared_loads(now);
         }
+        notices.outcomes = self.shared_outcomes();
+        notices.topic_times = self.topics.reports();
         notices
     }
 
@@ -306,6 +348,9 @@
         self.merge_rate_limits(&notices.rate_limits, now);
         self.crash_reports.merge(&notices.crash_reports, now);
         self.merge_loads(&notices.loads, now);
+        self.merge_outcomes(&notices.outcomes, now);
+        let reporter = notices.outcomes.reporter;
+        self.topics.merge(reporter, &notices.topic_times, now);
     }
 
     /// The registered servers that have said that they are about to stop.
@@ -417,6 +462,8 @@
         Candidate {
             server_id: &server.id,
             load: server.load(self.load_report_ttl(), now),
+            is_load_known: server.is_load_known(self.load_report_ttl(), now),
+            speed_percent: server.speed_percent(now).unwrap_or(NORMAL_SPEED_PERCENT),
             is_eligible: server.is_eligible(connection_limit, now),
             is_same_domain: own_failure_domain == Some(domain.as_str()),
         }
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -4,6 +4,7 @@
 //! server may have run the request. [`retry`] decides on that basis whether another server is
 //! tried, so that a request which must not run twice is never sent again in doubt.
 
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -30,6 +31,7 @@
 use crate::process::gateway::fingerprint::RequestIdentity;
 use crate::process::gateway::running::Gateway;
 use crate::process::gateway::server::{InFlightGuard, Server};
+use crate::process::topics::TopicPlan;
 use crate::version::route_table::RouteTable;
 
 /// Size limit of a response that is not a stream.
@@ -72,6 +74,8 @@
     pub deadline: Instant,
     /// The server that has the prefix of the prompt in its cache, if known.
     pub prefix_holder: Option<BackendServerId>,
+    /// How the request is placed by its topic, once that is decided.
+    pub topic_plan: OnceCell<TopicPlan>,
     /// Keeps a stream at the software version that began it.
     pub origin: OriginConstraint,
     /// Collects the log line and the metrics of the request.
@@ -300,7 +304,7 @@
                 response
             }
             Err(error) => {
-                server.record_failure();
+                in_flight.record_failure();
                 match error {
                     ClientError::Interrupted(_) => self.report_if_crashed(server).await,
                     // The server is reached.
@@ -345,7 +349,7 @@
             return AttemptOutcome::Failed(AttemptFailure::NotExecuted, reason);
         }
         if status.is_success() && !answer.is_signed {
-            server.record_failure();
+            in_flight.record_failure();
             let reason = "the answer is not signed".to_string();
             return AttemptOutcome::Failed(AttemptFailure::InDoubt, reason);
         }
@@ -369,7 +373,7 @@
         let body = match timer.timeout_at(self.deadline, read).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
-                server.record_failure();
+                in_flight.record_failure();
                 self.report_if_crashed(server).await;
                 return AttemptOutcome::Failed(AttemptFailure::InDoubt, error.to_string());
             }
@@ -391,11 +395,12 @@
                 AttemptOutcome::Failed(AttemptFailure::InDoubt, reason)
             }
             500.. => {
-                server.record_failure();
+                in_flight.record_failure();
                 AttemptOutcome::ServerError(response)
             }
             _ => {
                 server.record_success();
+                self.record_answer_time(server, &in_flight);
                 AttemptOutcome::Answered(ServerResponse::Buffered(response))
             }
         }
--- a/src/request/gateway/selection.rs
+++ b/src/request/gateway/selection.rs
@@ -7,9 +7,10 @@
 use sapphireford_platform::operator::RouteTarget;
 
 use super::forward::RequestForwarder;
-use super::record::ServerChoice;
+use super::record::{PlacementBasis, ServerChoice};
+use super::retry;
 use crate::process::gateway::allowance::{ProgramStage, RequestClass, request_class};
-use crate::process::gateway::placement::{self, LoadPermille, Prefix};
+use crate::process::gateway::placement::{self, Candidate, LoadPermille, Prefix};
 use crate::process::gateway::server::Server;
 use crate::process::gateway::stream_origins::StreamOrigin;
 use crate::process::slots::placement::hash_bytes;
@@ -19,10 +20,16 @@
 /// are lost in the transfer.
 const MIN_RETURN_DELAY: Duration = Duration::from_millis(20);
 
+/// Interval between the probes of one gateway at an excluded server, for each live gateway.
+const PROBE_INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(200);
+/// Shortest interval between the probes of one gateway at an excluded server.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// A server that placement has selected, and the load that it estimated.
 struct SelectedServer {
     server: Rc<Server>,
     load: LoadPermille,
+    basis: PlacementBasis,
 }
 
 impl RequestForwarder {
@@ -50,13 +57,27 @@
 
     /// Chooses an untried server, and adds the choice to the record.
     fn choose_server(&self) -> Option<Rc<Server>> {
-        let SelectedServer { server, load } = self.select_server()?;
-        let report_age = server.reported_load(Instant::now()).map(|(_, age)| age);
+        let SelectedServer {
+            server,
+            load,
+            basis,
+        } = self.select_server()?;
+        let now = Instant::now();
+        let report_age = server.reported_load(now).map(|(_, age)| age);
+        let speed_percent = server.speed_percent(now);
+        if server.is_excluded() {
+            // All gateways together send a few probes a second.
+            let gateways = self.gateway.directory.live_count();
+            let interval = PROBE_INTERVAL_PER_GATEWAY * gateways;
+            server.start_probe(interval.max(MIN_PROBE_INTERVAL), now);
+        }
         self.record.add_server(&ServerChoice {
             server_id: &server.id,
             version: &server.version(),
             load,
+            speed_percent,
             report_age,
+            basis,
             holds_prefix: self.prefix_holder.as_ref() == Some(&server.id),
         });
         Some(server)
@@ -103,25 +124,53 @@
             candidate
         });
         let mut candidates: Vec<_> = candidates.collect();
+        self.exclude_failing(&servers, &mut candidates, now);
         if is_engine && is_rate_limited {
             placement::exclude_loaded(&mut candidates, self.prefix_holder.is_some());
         }
-        let chosen = if is_engine {
+        let by_topic = self.select_by_topic(is_engine, &candidates, now);
+        let (chosen, basis) = if let Some(chosen) = by_topic {
+            (Some(chosen), PlacementBasis::Topic)
+        } else if is_engine {
             let prefix = Prefix {
                 key: self.affinity_key(),
                 holder: self.prefix_holder.as_deref(),
                 is_growing: self.route.has_stored_history,
             };
-            placement::select_by_prefix(prefix, &candidates)
+            let chosen = placement::select_by_prefix(prefix, &candidates);
+            (chosen, PlacementBasis::Prefix)
         } else {
-            placement::select_by_load(rand::rng().random(), &candidates)
-        }?;
+            let chosen = placement::select_by_load(rand::rng().random(), &candidates);
+            (chosen, PlacementBasis::Load)
+        };
+        let chosen = chosen?;
         Some(SelectedServer {
             server: servers[chosen].clone(),
             load: candidates[chosen].load,
+            basis,
         })
     }
 
+    /// Makes servers ineligible that are excluded because of their outcomes, unless no other one is
+    /// eligible or a probe is due.
+    fn exclude_failing(
+        &self,
+        servers: &[Rc<Server>],
+        candidates: &mut [Candidate<'_>],
+        now: Instant,
+    ) {
+        // A probe may fail, so only requests that can be sent again are used.
+        let may_probe = retry::is_retryable(self.route.kind);
+        let is_passed_over =
+            |server: &Server| server.is_excluded() && !(may_probe && server.is_probe_due(now));
+        let mut all = candidates.iter().zip(servers);
+        if all.any(|(candidate, server)| candidate.is_eligible && !is_passed_over(server)) {
+            for (candidate, server) in candidates.iter_mut().zip(servers) {
+                candidate.is_eligible &= !is_passed_over(server);
+            }
+        }
+    }
+
     /// The class of this request at a server with a rate limit.
     fn class_at(&self, server: &Server) -> RequestClass {
         let stage = match &self.prefix_holder {
--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -12,6 +12,8 @@
         .map(|(index, server_id)| Candidate {
             server_id,
             load: load(index),
+            is_load_known: true,
+            speed_percent: 100,
             is_eligible: true,
             is_same_domain: false,
         })
@@ -260,3 +262,23 @@
     assert!(with_exclusion > 500, "{with_exclusion}");
     assert!(without < with_exclusion / 2, "{without}");
 }
+
+/// Guards against an idle server on a busy VM that gets requests which other servers complete
+/// sooner, and against one that gets most requests because it states a speed that it does not have.
+#[test]
+fn stated_speeds_decide_within_limits() {
+    let chosen = |load_of_others: u32, speed_percent| {
+        let mut servers = candidates(|index| if index == 2 { 0 } else { load_of_others });
+        servers[2].speed_percent = speed_percent;
+        select_by_load(1, &servers) == Some(2)
+    };
+    assert!(!chosen(500, 250));
+    assert!(chosen(2_000, 250));
+    let mut servers = candidates(|_| 500);
+    servers[4].speed_percent = 10;
+    // The speed counts as 50, so that the server takes one batch more than twice the load.
+    servers[4].load = 2_100;
+    assert_ne!(select_by_load(1, &servers), Some(4));
+    servers[4].load = 1_900;
+    assert_eq!(select_by_load(1, &servers), Some(4));
+}
