--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -1,8 +1,9 @@
 //! How the owner of a team's limit decides on requests.
 //!
 //! A token bucket with the rate of the limit counts all requests. It holds the burst and a part of
-//! what the platform tolerates, because the requests of a single program come in bursts. The first
-//! turn of a program is admitted if the tokens of the next seconds are enough for what the running
+//! what the platform tolerates, because the requests of a single program come in bursts. An owner
+//! that knows the whole window also grants a part of the burst in each window, as long as the count of
+//! the window allows it. The first turn of a program is admitted if the tokens of the next seconds are enough for what the running
 //! programs still need. So a team near its limit finishes the programs that it has begun, and begins
 //! fewer new ones.
 
@@ -12,6 +13,7 @@
 use sapphireford_platform::operator::TeamLimit;
 
 use super::limit_messages::{ProgramDigest, Verdict};
+use super::limit_window::GrantWindow;
 use crate::ids::VersionNumber;
 use crate::process::boot_clock::BootTime;
 use crate::process::gateway::settings::TeamLimitTolerance;
@@ -36,6 +38,10 @@
 /// Share of the window's slack that the bucket holds beyond the burst. A program needs more requests
 /// in a few seconds than the burst of a small team.
 const BURST_SLACK_SHARE: f64 = 0.4;
+/// Share of the window's slack by which the refill of a second may exceed the rate. A later owner does
+/// not know the window, and refills by the rate alone: if it takes over from one that has used the
+/// whole window, the limit is exceeded by five times this share.
+const REFILL_SLACK_SHARE: f64 = 0.05;
 /// Share of the window's slack that all gateways together use without an owner. What is left of the
 /// slack is for new owners.
 pub const NO_OWNER_SLACK_SHARE: f64 = 0.15;
@@ -112,6 +118,11 @@
     slack: f64,
     config_version: VersionNumber,
     requests: TokenBucket,
+    /// Tokens granted in the last window.
+    granted: GrantWindow,
+    window: Duration,
+    /// Since when `granted` has all tokens of the team; `None` if that was always so.
+    granted_since: Option<BootTime>,
     /// Requests that a program of the team needs, as of `estimated_at`; at least 1.
     requests_per_program: f64,
     /// Requests that the running programs are expected to need still.
@@ -158,6 +169,12 @@
             slack,
             config_version,
             requests: bucket,
+            granted: GrantWindow::new(tolerance.window, now),
+            window: tolerance.window,
+            granted_since: match start {
+                BucketStart::Full => None,
+                BucketStart::Since(_) => Some(now),
+            },
             requests_per_program: 1.0,
             outstanding: 0.0,
             time_left: DEFAULT_TIME_LEFT,
@@ -188,6 +205,36 @@
         self.limit.rate_per_s / self.requests_per_program()
     }
 
+    /// Tokens that the bucket gets in a second.
+    fn refill_per_s(&self, now: BootTime) -> f64 {
+        let is_window_known = self
+            .granted_since
+            .is_none_or(|since| now.saturating_duration_since(since) >= self.window);
+        let more_per_s = match is_window_known {
+            true => {
+                let burst_per_s = self.limit.burst / self.window.as_secs_f64();
+                burst_per_s.min(self.slack * REFILL_SLACK_SHARE)
+            }
+            false => 0.0,
+        };
+        self.limit.rate_per_s + more_per_s
+    }
+
+    /// Tokens that the count of the window leaves.
+    fn window_room(&mut self, now: BootTime) -> f64 {
+        let window = self.limit.rate_per_s * self.window.as_secs_f64() + self.limit.burst;
+        let most = window + self.slack * BURST_SLACK_SHARE;
+        most - f64::from(self.granted.total(now))
+    }
+
+    /// Time until the count of the window leaves room for a token.
+    fn window_wait(&mut self, now: BootTime) -> Duration {
+        match self.window_room(now) >= 1.0 {
+            true => Duration::ZERO,
+            false => self.granted.time_to_room(now),
+        }
+    }
+
     /// Estimates what a program needs, from those that have ended if there are any, and what the
     /// running ones need still.
     fn estimate_needs(&mut self, now: BootTime) {
@@ -230,7 +277,7 @@
     }
 
     fn refill(&mut self, now: BootTime) {
-        let (rate, capacity) = (self.limit.rate_per_s, self.capacity());
+        let (rate, capacity) = (self.refill_per_s(now), self.capacity());
         self.requests.refill(rate, capacity, now);
         let bin_age = now.saturating_duration_since(self.extra_since);
         if bin_age >= GRANT_VALIDITY {
@@ -336,9 +383,10 @@
 
     fn take_later(&mut self, now: BootTime) -> Verdict {
         let rate_per_s = self.limit.rate_per_s;
-        let wait = self.requests.wait(rate_per_s);
+        let wait = self.requests.wait(rate_per_s).max(self.window_wait(now));
         if wait <= MAX_WAIT {
             self.requests.level -= 1.0;
+            self.granted.add(1, now);
             return Verdict::granted(wait);
         }
         let spacing = seconds(1.0 / rate_per_s);
@@ -353,9 +401,12 @@
         let missing = 1.0 - self.requests.level;
         let wait = seconds(promised.as_secs_f64() + missing / self.limit.rate_per_s);
         let missing_for_program = self.first_turn_need() - self.unclaimed(now);
-        let wait = wait.max(seconds(missing_for_program / self.limit.rate_per_s));
+        let wait = wait
+            .max(seconds(missing_for_program / self.limit.rate_per_s))
+            .max(self.window_wait(now));
         if wait <= MAX_WAIT {
             self.requests.level -= 1.0;
+            self.granted.add(1, now);
             self.outstanding += self.requests_per_program() - 1.0;
             return Verdict::granted(wait);
         }
@@ -374,12 +425,15 @@
         }
         let granted_before = self.extra_granted[0] + self.extra_granted[1];
         let room = self.slack * EXTRA_SLACK_SHARE - granted_before;
-        let room = room.min(self.requests.level - self.capacity() * GENEROUS_SHARE);
+        let room = room
+            .min(self.requests.level - self.capacity() * GENEROUS_SHARE)
+            .min(self.window_room(now));
         let extra = f64::from(wanted).min(room).max(0.0).floor();
         let first_room = self.unclaimed(now) / self.first_turn_need() - 1.0;
         let first_room = first_room.min(room - extra);
         let extra_first = f64::from(wanted_first).min(first_room).max(0.0).floor();
         self.requests.level -= extra + extra_first;
+        self.granted.add((extra + extra_first) as u32, now);
         self.outstanding += extra_first * (self.requests_per_program - 1.0);
         self.extra_granted[0] += extra + extra_first;
         (extra as u32, extra_first as u32)
@@ -388,6 +442,7 @@
     /// Takes back tokens that were granted and not used.
     pub fn put_back(&mut self, unused: u32, unused_first: u32, now: BootTime) {
         self.refill(now);
+        self.granted.remove(unused.saturating_add(unused_first), now);
         let (unused, unused_first) = (f64::from(unused), f64::from(unused_first));
         self.requests.level += unused + unused_first;
         let [current, previous] = &mut self.extra_granted;
@@ -398,6 +453,13 @@
         self.refill(now);
     }
 
+    /// Takes back the tokens of requests that were refused later and did not run.
+    pub fn put_back_refused(&mut self, refused: u32, now: BootTime) {
+        self.granted.remove(refused, now);
+        self.requests.level += f64::from(refused);
+        self.refill(now);
+    }
+
     /// Whether nothing would change if the bucket were made anew: it is full, and no program of the
     /// team is known.
     pub fn is_idle(&mut self, now: BootTime) -> bool {
--- a/src/process/teams/limit_holdings.rs
+++ b/src/process/teams/limit_holdings.rs
@@ -85,6 +85,8 @@
     programs: IndexMap<ProgramDigest, (u32, BootTime)>,
     /// Who decided last; 0 before the first decision.
     last_issuer: Issuer,
+    /// Requests that were admitted and refused later, whose tokens go back with the next call.
+    refused: u32,
     /// When requests ran without an owner, within the last window.
     ran_without_owner: VecDeque<BootTime>,
     /// Requests since the team became active.
@@ -105,6 +107,7 @@
             used_by: IndexMap::new(),
             programs: IndexMap::new(),
             last_issuer: 0,
+            refused: 0,
             ran_without_owner: VecDeque::new(),
             requests: 0,
         }
@@ -129,6 +132,11 @@
         self.requests += 1;
     }
 
+    /// Records that an admitted request was refused for another reason and did not run.
+    pub fn record_refused(&mut self) {
+        self.refused = self.refused.saturating_add(1);
+    }
+
     /// The limit of the team.
     pub fn limit(&self) -> TeamLimit {
         self.limit
@@ -207,6 +215,10 @@
             recent_first: recent(&mut self.recent_first),
             unused: if is_issuer { grant.tokens } else { 0 },
             unused_first: if is_issuer { grant.first_tokens } else { 0 },
+            refused: match issuer == self.last_issuer {
+                true => std::mem::take(&mut self.refused),
+                false => 0,
+            },
             programs: std::mem::take(&mut self.used_by).into_iter().collect(),
             waiting,
             waiting_first,
@@ -236,10 +248,12 @@
         self.grant.first_tokens = self.grant.first_tokens.saturating_add(first_tokens);
     }
 
-    /// Who granted the tokens that are kept; 0 if there are none.
+    /// Who granted the tokens that are kept or go back; 0 if there are none.
     pub fn issuer(&self) -> Issuer {
         if self.has_tokens() {
             self.grant.issuer
+        } else if self.refused > 0 {
+            self.last_issuer
         } else {
             0
         }
--- a/src/process/teams/limit_messages.rs
+++ b/src/process/teams/limit_messages.rs
@@ -40,6 +40,9 @@
     pub unused: u32,
     /// Tokens of earlier grants for first turns that come back unused.
     pub unused_first: u32,
+    /// Tokens of requests that this gateway refused later for another reason, so that they did not
+    /// run.
+    pub refused: u32,
     /// Programs whose requests used tokens of earlier grants, and how many requests.
     pub programs: Vec<(ProgramDigest, u32)>,
 }
--- a/src/process/teams/limit_owner.rs
+++ b/src/process/teams/limit_owner.rs
@@ -99,6 +99,7 @@
         // Another owner's tokens were never taken from this bucket.
         if is_issuer {
             bucket.put_back(ask.unused, ask.unused_first, now);
+            bucket.put_back_refused(ask.refused, now);
         }
         for (program, requests) in &ask.programs {
             bucket.record_program(*program, *requests, now);
--- a/src/process/teams/limit_ownership.rs
+++ b/src/process/teams/limit_ownership.rs
@@ -149,6 +149,8 @@
         let ownership = self.clone();
         monoio::spawn(async move {
             task::isolate("team-limit-lease", ownership.run_steps(id, is_renewal)).await;
+            // The lease may have been taken by a call that was in flight when this gateway stopped.
+            ownership.release_if_stopped(id).await;
             if let Some(shard) = ownership.shard(id) {
                 shard.is_busy.set(false);
                 shard.finished.notify();
@@ -325,6 +327,16 @@
         join_all(releases).await;
     }
 
+    async fn release_if_stopped(&self, id: ShardId) {
+        let Some(shard) = self.shard(id).filter(|_| self.is_stopped.get()) else {
+            return;
+        };
+        let write = shard.lease.borrow_mut().release(BootTime::now());
+        if let Some(write) = write {
+            self.write_release(id, write).await;
+        }
+    }
+
     async fn write_release(&self, id: ShardId, write: LeaseWrite) {
         let Some((condition, row)) = write.transaction(id) else {
             return;
--- /dev/null
+++ b/src/process/teams/limit_window.rs
@@ -0,0 +1,88 @@
+//! Counts the tokens that an owner has granted in the last window of a limit.
+
+use std::time::Duration;
+
+use crate::process::boot_clock::BootTime;
+
+/// Parts of a window that are counted apart.
+const PARTS: u32 = 50;
+
+/// The tokens granted in the last window, in parts of it. A part counts until its last moment has
+/// left the window, so the count is never too low.
+#[derive(Clone, Debug)]
+pub struct GrantWindow {
+    part: Duration,
+    /// The parts of the window and the current one, which `position` is the index of.
+    counts: [u32; PARTS as usize + 1],
+    position: usize,
+    position_since: BootTime,
+    total: u32,
+}
+
+impl GrantWindow {
+    /// Has counted nothing yet. `window` is greater than zero.
+    pub fn new(window: Duration, now: BootTime) -> Self {
+        Self {
+            part: (window / PARTS).max(Duration::from_millis(1)),
+            counts: [0; PARTS as usize + 1],
+            position: 0,
+            position_since: now,
+            total: 0,
+        }
+    }
+
+    fn advance(&mut self, now: BootTime) {
+        let mut steps = 0;
+        while now.saturating_duration_since(self.position_since) >= self.part {
+            self.position = (self.position + 1) % self.counts.len();
+            self.total -= std::mem::take(&mut self.counts[self.position]);
+            self.position_since = self.position_since + self.part;
+            steps += 1;
+            if steps > self.counts.len() {
+                // All parts are empty.
+                self.position_since = now;
+            }
+        }
+    }
+
+    /// Counts tokens that are granted now.
+    pub fn add(&mut self, tokens: u32, now: BootTime) {
+        self.advance(now);
+        self.counts[self.position] += tokens;
+        self.total += tokens;
+    }
+
+    /// Takes back tokens that were granted lately and not used.
+    pub fn remove(&mut self, mut tokens: u32, now: BootTime) {
+        self.advance(now);
+        for back in 0..self.counts.len() {
+            let index = (self.position + self.counts.len() - back) % self.counts.len();
+            let removed = tokens.min(self.counts[index]);
+            self.counts[index] -= removed;
+            self.total -= removed;
+            tokens -= removed;
+        }
+    }
+
+    /// The tokens granted in the last window.
+    pub fn total(&mut self, now: BootTime) -> u32 {
+        self.advance(now);
+        self.total
+    }
+
+    /// Time until the first of the counted tokens leave the window; zero if none are counted.
+    pub fn time_to_room(&self, now: BootTime) -> Duration {
+        let parts = 1..self.counts.len();
+        let oldest = parts.clone().find(|ahead| {
+            let index = (self.position + ahead) % self.counts.len();
+            self.counts[index] > 0
+        });
+        let elapsed = now.saturating_duration_since(self.position_since);
+        let parts_left = match oldest {
+            Some(ahead) => ahead as u32,
+            None if self.counts[self.position] > 0 => PARTS + 1,
+            None => return Duration::ZERO,
+        };
+        (self.part * parts_left).saturating_sub(elapsed)
+    }
+}
--- a/src/process/teams/limits.rs
+++ b/src/process/teams/limits.rs
@@ -166,6 +166,14 @@
         })
     }
 
+    /// Gives back the token of a request that was admitted and then refused for another reason, so
+    /// that it did not run.
+    pub fn give_back(&self, team: &Team) {
+        if let Some(holdings) = self.shared.teams.borrow_mut().get_mut(&team.id) {
+            holdings.record_refused();
+        }
+    }
+
     /// Decides on a call of another gateway, if this one owns the shard or may take it.
     pub async fn handle(&self, request: LimitRequest) -> LimitResponse {
         self.shared.start_upkeep();
