--- a/src/request/gateway/caller.rs
+++ b/src/request/gateway/caller.rs
@@ -223,12 +223,18 @@
 
     /// Checks the key again by the newest configuration.
     pub fn require_valid(&self, newest: &RouteTable, config_age: &ConfigAge) -> Result<()> {
-        let (Some(team), Some(key)) = (&self.team, self.key_digest) else {
-            return Ok(());
-        };
         if newest.teams.is_none() {
             return Ok(());
         }
+        if !self.id_scope.has_teams() {
+            // The headers for the server still have the key.
+            let message = "the first configuration with teams took effect before the request was \
+                           sent to a server; retry";
+            return Err(Error::new(ErrorKind::NotReady, message));
+        }
+        let (Some(team), Some(key)) = (&self.team, self.key_digest) else {
+            return Ok(());
+        };
         require_current(config_age)?;
         let holder = PresentedKey::Digest(key).find_team(newest);
         if holder.is_some_and(|holder| holder.id == team.id) {
--- a/tests/gateway_keys.rs
+++ b/tests/gateway_keys.rs
@@ -117,8 +117,8 @@
     assert_eq!(not_found("", limit), ErrorKind::NotFound);
 }
 
-/// Guards against requests that outlast their key while they wait, and against a final refusal of one
-/// that needs no key.
+/// Guards against requests that outlast their key while they wait, against a final refusal of one that
+/// needs no key, and against a key that a server gets because there were no teams on its arrival.
 #[test]
 fn a_key_is_checked_again_by_the_newest_configuration() {
     let at_arrival = three_teams();
@@ -134,9 +134,17 @@
         assert_eq!(check("/closed/", newest), Err(ErrorKind::Unauthorized));
         assert_eq!(check("/open/", newest), Err(ErrorKind::NotReady));
     }
-    for newest in [&at_arrival, &routes(Value::Null)] {
+    let without_teams = routes(Value::Null);
+    for newest in [&at_arrival, &without_teams] {
         assert_eq!(check("/closed/", newest), Ok(()));
     }
+    let caller = identify(&without_teams, "/closed/", "k-acme", &config_age).expect("a caller");
+    assert!(caller.require_valid(&without_teams, &config_age).is_ok());
+    let checked = caller.require_valid(&at_arrival, &config_age);
+    assert_eq!(
+        checked.map_err(|error| error.kind),
+        Err(ErrorKind::NotReady)
+    );
 }
 
 /// Guards against two programs that share what they store because their qualified ids are the same,
