--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -41,7 +41,7 @@
 /// The requests by which a window may exceed a limit.
 pub fn slack(limit: TeamLimit, tolerance: TeamLimitTolerance) -> f64 {
     let window = limit.rate_per_s * tolerance.window.as_secs_f64() + limit.burst;
-    window * tolerance.excess_share + tolerance.excess_requests
+    window.min(f64::MAX) * tolerance.excess_share + tolerance.excess_requests
 }
 
 /// What the buckets of an owner begin with.
--- a/tests/team_limits.rs
+++ b/tests/team_limits.rs
@@ -427,6 +427,25 @@
     assert_eq!(site.request(1, "a", 100, false), Reply::Runs);
 }
 
+/// Guards against limits at the ends of their range that end the gateway or are not kept.
+#[parameterized(
+    lowest = { 1e-300, 0.0, 25 },
+    highest = { f64::MAX, f64::MAX, usize::MAX },
+    tiny_rate = { f64::MIN_POSITIVE, 3.0, 25 },
+)]
+fn unusual_limits_are_kept(rate: f64, burst: f64, most: usize) {
+    let mut site = TeamSite::new(2, &[("a", limit(rate, burst))]);
+    for owner in [0, 1, 0] {
+        for program in 0..400 {
+            site.request(1, "a", program, program % 2 == 0);
+        }
+        site.advance(4 * S);
+        site.restart(owner);
+    }
+    let ran = runs(&site, "a");
+    assert!((1..=most).contains(&ran), "{ran} ran");
+}
+
 /// Guards against work and memory for all teams instead of the active ones.
 #[test]
 fn a_decision_costs_the_same_with_41_000_teams() {
