--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -442,7 +442,8 @@
     /// Takes back tokens that were granted and not used.
     pub fn put_back(&mut self, unused: u32, unused_first: u32, now: BootTime) {
         self.refill(now);
-        self.granted.remove(unused.saturating_add(unused_first), now);
+        self.granted
+            .remove(unused.saturating_add(unused_first), now);
         let (unused, unused_first) = (f64::from(unused), f64::from(unused_first));
         self.requests.level += unused + unused_first;
         let [current, previous] = &mut self.extra_granted;
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -24,7 +24,7 @@
 use super::turn::{self, ReservationRequest, UnsavedTurn};
 use crate::connection::body::Body;
 use crate::connection::http_server::{CallerAddress, Handler};
-use crate::error::{Error, ErrorKind, Result};
+use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::ids::BackendServerId;
 use crate::process::gateway::fingerprint::RequestIdentity;
 use crate::process::gateway::ledger::TurnPart;
@@ -34,6 +34,7 @@
 use crate::process::task;
 use crate::process::teams::limits::LimitedRequest;
 use crate::version::route_table::RouteTable;
+use crate::version::teams::Team;
 
 /// Who sent a request to this gateway.
 #[derive(Clone, Copy)]
@@ -198,6 +199,8 @@
             };
             self.gateway.team_limits.admit(team, limited).await?;
         }
+        let counted_team = caller.team.clone().filter(|_| !is_limit_counted);
+        let counted_team = counted_team.as_deref();
         let last_event_id = call.last_event_id;
         let mut forwarder = RequestForwarder {
             gateway: self.gateway.clone(),
@@ -232,11 +235,13 @@
             forwarder.route.kind,
             RouteKind::Stream | RouteKind::ResumableStream
         );
-        let unsaved_turn = match is_stream {
-            true => self.prepare_turn(&mut forwarder, source).await?,
-            false => None,
+        let prepared = match is_stream {
+            true => self.prepare_turn(&mut forwarder, source).await,
+            false => Ok(None),
         };
-        match forwarder.send(last_event_id).await? {
+        let unsaved_turn = prepared.inspect_err(|error| self.uncount(counted_team, error))?;
+        let sent = forwarder.send(last_event_id).await;
+        match sent.inspect_err(|error| self.uncount(counted_team, error))? {
             ServerResponse::Buffered(response) => {
                 let (head, body) = response.into_parts();
                 record.finish(head.status.as_u16(), "answered");
@@ -260,6 +265,15 @@
         }
     }
 
+    /// Gives back the token of a request that was refused after the limit of its team counted it.
+    fn uncount(&self, counted_team: Option<&Team>, error: &Error) {
+        if let Some(team) = counted_team
+            && error.kind.answer().ran == Ran::No
+        {
+            self.gateway.team_limits.give_back(team);
+        }
+    }
+
     /// Passes the response of a peer on to the caller.
     async fn pass_on(
         &self,
--- a/tests/gateway_keys.rs
+++ b/tests/gateway_keys.rs
@@ -11,7 +11,7 @@
     PeerCall, RelayTerms, SettleRequest, decode_call, wrap_request,
 };
 use sapphireford::process::gateway::relayed_team::RelayedTeam;
-use sapphireford::process::teams::config_age::ConfigAge;
+use sapphireford::process::teams::config_age::{ConfigAge, ProofSource};
 use sapphireford::request::gateway::caller::{Caller, PresentedKey};
 use sapphireford::request::gateway::qualified_ids::IdScope;
 use sapphireford::version::key_digest::KeyDigest;
@@ -70,6 +70,14 @@
     assert_eq!(PresentedKey::decode(&headers), expected);
 }
 
+/// A configuration that has just been proved to be the newest one.
+fn current_age() -> ConfigAge {
+    let config_age = ConfigAge::new(Some(Duration::from_secs(5)));
+    config_age.activate(1, true);
+    config_age.prove(ProofSource::Read, config_age.now());
+    config_age
+}
+
 /// Guards against a key that identifies the wrong team, and against a refusal that is final although
 /// a newer configuration may have the key, or make the route public.
 #[parameterized(
@@ -89,7 +97,7 @@
     refusal_if_unproved: Option<ErrorKind>,
 ) {
     let routes = three_teams();
-    let caller = identify(&routes, path, key, &ConfigAge::new(None));
+    let caller = identify(&routes, path, key, &current_age());
     let team = caller.map(|caller| caller.team.map(|team| team.id.to_string()));
     let team = team.map_err(|error| error.kind);
     assert_eq!(team, if_current.map(|team| team.map(str::to_string)));
@@ -106,15 +114,15 @@
 #[test]
 fn a_turn_that_may_belong_to_the_team_of_an_unknown_key_is_not_refused_for_good() {
     let routes = three_teams();
-    let not_found = |key: &str, limit: Option<Duration>| {
-        let caller = identify(&routes, "/open/", key, &ConfigAge::new(limit));
+    let not_found = |key: &str, config_age: &ConfigAge| {
+        let caller = identify(&routes, "/open/", key, config_age);
         let error = Error::new(ErrorKind::NotFound, "no such turn");
         caller.expect("a caller").not_found_error(error).kind
     };
-    let limit = Some(Duration::from_secs(5));
-    assert_eq!(not_found("k-none", limit), ErrorKind::NotReady);
-    assert_eq!(not_found("k-none", None), ErrorKind::NotFound);
-    assert_eq!(not_found("", limit), ErrorKind::NotFound);
+    let unproved = ConfigAge::new(Some(Duration::from_secs(5)));
+    assert_eq!(not_found("k-none", &unproved), ErrorKind::NotReady);
+    assert_eq!(not_found("k-none", &current_age()), ErrorKind::NotFound);
+    assert_eq!(not_found("", &unproved), ErrorKind::NotFound);
 }
 
 /// Guards against requests that outlast their key while they wait, against a final refusal of one that
@@ -122,7 +130,7 @@
 #[test]
 fn a_key_is_checked_again_by_the_newest_configuration() {
     let at_arrival = three_teams();
-    let config_age = ConfigAge::new(None);
+    let config_age = current_age();
     let check = |path: &str, newest: &RouteTable| {
         let caller = identify(&at_arrival, path, "k-acme", &config_age).expect("a caller");
         let checked = caller.require_valid(newest, &config_age);
