Refuse first turns of programs while an engine service is overloaded

Engines process requests in order of arrival, so beyond their capacity every turn is late and programs fail halfway. Each gateway now computes an admission level from the loads that it knows, and refuses first turns by priority and team. It applies to services whose servers state their speed as the fourth value of their load.

--- a/src/process.rs
+++ b/src/process.rs
@@ -13,6 +13,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod notify;
+pub mod overload;
 pub mod recovery;
 pub mod retry_budget;
 pub mod routing;
--- a/src/process/gateway/budget.rs
+++ b/src/process/gateway/budget.rs
@@ -192,6 +192,26 @@
         }
     }
 
+    /// Whether a turn of the program may have completed, as its account owner knows. The account is
+    /// not opened. Without an answer, as from a gateway of an earlier build, it may have.
+    pub async fn may_have_begun(&self, program_id: &str) -> bool {
+        let peer = match self.account_location(program_id) {
+            AccountLocation::Local => return self.shared.ledger.has_begun(program_id),
+            AccountLocation::Peer(peer) => peer,
+        };
+        let request = peers::has_begun_request(program_id);
+        let http = &self.shared.http;
+        let sent = http.fetch(peer, request, PEER_TIMEOUT, RESPONSE_LIMIT_BYTES);
+        let response = sent.await.ok();
+        let has_begun = response.and_then(|response| peers::decode_has_begun(&response));
+        has_begun.unwrap_or(true)
+    }
+
+    /// Whether a turn of the program has completed, asked by a peer.
+    pub fn handle_has_begun(&self, program_id: &str) -> bool {
+        self.shared.ledger.has_begun(program_id)
+    }
+
     /// Returns the account owner, or this gateway while the owner is unresponsive.
     fn account_location(&self, program_id: &str) -> AccountLocation {
         let now = Instant::now();
--- a/src/process/gateway/ledger.rs
+++ b/src/process/gateway/ledger.rs
@@ -242,6 +242,11 @@
         programs.get(program_id)?.prefix_holder.borrow().clone()
     }
 
+    /// Whether a turn of the program has completed since its account was opened at this gateway.
+    pub fn has_begun(&self, program_id: &str) -> bool {
+        self.prefix_holder(program_id).is_some()
+    }
+
     /// The origin of the program's streams that have no row of their own; `None` if it is not known.
     pub fn stream_origin(&self, program_id: &str) -> Option<StreamOrigin> {
         let programs = self.shared.programs.borrow();
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -161,6 +161,7 @@
 const ALLOWANCE_PATH: &str = "/servers/allowance";
 const ADMIT_PATH: &str = "/programs/admit";
 const SETTLE_PATH: &str = "/programs/settle";
+const HAS_BEGUN_PATH: &str = "/programs/has-begun";
 const SERVER_PATH_PATH: &str = "/servers/path";
 /// Path prefix of relayed requests of callers; the path of the request follows.
 const REQUEST_PATH_PREFIX: &str = "/requests";
@@ -302,6 +303,23 @@
     message.map(|((), notices)| notices).unwrap_or_default()
 }
 
+/// Asks a peer whether a turn of a program has completed whose account it owns.
+pub fn has_begun_request(program_id: &str) -> Request<Bytes> {
+    post(HAS_BEGUN_PATH, &program_id)
+}
+
+/// Encodes the response to [`has_begun_request`].
+pub fn has_begun_response(has_begun: bool) -> Response<Body> {
+    let body = postcard::to_stdvec(&has_begun).unwrap_or_default();
+    Response::new(Body::full(body))
+}
+
+/// Decodes the response to [`has_begun_request`]; `None` if the peer does not know the call.
+pub fn decode_has_begun(response: &Response<Bytes>) -> Option<bool> {
+    let is_ok = response.status() == StatusCode::OK;
+    is_ok.then(|| postcard::from_bytes(response.body()).ok())?
+}
+
 /// Asks a peer whether it reaches backend servers.
 pub fn server_path_request() -> Request<Bytes> {
     let mut request = Request::new(Bytes::new());
@@ -543,6 +561,8 @@
     Admit(AdmitRequest, ServerNotices),
     /// A turn to settle.
     Settle(SettleRequest),
+    /// The peer asks whether a turn of this program has completed.
+    HasBegun(String),
     /// The peer asks what this gateway has heard from servers.
     ListNotices,
     /// A gossip request, and what the peer has heard from servers.
@@ -570,6 +590,9 @@
         ALLOWANCE_PATH => postcard::from_bytes(request.body())
             .ok()
             .map(PeerCall::Allowance),
+        HAS_BEGUN_PATH => postcard::from_bytes(request.body())
+            .ok()
+            .map(PeerCall::HasBegun),
         SETTLE_PATH => postcard::from_bytes(request.body())
             .ok()
             .map(PeerCall::Settle),
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -33,6 +33,7 @@
 use crate::connection::http_server::{self, Handler, HttpLimits, Server};
 use crate::error::{Error, ErrorKind};
 use crate::process::metrics::{self, Metrics};
+use crate::process::overload::control::OverloadControl;
 use crate::process::teams::config_age::ConfigAge;
 use crate::process::teams::limits::TeamLimits;
 use crate::process::timer::TimerService;
@@ -115,6 +116,8 @@
     pub server_path: Rc<ServerPath>,
     /// Keeps the request rates that backend servers limit.
     pub rate_limits: RateLimits,
+    /// Refuses first turns of programs while services are overloaded.
+    pub overload: OverloadControl,
     /// Whether the keys of the active configuration may be used.
     pub config_age: Rc<ConfigAge>,
     /// Keeps the limits of teams.
@@ -261,6 +264,7 @@
             servers,
             server_path,
             rate_limits,
+            overload: OverloadControl::default(),
             config_age: Rc::new(ConfigAge::new(settings.key_withdrawal_limit)),
             team_limits: Rc::new(TeamLimits::new(settings.team_limit_tolerance)),
             directory,
@@ -442,6 +446,8 @@
         loop {
             ticks.tick().await;
             maintenance_gateway.servers.maintain(Instant::now());
+            let servers = &maintenance_gateway.servers;
+            maintenance_gateway.overload.update(servers, Instant::now());
             maintenance_gateway.rate_limits.remove_idle(Instant::now());
             ledger.close_idle(Instant::now());
             maintenance_gateway.metrics.run_upkeep();
--- a/src/process/gateway/running/handlers.rs
+++ b/src/process/gateway/running/handlers.rs
@@ -70,6 +70,10 @@
                 gateway.budgets.apply_settlement(report);
                 status(StatusCode::OK)
             }
+            Some(PeerCall::HasBegun(program_id)) => {
+                let has_begun = gateway.budgets.handle_has_begun(&program_id);
+                peers::has_begun_response(has_begun)
+            }
             Some(PeerCall::Gossip(request, notices)) => {
                 let now = Instant::now();
                 gateway.servers.merge_notices(&notices, now);
@@ -81,7 +85,7 @@
                 peers::gossip_response(&response, &notices)
             }
             Some(PeerCall::ListNotices) => {
-                peers::notices_response(&gateway.servers.notices(Instant::now()))
+                peers::notices_response(&gateway.servers.gossip_notices(Instant::now()))
             }
             Some(PeerCall::AskServerPath) => match gateway.can_help().await {
                 true => status(StatusCode::OK),
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -18,6 +18,7 @@
 use super::stream_origins::{StreamOrigin, stream_origin};
 use crate::ids::BackendServerId;
 use crate::process::breaker::CircuitBreaker;
+use crate::process::overload::service_load::KnownLoad;
 use crate::process::slots::placement::rendezvous_weight;
 
 /// Time for which a load report is used. After that, the load is estimated only from the requests
@@ -27,6 +28,13 @@
 /// for seconds then, and on a large site most gateways know only reports that are older than
 /// [`LOAD_REPORT_TTL`].
 pub(super) const OVERLOAD_REPORT_TTL: Duration = Duration::from_secs(4);
+/// Time for which a server counts as one that states its speed, after it last did.
+const SPEED_STATED_TTL: Duration = Duration::from_secs(30);
+/// Time for which a stated speed is used. Servers share their VMs with others, so it changes many
+/// times a second.
+const SPEED_TTL: Duration = Duration::from_secs(1);
+/// Time for which the wait for a first event is compared with the reported load.
+const WAIT_TTL: Duration = Duration::from_secs(1);
 /// Longest delay after which a caller is told to come back because of a rate limit. Callers that
 /// wait longer have given up.
 const MAX_RETURN_DELAY: Duration = Duration::from_secs(4);
@@ -57,6 +65,10 @@
     /// When the server is deregistered unless its row is renewed. Set while the row is missing
     /// after an outage of the store.
     pub(super) renewal_deadline: Cell<Option<Instant>>,
+    /// The last speed that the server stated in an answer to this gateway.
+    stated_speed: Cell<Option<(u32, Instant)>>,
+    /// The last time to the first event of a request to the server, and when that event arrived.
+    first_event_wait: Cell<Option<(Duration, Instant)>>,
 }
 
 impl Server {
@@ -74,6 +86,8 @@
             exhausted_until: Cell::default(),
             last_return_at: Cell::new(None),
             renewal_deadline: Cell::new(None),
+            stated_speed: Cell::new(None),
+            first_event_wait: Cell::new(None),
         }
     }
 
@@ -91,7 +105,52 @@
 
     /// Records the load that the server reported with a response.
     pub fn record_load(&self, load: ReportedLoad) {
-        self.set_report(load, Instant::now());
+        let now = Instant::now();
+        self.set_report(load, now);
+        if let Some(speed_percent) = load.speed_percent {
+            self.stated_speed.set(Some((speed_percent, now)));
+        }
+    }
+
+    /// Whether the server states its speed in its answers.
+    pub fn states_speed(&self, now: Instant) -> bool {
+        let stated = self.stated_speed.get();
+        stated.is_some_and(|(_, at)| now.saturating_duration_since(at) < SPEED_STATED_TTL)
+    }
+
+    /// Records the time to the first event of a request.
+    pub fn record_wait(&self, wait: Duration, now: Instant) {
+        self.first_event_wait.set(Some((wait, now)));
+    }
+
+    /// The time to the first event of a recent request; `None` if there is none.
+    pub fn recent_wait(&self, now: Instant) -> Option<Duration> {
+        let (wait, at) = self.first_event_wait.get()?;
+        (now.saturating_duration_since(at) < WAIT_TTL).then_some(wait)
+    }
+
+    /// The load as known from a report that is younger than `report_ttl`, for the admission of
+    /// programs. The slots are those of the registration, which a wrong report does not change.
+    pub fn known_load(&self, report_ttl: Duration, now: Instant) -> KnownLoad {
+        let report = self.reported_load(now);
+        let report = report.filter(|(_, age)| *age < report_ttl);
+        let report = report.map(|(load, age)| {
+            let reported = load.running.saturating_add(load.waiting);
+            (reported.saturating_add(self.sent_since_report.get()), age)
+        });
+        let speed = self.stated_speed.get();
+        let speed = speed.filter(|(_, at)| now.saturating_duration_since(*at) < SPEED_TTL);
+        KnownLoad {
+            slots: self.record.borrow().slots.max(1),
+            report,
+            excess_wait_permille: None,
+            speed_percent: speed.map(|(speed_percent, _)| speed_percent),
+        }
+    }
+
+    /// The estimated load, from reports that are usable without an overload.
+    pub fn load_permille(&self, now: Instant) -> LoadPermille {
+        self.load(LOAD_REPORT_TTL, now)
     }
 
     pub(super) fn set_report(&self, load: ReportedLoad, reported_at: Instant) {
@@ -240,6 +299,11 @@
         stream_origin(&record.service, &record.version)
     }
 
+    /// The service that the server belongs to.
+    pub fn service(&self) -> String {
+        self.record.borrow().service.clone()
+    }
+
     /// The failure domain of the server; empty if it named none.
     pub fn failure_domain(&self) -> String {
         self.record.borrow().failure_domain.clone()
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -76,6 +76,8 @@
     own_failure_domain: Option<FailureDomainId>,
     /// Whether a server limited its request rate at the last [`Servers::maintain`].
     has_rate_limits: Cell<bool>,
+    /// Whether a service is overloaded.
+    is_overloaded: Cell<bool>,
     /// The requests that were running when servers crashed.
     pub crash_reports: CrashReports,
 }
@@ -89,6 +91,7 @@
             is_loaded: Cell::new(false),
             own_failure_domain: Some(own_failure_domain),
             has_rate_limits: Cell::new(false),
+            is_overloaded: Cell::new(false),
             crash_reports: CrashReports::default(),
         }
     }
@@ -274,6 +277,7 @@
                     running: load.running,
                     waiting: load.waiting,
                     slots: load.slots,
+                    speed_percent: None,
                 };
                 server.set_report(reported, reported_at);
             }
@@ -290,11 +294,11 @@
         }
     }
 
-    /// What is told in the gossip: the notices, and the loads while servers limit their rates. The
-    /// admissions of turns exchange the loads at other times, which is enough without an overload.
+    /// What is told in the gossip: the notices, and the loads while servers limit their rates or a
+    /// service is overloaded. The admissions of turns exchange the loads at other times, which is enough without an overload.
     pub fn gossip_notices(&self, now: Instant) -> ServerNotices {
         let mut notices = self.notices(now);
-        if self.has_rate_limits.get() {
+        if self.has_rate_limits.get() || self.is_overloaded.get() {
             notices.loads = self.shared_loads(now);
         }
         notices
@@ -350,8 +354,14 @@
         by_id.values().for_each(|server| server.forget_failures());
     }
 
-    fn load_report_ttl(&self) -> Duration {
-        match self.has_rate_limits.get() {
+    /// Records whether a service is overloaded. Loads are then told in the gossip.
+    pub fn set_overloaded(&self, is_overloaded: bool) {
+        self.is_overloaded.set(is_overloaded);
+    }
+
+    /// Time for which a load report is used.
+    pub fn load_report_ttl(&self) -> Duration {
+        match self.has_rate_limits.get() || self.is_overloaded.get() {
             true => OVERLOAD_REPORT_TTL,
             false => LOAD_REPORT_TTL,
         }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -42,6 +42,10 @@
 
 metric_names! {
     describe_counter ALLOWANCE_DECISIONS = "sapphireford_allowance_decisions_total", Count, "Decisions on requests to backend servers with a rate limit, by outcome.";
+    describe_gauge ADMITTED_SHARE = "sapphireford_admitted_share", Count,
+        "Admission level: the share of the first turns of programs that is admitted, by `service`.";
+    describe_counter OVERLOAD_REFUSALS = "sapphireford_overload_refusals_total", Count,
+        "First turns refused because of an overload, by `service`, `reason`, `team_priority` and `route_priority`.";
     describe_counter REQUESTS = "sapphireford_requests_total", Count,
         "Requests of callers, by `route` and `outcome` (ok or the error kind; gateways: `status`).";
     describe_gauge REQUESTS_IN_PROGRESS = "sapphireford_requests_in_progress", Count,
--- a/src/request/gateway.rs
+++ b/src/request/gateway.rs
@@ -10,6 +10,7 @@
 //! builds the response to a request that fails in the gateway. [`record`] collects the log line and
 //! the metrics of each request.
 
+pub mod admission;
 pub mod caller;
 pub mod dispatch;
 pub mod forward;
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -11,6 +11,7 @@
 use sapphireford_platform::headers::{self, CallHeaders};
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
+use super::admission;
 use super::caller::{self, Caller};
 use super::forward::{RequestForwarder, ServerResponse};
 use super::origin::{EarlierRecords, OriginConstraint};
@@ -115,6 +116,11 @@
         if routes.teams.is_some() {
             headers::remove_team_headers(&mut head.headers);
         }
+        // A gateway without a path to servers knows no loads; the peer that serves the request decides.
+        if !self.gateway.server_path.is_lost() {
+            let may_begin = may_begin_program(&route, &call);
+            admission::admit(&self.gateway, &routes, &route, &call, &caller, may_begin).await?;
+        }
         if let Some(team) = &caller.team {
             let limited = LimitedRequest {
                 program_id: call.program.as_ref().map(|program| &*program.program_id),
--- a/src/request/gateway/record.rs
+++ b/src/request/gateway/record.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Whether an event was forwarded to the caller.
+    pub fn has_events(&self) -> bool {
+        self.events.get() > 0
+    }
+
     /// Sets the final status and outcome. If it is never called, the outcome is that the caller
     /// disconnected.
     pub fn finish(&self, status: u16, outcome: impl Into<String>) {
--- a/src/request/gateway/stream.rs
+++ b/src/request/gateway/stream.rs
@@ -152,6 +152,9 @@
             self.output.extend_from_slice(&event.data);
             self.output.push(b'\n');
         }
+        if !self.forwarder.record.has_events() {
+            self.forwarder.record_first_event(&self.upstream.server);
+        }
         self.forwarder.record.add_event();
         self.forwarder.gateway.server_path.record_answer();
         // A caller that does not read must not keep the request alive beyond its deadline.
@@ -241,6 +244,7 @@
     /// through another gateway.
     async fn complete(mut self) {
         self.forwarder.record_answered();
+        self.forwarder.record_turn_end(&self.upstream.server);
         if let Some(turn) = self.unsaved_turn.take() {
             let history = &self.forwarder.gateway.history;
             let deadline = self.forwarder.deadline;
--- /dev/null
+++ b/tests/overload.rs
@@ -0,0 +1,313 @@
+//! The admission of programs under overload, tested without a network.
+
+#[path = "support/played_load.rs"]
+mod played_load;
+
+use std::time::{Duration, Instant};
+
+use played_load::{Kind, PlayedLoad, Site, sum};
+use sapphireford::ids::TeamId;
+use sapphireford::process::overload::admission::{Decision, ServiceAdmission, Turn};
+use sapphireford::process::overload::demand::{MAX_TEAMS, Urgency};
+use sapphireford::process::overload::service_load::KnownLoad;
+
+/// Seconds of a run that are counted: the overload begins at 15 s, and programs take up to 6 s.
+const COUNTED: std::ops::Range<usize> = 20..37;
+const SITE: Site = Site {
+    gateways: 25,
+    engines: 20,
+    seconds: 45,
+    seed: 1,
+    is_admission_on: true,
+    lie: None,
+    last_starts_at_s: 0,
+};
+const TEAMS: [&str; 10] = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j"];
+
+fn urgency(team_priority: u32, route_priority: u32) -> Urgency {
+    Urgency {
+        team_priority,
+        route_priority,
+    }
+}
+
+fn kind(team: &'static str, demand: fn(f64) -> f64) -> Kind {
+    Kind {
+        team,
+        urgency: Urgency::default(),
+        demand,
+    }
+}
+
+fn seeds() -> impl Iterator<Item = Site> {
+    (1..=3).map(|seed| Site { seed, ..SITE })
+}
+
+/// The part of the programs of a kind that end in time.
+fn part_in_time(load: &PlayedLoad, kind: usize) -> f64 {
+    let outcome = &load.outcomes[kind];
+    sum(&outcome.in_time, COUNTED) / sum(&outcome.came, COUNTED)
+}
+
+/// Guards against the collapse that was measured: without an admission level, hardly any program
+/// ends in time beyond the capacity.
+#[test]
+fn goodput_at_four_times_the_capacity_is_that_at_capacity() {
+    let demands: [fn(f64) -> f64; 3] = [
+        |t| if t < 15.0 { 0.7 } else { 1.5 },
+        |t| if t < 15.0 { 0.7 } else { 2.0 },
+        |t| if t < 15.0 { 0.7 } else { 4.0 },
+    ];
+    for site in seeds() {
+        let run = |demand| PlayedLoad::run(site.clone(), &[kind("a", demand)]);
+        let goodput = |load: &PlayedLoad| sum(&load.outcomes[0].in_time, COUNTED);
+        let at_capacity = goodput(&run(|t| if t < 15.0 { 0.7 } else { 1.0 }));
+        for demand in demands {
+            let beyond = goodput(&run(demand));
+            let limit = 0.9 * at_capacity;
+            assert!(beyond >= limit, "{beyond} of {at_capacity}, {}", site.seed);
+        }
+        let off = Site {
+            is_admission_on: false,
+            ..site
+        };
+        let without = goodput(&PlayedLoad::run(off, &[kind("a", demands[1])]));
+        assert!(without < 0.3 * at_capacity, "the load does not collapse");
+    }
+}
+
+/// Guards against refusals while servers have free slots, at a load that varies at random.
+#[test]
+fn nothing_is_refused_below_the_capacity() {
+    for site in seeds() {
+        let load = PlayedLoad::run(site, &[kind("a", |_| 0.8)]);
+        assert_eq!(load.outcomes[0].refusals, Vec::<f64>::new());
+    }
+}
+
+/// Guards against gateways that decide alone and all open or close at the same report: the servers
+/// would be idle and overloaded in turn.
+#[test]
+fn the_load_does_not_oscillate() {
+    for site in seeds() {
+        let load = PlayedLoad::run(site, &[kind("a", |t| if t < 15.0 { 0.7 } else { 3.0 })]);
+        // The first seconds show how the level is found.
+        let steady = &load.batches[42..];
+        let mean = steady.iter().sum::<f64>() / steady.len() as f64;
+        assert!((1.0..1.4).contains(&mean), "{steady:.2?}");
+        let is_near = |batches: &f64| (0.8..1.7).contains(batches);
+        assert!(steady.iter().all(is_near), "{steady:.2?}");
+    }
+}
+
+/// Guards against a level that stays low after a burst, and against one that lets the queues grow
+/// for the whole burst.
+#[test]
+fn the_level_recovers_within_two_seconds_after_a_burst() {
+    let burst = |t| match (20.0..25.0).contains(&t) {
+        true => 2.0,
+        false => 0.7,
+    };
+    for site in seeds() {
+        let load = PlayedLoad::run(site, &[kind("a", burst)]);
+        let outcome = &load.outcomes[0];
+        assert!(load.batches[40..].iter().all(|batches| *batches < 2.2));
+        let after = sum(&outcome.in_time, 27..37) / sum(&outcome.came, 27..37);
+        assert!(after > 0.95, "{after}: {:?}", outcome.in_time);
+    }
+}
+
+/// Guards against a team that floods and takes the places of teams within their share.
+#[test]
+fn a_team_within_its_share_is_not_refused_for_one_that_floods() {
+    for site in seeds() {
+        let mut kinds: Vec<Kind> = TEAMS.iter().map(|team| kind(team, |_| 0.07)).collect();
+        kinds.push(kind("flood", |t| if t < 15.0 { 0.07 } else { 3.3 }));
+        let load = PlayedLoad::run(site, &kinds);
+        let parts: Vec<_> = (0..TEAMS.len())
+            .map(|team| part_in_time(&load, team))
+            .collect();
+        let mean = parts.iter().sum::<f64>() / parts.len() as f64;
+        assert!(mean >= 0.95, "{parts:.2?}");
+        assert!(parts.iter().all(|part| *part >= 0.9), "{parts:.2?}");
+    }
+}
+
+/// Guards against a less urgent kind that is served better than a more urgent one.
+#[test]
+fn less_urgent_programs_are_refused_first() {
+    for site in seeds() {
+        let demand: fn(f64) -> f64 = |t| if t < 15.0 { 0.2 } else { 0.4 };
+        let urgencies = [urgency(0, 0), urgency(0, 1), urgency(0, 2)];
+        let mut kinds = urgencies.map(|urgency| Kind {
+            team: "a",
+            urgency,
+            demand,
+        });
+        let flood = Kind {
+            team: "b",
+            urgency: urgency(1, 0),
+            demand: |t| if t < 15.0 { 0.2 } else { 2.8 },
+        };
+        let load = PlayedLoad::run(site.clone(), &[&kinds[..], &[flood]].concat());
+        let parts: Vec<_> = (0..4).map(|kind| part_in_time(&load, kind)).collect();
+        assert!(parts[0] >= 0.95, "{parts:.2?}");
+        assert!(parts.is_sorted_by(|one, next| one >= next), "{parts:.2?}");
+        // The urgent kind floods.
+        kinds[0].demand = |t| if t < 15.0 { 0.2 } else { 3.0 };
+        let load = PlayedLoad::run(site, &kinds[..2]);
+        assert!(part_in_time(&load, 0) > part_in_time(&load, 1));
+    }
+}
+
+/// Guards against a server whose wrong load opens or closes the whole service.
+#[test]
+fn a_server_that_lies_does_not_change_the_level() {
+    for lie in [0, u32::MAX] {
+        let site = Site {
+            lie: Some(lie),
+            ..SITE
+        };
+        let idle = PlayedLoad::run(site.clone(), &[kind("a", |_| 0.7)]);
+        assert_eq!(idle.outcomes[0].refusals, Vec::<f64>::new(), "{lie}");
+        let run = |site| PlayedLoad::run(site, &[kind("a", |t| if t < 15.0 { 0.7 } else { 3.0 })]);
+        let goodput = |load: &PlayedLoad| sum(&load.outcomes[0].in_time, COUNTED);
+        let (lied, honest) = (goodput(&run(site)), goodput(&run(SITE)));
+        assert!(lied > 0.8 * honest, "{lie}: {lied} of {honest}");
+    }
+}
+
+/// Guards against a gateway that starts under overload and admits everything until it has loads of
+/// its own.
+#[test]
+fn a_gateway_that_starts_under_overload_joins_the_level() {
+    let site = Site {
+        last_starts_at_s: 25,
+        ..SITE
+    };
+    let load = PlayedLoad::run(site, &[kind("a", |t| if t < 15.0 { 0.7 } else { 3.0 })]);
+    assert!(load.refused_by_last > 0);
+    assert!(load.batches[50..].iter().all(|batches| *batches < 1.8));
+}
+
+fn loaded(requests: u32, age: Duration) -> KnownLoad {
+    KnownLoad {
+        slots: 8,
+        report: Some((requests, age)),
+        ..KnownLoad::default()
+    }
+}
+
+fn turn(program: u64, team: &TeamId) -> Turn<'_> {
+    Turn {
+        program: Some(program),
+        urgency: Urgency::default(),
+        team,
+        tokens: 1_000,
+        time_left: None,
+    }
+}
+
+/// Guards against a level that outlasts the reports that it is based on: without any, nothing is
+/// known of an overload.
+#[test]
+fn an_overload_ends_without_usable_reports() {
+    let start = Instant::now();
+    let mut admission = ServiceAdmission::new(start);
+    let mut now = start;
+    for _ in 0..20 {
+        now += Duration::from_millis(100);
+        admission.update(vec![loaded(20, Duration::from_millis(300)); 4], now);
+    }
+    assert!(admission.level().share() < 0.1);
+    for _ in 0..50 {
+        now += Duration::from_millis(100);
+        admission.update(
+            vec![
+                KnownLoad {
+                    slots: 8,
+                    ..KnownLoad::default()
+                };
+                4
+            ],
+            now,
+        );
+    }
+    assert!(admission.level().share() > 0.9);
+}
+
+/// Guards against a server that states free slots while its requests wait.
+#[test]
+fn a_server_whose_requests_wait_is_not_believed_to_be_free() {
+    let honest = loaded(20, Duration::ZERO);
+    let lying = KnownLoad {
+        excess_wait_permille: Some(1_500),
+        ..loaded(0, Duration::ZERO)
+    };
+    let start = Instant::now();
+    let mut admission = ServiceAdmission::new(start);
+    admission.update([honest, lying, lying], start + Duration::from_millis(100));
+    assert!(admission.level().is_overloaded());
+}
+
+/// Guards against callers that come back and are treated like new ones, and against return times
+/// that are all the same.
+#[test]
+fn callers_come_back_at_different_times_and_go_first() {
+    let start = Instant::now();
+    let team = TeamId::from("a");
+    let mut admission = ServiceAdmission::new(start);
+    let mut now = start;
+    for _ in 0..3 {
+        now += Duration::from_millis(100);
+        admission.update(vec![loaded(12, Duration::ZERO); 4], now);
+    }
+    let mut delays = Vec::new();
+    let mut decide = |program: u64, now| {
+        let chances = (0..100).map(|step| f64::from(step) / 100.0);
+        let refused = chances.enumerate().filter(|(step, chance)| {
+            let id = program * 1_000 + *step as u64;
+            match admission.decide(turn(id, &team), *chance, *chance, now) {
+                Decision::Refuse { retry_after, .. } => {
+                    delays.push(retry_after);
+                    true
+                }
+                Decision::Admit => false,
+            }
+        });
+        refused.count()
+    };
+    let first = decide(1, now);
+    let later = now + Duration::from_secs(4);
+    let again = decide(1, later);
+    assert!(first > 20 && again < first, "{first} {again}");
+    delays.sort_unstable();
+    delays.dedup();
+    assert!(delays.len() > first / 2, "{delays:?}");
+}
+
+/// Guards against memory and time that grow with all teams instead of the active ones, and with
+/// the square of the servers.
+#[test]
+fn a_decision_is_cheap_with_many_servers_and_teams() {
+    for servers in [10, 100, 1_000] {
+        let start = Instant::now();
+        let mut admission = ServiceAdmission::new(start);
+        let known = vec![loaded(16, Duration::from_millis(300)); servers];
+        let began = Instant::now();
+        let mut now = start;
+        for index in 0..41_000 {
+            let team = TeamId::from(format!("team {index}"));
+            now += Duration::from_micros(100);
+            if admission.is_update_due(now) {
+                admission.update(known.iter().copied(), now);
+            }
+            admission.decide(turn(index, &team), 0.5, 0.5, now);
+        }
+        let each = began.elapsed() / 41_000;
+        println!("{servers} servers, 41,000 teams: {each:?} for a decision");
+        assert!(admission.remembered() <= MAX_TEAMS + 4 * 4_096);
+        // A debug build on a busy machine; a release build takes about a tenth.
+        assert!(each < Duration::from_micros(500), "{each:?}");
+    }
+}
