--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -98,6 +98,8 @@
     leaving: bool,
     /// States in all responses that the server takes this many requests a second; it takes all.
     limit_per_s: Option<f64>,
+    /// States this load in all responses instead of the true one.
+    load: Option<String>,
     /// Ends the process when it runs a request whose body contains this text.
     crash_on: Option<String>,
     /// Returns status 500 after execution; streams are not affected.
@@ -246,7 +248,7 @@
             }
         };
         insert("request-id", request_id);
-        insert("server-load", &load);
+        insert("server-load", control.load.as_ref().unwrap_or(&load));
         if control.leaving {
             insert("server-leaving", "1");
         }
