Limit retries after refusals while a service is overloaded

First turns that a server refuses are sent to another one only as long as the budget of the service has a retry: one for each ten requests, and ten when the overload begins. Turns of programs that have begun use up the budget but are always sent again, because a failure would waste the turns before. A program counts as begun with its first event, so one that fails before it, as at the limit of its team, does not pass the admission level later.

--- a/src/process/overload/admission.rs
+++ b/src/process/overload/admission.rs
@@ -9,6 +9,7 @@
 use super::service_load::{KnownLoad, ServiceLoad};
 use super::waits::Waits;
 use crate::ids::TeamId;
+use crate::process::retry_budget::RetryBudget;
 
 /// Interval in which the loads are combined and the level is adapted. Reports are half a second
 /// old on a large site, so a shorter one brings nothing.
@@ -33,6 +34,10 @@
 /// Half of the most programs that are remembered of either kind: 32 bytes each.
 const MAX_RECENT_PROGRAMS: usize = 4_096;
 
+/// Retries after refusals by servers, in percent of the requests of a service under overload. More
+/// of them would bring the servers more work than they shed.
+const RETRY_PERCENT: u32 = 10;
+
 /// A turn that may be the first one of its program.
 #[derive(Clone, Copy, Debug)]
 pub struct Turn<'a> {
@@ -102,6 +107,8 @@
     program_times: ProgramTimes,
     refused: Recent<RefusedProgram>,
     begun: Recent<()>,
+    /// Retries after refusals by servers that are left in this overload.
+    retries: RetryBudget,
     updated_at: Option<Instant>,
 }
 
@@ -116,6 +123,7 @@
             program_times: ProgramTimes::new(now),
             refused: Recent::new(REFUSAL_PERIOD, MAX_RECENT_PROGRAMS, now),
             begun: Recent::new(BEGUN_PERIOD, MAX_RECENT_PROGRAMS, now),
+            retries: RetryBudget::default(),
             updated_at: None,
         }
     }
@@ -136,6 +144,9 @@
         self.load = ServiceLoad::combine(servers, self.waits.recent_excess_permille(now));
         let change = self.level.update(&self.load, now);
         self.demand.update(self.level.share(), now);
+        if change == Some(LevelChange::Begins) {
+            self.retries = RetryBudget::default();
+        }
         change
     }
 
@@ -153,6 +164,7 @@
     /// random numbers from 0 to 1.
     pub fn decide(&mut self, turn: Turn<'_>, chance: f64, spread: f64, now: Instant) -> Decision {
         let refused = turn.program.and_then(|program| self.refused.get(program));
+        self.retries.record_request(RETRY_PERCENT);
         if refused.is_none() {
             self.demand.record_first_turn(turn.urgency, turn.team);
         }
@@ -200,7 +212,6 @@
             .program
             .and_then(|program| self.refused.remove(program));
         if let Some(program) = turn.program {
-            self.begun.set(program, (), now);
             let first_time_left = refused.map_or(turn.time_left, |known| known.first_time_left);
             self.program_times.begin(program, first_time_left, now);
         }
@@ -214,12 +225,18 @@
         self.begun.get(program).is_some()
     }
 
+    /// Records that a server has begun with the first turn of a program.
+    pub fn record_begun(&mut self, program: u64, now: Instant) {
+        self.begun.set(program, (), now);
+    }
+
     /// Records a turn of a program that has begun. It is always admitted.
     pub fn record_later_turn(&mut self, turn: Turn<'_>, now: Instant) {
         if let Some(program) = turn.program {
             self.refused.remove(program);
             self.begun.set(program, (), now);
         }
+        self.retries.record_request(RETRY_PERCENT);
         self.demand
             .record_admitted(turn.urgency, turn.team, turn.tokens, false);
     }
@@ -255,6 +272,12 @@
         (earliest + (latest - earliest).mul_f64(spread)).max(shortest)
     }
 
+    /// Whether a request that a server has refused may be sent to another one. Turns of programs that
+    /// have begun are always sent again, but use up the budget, so that first turns get what is left.
+    pub fn may_retry(&self, has_begun: bool) -> bool {
+        !self.level.is_overloaded() || self.retries.try_acquire(RETRY_PERCENT) || has_begun
+    }
+
     /// The number of teams and programs in memory.
     pub fn remembered(&self) -> usize {
         self.demand.team_count() + self.refused.len() + self.begun.len()
--- a/src/process/overload/control.rs
+++ b/src/process/overload/control.rs
@@ -58,12 +58,29 @@
         admission.is_some_and(|admission| admission.has_begun(program))
     }
 
+    /// Whether a request that a server has refused may be sent to another one.
+    pub fn may_retry(&self, service: &str, has_begun: bool) -> bool {
+        let services = self.services.borrow();
+        let admission = services.get(service);
+        admission.is_none_or(|admission| admission.may_retry(has_begun))
+    }
+
     /// Records the time to the first event of a turn.
-    pub fn record_first_event(&self, service: &str, server: &Server, wait: Duration, now: Instant) {
+    pub fn record_first_event(
+        &self,
+        service: &str,
+        server: &Server,
+        program: Option<u64>,
+        wait: Duration,
+        now: Instant,
+    ) {
         server.record_wait(wait, now);
         if let Some(admission) = self.services.borrow_mut().get_mut(service) {
             let load = server.load_permille(now);
             admission.waits.record_first_event(wait, load, now);
+            if let Some(program) = program {
+                admission.record_begun(program, now);
+            }
         }
     }
 
--- a/src/request/gateway/admission.rs
+++ b/src/request/gateway/admission.rs
@@ -3,7 +3,7 @@
 //! Only the first turn of a program may be refused. A program that has begun has spent the time of
 //! servers, which a refusal would waste.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::Rng;
 use sapphireford_platform::headers::CallHeaders;
@@ -21,6 +21,10 @@
 use crate::process::slots::placement::hash_bytes;
 use crate::version::route_table::{RouteTable, choose_target};
 
+/// Shortest delay after which a caller should repeat a request that a server has refused; the
+/// longest one is twice as long. A queue that is full has room after some turns.
+const REFUSED_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// Identifies a program in the memory of this gateway, apart from those of other teams.
 fn program_hash(call: &CallHeaders, caller: &Caller) -> Option<u64> {
     let program = call.program.as_ref()?;
@@ -112,7 +116,28 @@
         let now = Instant::now();
         let wait = now.saturating_duration_since(self.attempt_started_at);
         let overload = &self.gateway.overload;
-        overload.record_first_event(&server.service(), server, wait, now);
+        let program = program_hash(&self.call, &self.caller);
+        overload.record_first_event(&server.service(), server, program, wait, now);
+    }
+
+    /// The error if a server has refused the request and the service is too loaded for a retry;
+    /// `None` if it may be sent to another server. A stream that has begun may always.
+    pub(super) fn retry_refusal(&self, server: &Server) -> Option<Error> {
+        let program = program_hash(&self.call, &self.caller);
+        let (overload, service) = (&self.gateway.overload, server.service());
+        let has_begun = self.attempts.may_have_run
+            || self.prefix_holder.is_some()
+            || self.call.previous_turn_id.is_some()
+            || self.call.last_event_id.is_some()
+            || self.record.has_events()
+            || program.is_some_and(|program| overload.has_begun(&service, program));
+        if overload.may_retry(&service, has_begun) {
+            return None;
+        }
+        let message = "a backend server refused the request, and the others have more work than \
+                       they can complete in time; retry later";
+        let error = Error::new(ErrorKind::ServersOverloaded, message);
+        Some(error.with_retry_after(REFUSED_RETRY_DELAY.mul_f64(1.0 + rand::rng().random::<f64>())))
     }
 
     /// Records that a server has completed the stream.
--- a/src/request/gateway/forward.rs
+++ b/src/request/gateway/forward.rs
@@ -169,12 +169,17 @@
                 AttemptOutcome::Failed(failure, reason) => (failure, reason),
             };
             self.record.note(format!("{}: {reason}", &*server.id));
-            self.tried_servers.push(server);
+            self.tried_servers.push(server.clone());
             let decision = self.record_failed_attempt(failure);
             if self.must_relay() || self.is_helper_without_path() {
                 continue;
             }
             match decision {
+                RetryDecision::RetryElsewhere if failure == AttemptFailure::NotExecuted => {
+                    if let Some(error) = self.retry_refusal(&server) {
+                        return Err(error);
+                    }
+                }
                 RetryDecision::RetryElsewhere => {}
                 RetryDecision::FailNotExecuted => return Err(not_executed_error(failure, &reason)),
                 RetryDecision::FailInDoubt if Instant::now() >= self.deadline => {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -318,6 +318,27 @@
     assert_eq!(overload(4, &mut now), [None; 3]);
 }
 
+/// Guards against retries that add to an overload, and against a budget that fails programs which
+/// have begun or applies without an overload.
+#[test]
+fn first_turns_have_one_retry_for_each_ten_requests_under_overload() {
+    let start = Instant::now();
+    let team = TeamId::from("a");
+    let mut admission = ServiceAdmission::new(start);
+    assert!((0..100).all(|_| admission.may_retry(false)));
+    admission.update([loaded(30, Duration::ZERO)], start);
+    assert!(admission.level().is_overloaded());
+    let retries =
+        |admission: &ServiceAdmission| (0..100).filter(|_| admission.may_retry(false)).count();
+    assert_eq!(retries(&admission), 10);
+    for program in 0..30 {
+        admission.record_later_turn(turn(program, &team), start);
+    }
+    assert!((0..2).all(|_| admission.may_retry(true)));
+    assert_eq!(retries(&admission), 1);
+    assert!(admission.may_retry(true));
+}
+
 /// Guards against callers that come back and are treated like new ones, and against return times
 /// that are all the same.
 #[test]
