--- a/tests/support/played_load.rs
+++ b/tests/support/played_load.rs
@@ -104,20 +104,6 @@
     pub last_starts_at_s: u64,
 }
 
-impl Default for Site {
-    fn default() -> Self {
-        Self {
-            gateways: 25,
-            engines: 20,
-            seconds: 30,
-            seed: 1,
-            is_admission_on: true,
-            lie: None,
-            last_starts_at_s: 0,
-        }
-    }
-}
-
 /// A run of the load, and its results.
 pub struct PlayedLoad {
     site: Site,
@@ -131,7 +117,7 @@
     engines: Vec<Engine>,
     gateways: Vec<Gateway>,
     pub outcomes: Vec<Outcome>,
-    /// Mean load in batches, every 100 ms.
+    /// Mean load in batches, every 500 ms.
     pub batches: Vec<f64>,
     /// First turns refused by the last gateway.
     pub refused_by_last: u32,
@@ -202,12 +188,11 @@
             return;
         }
         let turns = self.rng.random_range(4..=7);
-        let turn_ms: Vec<u64> = (0..turns)
-            .map(|_| self.rng.random_range(200..=500))
-            .collect();
-        let tool_ms: Vec<u64> = (0..turns)
-            .map(|_| self.rng.random_range(100..=400))
-            .collect();
+        let mut times = |range: std::ops::RangeInclusive<u64>| -> Vec<u64> {
+            let times = (0..turns).map(|_| self.rng.random_range(range.clone()));
+            times.collect()
+        };
+        let (turn_ms, tool_ms) = (times(200..=500), times(100..=400));
         let idle_ms: u64 = turn_ms.iter().chain(&tool_ms).sum();
         let gateways = match self.now_ms < self.site.last_starts_at_s * 1_000 {
             true => self.site.gateways - 1,
@@ -419,22 +404,19 @@
         self.gateways[one].admission.demand.average(&told, &answer);
     }
 
+    /// Both gateways keep the newer report of each engine.
     fn exchange(&mut self, one: usize, other: usize) {
         for engine in 0..self.site.engines {
             let reports = [one, other].map(|gateway| self.gateways[gateway].reports[engine]);
-            let [of_one, of_other] = reports;
-            if of_one.at_ms > of_other.at_ms {
-                let told = Report {
-                    sent_since: 0,
-                    ..of_one
-                };
-                self.gateways[other].reports[engine] = told;
-            } else if of_other.at_ms > of_one.at_ms {
-                let told = Report {
+            let (older, newer) = match reports[0].at_ms < reports[1].at_ms {
+                true => (one, reports[1]),
+                false => (other, reports[0]),
+            };
+            if self.gateways[older].reports[engine].at_ms < newer.at_ms {
+                self.gateways[older].reports[engine] = Report {
                     sent_since: 0,
-                    ..of_other
+                    ..newer
                 };
-                self.gateways[one].reports[engine] = told;
             }
         }
     }
