Remember programs that have begun beyond the life of their accounts

Accounts are closed after three seconds without a turn, so a later turn after a long tool call that came to another gateway and named no previous turn was refused under overload.

--- a/src/process/gateway/ledger.rs
+++ b/src/process/gateway/ledger.rs
@@ -22,11 +22,18 @@
 use super::writer::StoreWriter;
 use crate::ids::BackendServerId;
 use crate::process::notify::Notify;
+use crate::process::overload::recent::Recent;
+use crate::process::slots::placement::hash_bytes;
 
 const TABLE: &str = "program-spending";
 /// Time without a turn after which an account returns its unused tokens. It is longer than the
 /// pauses of most programs between two turns.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which a program counts as begun after its last complete turn. It exceeds the pauses for
+/// tool calls.
+const BEGUN_PERIOD: Duration = Duration::from_secs(60);
+/// Half of the most programs that are remembered as begun: 16 bytes each.
+const MAX_BEGUN: usize = 8_192;
 /// Timeout of an extension that no turn waits for.
 const BACKGROUND_EXTENSION_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest wait for the end of the first part of a turn that is taken up. It is reported in a
@@ -90,6 +97,9 @@
     writer_id: String,
     next_row_number: Cell<u64>,
     programs: RefCell<IndexMap<String, Rc<ProgramState>>>,
+    /// Programs of which a turn has completed, by the hashes of their ids. They are known for longer
+    /// than their accounts, which are closed during long tool calls.
+    begun: RefCell<Recent<()>>,
 }
 
 /// The program accounts of this gateway; clones share them.
@@ -107,6 +117,7 @@
             writer_id,
             next_row_number: Cell::new(1),
             programs: RefCell::default(),
+            begun: RefCell::new(Recent::new(BEGUN_PERIOD, MAX_BEGUN, Instant::now())),
         };
         Self {
             shared: Rc::new(shared),
@@ -242,9 +253,10 @@
         programs.get(program_id)?.prefix_holder.borrow().clone()
     }
 
-    /// Whether a turn of the program has completed since its account was opened at this gateway.
+    /// Whether a turn of the program has completed within `BEGUN_PERIOD`, as this gateway knows.
     pub fn has_begun(&self, program_id: &str) -> bool {
-        self.prefix_holder(program_id).is_some()
+        let program = hash_bytes(program_id.as_bytes());
+        self.shared.begun.borrow().get(program).is_some()
     }
 
     /// The origin of the program's streams that have no row of their own; `None` if it is not known.
@@ -262,6 +274,11 @@
         spent_tokens: u64,
         completed_by: Option<BackendServerId>,
     ) {
+        if completed_by.is_some() {
+            let program = hash_bytes(program_id.as_bytes());
+            let mut begun = self.shared.begun.borrow_mut();
+            begun.set(program, (), Instant::now());
+        }
         let program = self.shared.programs.borrow().get(program_id).cloned();
         if let Some(program) = program {
             let is_complete = completed_by.is_some();
--- a/tests/gateway_overload.rs
+++ b/tests/gateway_overload.rs
@@ -3,6 +3,7 @@
 #[path = "support/gateway.rs"]
 mod gateway;
 
+use std::thread;
 use std::time::Duration;
 
 use gateway::{Turn, WAIT_TIMEOUT, new_request_id};
@@ -52,8 +53,11 @@
     let gateways = &site.gateways;
     let begun = new_request_id();
     assert_eq!(run(&gateways[0], &begun).status(), 200);
+    // The account of the program is closed after three seconds without a turn.
+    thread::sleep(Duration::from_millis(3_500));
     state_load(&site, OVERLOADED);
-    for gateway in gateways {
+    // The gateway that has not served the program comes first.
+    for gateway in gateways.iter().rev() {
         assert!(wait_until(WAIT_TIMEOUT, || (0..4).all(|_| is_refused(gateway))));
         for _ in 0..4 {
             assert_eq!(run(gateway, &begun).status(), 200);
