--- a/tests/support/played_load.rs
+++ b/tests/support/played_load.rs
@@ -17,7 +17,8 @@
 const QUEUE_PLACES: usize = 24;
 const GOSSIP_MS: u64 = 500;
 const MAX_FAILURES: u32 = 3;
-const REPORT_TTL: Duration = Duration::from_secs(4);
+/// Time for which reports are used without and under overload.
+const REPORT_TTLS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(4)];
 /// Mean time that a program occupies a slot: 5.5 turns of 0.35 s.
 const PROGRAM_SLOT_S: f64 = 5.5 * 0.35;
 
@@ -251,9 +252,10 @@
         let gateway = &mut self.gateways[program.gateway];
         if gateway.admission.is_update_due(now) {
             let now_ms = self.now_ms;
+            let ttl = REPORT_TTLS[usize::from(gateway.admission.level().is_overloaded())];
             let known = gateway.reports.iter().map(|report| {
                 let age = |at_ms: u64| Duration::from_millis(now_ms - at_ms);
-                let age = report.at_ms.map(age).filter(|age| *age < REPORT_TTL);
+                let age = report.at_ms.map(age).filter(|age| *age < ttl);
                 KnownLoad {
                     slots: SLOTS,
                     report: age.map(|age| (report.requests.saturating_add(report.sent_since), age)),
