--- a/tests/gateway_overload.rs
+++ b/tests/gateway_overload.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use gateway::{Turn, WAIT_TIMEOUT, new_request_id};
-use sapphireford_standin::harness::{EventStream, GatewayProcess, GatewaySite, wait_until};
+use sapphireford_standin::harness::{
+    EventStream, GatewayProcess, GatewaySite, HttpRequest, wait_until,
+};
 use serde_json::json;
 
 /// Three batches in each engine, which has 16 slots.
@@ -46,7 +48,8 @@
 }
 
 /// Guards against first turns that queue in overloaded engines, against programs that have begun and
-/// are refused at another gateway, and against an admission level that outlasts the overload.
+/// are refused at another gateway, against an admission level that outlasts the overload, and
+/// against an overload that the metrics do not show.
 #[test]
 fn only_programs_that_have_not_begun_are_refused() {
     let site = GatewaySite::start(2);
@@ -63,6 +66,14 @@
             assert_eq!(run(gateway, &begun).status(), 200);
         }
     }
+    let metrics = HttpRequest::get("/metrics").send(gateways[0].metrics_address());
+    let metrics = metrics.expect("the metrics").text();
+    for name in [
+        "sapphireford_admitted_share{",
+        "sapphireford_overload_refusals_total{",
+    ] {
+        assert!(metrics.contains(name), "{name} is missing");
+    }
     state_load(&site, "1,0,16,100");
     for gateway in gateways {
         assert!(wait_until(RECOVERY_TIMEOUT, || {
