--- a/src/process/overload/demand.rs
+++ b/src/process/overload/demand.rs
@@ -32,7 +32,8 @@
 const DEMAND_PERIOD: Duration = Duration::from_secs(10);
 /// Teams whose demand has fallen below this number of requests are forgotten.
 const MIN_REQUESTS: f64 = 0.05;
-/// Most teams whose demand is known. Further ones are taken to be within their share.
+/// Most teams whose demand is known. Further ones are taken to be within their share until the next
+/// update, which forgets the teams with the least demand.
 pub const MAX_TEAMS: usize = 4_096;
 /// Most teams in one message, those with the largest demand. A message then holds some ten KiB,
 /// which is far below the bandwidth of a small VM at two messages a second.
@@ -150,6 +151,12 @@
             demand.tokens *= kept;
             demand.first_turns.max(demand.begun) >= MIN_REQUESTS || demand.tokens >= 1.0
         });
+        if self.teams.len() >= MAX_TEAMS {
+            let mut turns: Vec<f64> = self.teams.values().map(|team| team.first_turns).collect();
+            let (_, median, _) = turns.select_nth_unstable_by(MAX_TEAMS / 2, f64::total_cmp);
+            let median = *median;
+            self.teams.retain(|_, demand| demand.first_turns > median);
+        }
         self.share = share;
         self.grants.clear();
         if share >= 1.0 {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -187,6 +187,28 @@
     assert!(load.batches[50..].iter().all(|batches| *batches < 1.8));
 }
 
+/// Guards against a flood that is not seen because more teams than are remembered have come before.
+#[test]
+fn a_flood_is_seen_among_more_teams_than_are_remembered() {
+    let start = Instant::now();
+    let mut demand = Demand::new(start);
+    let mut now = start;
+    for index in 0..41_000 {
+        let team = TeamId::from(format!("team {index}"));
+        demand.record_first_turn(Urgency::default(), &team);
+        if index % 100 == 0 {
+            if index > 20_000 {
+                demand.record_first_turn(Urgency::default(), &TeamId::from("flood"));
+            }
+            now += Duration::from_millis(10);
+            demand.update(0.5, now);
+        }
+    }
+    let refused = |team: &str| demand.refusal_probability(Urgency::default(), &TeamId::from(team));
+    assert!(refused("flood") > 0.8, "{}", refused("flood"));
+    assert!(refused("flood") > refused("team 40999"));
+}
+
 /// Guards against a demand that is multiplied by telling it: the sum over two gateways must stay the
 /// same, also for a team that one of them does not know, and an invalid amount must not spread.
 #[test]
