--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -103,6 +103,8 @@
     limit_per_s: Option<f64>,
     /// States in all responses how long work takes, in percent of the normal time.
     speed_percent: Option<u32>,
+    /// States this load in all responses instead of the true one.
+    load: Option<String>,
     /// Ends the process when it runs a request whose body contains this text.
     crash_on: Option<String>,
     /// Returns status 500 after execution; streams are not affected.
@@ -270,7 +272,7 @@
             }
         };
         insert("request-id", request_id);
-        insert("server-load", &load);
+        insert("server-load", control.load.as_ref().unwrap_or(&load));
         if control.leaving {
             insert("server-leaving", "1");
         }
--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -33,6 +33,8 @@
 use crate::connection::http_server::{self, Handler, HttpLimits, Server};
 use crate::error::{Error, ErrorKind};
 use crate::process::metrics::{self, Metrics};
+use crate::process::overload::control::OverloadControl;
+use crate::process::overload::exchange;
 use crate::process::teams::config_age::{ConfigAge, ProofSource};
 use crate::process::teams::config_reads;
 use crate::process::teams::limits::TeamLimits;
@@ -116,6 +118,8 @@
     pub server_path: Rc<ServerPath>,
     /// Keeps the request rates that backend servers limit.
     pub rate_limits: RateLimits,
+    /// Refuses first turns of programs while services are overloaded.
+    pub overload: OverloadControl,
     /// Whether the keys of the active configuration may be used.
     pub config_age: Rc<ConfigAge>,
     /// Keeps the limits of teams.
@@ -305,6 +309,7 @@
             servers,
             server_path,
             rate_limits,
+            overload: OverloadControl::default(),
             config_age: Rc::new(ConfigAge::new(settings.key_withdrawal_limit)),
             team_limits: Rc::new(team_limits),
             directory,
@@ -489,6 +494,7 @@
     let directory = gateway.directory.clone();
     let registrations = gossip::run_registrations(directory.clone(), store.clone(), writer.clone());
     monoio::spawn(registrations);
+    monoio::spawn(exchange::run(gateway.clone()));
     let servers = gateway.servers.clone();
     let http = gateway.http.clone();
     let config_age = gateway.config_age.clone();
@@ -502,6 +508,8 @@
         loop {
             ticks.tick().await;
             maintenance_gateway.servers.maintain(Instant::now());
+            let servers = &maintenance_gateway.servers;
+            maintenance_gateway.overload.update(servers, Instant::now());
             maintenance_gateway.rate_limits.remove_idle(Instant::now());
             ledger.close_idle(Instant::now());
             maintenance_gateway.metrics.run_upkeep();
--- a/src/process/gateway/servers.rs
+++ b/src/process/gateway/servers.rs
@@ -96,6 +96,8 @@
     reporter: ReporterId,
     /// What is learned of the topics of requests.
     pub topics: Topics,
+    /// Whether a service is overloaded.
+    is_overloaded: Cell<bool>,
     /// The requests that were running when servers crashed.
     pub crash_reports: CrashReports,
 }
@@ -114,6 +116,7 @@
             usual_times: RefCell::default(),
             reporter: rand::random(),
             topics: Topics::default(),
+            is_overloaded: Cell::new(false),
             crash_reports: CrashReports::default(),
         }
     }
@@ -327,14 +330,15 @@
     }
 
     /// What is told in the gossip: the notices, and the loads while servers limit their rates or
-    /// state their speed, or requests are placed by topic. The admissions of turns exchange the loads at other times, which is enough
-    /// without an overload.
+    /// state their speed, requests are placed by topic, or a service is overloaded. The admissions of
+    /// turns exchange the loads at other times, which is enough without an overload.
     pub fn gossip_notices(&self, now: Instant) -> ServerNotices {
         let mut notices = self.notices(now);
         let requested_at = self.loads_requested_at.get();
         let are_requested =
             requested_at.is_some_and(|at| now.saturating_duration_since(at) < LOADS_REQUESTED_FOR);
-        if self.has_rate_limits.get() || self.has_speeds.get() || are_requested {
+        let is_loaded = self.has_rate_limits.get() || self.is_overloaded.get();
+        if is_loaded || self.has_speeds.get() || are_requested {
             notices.loads = self.shared_loads(now);
         }
         notices.outcomes = self.shared_outcomes();
@@ -395,8 +399,14 @@
         by_id.values().for_each(|server| server.forget_failures());
     }
 
-    fn load_report_ttl(&self) -> Duration {
-        match self.has_rate_limits.get() {
+    /// Records whether a service is overloaded. Loads are then told in the gossip.
+    pub fn set_overloaded(&self, is_overloaded: bool) {
+        self.is_overloaded.set(is_overloaded);
+    }
+
+    /// Time for which a load report is used.
+    pub fn load_report_ttl(&self) -> Duration {
+        match self.has_rate_limits.get() || self.is_overloaded.get() {
             true => OVERLOAD_REPORT_TTL,
             false => LOAD_REPORT_TTL,
         }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -48,6 +48,10 @@
         "Backend servers chosen, by `route`, `by` (topic, prefix or load) and `speed` (used or none).";
     describe_gauge TOPIC_AFFINITY_PAYS = "sapphireford_topic_affinity_pays", Count,
         "Whether placement by topic pays, by `route`: 1 if it does, 0 if it does not or is not known yet.";
+    describe_gauge ADMITTED_SHARE = "sapphireford_admitted_share", Count,
+        "Admission level: the share of the first turns of programs that is admitted, by `service`.";
+    describe_counter OVERLOAD_REFUSALS = "sapphireford_overload_refusals_total", Count,
+        "First turns refused because of an overload, by `service`, `reason`, `team_priority` and `route_priority`.";
     describe_counter REQUESTS = "sapphireford_requests_total", Count,
         "Requests of callers, by `route` and `outcome` (ok or the error kind; gateways: `status`).";
     describe_gauge REQUESTS_IN_PROGRESS = "sapphireford_requests_in_progress", Count,
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -12,6 +12,7 @@
 use sapphireford_platform::headers::{self, CallHeaders};
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
+use super::admission;
 use super::caller::{Caller, PresentedKey};
 use super::forward::{RequestForwarder, ServerResponse};
 use super::origin::{EarlierRecords, OriginConstraint};
@@ -186,6 +187,20 @@
         if routes.teams.is_some() {
             headers::remove_team_headers(&mut head.headers);
         }
+        // A gateway without a path to servers knows no loads; the peer that serves the request decides.
+        if !self.gateway.server_path.is_lost() {
+            let may_begin = may_begin_program(&route, &call);
+            admission::admit(
+                &self.gateway,
+                &routes,
+                &route,
+                &call,
+                &ids,
+                &caller,
+                may_begin,
+            )
+            .await?;
+        }
         let is_limit_counted = source
             .relayed_team()
             .is_some_and(|team| team.is_limit_counted);
