--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -195,6 +195,7 @@
         let table = Rc::new(table);
         self.team_limits.set_config(table.clone());
         self.routes.replace(Some(table));
+        self.overload.set_has_teams(has_teams);
         self.config_age.activate(row.version, has_teams);
     }
 
--- a/src/process/overload/control.rs
+++ b/src/process/overload/control.rs
@@ -1,6 +1,6 @@
 //! The admission of all engine services of a gateway, from what its registry knows of the servers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -17,13 +17,21 @@
 /// Demands by the name of the service.
 pub type ServiceDemands = Vec<(String, Vec<SharedDemand>)>;
 
-/// The admission of the engine services whose servers state their speed.
+/// The admission of the engine services that teams share, or whose servers state their speed because
+/// they share their VMs with others.
 #[derive(Debug, Default)]
 pub struct OverloadControl {
+    /// Whether the configuration has teams, which compete for the servers.
+    has_teams: Cell<bool>,
     services: RefCell<IndexMap<String, ServiceAdmission>>,
 }
 
 impl OverloadControl {
+    /// Tells whether the active configuration has teams.
+    pub fn set_has_teams(&self, has_teams: bool) {
+        self.has_teams.set(has_teams);
+    }
+
     /// Decides on the first turn of a program at a service.
     pub fn decide(
         &self,
@@ -107,7 +115,7 @@
     pub fn update(&self, servers: &Servers, now: Instant) {
         let mut services = self.services.borrow_mut();
         for (service, admission) in services.iter_mut() {
-            update(admission, servers, service, now);
+            update(admission, servers, service, self.has_teams.get(), now);
         }
         let mut all = services.values();
         servers.set_overloaded(all.any(|admission| admission.level().is_overloaded()));
@@ -149,8 +157,8 @@
         }
     }
 
-    /// Calls `use_admission` with the admission of a service, brought up to date. `None` if no
-    /// server of the service states its speed.
+    /// Calls `use_admission` with the admission of a service, brought up to date. `None` if there are
+    /// no teams and no server of the service states its speed.
     fn with_service<T>(
         &self,
         servers: &Servers,
@@ -161,27 +169,35 @@
         let mut services = self.services.borrow_mut();
         if !services.contains_key(service) {
             let of_service = servers.for_service(service);
-            if !of_service.iter().any(|server| server.states_speed()) {
+            let is_shared =
+                self.has_teams.get() || of_service.iter().any(|server| server.states_speed());
+            if !is_shared {
                 return None;
             }
             services.insert(service.to_string(), ServiceAdmission::new(now));
         }
         let admission = services.get_mut(service)?;
-        update(admission, servers, service, now);
+        update(admission, servers, service, self.has_teams.get(), now);
         Some(use_admission(admission))
     }
 }
 
-fn update(admission: &mut ServiceAdmission, servers: &Servers, service: &str, now: Instant) {
+fn update(
+    admission: &mut ServiceAdmission,
+    servers: &Servers,
+    service: &str,
+    has_teams: bool,
+    now: Instant,
+) {
     if !admission.is_update_due(now) {
         return;
     }
     let of_service = servers.for_service(service);
     let ttl = servers.load_report_ttl();
-    let states_speed = of_service.iter().any(|server| server.states_speed());
+    let is_shared = has_teams || of_service.iter().any(|server| server.states_speed());
     let in_service = of_service
         .iter()
-        .filter(|server| states_speed && servers.is_in_service(server));
+        .filter(|server| is_shared && servers.is_in_service(server));
     let known = in_service.map(|server| {
         let wait = server.recent_wait(now);
         let excess = wait.and_then(|wait| admission.waits.excess_permille(wait));
@@ -190,7 +206,7 @@
             ..server.known_load(ttl, now)
         }
     });
-    // Without a server that states its speed, the load is 0 and an overload ends.
+    // Without teams and without a server that states its speed, the load is 0 and an overload ends.
     let known: Vec<KnownLoad> = known.collect();
     let change = admission.update(known, now);
     let share = admission.level().share();
--- a/tests/gateway_shared_speeds.rs
+++ b/tests/gateway_shared_speeds.rs
@@ -31,7 +31,7 @@
 fn speeds_arrive_with_their_loads() {
     let received = |speeds: &[Option<u32>], lost_bytes: usize| {
         let sent = AdmitRequest {
-            are_ids_qualified: true,
+            are_ids_qualified: false,
             turn: TurnBudget {
                 program_id: "program".to_string(),
                 max_tokens: 100,
