--- a/src/process/gateway/running.rs
+++ b/src/process/gateway/running.rs
@@ -11,38 +11,35 @@
 use std::time::{Duration, Instant};
 
 use sapphireford_platform::operator;
-use sapphireford_platform::store::{OPERATOR_TABLE, Row, SERVER_TABLE};
+use sapphireford_platform::store::Row;
 
 use super::budget::AdmissionController;
 use super::crash_reports::Verdict;
 use super::directory::Directory;
 use super::fingerprint::RequestIdentity;
-use super::gossip;
 use super::history::History;
 use super::ledger::Ledger;
 use super::rate_limits::RateLimits;
 use super::server_path::ServerPath;
 use super::servers::Servers;
 use super::settings::GatewaySettings;
-use super::start;
 use super::store::Store;
 use super::stream_origins::StreamOrigins;
-use super::watch::{TableChange, watch_table};
+use super::watch::TableChange;
 use super::writer::StoreWriter;
 use crate::connection::http_client::{ClientLimits, HttpClient};
 use crate::connection::http_server::{self, Handler, HttpLimits, Server};
 use crate::error::{Error, ErrorKind};
 use crate::process::metrics::{self, Metrics};
 use crate::process::overload::control::OverloadControl;
-use crate::process::overload::exchange;
 use crate::process::teams::config_age::{ConfigAge, ProofSource};
-use crate::process::teams::config_reads;
 use crate::process::teams::limits::TeamLimits;
 use crate::process::timer::TimerService;
 use crate::request::gateway::dispatch::GatewayDispatcher;
 use crate::version::route_table::RouteTable;
 use handlers::{DirectoryHandler, MetricsHandler, PeerHandler, ReadinessHandler};
 
+mod background;
 mod handlers;
 
 /// The result of starting a gateway.
@@ -92,8 +89,6 @@
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Part of the shutdown limit that is reserved for the process to exit.
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
-/// Interval of the maintenance task.
-const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without a successful call to the store after which this gateway is not returned to callers.
 /// Without requests, only the calls of the change feeds show contact, which last two seconds.
 const STORE_CONTACT_TIMEOUT: Duration = Duration::from_millis(3_500);
@@ -324,7 +319,7 @@
             caller_server,
             peer_server,
         } = start_listeners(&gateway, &settings)?;
-        start_background_tasks(&gateway, &writer, &ledger);
+        background::start_tasks(&gateway, &writer, &ledger);
         Ok(Self {
             gateway,
             ledger,
@@ -465,54 +460,3 @@
     http_server::serve(address, limits, gateway.timer.clone(), Rc::new(handler))
         .map_err(|error| StartError::Listen(setting, address, error))
 }
-
-fn start_background_tasks(gateway: &Rc<Gateway>, writer: &StoreWriter, ledger: &Ledger) {
-    let store = gateway.store.clone();
-    let config_gateway = gateway.clone();
-    let config_age = gateway.config_age.clone();
-    monoio::spawn(watch_table(
-        store.clone(),
-        OPERATOR_TABLE,
-        move |change| config_gateway.apply_operator_rows(change),
-        move |source, started| config_age.prove(source, started),
-    ));
-    monoio::spawn(config_reads::run(gateway.clone()));
-    let server_gateway = gateway.clone();
-    let apply_servers = move |change| {
-        let store_recovered_at = server_gateway.store.last_recovery();
-        server_gateway
-            .servers
-            .apply(change, store_recovered_at, Instant::now());
-    };
-    monoio::spawn(watch_table(
-        store.clone(),
-        SERVER_TABLE,
-        apply_servers,
-        |_, _| {},
-    ));
-    monoio::spawn(start::learn_from_peers(gateway.clone()));
-    let directory = gateway.directory.clone();
-    let registrations = gossip::run_registrations(directory.clone(), store.clone(), writer.clone());
-    monoio::spawn(registrations);
-    monoio::spawn(exchange::run(gateway.clone()));
-    let servers = gateway.servers.clone();
-    let http = gateway.http.clone();
-    let config_age = gateway.config_age.clone();
-    monoio::spawn(gossip::run_rounds(
-        directory, servers, config_age, http, store,
-    ));
-    let maintenance_gateway = gateway.clone();
-    let ledger = ledger.clone();
-    monoio::spawn(async move {
-        let mut ticks = maintenance_gateway.timer.subscribe(MAINTENANCE_INTERVAL);
-        loop {
-            ticks.tick().await;
-            maintenance_gateway.servers.maintain(Instant::now());
-            let servers = &maintenance_gateway.servers;
-            maintenance_gateway.overload.update(servers, Instant::now());
-            maintenance_gateway.rate_limits.remove_idle(Instant::now());
-            ledger.close_idle(Instant::now());
-            maintenance_gateway.metrics.run_upkeep();
-        }
-    });
-}
