--- a/src/request/gateway.rs
+++ b/src/request/gateway.rs
@@ -13,6 +13,7 @@
 
 pub mod admission;
 pub mod caller;
+pub mod crash;
 pub mod dispatch;
 pub mod forward;
 pub mod origin;
