--- a/src/process/teams.rs
+++ b/src/process/teams.rs
@@ -22,3 +22,4 @@
 pub mod limit_report;
 pub mod limit_window;
 pub mod limits;
+mod token_bucket;
--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -14,6 +14,7 @@
 
 use super::limit_messages::{ProgramDigest, Verdict};
 use super::limit_window::GrantWindow;
+use super::token_bucket::{MAX_RETRY, TokenBucket, seconds};
 use crate::ids::VersionNumber;
 use crate::process::boot_clock::BootTime;
 use crate::process::gateway::settings::TeamLimitTolerance;
@@ -30,8 +31,6 @@
 /// Denied requests are spread over at most this time, unless the token takes longer. A flood does
 /// not move the time for those that come after it any further.
 const MAX_SPREAD: Duration = Duration::from_secs(5);
-/// Longest time that is told to a denied request; also keeps times of tiny rates representable.
-const MAX_RETRY: Duration = Duration::from_secs(600);
 /// Share of the window's slack that tokens granted beyond the waiting requests may take up. Such a
 /// token may be used up to [`GRANT_VALIDITY`] after it was counted.
 const EXTRA_SLACK_SHARE: f64 = 0.15;
@@ -79,31 +78,6 @@
     Since(BootTime),
 }
 
-#[derive(Clone, Debug)]
-struct TokenBucket {
-    /// Tokens; negative while tokens are promised to requests that wait for them.
-    level: f64,
-    refilled_at: BootTime,
-}
-
-impl TokenBucket {
-    fn refill(&mut self, rate_per_s: f64, capacity: f64, now: BootTime) {
-        let elapsed = now.saturating_duration_since(self.refilled_at);
-        self.level = (self.level + rate_per_s * elapsed.as_secs_f64()).min(capacity);
-        self.refilled_at = self.refilled_at.max(now);
-    }
-
-    /// Time until one token is there.
-    fn wait(&self, rate_per_s: f64) -> Duration {
-        seconds((1.0 - self.level) / rate_per_s)
-    }
-}
-
-fn seconds(value: f64) -> Duration {
-    let value = value.clamp(0.0, MAX_RETRY.as_secs_f64());
-    Duration::try_from_secs_f64(value).unwrap_or(MAX_RETRY)
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Program {
     first_request: BootTime,
