Keep the rule for keys, the time of begun programs and the time-out of programs in one place each

The dispatcher, the check of configurations, the ledger, the admission under overload and the holdings of team limits each had their own copy.

--- a/src/process/gateway/ledger.rs
+++ b/src/process/gateway/ledger.rs
@@ -22,16 +22,13 @@
 use super::writer::StoreWriter;
 use crate::ids::BackendServerId;
 use crate::process::notify::Notify;
-use crate::process::overload::recent::Recent;
+use crate::process::overload::recent::{BEGUN_PERIOD, Recent};
 use crate::process::slots::placement::hash_bytes;
 
 const TABLE: &str = "program-spending";
 /// Time without a turn after which an account returns its unused tokens. It is longer than the
 /// pauses of most programs between two turns.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time for which a program counts as begun after its last complete turn. It exceeds the pauses for
-/// tool calls.
-const BEGUN_PERIOD: Duration = Duration::from_secs(60);
 /// Half of the most programs that are remembered as begun: 16 bytes each.
 const MAX_BEGUN: usize = 8_192;
 /// Timeout of an extension that no turn waits for.
--- a/src/process/overload/admission.rs
+++ b/src/process/overload/admission.rs
@@ -5,7 +5,7 @@
 use super::demand::{Demand, Urgency};
 use super::level::{AdmissionLevel, FREE_SLOTS_LEVEL_APPLIES, LevelChange};
 use super::program_times::ProgramTimes;
-use super::recent::Recent;
+use super::recent::{BEGUN_PERIOD, Recent};
 use super::service_load::{KnownLoad, ServiceLoad};
 use super::waits::Waits;
 use crate::ids::TeamId;
@@ -28,9 +28,6 @@
 const SLACK_DIVISOR: u32 = 3;
 /// Time for which a refused program is remembered; it exceeds the longest return delay.
 const REFUSAL_PERIOD: Duration = Duration::from_secs(6);
-/// Time for which a program that has begun is remembered after its last turn. It exceeds the
-/// pauses for tool calls.
-const BEGUN_PERIOD: Duration = Duration::from_secs(60);
 /// Half of the most programs that are remembered of either kind: 32 bytes each.
 const MAX_RECENT_PROGRAMS: usize = 4_096;
 
@@ -41,7 +38,7 @@
 /// A turn that may be the first one of its program.
 #[derive(Clone, Copy, Debug)]
 pub struct Turn<'a> {
-    /// Hash of the team and the id of the program; `None` if the turn belongs to no program.
+    /// Hash of the qualified id of the program; `None` if the turn belongs to no program.
     pub program: Option<u64>,
     /// The urgency of the turn.
     pub urgency: Urgency,
--- a/src/process/overload/recent.rs
+++ b/src/process/overload/recent.rs
@@ -4,6 +4,10 @@
 
 use indexmap::IndexMap;
 
+/// Time for which a program counts as begun after its last turn. It exceeds the pauses for tool
+/// calls.
+pub const BEGUN_PERIOD: Duration = Duration::from_secs(60);
+
 /// Values by the hash of a program id. A value is kept for at least the period after it was last
 /// set, unless there are more values than the limit, and for at most twice the period.
 ///
--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -3,9 +3,9 @@
 //! A token bucket with the rate of the limit counts all requests. It holds the burst and a part of
 //! what the platform tolerates, because the requests of a single program come in bursts. An owner
 //! that knows the whole window also grants a part of the burst in each window, as long as the count of
-//! the window allows it. The first turn of a program is admitted if the tokens of the next seconds are enough for what the running
-//! programs still need. So a team near its limit finishes the programs that it has begun, and begins
-//! fewer new ones.
+//! the window allows it. The first turn of a program is admitted if the tokens of the next seconds
+//! are enough for what the running programs still need. So a team near its limit finishes the
+//! programs that it has begun, and begins fewer new ones.
 
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
 /// Time for which a grant may be used, from the start of the call that asked for it.
 pub const GRANT_VALIDITY: Duration = Duration::from_millis(500);
 /// A program without a request for this time counts as ended.
-const PROGRAM_TIMEOUT: Duration = Duration::from_secs(30);
+pub const PROGRAM_TIMEOUT: Duration = Duration::from_secs(30);
 /// Most programs of a team that are remembered, about 400 KB. Only the first turns of further
 /// programs that come twice are counted twice.
 const MAX_PROGRAMS: usize = 8_192;
--- a/src/process/teams/limit_holdings.rs
+++ b/src/process/teams/limit_holdings.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use sapphireford_platform::operator::TeamLimit;
 
-use super::limit_bucket::{GRANT_VALIDITY, NO_OWNER_SLACK_SHARE, slack};
+use super::limit_bucket::{GRANT_VALIDITY, NO_OWNER_SLACK_SHARE, PROGRAM_TIMEOUT, slack};
 use super::limit_messages::{Issuer, ProgramDigest, TeamAsk};
 use crate::ids::{TeamId, VersionNumber};
 use crate::process::boot_clock::BootTime;
@@ -20,8 +20,6 @@
 /// Programs of a team that are remembered and named in one call. The requests of further ones are not
 /// counted for their program, which only changes how many requests a program is taken to need.
 const MAX_NAMED_PROGRAMS: usize = 256;
-/// A program without a request for this time counts as ended.
-const PROGRAM_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Counts requests over about the last [`GRANT_VALIDITY`].
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/request/gateway/caller.rs
+++ b/src/request/gateway/caller.rs
@@ -13,12 +13,10 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::process::metrics;
 use crate::process::teams::config_age::ConfigAge;
-use crate::version::key_digest::KeyDigest;
+use crate::version::key_digest::{KeyDigest, is_valid_key};
 use crate::version::route_table::RouteTable;
 use crate::version::teams::Team;
 
-/// Longest key that is looked up.
-const MAX_KEY_BYTES: usize = 256;
 /// Age of the configuration up to which an unknown key is refused for good. A key that was added
 /// later may be in use already, and callers do not repeat a request after that refusal.
 const UNKNOWN_KEY_AGE_LIMIT: Duration = Duration::from_millis(2_000);
@@ -46,11 +44,7 @@
         let Some((scheme, key)) = value.and_then(|value| value.split_once(' ')) else {
             return Self::Malformed;
         };
-        let is_valid = scheme.eq_ignore_ascii_case("bearer")
-            && !key.is_empty()
-            && key.len() <= MAX_KEY_BYTES
-            && key.bytes().all(|byte| byte.is_ascii_graphic());
-        match is_valid {
+        match scheme.eq_ignore_ascii_case("bearer") && is_valid_key(key) {
             true => Self::Digest(KeyDigest::of_key(key)),
             false => Self::Malformed,
         }
--- a/src/version/config_check.rs
+++ b/src/version/config_check.rs
@@ -11,12 +11,9 @@
 };
 use serde::Serialize;
 
-use crate::version::key_digest::digest;
+use crate::version::key_digest::{MAX_KEY_BYTES, digest, is_valid_key};
 
-/// Longest key that gateways accept.
-const MAX_KEY_BYTES: usize = 256;
-
-/// How grave a finding is.
+/// How serious a finding is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Severity {
@@ -29,7 +26,7 @@
 /// Something that is wrong with a configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Finding {
-    /// How grave it is.
+    /// How serious it is.
     pub severity: Severity,
     /// The entry that it concerns, such as ``route `quotes` ``.
     pub subject: String,
@@ -262,9 +259,7 @@
             findings.warning(&subject, "it has no key, so no request belongs to it");
         }
         for key in &team.keys {
-            let is_usable = (1..=MAX_KEY_BYTES).contains(&key.len())
-                && key.bytes().all(|byte| byte.is_ascii_graphic());
-            if !is_usable {
+            if !is_valid_key(key) {
                 let message = format!(
                     "a key is empty, longer than {MAX_KEY_BYTES} bytes or not visible ASCII, so it \
                      identifies nobody"
--- a/src/version/key_digest.rs
+++ b/src/version/key_digest.rs
@@ -6,6 +6,15 @@
 
 use sha2::{Digest, Sha256};
 
+/// Longest key of a caller that gateways accept.
+pub const MAX_KEY_BYTES: usize = 256;
+
+/// Whether callers can send this key: gateways accept one of up to [`MAX_KEY_BYTES`] visible ASCII
+/// characters.
+pub fn is_valid_key(key: &str) -> bool {
+    (1..=MAX_KEY_BYTES).contains(&key.len()) && key.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 /// The SHA-256 digest of a caller's key. It is passed between gateways and must not get into logs.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub struct KeyDigest([u8; 32]);
