Identify programs under overload by their qualified ids

IdScope is the only place that qualifies ids by the team; the admission had a second rule. The hashes are kept in the memory of one gateway only.

--- a/src/request/gateway/admission.rs
+++ b/src/request/gateway/admission.rs
@@ -26,12 +26,10 @@
 /// longest one is twice as long. A queue that is full has room after some turns.
 const REFUSED_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Identifies a program in the memory of this gateway, apart from those of other teams.
-fn program_hash(call: &CallHeaders, caller: &Caller) -> Option<u64> {
-    let program = call.program.as_ref()?;
-    let team = caller.team.as_ref().map_or("", |team| &*team.id);
-    let key = format!("{}:{team}:{}", team.len(), program.program_id);
-    Some(hash_bytes(key.as_bytes()))
+/// Identifies a program in the memory of this gateway.
+fn program_hash(ids: &QualifiedIds) -> Option<u64> {
+    let program_id = ids.program_id.as_ref()?;
+    Some(hash_bytes(program_id.as_bytes()))
 }
 
 /// Fails if the request is the first turn of a program and the service is too loaded for it.
@@ -59,7 +57,7 @@
     };
     let prompt = &call.prompt;
     let turn = Turn {
-        program: program_hash(call, caller),
+        program: program_hash(ids),
         urgency,
         team: caller.team.as_ref().map_or(&no_team, |team| &team.id),
         tokens: prompt
@@ -121,14 +119,14 @@
         let now = Instant::now();
         let wait = now.saturating_duration_since(self.attempt_started_at);
         let overload = &self.gateway.overload;
-        let program = program_hash(&self.call, &self.caller);
+        let program = program_hash(&self.ids);
         overload.record_first_event(&server.service(), server, program, wait, now);
     }
 
     /// The error if a server has refused the request and the service is too loaded for a retry;
     /// `None` if it may be sent to another server. A stream that has begun may always.
     pub(super) fn retry_refusal(&self, server: &Server) -> Option<Error> {
-        let program = program_hash(&self.call, &self.caller);
+        let program = program_hash(&self.ids);
         let (overload, service) = (&self.gateway.overload, server.service());
         let has_begun = self.attempts.may_have_run
             || self.prefix_holder.is_some()
@@ -149,7 +147,7 @@
     pub(super) fn record_turn_end(&self, server: &Server) {
         let now = Instant::now();
         let time = now.saturating_duration_since(self.attempt_started_at);
-        let program = program_hash(&self.call, &self.caller);
+        let program = program_hash(&self.ids);
         let overload = &self.gateway.overload;
         overload.record_turn_end(&server.service(), server, program, time, now);
     }
