--- a/src/process/overload/waits.rs
+++ b/src/process/overload/waits.rs
@@ -65,11 +65,6 @@
         excess.unwrap_or(0)
     }
 
-    /// The time of a turn on an idle server; `None` if it is not known.
-    pub fn idle_turn(&self) -> Option<Duration> {
-        self.idle_turn_s.map(Duration::from_secs_f64)
-    }
-
     /// The time of a turn at present; `None` if it is not known.
     pub fn recent_turn(&self) -> Option<Duration> {
         self.recent_turn_s.map(Duration::from_secs_f64)
--- a/src/process/teams/limit_ownership.rs
+++ b/src/process/teams/limit_ownership.rs
@@ -96,16 +96,13 @@
         let shard = self.shard(request.shard)?;
         let tenure = shard.lease.borrow().held(now)?;
         let mut buckets = shard.buckets.borrow_mut();
-        let (number, buckets) = buckets.get_or_insert_with(|| {
+        let is_current = |(number, _): &(u64, ShardBuckets)| *number == tenure.number;
+        if !buckets.as_ref().is_some_and(is_current) {
             let issuer = rand::rng().random_range(1..=u64::MAX);
-            let buckets = ShardBuckets::new(issuer, tenure.start, self.tolerance, now);
-            (tenure.number, buckets)
-        });
-        if *number != tenure.number {
-            let issuer = rand::rng().random_range(1..=u64::MAX);
-            *buckets = ShardBuckets::new(issuer, tenure.start, self.tolerance, now);
-            *number = tenure.number;
+            let new = ShardBuckets::new(issuer, tenure.start, self.tolerance, now);
+            *buckets = Some((tenure.number, new));
         }
+        let (_, buckets) = buckets.as_mut()?;
         Some(buckets.decide(request, now))
     }
 
--- a/src/process/teams/limits.rs
+++ b/src/process/teams/limits.rs
@@ -55,8 +55,6 @@
 pub struct LimitedRequest<'a> {
     /// The program that the request belongs to, qualified by its team; `None` if it belongs to none.
     pub program_id: Option<&'a str>,
-    /// The name of the route.
-    pub route: &'a str,
     /// Whether the request may be the first one of its program: a turn that continues no other.
     pub may_begin_program: bool,
     /// The version of the configuration that the team is taken from.
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -187,9 +187,9 @@
         if routes.teams.is_some() {
             headers::remove_team_headers(&mut head.headers);
         }
+        let may_begin_program = may_begin_program(&route, &call);
         // A gateway without a path to servers knows no loads; the peer that serves the request decides.
         if !self.gateway.server_path.is_lost() {
-            let may_begin = may_begin_program(&route, &call);
             admission::admit(
                 &self.gateway,
                 &routes,
@@ -197,7 +197,7 @@
                 &call,
                 &ids,
                 &caller,
-                may_begin,
+                may_begin_program,
             )
             .await?;
         }
@@ -207,8 +207,7 @@
         if let Some(team) = caller.team.as_ref().filter(|_| !is_limit_counted) {
             let limited = LimitedRequest {
                 program_id: ids.program_id.as_deref(),
-                route: &route.name,
-                may_begin_program: may_begin_program(&route, &call),
+                may_begin_program,
                 config_version: routes.version,
                 deadline,
             };
@@ -254,9 +253,10 @@
             true => self.prepare_turn(&mut forwarder, source).await,
             false => Ok(None),
         };
-        let unsaved_turn = prepared.inspect_err(|error| self.uncount(counted_team, error))?;
+        let unsaved_turn =
+            prepared.inspect_err(|error| self.return_limit_token(counted_team, error))?;
         let sent = forwarder.send(last_event_id).await;
-        match sent.inspect_err(|error| self.uncount(counted_team, error))? {
+        match sent.inspect_err(|error| self.return_limit_token(counted_team, error))? {
             ServerResponse::Buffered(response) => {
                 let (head, body) = response.into_parts();
                 record.finish(head.status.as_u16(), "answered");
@@ -280,8 +280,8 @@
         }
     }
 
-    /// Gives back the token of a request that was refused after the limit of its team counted it.
-    fn uncount(&self, counted_team: Option<&Team>, error: &Error) {
+    /// Returns the token of a request that was refused after the limit of its team counted it.
+    fn return_limit_token(&self, counted_team: Option<&Team>, error: &Error) {
         if let Some(team) = counted_team
             && error.kind.answer().ran == Ran::No
         {
