--- a/src/process/gateway/outcomes.rs
+++ b/src/process/gateway/outcomes.rs
@@ -2,8 +2,8 @@
 //!
 //! A server may fail or hang while its health is good. Each gateway counts the good and bad outcomes
 //! of the last seconds at each server and tells its peers. A server is excluded if most of its
-//! outcomes are bad, those of the other servers of its service are not, and two gateways say so. The
-//! word of one gateway suffices only if no other one is served well.
+//! outcomes are bad, those of the other servers of its service are not, and two gateways report so.
+//! The report of one gateway suffices only if no other one is served well.
 
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
@@ -145,9 +145,9 @@
         }
         let peers = self.by_peer.values().map(|(counts, _)| *counts);
         let all = || peers.clone().chain([self.own()]);
-        let accusers = all().filter(|counts| counts.is_mostly_bad()).count();
+        let reporters = all().filter(|counts| counts.is_mostly_bad()).count();
         let are_others_served = all().any(|counts| counts.good > counts.bad);
-        accusers >= 2 || !are_others_served
+        reporters >= 2 || !are_others_served
     }
 }
 
--- a/src/process/gateway/peers/relayed_request.rs
+++ b/src/process/gateway/peers/relayed_request.rs
@@ -45,6 +45,8 @@
 const NOT_TAKEN_HEADER: HeaderName = HeaderName::from_static("x-not-taken");
 /// Marks the response of a peer to a relayed request that failed in doubt: a server may have run it.
 const IN_DOUBT_HEADER: HeaderName = HeaderName::from_static("x-in-doubt");
+/// Value of the headers that are marks.
+const MARK: HeaderValue = HeaderValue::from_static("1");
 
 /// Whether this is the path of a relayed request of a caller.
 pub(super) fn is_request_path(path: &str) -> bool {
@@ -103,8 +105,7 @@
         team.insert_into(headers);
     }
     if terms.are_tokens_reserved {
-        let value = HeaderValue::from_static("1");
-        headers.insert(TOKENS_RESERVED_HEADER, value);
+        headers.insert(TOKENS_RESERVED_HEADER, MARK);
         let holder = terms.prefix_holder.map(HeaderValue::from_str);
         if let Some(Ok(holder)) = holder {
             headers.insert(PREFIX_HOLDER_HEADER, holder);
@@ -173,10 +174,7 @@
 
 /// Marks the response to a relayed request whose terms this gateway understands.
 pub fn mark_terms_understood(response: &mut Response<Body>) {
-    let value = HeaderValue::from_static("1");
-    response
-        .headers_mut()
-        .insert(TERMS_UNDERSTOOD_HEADER, value);
+    response.headers_mut().insert(TERMS_UNDERSTOOD_HEADER, MARK);
 }
 
 /// Removes the mark of [`mark_terms_understood`]; returns whether the response had it.
@@ -189,8 +187,7 @@
 pub fn not_taken_response() -> Response<Body> {
     let mut response = Response::new(Body::full(Bytes::new()));
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    let value = HeaderValue::from_static("1");
-    response.headers_mut().insert(NOT_TAKEN_HEADER, value);
+    response.headers_mut().insert(NOT_TAKEN_HEADER, MARK);
     response
 }
 
@@ -198,10 +195,7 @@
 /// for it.
 pub fn refused_unread_response() -> Response<Body> {
     let mut response = not_taken_response();
-    let value = HeaderValue::from_static("1");
-    response
-        .headers_mut()
-        .insert(NOTHING_RECORDED_HEADER, value);
+    response.headers_mut().insert(NOTHING_RECORDED_HEADER, MARK);
     response
 }
 
@@ -217,8 +211,7 @@
 
 /// Marks the response to a relayed request that failed in doubt.
 pub fn mark_in_doubt(response: &mut Response<Body>) {
-    let value = HeaderValue::from_static("1");
-    response.headers_mut().insert(IN_DOUBT_HEADER, value);
+    response.headers_mut().insert(IN_DOUBT_HEADER, MARK);
 }
 
 /// Removes the mark of [`mark_in_doubt`]; returns whether the response had it.
--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -111,7 +111,7 @@
         InFlightGuard {
             server: self.clone(),
             started_at: Instant::now(),
-            has_outcome: Cell::new(false),
+            has_ended: Cell::new(false),
         }
     }
 
@@ -425,19 +425,19 @@
     server: Rc<Server>,
     started_at: Instant,
     /// Whether the request has been answered or has failed.
-    has_outcome: Cell<bool>,
+    has_ended: Cell<bool>,
 }
 
 impl InFlightGuard {
     /// Records that the request has been answered or has failed. Returns whether it is the first
     /// time.
-    pub fn settle(&self) -> bool {
-        !self.has_outcome.replace(true)
+    pub fn record_end(&self) -> bool {
+        !self.has_ended.replace(true)
     }
 
     /// Records that the request has failed because of the server.
     pub fn record_failure(&self) {
-        self.settle();
+        self.record_end();
         self.server.record_failure();
     }
 }
@@ -448,7 +448,7 @@
         in_flight.set(in_flight.get() - 1);
         let now = Instant::now();
         let waited = now.saturating_duration_since(self.started_at);
-        if self.settle() && waited >= MIN_ABANDONED_WAIT {
+        if self.record_end() && waited >= MIN_ABANDONED_WAIT {
             self.server.record_outcome(false, now);
         }
     }
--- a/src/process/overload/level.rs
+++ b/src/process/overload/level.rs
@@ -1,10 +1,10 @@
 //! The admission level: the share of the first turns of a service that is admitted.
 //!
-//! The share is set by a controller with a proportional, an integral and a derivative
-//! term (as in the PIE queue
-//! management of RFC 8033), which acts on the logarithm of the share. The effect of a change on the
-//! servers is then the same at twice and at ten times the capacity. All gateways see about the same
-//! loads and each admits the same share of its own first turns, so no coordinator is needed.
+//! The share is set by a controller with a proportional, an integral and a derivative term (as in
+//! the PIE queue management of RFC 8033), which acts on the logarithm of the share. The effect of a
+//! change on the servers is then the same at twice and at ten times the capacity. All gateways see
+//! about the same loads and each admits the same share of its own first turns, so no coordinator is
+//! needed.
 
 use std::time::{Duration, Instant};
 
@@ -27,7 +27,7 @@
 const INTEGRAL_GAIN_PER_BATCH_S: f64 = 1.0;
 /// Time for which the present rise of the load is taken to go on, in seconds: about the age of the
 /// reports. The programs that began during that time are already on the way.
-const FORESIGHT_S: f64 = 0.5;
+const PREDICTION_HORIZON_S: f64 = 0.5;
 /// Time over which the rise of the load is averaged, because reports arrive in groups.
 const RISE_PERIOD: Duration = Duration::from_millis(500);
 /// Smallest logarithm of the share: 2 %. Some first turns are admitted even if all loads are
@@ -119,8 +119,8 @@
     }
 
     fn set_share(&mut self, excess: f64, free_share: f64) {
-        let foreseen = excess + FORESIGHT_S * self.rise_per_s;
-        let log_share = self.integral - PROPORTIONAL_GAIN_PER_BATCH * foreseen;
+        let predicted = excess + PREDICTION_HORIZON_S * self.rise_per_s;
+        let log_share = self.integral - PROPORTIONAL_GAIN_PER_BATCH * predicted;
         let share = log_share.clamp(MIN_LOG_SHARE, 0.0).exp();
         let range = FREE_SLOTS_ADMIT_ALL - FREE_SLOTS_LEVEL_APPLIES;
         let free = ((free_share - FREE_SLOTS_LEVEL_APPLIES) / range).clamp(0.0, 1.0);
--- a/src/request/gateway/topic.rs
+++ b/src/request/gateway/topic.rs
@@ -101,7 +101,7 @@
 
     /// Records the time to the first event or the answer of a server, once for each attempt.
     pub fn record_answer_time(&self, server: &Server, in_flight: &InFlightGuard) {
-        if in_flight.settle() {
+        if in_flight.record_end() {
             let now = Instant::now();
             let time = now.saturating_duration_since(self.attempt_started_at);
             let servers = &self.gateway.servers;
