--- a/src/process/gateway/allowance.rs
+++ b/src/process/gateway/allowance.rs
@@ -3,10 +3,11 @@
 //!
 //! One gateway owns the allowance of a server and counts for all; see
 //! [`rate_limits`](super::rate_limits). It is meant for load beyond what the limited servers take:
-//! requests of urgent teams, then of urgent routes, get the allowance first, and what exceeds it is told when to ask again, spread
-//! over time. Among requests of one priority, those of programs that have begun go before those of
-//! new ones, because a program that is refused halfway has wasted its turns; first among them are
-//! those whose prefix the server holds, because every other server has to compute it again.
+//! requests of urgent teams, then of urgent routes, get the allowance first. Callers whose requests
+//! exceed it are told when to ask again, spread over time. Among requests of one priority, those of
+//! programs that have begun go before those of new ones, because a program that is refused halfway
+//! has wasted its turns; first among them are those whose prefix the server holds, because every
+//! other server has to compute it again.
 
 use std::fmt;
 use std::time::{Duration, Instant};
--- a/src/process/gateway/placement.rs
+++ b/src/process/gateway/placement.rs
@@ -144,9 +144,9 @@
     best.map(|(_, index)| index)
 }
 
-/// Selects the server with the shortest expected time. Among equals, servers of the own failure domain are preferred,
-/// then the ranking of `tie_break_key` decides. Returns an index into `candidates`, or `None` if
-/// none is eligible.
+/// Selects the server with the shortest expected time. Among equals, servers of the own failure
+/// domain are preferred, then the ranking of `tie_break_key` decides. Returns an index into
+/// `candidates`, or `None` if none is eligible.
 pub fn select_by_load(tie_break_key: u64, candidates: &[Candidate<'_>]) -> Option<usize> {
     let all = candidates.iter().enumerate();
     let eligible = all.filter(|(_, candidate)| candidate.is_eligible);
--- a/src/process/teams.rs
+++ b/src/process/teams.rs
@@ -5,10 +5,11 @@
 //!   newest one, so that a withdrawn key does not stay in use at a gateway that is cut off.
 //! - [`config_reads`] reads the configuration so that this time stays recent.
 //! - [`limits`] admits requests within the limits of their teams. The decisions are in
-//!   [`limit_bucket`], [`limit_window`] and [`limit_owner`] for the gateway that counts the requests of a team, in
-//!   [`limit_holdings`] for the others, and in [`limit_leases`] for the choice of the former, which
-//!   [`limit_ownership`] carries out; [`limit_owners`] and [`limit_messages`] have the calls between
-//!   them.
+//!   [`limit_bucket`], with [`token_bucket`] and [`limit_window`], and [`limit_owner`] for the
+//!   gateway that counts the requests of a team, in [`limit_holdings`] for the others, and in
+//!   [`limit_leases`] for the choice of the former, which [`limit_ownership`] carries out;
+//!   [`limit_owners`] and [`limit_messages`] have the calls between them. [`limit_report`] has the
+//!   errors, log lines and counters of refusals.
 
 pub mod config_age;
 pub mod config_reads;
--- a/src/process/teams/limit_leases.rs
+++ b/src/process/teams/limit_leases.rs
@@ -1,9 +1,9 @@
 //! Who owns a shard of the limits of teams: the gateway that holds its lease, a row of the store.
 //!
-//! The row states the time of the store, `as_of_store_ms`, at an earlier answer. Its writer counts the lease
-//! from the start of the call with this answer, so its lease has ended by its own clock when the time
-//! of the store is [`LEASE_TIME`] past it. A call without an answer may still be performed; each
-//! one is conditional on the version of the row that was read, so it cannot end a later lease.
+//! The row states the time of the store, `as_of_store_ms`, at an earlier answer. Its writer counts the
+//! lease from the start of the call with this answer, so its lease has ended by its own clock when
+//! the time of the store is [`LEASE_TIME`] past it. A call without an answer may still be performed;
+//! each one is conditional on the version of the row that was read, so it cannot end a later lease.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/process/teams/limit_owners.rs
+++ b/src/process/teams/limit_owners.rs
@@ -51,7 +51,7 @@
     no_owner_until: Cell<Option<Instant>>,
 }
 
-/// The way to the owners of the shards.
+/// Finds and calls the owners of the shards.
 pub struct LimitOwners {
     http: HttpClient,
     timer: TimerService,
--- a/src/process/teams/token_bucket.rs
+++ b/src/process/teams/token_bucket.rs
@@ -7,7 +7,8 @@
 /// Longest time that is told to a denied request; also keeps times of tiny rates representable.
 pub(super) const MAX_RETRY: Duration = Duration::from_secs(600);
 
-/// The rate and the capacity are those of the limit, and are passed to each call.
+/// A token bucket. Its rate and capacity are arguments of the calls, because they change with the
+/// configuration.
 #[derive(Clone, Debug)]
 pub(super) struct TokenBucket {
     /// Tokens; negative while tokens are promised to requests that wait for them.
--- a/src/process/topics/learning.rs
+++ b/src/process/topics/learning.rs
@@ -48,7 +48,7 @@
 /// Most gateways whose sums are kept for a route.
 const MAX_PEERS: usize = 128;
 
-/// Identifies one start of a gateway that reports its sums.
+/// Identifies one start of a gateway in what it reports to its peers.
 pub type ReporterId = u64;
 
 /// The logarithms of the times of a group.
