Release the lease of a shard that was taken or renewed while the gateway stopped

A write in flight when the gateway began to stop made it the holder, but the release that follows the write was skipped because the lease counted as released. The next owner waited for the process to end, or for up to 10 s if its VM was gone.

--- a/src/process/teams/limit_leases.rs
+++ b/src/process/teams/limit_leases.rs
@@ -360,9 +360,10 @@
     }
 
     /// Ends the lease: this gateway decides no more. Returns the write that tells it to the others;
-    /// `None` if the lease is not held.
+    /// `None` if the lease is not held. To be called again when a write that was in flight has taken or
+    /// renewed the lease since.
     pub fn release(&mut self, now: BootTime) -> Option<LeaseWrite> {
-        let is_held = self.held(now).is_some();
+        let is_held = self.tenure.is_some() && self.held_until.is_some_and(|until| now < until);
         self.is_released = true;
         let observed = self.observed.as_ref().filter(|_| is_held)?;
         let row = observed.row.as_ref().filter(|row| self.is_own_start(row))?;
