Grant as many tokens as leave the count of the window

All requests that came up to 50 ms before the oldest tokens left the window were granted if the bucket had tokens for them. The wait now is the time until enough tokens have left. A limit that is lowered begins a new count, because the grants of the earlier limit would leave no room for a window. The count does not overflow with limits without bounds.

--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -220,18 +220,23 @@
         self.limit.rate_per_s + more_per_s
     }
 
+    /// The most tokens that are granted in a window.
+    fn window_limit(&self) -> f64 {
+        let window = self.limit.rate_per_s * self.window.as_secs_f64() + self.limit.burst;
+        window + self.slack * BURST_SLACK_SHARE
+    }
+
     /// Tokens that the count of the window leaves.
     fn window_room(&mut self, now: BootTime) -> f64 {
-        let window = self.limit.rate_per_s * self.window.as_secs_f64() + self.limit.burst;
-        let most = window + self.slack * BURST_SLACK_SHARE;
-        most - f64::from(self.granted.total(now))
+        self.window_limit() - f64::from(self.granted.total(now))
     }
 
     /// Time until the count of the window leaves room for a token.
     fn window_wait(&mut self, now: BootTime) -> Duration {
-        match self.window_room(now) >= 1.0 {
+        let room = self.window_room(now);
+        match room >= 1.0 {
             true => Duration::ZERO,
-            false => self.granted.time_to_room(now),
+            false => self.granted.time_to_room(1.0 - room, now),
         }
     }
 
@@ -325,8 +330,15 @@
         // What a full bucket has granted is refilled already, so it may be full under the new limit
         // as well. Any other bucket keeps its tokens.
         let was_full = self.requests.level >= self.capacity();
+        let window_before = self.window_limit();
         self.limit = limit;
         self.slack = slack(limit, tolerance);
+        if self.window_limit() < window_before {
+            // A lower limit is binding for windows that begin from now on. With the grants of the
+            // earlier limit, the count would admit nothing until they have left the window.
+            self.granted = GrantWindow::new(self.window, now);
+            self.granted_since = Some(now);
+        }
         if was_full {
             self.requests.level = f64::INFINITY;
         }
--- a/src/process/teams/limit_window.rs
+++ b/src/process/teams/limit_window.rs
@@ -48,6 +48,8 @@
     /// Counts tokens that are granted now.
     pub fn add(&mut self, tokens: u32, now: BootTime) {
         self.advance(now);
+        // A limit without bounds may grant more tokens than can be counted.
+        let tokens = tokens.min(u32::MAX - self.total);
         self.counts[self.position] += tokens;
         self.total += tokens;
     }
@@ -70,19 +72,23 @@
         self.total
     }
 
-    /// Time until the first of the counted tokens leave the window; zero if none are counted.
-    pub fn time_to_room(&self, now: BootTime) -> Duration {
-        let parts = 1..self.counts.len();
-        let oldest = parts.clone().find(|ahead| {
-            let index = (self.position + ahead) % self.counts.len();
-            self.counts[index] > 0
-        });
+    /// Time until so many of the counted tokens have left the window, or all of them if they are fewer;
+    /// zero if none are counted.
+    pub fn time_to_room(&self, tokens: f64, now: BootTime) -> Duration {
+        let mut left = 0;
+        let mut parts_left = 0;
+        // The oldest part is the one after the current one, which leaves the window last.
+        for ahead in 1..=PARTS + 1 {
+            let count = self.counts[(self.position + ahead as usize) % self.counts.len()];
+            if count > 0 {
+                left += count;
+                parts_left = ahead;
+            }
+            if f64::from(left) >= tokens {
+                break;
+            }
+        }
         let elapsed = now.saturating_duration_since(self.position_since);
-        let parts_left = match oldest {
-            Some(ahead) => ahead as u32,
-            None if self.counts[self.position] > 0 => PARTS + 1,
-            None => return Duration::ZERO,
-        };
         (self.part * parts_left).saturating_sub(elapsed)
     }
 }
