Return the tokens of refused requests within a second only

Tokens of requests that were refused long ago, or long after they were admitted, came back with the next call and were taken from the count of a later window, which then exceeded the limit. They now go back within 1 s of the admission, without waiting for another request, and only to the owner that counted them. They are taken from the earliest tokens of that time, so the count is never too low.

--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -32,6 +32,8 @@
 const MAX_SPREAD: Duration = Duration::from_secs(5);
 /// Longest time that is told to a denied request; also keeps times of tiny rates representable.
 const MAX_RETRY: Duration = Duration::from_secs(600);
+/// Age up to which tokens of refused requests come back: their validity at the gateway and a call.
+const REFUSED_AGE: Duration = Duration::from_millis(1_200);
 /// Share of the window's slack that tokens granted beyond the waiting requests may take up. Such a
 /// token may be used up to [`GRANT_VALIDITY`] after it was counted.
 const EXTRA_SLACK_SHARE: f64 = 0.15;
@@ -468,7 +470,7 @@
 
     /// Takes back the tokens of requests that were refused later and did not run.
     pub fn put_back_refused(&mut self, refused: u32, now: BootTime) {
-        self.granted.remove(refused, now);
+        self.granted.remove_earliest(refused, REFUSED_AGE, now);
         self.requests.level += f64::from(refused);
         self.refill(now);
     }
--- a/src/process/teams/limit_holdings.rs
+++ b/src/process/teams/limit_holdings.rs
@@ -15,6 +15,9 @@
 
 /// Time without a request after which unused tokens go back to the owner.
 pub const RETURN_DELAY: Duration = Duration::from_millis(300);
+/// Time after its admission in which a refused request gives its token back. A later return would
+/// make room for further requests in a window that the token was not counted in.
+pub const REFUSED_VALIDITY: Duration = Duration::from_secs(1);
 /// Time without a request after which nothing of a team is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Programs of a team that are remembered and named in one call. The requests of further ones are not
@@ -87,6 +90,8 @@
     last_issuer: Issuer,
     /// Requests that were admitted and refused later, whose tokens go back with the next call.
     refused: u32,
+    /// When the first of them was admitted.
+    refused_since: BootTime,
     /// When requests ran without an owner, within the last window.
     ran_without_owner: VecDeque<BootTime>,
     /// Requests since the team became active.
@@ -108,6 +113,7 @@
             programs: IndexMap::new(),
             last_issuer: 0,
             refused: 0,
+            refused_since: now,
             ran_without_owner: VecDeque::new(),
             requests: 0,
         }
@@ -132,11 +138,27 @@
         self.requests += 1;
     }
 
-    /// Records that an admitted request was refused for another reason and did not run.
-    pub fn record_refused(&mut self) {
+    /// Records that a request that was admitted at `admitted_at` was refused for another reason and
+    /// did not run.
+    pub fn record_refused(&mut self, admitted_at: BootTime, now: BootTime) {
+        if now.saturating_duration_since(admitted_at) >= REFUSED_VALIDITY {
+            return;
+        }
+        self.refused_since = match self.has_refused(now) {
+            true => self.refused_since.min(admitted_at),
+            false => {
+                self.refused = 0;
+                admitted_at
+            }
+        };
         self.refused = self.refused.saturating_add(1);
     }
 
+    /// Whether there are tokens of refused requests that can still go back.
+    fn has_refused(&self, now: BootTime) -> bool {
+        self.refused > 0 && now.saturating_duration_since(self.refused_since) < REFUSED_VALIDITY
+    }
+
     /// The limit of the team.
     pub fn limit(&self) -> TeamLimit {
         self.limit
@@ -186,6 +208,8 @@
         if last_issuer == 0 || last_issuer == issuer {
             return;
         }
+        // The earlier owner has counted these.
+        self.refused = 0;
         self.forget_ended_programs(now);
         let programs = self.programs.iter();
         self.used_by = programs
@@ -215,7 +239,7 @@
             recent_first: recent(&mut self.recent_first),
             unused: if is_issuer { grant.tokens } else { 0 },
             unused_first: if is_issuer { grant.first_tokens } else { 0 },
-            refused: match issuer == self.last_issuer {
+            refused: match issuer == self.last_issuer && self.has_refused(now) {
                 true => std::mem::take(&mut self.refused),
                 false => 0,
             },
@@ -265,7 +289,8 @@
 
     /// Whether tokens are to go back, because the team has had no request for a while.
     pub fn must_return(&self, now: BootTime) -> bool {
-        self.has_tokens() && now.saturating_duration_since(self.last_request) >= RETURN_DELAY
+        let has_any = self.has_tokens() || self.has_refused(now);
+        has_any && now.saturating_duration_since(self.last_request) >= RETURN_DELAY
     }
 
     /// Whether one more request may run without an owner. In any window, all gateways together admit
--- a/src/process/teams/limit_window.rs
+++ b/src/process/teams/limit_window.rs
@@ -66,6 +66,21 @@
         }
     }
 
+    /// Takes back tokens that were granted up to `age` ago and not used, the earliest ones first: it is
+    /// not known when they were granted, and the count must not be too low when those leave the window.
+    pub fn remove_earliest(&mut self, mut tokens: u32, age: Duration, now: BootTime) {
+        self.advance(now);
+        let parts = age.as_nanos().div_ceil(self.part.as_nanos());
+        let parts = parts.min(u128::from(PARTS)) as usize;
+        for back in (0..=parts).rev() {
+            let index = (self.position + self.counts.len() - back) % self.counts.len();
+            let removed = tokens.min(self.counts[index]);
+            self.counts[index] -= removed;
+            self.total -= removed;
+            tokens -= removed;
+        }
+    }
+
     /// The tokens granted in the last window.
     pub fn total(&mut self, now: BootTime) -> u32 {
         self.advance(now);
--- a/src/process/teams/limits.rs
+++ b/src/process/teams/limits.rs
@@ -166,11 +166,11 @@
         })
     }
 
-    /// Gives back the token of a request that was admitted and then refused for another reason, so
-    /// that it did not run.
-    pub fn give_back(&self, team: &Team) {
+    /// Gives back the token of a request that was admitted at `admitted_at` and then refused for another
+    /// reason, so that it did not run.
+    pub fn give_back(&self, team: &Team, admitted_at: BootTime) {
         if let Some(holdings) = self.shared.teams.borrow_mut().get_mut(&team.id) {
-            holdings.record_refused();
+            holdings.record_refused(admitted_at, BootTime::now());
         }
     }
 
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -27,6 +27,7 @@
 use crate::connection::http_server::{CallerAddress, Handler};
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::ids::BackendServerId;
+use crate::process::boot_clock::BootTime;
 use crate::process::gateway::fingerprint::RequestIdentity;
 use crate::process::gateway::ledger::TurnPart;
 use crate::process::gateway::peers::{self, RelayedRequest};
@@ -215,7 +216,8 @@
             self.gateway.team_limits.admit(team, limited).await?;
         }
         let counted_team = caller.team.clone().filter(|_| !is_limit_counted);
-        let counted_team = counted_team.as_deref();
+        let counted_at = BootTime::now();
+        let counted = counted_team.as_deref().map(|team| (team, counted_at));
         let last_event_id = call.last_event_id;
         let mut forwarder = RequestForwarder {
             gateway: self.gateway.clone(),
@@ -243,7 +245,8 @@
             tried_servers: Vec::new(),
         };
         if forwarder.must_relay() {
-            let response = forwarder.relay(last_event_id).await?;
+            let relayed = forwarder.relay(last_event_id).await;
+            let response = relayed?;
             return self.pass_on(forwarder, response).await;
         }
         let is_stream = matches!(
@@ -254,9 +257,9 @@
             true => self.prepare_turn(&mut forwarder, source).await,
             false => Ok(None),
         };
-        let unsaved_turn = prepared.inspect_err(|error| self.uncount(counted_team, error))?;
+        let unsaved_turn = prepared.inspect_err(|error| self.uncount(counted, error))?;
         let sent = forwarder.send(last_event_id).await;
-        match sent.inspect_err(|error| self.uncount(counted_team, error))? {
+        match sent.inspect_err(|error| self.uncount(counted, error))? {
             ServerResponse::Buffered(response) => {
                 let (head, body) = response.into_parts();
                 record.finish(head.status.as_u16(), "answered");
@@ -281,11 +284,11 @@
     }
 
     /// Gives back the token of a request that was refused after the limit of its team counted it.
-    fn uncount(&self, counted_team: Option<&Team>, error: &Error) {
-        if let Some(team) = counted_team
+    fn uncount(&self, counted: Option<(&Team, BootTime)>, error: &Error) {
+        if let Some((team, counted_at)) = counted
             && error.kind.answer().ran == Ran::No
         {
-            self.gateway.team_limits.give_back(team);
+            self.gateway.team_limits.give_back(team, counted_at);
         }
     }
 
--- a/tests/limit_window.rs
+++ b/tests/limit_window.rs
@@ -83,6 +83,25 @@
     assert_eq!(window.total(BootTime::UNKNOWN), 2);
 }
 
+/// Guards against a count that is too low for tokens that were used, because later ones were taken
+/// from it than those that were not used.
+#[test]
+fn unused_tokens_of_unknown_age_are_taken_from_the_earliest() {
+    let mut window = GrantWindow::new(WINDOW, at(0));
+    window.add(1, at(0));
+    window.add(5, at(2_000));
+    window.add(5, at(2_900));
+    window.remove_earliest(6, Duration::from_secs(1), at(2_950));
+    assert_eq!(window.total(at(2_950)), 5);
+    // The one token before the last second remains, and four of the last ones.
+    assert_eq!(window.total(at(5_200)), 4);
+    assert_eq!(window.total(at(7_800)), 4);
+    assert_eq!(window.total(at(8_000)), 0);
+    window.add(3, at(9_000));
+    window.remove_earliest(u32::MAX, Duration::MAX, at(9_000));
+    assert_eq!(window.total(at(9_000)), 0);
+}
+
 const LIMIT: TeamLimit = TeamLimit {
     rate_per_s: 100.0,
     burst: 200.0,
