Give back the token of a request that no peer takes

A gateway without a path to the servers counted each request that it could not relay against the limit of its team, so the team got 429 although nothing ran.

--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -246,7 +246,7 @@
         };
         if forwarder.must_relay() {
             let relayed = forwarder.relay(last_event_id).await;
-            let response = relayed?;
+            let response = relayed.inspect_err(|error| self.uncount(counted, error))?;
             return self.pass_on(forwarder, response).await;
         }
         let is_stream = matches!(
--- a/tests/gateway_team_limits.rs
+++ b/tests/gateway_team_limits.rs
@@ -2,6 +2,8 @@
 
 #[path = "support/gateway.rs"]
 mod gateway;
+#[path = "support/server_paths.rs"]
+mod server_paths;
 
 use std::thread;
 use std::time::{Duration, Instant};
@@ -11,6 +13,7 @@
     Answer, GatewayProcess, GatewaySite, HttpRequest, ProxyMode, default_routes, wait_until,
 };
 use serde_json::json;
+use server_paths::{CONCURRENT_REQUESTS, Cut, DETECTION_TIME, cut_off};
 
 const RATE_PER_S: f64 = 10.0;
 const BURST: f64 = 5.0;
@@ -18,7 +21,10 @@
 const MOST_IN_A_WINDOW: usize = ((RATE_PER_S * 5.0 + BURST) * 1.1 + 20.0) as usize;
 
 fn start_site(gateways: usize) -> GatewaySite {
-    let mut site = GatewaySite::start(gateways);
+    configure(GatewaySite::start(gateways))
+}
+
+fn configure(mut site: GatewaySite) -> GatewaySite {
     let team = |name: &str, rate: f64| json!({ "name": name, "apiKeys": [format!("key-{name}")], "ratePerS": rate, "burst": BURST });
     let tenants = json!([
         team("limited", RATE_PER_S),
@@ -252,3 +258,29 @@
         assert_eq!(metric(gateway, "sapphireford_team_limit_"), 0.0);
     }
 }
+
+/// Guards against an allowance that is used up by requests which do not run, because this gateway has
+/// lost its path to the servers and no peer takes them.
+#[test]
+fn requests_that_no_peer_takes_use_up_no_limit() {
+    let site = configure(GatewaySite::start_with_own_paths(&["d1"]));
+    let gateway = &site.gateways[0];
+    cut_off(gateway, Cut::Reset);
+    thread::scope(|scope| {
+        for _ in 0..CONCURRENT_REQUESTS {
+            scope.spawn(|| ping(gateway, "free"));
+        }
+    });
+    thread::sleep(DETECTION_TIME);
+    let started = Instant::now();
+    for sent in 0..100 {
+        let answer = ping(gateway, "limited").expect("an answer");
+        let time = started.elapsed();
+        assert_eq!(
+            answer.status,
+            503,
+            "after {sent} in {time:?}: {}",
+            answer.text()
+        );
+    }
+}
