Refuse a request without a route for good only with a current configuration

A gateway with teams that was cut off answered 404 for a route that the newest configuration has, and callers do not repeat a request after that. It now answers 503 if its configuration may lag behind.

--- a/src/request/gateway/caller.rs
+++ b/src/request/gateway/caller.rs
@@ -19,7 +19,7 @@
 
 /// Longest key that is looked up.
 const MAX_KEY_BYTES: usize = 256;
-/// Age of the configuration up to which an unknown key is refused for good. A key that was added
+/// Age of the configuration up to which an unknown key or route is refused for good. One that was added
 /// later may be in use already, and callers do not repeat a request after that refusal.
 const UNKNOWN_KEY_AGE_LIMIT: Duration = Duration::from_millis(2_000);
 
@@ -150,6 +150,23 @@
     }
 }
 
+/// The error for a request that no route of a configuration matches. With teams, it is final only if no
+/// newer configuration can be in use.
+pub fn unknown_route_error(
+    routes: &RouteTable,
+    config_age: &ConfigAge,
+    (host, path): (&str, &str),
+) -> Error {
+    let message = format!("no route for host `{host}` matches path `{path}`");
+    if routes.teams.is_none() || config_age.is_fresher_than(UNKNOWN_KEY_AGE_LIMIT) {
+        return Error::new(ErrorKind::NotFound, message);
+    }
+    let message = format!(
+        "{message} in the configuration of this gateway, which may lag behind; retry later"
+    );
+    Error::new(ErrorKind::NotReady, message)
+}
+
 /// The caller of a request, as its key identifies it.
 #[derive(Clone, Debug, Default)]
 pub struct Caller {
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -13,7 +13,7 @@
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
 use super::admission;
-use super::caller::{Caller, PresentedKey};
+use super::caller::{self, Caller, PresentedKey};
 use super::forward::{RequestForwarder, ServerResponse};
 use super::origin::{EarlierRecords, OriginConstraint};
 use super::qualified_ids::{IdScope, QualifiedIds};
@@ -34,6 +34,7 @@
 use crate::process::gateway::relayed_team::RelayedTeam;
 use crate::process::gateway::running::Gateway;
 use crate::process::task;
+use crate::process::teams::config_age::ConfigAge;
 use crate::process::teams::limits::LimitedRequest;
 use crate::version::route_table::RouteTable;
 use crate::version::teams::Team;
@@ -168,7 +169,7 @@
             let message = "this gateway has not read the configuration with the teams yet";
             return Err(Error::new(ErrorKind::NotReady, message));
         }
-        let mut route = find_route(&routes, &request)?;
+        let mut route = find_route(&routes, &request, &self.gateway.config_age)?;
         if let Source::Peer { attempts_left, .. } = source {
             route.max_attempts = attempts_left.unwrap_or(u32::MAX).min(route.max_attempts);
         }
@@ -216,8 +217,8 @@
             self.gateway.team_limits.admit(team, limited).await?;
         }
         let counted_team = caller.team.clone().filter(|_| !is_limit_counted);
-        let counted_at = BootTime::now();
-        let counted = counted_team.as_deref().map(|team| (team, counted_at));
+        let counted = counted_team.as_deref();
+        let counted = counted.map(|team| (team, BootTime::now()));
         let last_event_id = call.last_event_id;
         let mut forwarder = RequestForwarder {
             gateway: self.gateway.clone(),
@@ -477,18 +478,19 @@
     is_turn && call.previous_turn_id.is_none() && call.last_event_id.is_none()
 }
 
-fn find_route(routes: &RouteTable, request: &Request<Bytes>) -> Result<RouteRecord> {
+fn find_route(
+    routes: &RouteTable,
+    request: &Request<Bytes>,
+    config_age: &ConfigAge,
+) -> Result<RouteRecord> {
     let host = request
         .headers()
         .get(HOST)
         .and_then(|host| host.to_str().ok());
     let host = host.or(request.uri().host()).unwrap_or_default();
     let path = request.uri().path();
-    let route = routes.find(host, path).ok_or_else(|| {
-        let message = format!("no route for host `{host}` matches path `{path}`");
-        Error::new(ErrorKind::NotFound, message)
-    })?;
-    Ok(route.clone())
+    let route = routes.find(host, path).cloned();
+    route.ok_or_else(|| caller::unknown_route_error(routes, config_age, (host, path)))
 }
 
 /// The earlier of the caller's deadline and the route's timeout, both counted from the arrival of
--- a/tests/gateway_config_age.rs
+++ b/tests/gateway_config_age.rs
@@ -262,3 +262,25 @@
     thread::sleep(OBSERVED);
     assert_eq!(config_reads(&site), without_teams);
 }
+
+/// Guards against a final 404 for a route that the newest configuration has, from a gateway that is cut
+/// off and may lag behind it.
+#[test]
+fn a_route_that_a_newer_configuration_may_have_is_not_refused_for_good() {
+    let site = start_site(1);
+    let gateway = &site.gateways[0];
+    let status = || {
+        let request = caller_request("GET", "/added/a", &new_request_id()).bearer(NEW_KEY);
+        let answer = request.send(gateway.caller_address());
+        answer.map_or(0, |answer| answer.status)
+    };
+    assert!(wait_until(APPLY_LIMIT, || status() == 404));
+    cut_from_store(&site, ProxyMode::Partition);
+    thread::sleep(APPLY_LIMIT);
+    for _ in 0..10 {
+        assert_eq!(status(), 503);
+        thread::sleep(CHECK_INTERVAL);
+    }
+    cut_from_store(&site, ProxyMode::Forward);
+    assert!(wait_until(WAIT_TIMEOUT, || status() == 404));
+}
