--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -31,6 +31,8 @@
 /// Denied requests are spread over at most this time, unless the token takes longer. A flood does
 /// not move the time for those that come after it any further.
 const MAX_SPREAD: Duration = Duration::from_secs(5);
+/// Age up to which tokens of refused requests come back: their validity at the gateway and a call.
+const REFUSED_AGE: Duration = Duration::from_millis(1_200);
 /// Share of the window's slack that tokens granted beyond the waiting requests may take up. Such a
 /// token may be used up to [`GRANT_VALIDITY`] after it was counted.
 const EXTRA_SLACK_SHARE: f64 = 0.15;
@@ -194,18 +196,23 @@
         self.limit.rate_per_s + more_per_s
     }
 
+    /// The most tokens that are granted in a window.
+    fn window_limit(&self) -> f64 {
+        let window = self.limit.rate_per_s * self.window.as_secs_f64() + self.limit.burst;
+        window + self.slack * BURST_SLACK_SHARE
+    }
+
     /// Tokens that the count of the window leaves.
     fn window_room(&mut self, now: BootTime) -> f64 {
-        let window = self.limit.rate_per_s * self.window.as_secs_f64() + self.limit.burst;
-        let most = window + self.slack * BURST_SLACK_SHARE;
-        most - f64::from(self.granted.total(now))
+        self.window_limit() - f64::from(self.granted.total(now))
     }
 
     /// Time until the count of the window leaves room for a token.
     fn window_wait(&mut self, now: BootTime) -> Duration {
-        match self.window_room(now) >= 1.0 {
+        let room = self.window_room(now);
+        match room >= 1.0 {
             true => Duration::ZERO,
-            false => self.granted.time_to_room(now),
+            false => self.granted.time_to_room(1.0 - room, now),
         }
     }
 
@@ -299,8 +306,15 @@
         // What a full bucket has granted is refilled already, so it may be full under the new limit
         // as well. Any other bucket keeps its tokens.
         let was_full = self.requests.level >= self.capacity();
+        let window_before = self.window_limit();
         self.limit = limit;
         self.slack = slack(limit, tolerance);
+        if self.window_limit() < window_before {
+            // A lower limit is binding for windows that begin from now on. With the grants of the
+            // earlier limit, the count would admit nothing until they have left the window.
+            self.granted = GrantWindow::new(self.window, now);
+            self.granted_since = Some(now);
+        }
         if was_full {
             self.requests.level = f64::INFINITY;
         }
@@ -430,7 +444,7 @@
 
     /// Takes back the tokens of requests that were refused later and did not run.
     pub fn put_back_refused(&mut self, refused: u32, now: BootTime) {
-        self.granted.remove(refused, now);
+        self.granted.remove_earliest(refused, REFUSED_AGE, now);
         self.requests.level += f64::from(refused);
         self.refill(now);
     }
--- a/src/process/teams/limit_window.rs
+++ b/src/process/teams/limit_window.rs
@@ -48,6 +48,8 @@
     /// Counts tokens that are granted now.
     pub fn add(&mut self, tokens: u32, now: BootTime) {
         self.advance(now);
+        // A limit without bounds may grant more tokens than can be counted.
+        let tokens = tokens.min(u32::MAX - self.total);
         self.counts[self.position] += tokens;
         self.total += tokens;
     }
@@ -64,25 +66,44 @@
         }
     }
 
+    /// Takes back tokens that were granted up to `age` ago and not used, the earliest ones first: it is
+    /// not known when they were granted, and the count must not be too low when those leave the window.
+    pub fn remove_earliest(&mut self, mut tokens: u32, age: Duration, now: BootTime) {
+        self.advance(now);
+        let parts = age.as_nanos().div_ceil(self.part.as_nanos());
+        let parts = parts.min(u128::from(PARTS)) as usize;
+        for back in (0..=parts).rev() {
+            let index = (self.position + self.counts.len() - back) % self.counts.len();
+            let removed = tokens.min(self.counts[index]);
+            self.counts[index] -= removed;
+            self.total -= removed;
+            tokens -= removed;
+        }
+    }
+
     /// The tokens granted in the last window.
     pub fn total(&mut self, now: BootTime) -> u32 {
         self.advance(now);
         self.total
     }
 
-    /// Time until the first of the counted tokens leave the window; zero if none are counted.
-    pub fn time_to_room(&self, now: BootTime) -> Duration {
-        let parts = 1..self.counts.len();
-        let oldest = parts.clone().find(|ahead| {
-            let index = (self.position + ahead) % self.counts.len();
-            self.counts[index] > 0
-        });
+    /// Time until so many of the counted tokens have left the window, or all of them if they are fewer;
+    /// zero if none are counted.
+    pub fn time_to_room(&self, tokens: f64, now: BootTime) -> Duration {
+        let mut left = 0;
+        let mut parts_left = 0;
+        // The oldest part is the one after the current one, which leaves the window last.
+        for ahead in 1..=PARTS + 1 {
+            let count = self.counts[(self.position + ahead as usize) % self.counts.len()];
+            if count > 0 {
+                left += count;
+                parts_left = ahead;
+            }
+            if f64::from(left) >= tokens {
+                break;
+            }
+        }
         let elapsed = now.saturating_duration_since(self.position_since);
-        let parts_left = match oldest {
-            Some(ahead) => ahead as u32,
-            None if self.counts[self.position] > 0 => PARTS + 1,
-            None => return Duration::ZERO,
-        };
         (self.part * parts_left).saturating_sub(elapsed)
     }
 }
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -13,7 +13,7 @@
 use sapphireford_platform::operator::{RouteKind, RouteRecord};
 
 use super::admission;
-use super::caller::{Caller, PresentedKey};
+use super::caller::{self, Caller, PresentedKey};
 use super::forward::{RequestForwarder, ServerResponse};
 use super::origin::{EarlierRecords, OriginConstraint};
 use super::qualified_ids::{IdScope, QualifiedIds};
@@ -27,12 +27,14 @@
 use crate::connection::http_server::{CallerAddress, Handler};
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::ids::BackendServerId;
+use crate::process::boot_clock::BootTime;
 use crate::process::gateway::fingerprint::RequestIdentity;
 use crate::process::gateway::ledger::TurnPart;
 use crate::process::gateway::peers::{self, RelayedRequest};
 use crate::process::gateway::relayed_team::RelayedTeam;
 use crate::process::gateway::running::Gateway;
 use crate::process::task;
+use crate::process::teams::config_age::ConfigAge;
 use crate::process::teams::limits::LimitedRequest;
 use crate::version::route_table::RouteTable;
 use crate::version::teams::Team;
@@ -167,7 +169,7 @@
             let message = "this gateway has not read the configuration with the teams yet";
             return Err(Error::new(ErrorKind::NotReady, message));
         }
-        let mut route = find_route(&routes, &request)?;
+        let mut route = find_route(&routes, &request, &self.gateway.config_age)?;
         if let Source::Peer { attempts_left, .. } = source {
             route.max_attempts = attempts_left.unwrap_or(u32::MAX).min(route.max_attempts);
         }
@@ -214,7 +216,8 @@
             self.gateway.team_limits.admit(team, limited).await?;
         }
         let counted_team = caller.team.clone().filter(|_| !is_limit_counted);
-        let counted_team = counted_team.as_deref();
+        let counted = counted_team.as_deref();
+        let counted = counted.map(|team| (team, BootTime::now()));
         let last_event_id = call.last_event_id;
         let mut forwarder = RequestForwarder {
             gateway: self.gateway.clone(),
@@ -242,7 +245,8 @@
             tried_servers: Vec::new(),
         };
         if forwarder.must_relay() {
-            let response = forwarder.relay(last_event_id).await?;
+            let relayed = forwarder.relay(last_event_id).await;
+            let response = relayed.inspect_err(|error| self.uncount(counted, error))?;
             return self.pass_on(forwarder, response).await;
         }
         let is_stream = matches!(
@@ -254,9 +258,9 @@
             false => Ok(None),
         };
         let unsaved_turn =
-            prepared.inspect_err(|error| self.return_limit_token(counted_team, error))?;
+            prepared.inspect_err(|error| self.return_limit_token(counted, error))?;
         let sent = forwarder.send(last_event_id).await;
-        match sent.inspect_err(|error| self.return_limit_token(counted_team, error))? {
+        match sent.inspect_err(|error| self.return_limit_token(counted, error))? {
             ServerResponse::Buffered(response) => {
                 let (head, body) = response.into_parts();
                 record.finish(head.status.as_u16(), "answered");
@@ -281,11 +285,11 @@
     }
 
     /// Returns the token of a request that was refused after the limit of its team counted it.
-    fn return_limit_token(&self, counted_team: Option<&Team>, error: &Error) {
-        if let Some(team) = counted_team
+    fn return_limit_token(&self, counted: Option<(&Team, BootTime)>, error: &Error) {
+        if let Some((team, counted_at)) = counted
             && error.kind.answer().ran == Ran::No
         {
-            self.gateway.team_limits.give_back(team);
+            self.gateway.team_limits.give_back(team, counted_at);
         }
     }
 
@@ -474,18 +478,19 @@
     is_turn && call.previous_turn_id.is_none() && call.last_event_id.is_none()
 }
 
-fn find_route(routes: &RouteTable, request: &Request<Bytes>) -> Result<RouteRecord> {
+fn find_route(
+    routes: &RouteTable,
+    request: &Request<Bytes>,
+    config_age: &ConfigAge,
+) -> Result<RouteRecord> {
     let host = request
         .headers()
         .get(HOST)
         .and_then(|host| host.to_str().ok());
     let host = host.or(request.uri().host()).unwrap_or_default();
     let path = request.uri().path();
-    let route = routes.find(host, path).ok_or_else(|| {
-        let message = format!("no route for host `{host}` matches path `{path}`");
-        Error::new(ErrorKind::NotFound, message)
-    })?;
-    Ok(route.clone())
+    let route = routes.find(host, path).cloned();
+    route.ok_or_else(|| caller::unknown_route_error(routes, config_age, (host, path)))
 }
 
 /// The earlier of the caller's deadline and the route's timeout, both counted from the arrival of
