--- a/src/process/overload/demand.rs
+++ b/src/process/overload/demand.rs
@@ -176,7 +176,7 @@
             left -= granted;
             self.grants.push(Grant {
                 urgency,
-                refused_share: 1.0 - granted / class_total.max(f64::MIN_POSITIVE),
+                refused_share: 1.0 - granted / class_total,
                 tokens_per_team: tokens_per_team(asked, granted),
             });
         }
