--- a/src/process/overload/demand.rs
+++ b/src/process/overload/demand.rs
@@ -44,6 +44,14 @@
 /// Least part of the requests that remains, so that teams with a few requests are still compared.
 const MIN_ASKED_PART: f64 = 0.1;
 
+/// Tokens of one turn that count at most, as a multiple of the geometric mean of the turns. Callers
+/// state the tokens, and one huge claim would hide what all others ask for.
+const MAX_COUNTED_MEANS: f64 = 32.0;
+/// Weight of a turn in the logarithm of this mean.
+const MEAN_TOKENS_WEIGHT: f64 = 1.0 / 64.0;
+/// Most tokens of the first turn, when there is no mean. Engines take prompts of fewer.
+const MAX_FIRST_TOKENS: f64 = 1_048_576.0;
+
 /// The demand of a team at one urgency, with weights that decay over `DEMAND_PERIOD`.
 #[derive(Clone, Copy, Debug, Default)]
 struct TeamDemand {
@@ -98,6 +106,8 @@
     /// The admitted share at the last update.
     share: f64,
     decayed_at: Instant,
+    /// The mean of the logarithms of the tokens of turns; `None` before the first one.
+    log_mean_tokens: Option<f64>,
 }
 
 impl Demand {
@@ -108,6 +118,7 @@
             grants: Vec::new(),
             share: 1.0,
             decayed_at: now,
+            log_mean_tokens: None,
         }
     }
 
@@ -134,12 +145,31 @@
         tokens: u64,
         begins_program: bool,
     ) {
+        let tokens = self.counted_tokens(tokens);
         if let Some(demand) = self.team(urgency, team) {
-            demand.tokens += tokens as f64;
+            demand.tokens += tokens;
             demand.begun += f64::from(u8::from(begins_program));
         }
     }
 
+    /// The tokens of a turn, limited by the mean of the turns before.
+    fn counted_tokens(&mut self, tokens: u64) -> f64 {
+        // Turns that state no tokens say nothing about those of the others.
+        if tokens == 0 {
+            return 0.0;
+        }
+        let tokens = tokens as f64;
+        let Some(log_mean) = self.log_mean_tokens else {
+            let counted = tokens.min(MAX_FIRST_TOKENS);
+            self.log_mean_tokens = Some(counted.ln());
+            return counted;
+        };
+        let counted = tokens.min(log_mean.exp() * MAX_COUNTED_MEANS);
+        let step = MEAN_TOKENS_WEIGHT * (counted.ln() - log_mean);
+        self.log_mean_tokens = Some(log_mean + step);
+        counted
+    }
+
     /// Decays the demand and computes the grants for the admitted share.
     pub fn update(&mut self, share: f64, now: Instant) {
         let elapsed = now.saturating_duration_since(self.decayed_at);
@@ -172,6 +202,10 @@
         let mut left = share * total;
         for (urgency, asked) in by_urgency {
             let class_total: f64 = asked.iter().sum();
+            // Only later turns came at this urgency, so it has no recent demand.
+            if class_total <= 0.0 {
+                continue;
+            }
             let granted = left.min(class_total);
             left -= granted;
             self.grants.push(Grant {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -48,6 +48,21 @@
     sum(&outcome.in_time, COUNTED) / sum(&outcome.came, COUNTED)
 }
 
+/// Guards against gateways that decide alone and all open or close at the same report: the servers
+/// would be idle and overloaded in turn.
+#[test]
+fn the_load_does_not_oscillate() {
+    for site in seeds() {
+        let load = PlayedLoad::run(site, &[kind("a", |t| if t < 15.0 { 0.7 } else { 3.0 })]);
+        // The first seconds show how the level is found.
+        let steady = &load.batches[42..];
+        let mean = steady.iter().sum::<f64>() / steady.len() as f64;
+        assert!((1.0..1.4).contains(&mean), "{steady:.2?}");
+        let is_near = |batches: &f64| (0.8..1.7).contains(batches);
+        assert!(steady.iter().all(is_near), "{steady:.2?}");
+    }
+}
+
 /// Guards against a level that stays low after a burst, and against one that lets the queues grow
 /// for the whole burst.
 #[test]
