--- a/src/process/overload/admission.rs
+++ b/src/process/overload/admission.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::demand::{Demand, Urgency};
-use super::level::{AdmissionLevel, FREE_SLOTS_LEVEL_APPLIES, LevelChange};
+use super::level::{AdmissionLevel, FREE_SLOTS_ADMIT_ALL, FREE_SLOTS_LEVEL_APPLIES, LevelChange};
 use super::program_times::ProgramTimes;
 use super::recent::Recent;
 use super::service_load::{KnownLoad, ServiceLoad};
@@ -274,8 +274,13 @@
 
     /// Whether a request that a server has refused may be sent to another one. Turns of programs that
     /// have begun are always sent again, but use up the budget, so that first turns get what is left.
+    /// While enough slots are free to admit everything, retries add to no queue and are not limited.
     pub fn may_retry(&self, has_begun: bool) -> bool {
-        !self.level.is_overloaded() || self.retries.try_acquire(RETRY_PERCENT) || has_begun
+        let has_free_slots = self.load.free_share >= FREE_SLOTS_ADMIT_ALL;
+        !self.level.is_overloaded()
+            || has_free_slots
+            || self.retries.try_acquire(RETRY_PERCENT)
+            || has_begun
     }
 
     /// The number of teams and programs in memory.
--- a/src/process/overload/level.rs
+++ b/src/process/overload/level.rs
@@ -34,7 +34,7 @@
 /// wrong, because their answers bring new reports.
 const MIN_LOG_SHARE: f64 = -3.9;
 /// Share of free slots from which nothing is refused: one slot of eight, the batch of an engine.
-const FREE_SLOTS_ADMIT_ALL: f64 = 0.125;
+pub const FREE_SLOTS_ADMIT_ALL: f64 = 0.125;
 /// Share of free slots up to which the level applies in full. Between the two it is interpolated,
 /// so that gateways do not all begin to admit at the same report.
 pub const FREE_SLOTS_LEVEL_APPLIES: f64 = 0.05;
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -48,6 +48,15 @@
     sum(&outcome.in_time, COUNTED) / sum(&outcome.came, COUNTED)
 }
 
+/// Guards against refusals while servers have free slots, at a load that varies at random.
+#[test]
+fn nothing_is_refused_below_the_capacity() {
+    for site in seeds() {
+        let load = PlayedLoad::run(site, &[kind("a", |_| 0.8)]);
+        assert_eq!(load.outcomes[0].refusals, Vec::<f64>::new());
+    }
+}
+
 /// Guards against gateways that decide alone and all open or close at the same report: the servers
 /// would be idle and overloaded in turn.
 #[test]
