--- a/src/process/overload/service_load.rs
+++ b/src/process/overload/service_load.rs
@@ -71,7 +71,7 @@
         let mut free = 0.0;
         let (mut speed_sum, mut speeds) = (0.0, 0.0);
         for server in servers {
-            load.slots += server.slots;
+            load.slots = load.slots.saturating_add(server.slots);
             let slots = f64::from(server.slots);
             if let Some(speed_percent) = server.speed_percent {
                 speed_sum += f64::from(speed_percent) / 100.0;
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -48,6 +48,33 @@
     sum(&outcome.in_time, COUNTED) / sum(&outcome.came, COUNTED)
 }
 
+/// Guards against the collapse that was measured: without an admission level, hardly any program
+/// ends in time beyond the capacity.
+#[test]
+fn goodput_at_four_times_the_capacity_is_that_at_capacity() {
+    let demands: [fn(f64) -> f64; 3] = [
+        |t| if t < 15.0 { 0.7 } else { 1.5 },
+        |t| if t < 15.0 { 0.7 } else { 2.0 },
+        |t| if t < 15.0 { 0.7 } else { 4.0 },
+    ];
+    for site in seeds() {
+        let run = |demand| PlayedLoad::run(site.clone(), &[kind("a", demand)]);
+        let goodput = |load: &PlayedLoad| sum(&load.outcomes[0].in_time, COUNTED);
+        let at_capacity = goodput(&run(|t| if t < 15.0 { 0.7 } else { 1.0 }));
+        for demand in demands {
+            let beyond = goodput(&run(demand));
+            let limit = 0.9 * at_capacity;
+            assert!(beyond >= limit, "{beyond} of {at_capacity}, {}", site.seed);
+        }
+        let off = Site {
+            is_admission_on: false,
+            ..site
+        };
+        let without = goodput(&PlayedLoad::run(off, &[kind("a", demands[1])]));
+        assert!(without < 0.3 * at_capacity, "the load does not collapse");
+    }
+}
+
 /// Guards against refusals while servers have free slots, at a load that varies at random.
 #[test]
 fn nothing_is_refused_below_the_capacity() {
