--- a/src/process/gateway/server.rs
+++ b/src/process/gateway/server.rs
@@ -32,6 +32,8 @@
 /// Time for which a stated speed is used, with less weight as it ages. Speeds change many times a
 /// second.
 pub(super) const SPEED_TTL: Duration = Duration::from_millis(1_000);
+/// Time for which a server counts as one that states its speed, after it last did.
+const SPEED_STATED_TTL: Duration = Duration::from_secs(30);
 /// A request without an answer whose caller leaves after this time counts as a failure of the
 /// server. Callers disconnect after two seconds at the earliest if they get nothing.
 const MIN_ABANDONED_WAIT: Duration = Duration::from_millis(1_000);
@@ -121,9 +123,10 @@
         self.set_report(load, Instant::now());
     }
 
-    /// Whether the server states its speed in its answers.
-    pub fn states_speed(&self) -> bool {
-        self.stated_speed.get().is_some()
+    /// Whether the server has stated its speed within [`SPEED_STATED_TTL`].
+    pub fn states_speed(&self, now: Instant) -> bool {
+        let stated = self.stated_speed.get();
+        stated.is_some_and(|(_, at)| now.saturating_duration_since(at) < SPEED_STATED_TTL)
     }
 
     /// Records the time to the first event of a request.
--- a/src/process/overload/control.rs
+++ b/src/process/overload/control.rs
@@ -161,7 +161,7 @@
         let mut services = self.services.borrow_mut();
         if !services.contains_key(service) {
             let of_service = servers.for_service(service);
-            if !of_service.iter().any(|server| server.states_speed()) {
+            if !of_service.iter().any(|server| server.states_speed(now)) {
                 return None;
             }
             services.insert(service.to_string(), ServiceAdmission::new(now));
@@ -178,7 +178,7 @@
     }
     let of_service = servers.for_service(service);
     let ttl = servers.load_report_ttl();
-    let states_speed = of_service.iter().any(|server| server.states_speed());
+    let states_speed = of_service.iter().any(|server| server.states_speed(now));
     let in_service = of_service
         .iter()
         .filter(|server| states_speed && servers.is_in_service(server));
