--- a/src/process/overload/control.rs
+++ b/src/process/overload/control.rs
@@ -10,10 +10,15 @@
 use super::demand::SharedDemand;
 use super::level::LevelChange;
 use super::service_load::KnownLoad;
+use crate::process::gateway::placement::NORMAL_SPEED_PERCENT;
 use crate::process::gateway::server::Server;
 use crate::process::gateway::servers::Servers;
 use crate::process::metrics;
 
+/// Highest stated speed by which a wait is corrected. A server that states a higher one is slower than
+/// VMs usually are, or wrong, and its waits count in part.
+const MAX_CORRECTED_SPEED_PERCENT: u32 = 400;
+
 /// Demands by the name of the service.
 pub type ServiceDemands = Vec<(String, Vec<SharedDemand>)>;
 
@@ -65,7 +70,8 @@
         admission.is_none_or(|admission| admission.may_retry(has_begun))
     }
 
-    /// Records the time to the first event of a turn.
+    /// Records the time to the first event of a turn. The time that a slow VM adds is left out, because
+    /// it does not show that requests are queued.
     pub fn record_first_event(
         &self,
         service: &str,
@@ -74,6 +80,9 @@
         wait: Duration,
         now: Instant,
     ) {
+        let speed_percent = server.speed_percent(now).unwrap_or(NORMAL_SPEED_PERCENT);
+        let speed_percent = speed_percent.clamp(NORMAL_SPEED_PERCENT, MAX_CORRECTED_SPEED_PERCENT);
+        let wait = wait.mul_f64(f64::from(NORMAL_SPEED_PERCENT) / f64::from(speed_percent));
         server.record_wait(wait, now);
         if let Some(admission) = self.services.borrow_mut().get_mut(service) {
             let load = server.load_permille(now);
--- a/tests/gateway_servers.rs
+++ b/tests/gateway_servers.rs
@@ -2,8 +2,12 @@
 
 use std::time::{Duration, Instant};
 
+use sapphireford::ids::TeamId;
 use sapphireford::process::gateway::servers::{Servers, SharedLoad};
 use sapphireford::process::gateway::watch::TableChange;
+use sapphireford::process::overload::admission::Turn;
+use sapphireford::process::overload::control::OverloadControl;
+use sapphireford::process::overload::demand::Urgency;
 use sapphireford_platform::answer::{RateLimitStatement, ReportedLoad};
 use sapphireford_platform::store::Row;
 use serde_json::{Value, json};
@@ -54,6 +58,15 @@
     servers.iter().map(|server| server.id.to_string()).collect()
 }
 
+/// Guards against requests to a server whose row was removed without a draining state before.
+#[test]
+fn removed_server_is_not_used() {
+    let now = Instant::now();
+    let servers = two_ready_servers(now);
+    servers.apply(TableChange::Rows(vec![removed_row("i-1")]), None, now);
+    assert_eq!(server_ids(&servers), ["i-2"]);
+}
+
 /// Guards against requests to a draining server.
 #[test]
 fn draining_server_is_not_eligible() {
