--- a/src/process/topics/selection.rs
+++ b/src/process/topics/selection.rs
@@ -11,6 +11,11 @@
 /// Highest load of a server that is chosen for its topic, in percent of the mean, before the request
 /// is added. With the request, the server carries at most this and one request.
 const MAX_LOAD_PERCENT: u64 = 125;
+/// Load up to which a server counts in the mean: this many times the median, and one batch. A server
+/// that states a huge load would otherwise lift the bound of all others.
+const MAX_COUNTED_MEDIANS: u64 = 4;
+/// One batch, in thousandths of the slots of a server.
+const BATCH_PERMILLE: u64 = 1_000;
 /// Servers of a popular topic, in percent of those that its requests alone would fill to the mean.
 /// More than these are needed because the servers have other topics as well, and because the share of
 /// a topic that has just become popular is known too low.
@@ -26,9 +31,17 @@
 /// time gets the request.
 const CHOICES: usize = 2;
 
-fn at_most(values: impl Iterator<Item = LoadPermille>, count: u64) -> u64 {
-    let sum: u64 = values.map(u64::from).sum();
-    sum * MAX_LOAD_PERCENT / 100 / count
+/// [`MAX_LOAD_PERCENT`] of the mean of the values; 0 without any.
+fn at_most(values: impl Iterator<Item = LoadPermille>) -> u64 {
+    let mut values: Vec<u64> = values.map(u64::from).collect();
+    if values.is_empty() {
+        return 0;
+    }
+    let middle = (values.len() - 1) / 2;
+    let (_, median, _) = values.select_nth_unstable(middle);
+    let limit = *median * MAX_COUNTED_MEDIANS + BATCH_PERMILLE;
+    let sum: u64 = values.iter().map(|value| (*value).min(limit)).sum();
+    sum * MAX_LOAD_PERCENT / 100 / values.len() as u64
 }
 
 /// Selects the server for a request about a topic. `share` is the share of the topic in the
@@ -48,8 +61,8 @@
     if known_count == 0 || known_count * 2 < eligible().count() {
         return None;
     }
-    let max_load = at_most(known().map(|server| server.load), known_count as u64);
-    let max_time = at_most(known().map(Candidate::expected_time), known_count as u64);
+    let max_load = at_most(known().map(|server| server.load));
+    let max_time = at_most(known().map(Candidate::expected_time));
     // A server on a slow VM keeps its topics as long as moving them would cost more.
     let max_time = max_time + u64::from(SPILLOVER_MARGIN_PERMILLE);
     let is_within_bound = |candidate: &Candidate<'_>| {
--- a/tests/topics.rs
+++ b/tests/topics.rs
@@ -308,6 +308,19 @@
     assert_eq!(chosen_with(u32::MAX, 100), 0);
 }
 
+/// Guards against a hot spot that stays because one server states a huge load, which would lift the
+/// bound of all others.
+#[test]
+fn a_server_that_states_a_huge_load_does_not_lift_the_bound() {
+    let ids = server_ids(10);
+    let mut servers = candidates(&ids);
+    servers[3].load = u32::MAX / 8;
+    servers[5].load = 5_000;
+    assert!((0..1_000).all(|topic| choose(topic, &servers) != Some(5)));
+    servers[3].speed_percent = 10_000;
+    assert!((0..1_000).all(|topic| choose(topic, &servers) != Some(5)));
+}
+
 /// Guards against hot spots where the loads are not known.
 #[test]
 fn requests_are_placed_by_load_alone_while_loads_are_unknown() {
