--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -320,7 +320,9 @@
 /// Encodes a gossip request.
 pub fn gossip_request(request: &GossipRequest, notices: &ServerNotices) -> Request<Bytes> {
     let mut request = post_with_notices(GOSSIP_PATH, request, notices);
-    *request.body_mut() = with_server_reports(request.body(), notices);
+    if has_server_reports(notices) {
+        *request.body_mut() = with_server_reports(request.body(), notices);
+    }
     request
 }
 
@@ -336,7 +338,11 @@
     config_proof: Option<PeerProof>,
 ) -> Response<Body> {
     let body = with_notices(response, notices);
-    let body = with_server_reports(&body, notices);
+    // The age of the configuration follows the reports.
+    let body = match has_server_reports(notices) || config_proof.is_some() {
+        true => with_server_reports(&body, notices),
+        false => body,
+    };
     let body = match config_proof {
         // The encoding of these types cannot fail.
         Some(proof) => {
@@ -348,6 +354,14 @@
     Response::new(Body::full(body))
 }
 
+/// Whether there is anything to append with [`with_server_reports`]. Otherwise a message is the same as
+/// in earlier builds, so it does not grow where servers state no speed and no route is sticky.
+fn has_server_reports(notices: &ServerNotices) -> bool {
+    let mut loads = notices.loads.iter();
+    let has_speeds = loads.any(|load| load.speed_percent.is_some());
+    has_speeds || !notices.outcomes.by_server.is_empty() || !notices.topic_times.is_empty()
+}
+
 /// Appends the speeds and the outcomes of servers and the times of topics to a gossip message.
 /// Gateways of earlier builds ignore them.
 fn with_server_reports(body: &[u8], notices: &ServerNotices) -> Bytes {
--- a/tests/gateway_shared_speeds.rs
+++ b/tests/gateway_shared_speeds.rs
@@ -63,6 +63,22 @@
     }
 }
 
+fn request() -> GossipRequest {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let row = GatewayRow {
+        caller_address: address,
+        peer_address: address,
+        failure_domain: "d1".to_string(),
+        is_leaving: false,
+        started_unix_ms: 1,
+    };
+    GossipRequest {
+        gateway_id: "g-1".to_string(),
+        row,
+        heartbeats: Vec::new(),
+    }
+}
+
 /// Guards against outcomes, speeds and times of topics that are read as those of another field of the
 /// gossip.
 #[test]
@@ -83,21 +99,34 @@
         topic_times: topics.reports(),
         ..ServerNotices::default()
     };
-    let address = "127.0.0.1:1".parse().expect("an address");
-    let row = GatewayRow {
-        caller_address: address,
-        peer_address: address,
-        failure_domain: "d1".to_string(),
-        is_leaving: false,
-        started_unix_ms: 1,
-    };
-    let request = GossipRequest {
-        gateway_id: "g-1".to_string(),
-        row,
-        heartbeats: Vec::new(),
-    };
+    let request = request();
     match decode_call(gossip_request(&request, &notices)) {
         Some(PeerCall::Gossip(_, received)) => assert_eq!(received, notices),
         _ => panic!("the message is not decoded as gossip"),
     }
 }
+
+/// Guards against gossip that grows in deployments whose servers state no speed and whose routes are
+/// not sticky: a message there is the same as that of the build before.
+#[test]
+fn the_gossip_is_unchanged_without_speeds_and_topics() {
+    let notices = ServerNotices {
+        loads: loads(&[None, None]),
+        outcomes: ReportedOutcomes {
+            reporter: 11,
+            by_server: Vec::new(),
+        },
+        ..ServerNotices::default()
+    };
+    let encoded = gossip_request(&request(), &notices);
+    // The build before sends the message and five lists.
+    let lists = (
+        &notices.leaving,
+        &notices.rate_limits,
+        &notices.crash_reports,
+        &notices.loads,
+        &notices.unconnected_gateways,
+    );
+    let before = postcard::to_stdvec(&(&request(), lists)).expect("a message");
+    assert_eq!(&**encoded.body(), before);
+}
