--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -16,8 +16,8 @@
 use crate::process::teams::config_age::PeerProof;
 use crate::process::teams::limit_messages::{LimitRequest, LimitResponse};
 use trailing_fields::{
-    decode_config_proof, split_gossip, split_notices, with_config_proof, with_notices,
-    with_server_reports,
+    decode_config_proof, has_server_reports, split_gossip, split_notices, with_config_proof,
+    with_notices, with_server_reports,
 };
 
 mod admission;
@@ -67,7 +67,9 @@
 /// Encodes a gossip request.
 pub fn gossip_request(request: &GossipRequest, notices: &ServerNotices) -> Request<Bytes> {
     let mut request = post_with_notices(GOSSIP_PATH, request, notices);
-    *request.body_mut() = with_server_reports(request.body(), notices);
+    if has_server_reports(notices) {
+        *request.body_mut() = with_server_reports(request.body(), notices);
+    }
     request
 }
 
@@ -79,7 +81,11 @@
     config_proof: Option<PeerProof>,
 ) -> Response<Body> {
     let body = with_notices(response, notices);
-    let body = with_server_reports(&body, notices);
+    // The age of the configuration follows the reports.
+    let body = match has_server_reports(notices) || config_proof.is_some() {
+        true => with_server_reports(&body, notices),
+        false => body,
+    };
     Response::new(Body::full(with_config_proof(body, config_proof)))
 }
 
--- a/src/process/gateway/peers/trailing_fields.rs
+++ b/src/process/gateway/peers/trailing_fields.rs
@@ -97,6 +97,14 @@
     Some((message, notices, rest))
 }
 
+/// Whether there is anything to append with [`with_server_reports`]. Otherwise a message is the same as
+/// in earlier builds, so it does not grow where servers state no speed and no route is sticky.
+pub(super) fn has_server_reports(notices: &ServerNotices) -> bool {
+    let mut loads = notices.loads.iter();
+    let has_speeds = loads.any(|load| load.speed_percent.is_some());
+    has_speeds || !notices.outcomes.by_server.is_empty() || !notices.topic_times.is_empty()
+}
+
 /// Appends the speeds and the outcomes of servers and the times of topics to a gossip message.
 /// Gateways of earlier builds ignore them.
 pub(super) fn with_server_reports(body: &[u8], notices: &ServerNotices) -> Bytes {
--- a/src/request/gateway/dispatch.rs
+++ b/src/request/gateway/dispatch.rs
@@ -246,7 +246,7 @@
         };
         if forwarder.must_relay() {
             let relayed = forwarder.relay(last_event_id).await;
-            let response = relayed.inspect_err(|error| self.uncount(counted, error))?;
+            let response = relayed.inspect_err(|error| self.return_limit_token(counted, error))?;
             return self.pass_on(forwarder, response).await;
         }
         let is_stream = matches!(
@@ -257,8 +257,7 @@
             true => self.prepare_turn(&mut forwarder, source).await,
             false => Ok(None),
         };
-        let unsaved_turn =
-            prepared.inspect_err(|error| self.return_limit_token(counted, error))?;
+        let unsaved_turn = prepared.inspect_err(|error| self.return_limit_token(counted, error))?;
         let sent = forwarder.send(last_event_id).await;
         match sent.inspect_err(|error| self.return_limit_token(counted, error))? {
             ServerResponse::Buffered(response) => {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -360,6 +360,74 @@
     assert!(admission.may_retry(true));
 }
 
+/// Guards against first turns that are refused for the lack of a retry while other servers have free
+/// slots: an eighth of them admits everything.
+#[test]
+fn first_turns_are_sent_again_while_servers_have_free_slots() {
+    let start = Instant::now();
+    let mut admission = ServiceAdmission::new(start);
+    admission.update([loaded(30, Duration::ZERO)], start);
+    while admission.may_retry(false) {}
+    // One server is full, so the overload has not ended.
+    let mut servers = vec![loaded(6, Duration::ZERO); 8];
+    servers[0] = loaded(32, Duration::ZERO);
+    admission.update(servers, start + Duration::from_millis(100));
+    assert!(admission.level().is_overloaded());
+    assert_eq!(admission.level().share(), 1.0);
+    assert!(admission.may_retry(false));
+}
+
+/// Guards against a first turn that is refused with certainty, although less urgent ones are admitted,
+/// because only later turns of its priority have come to this gateway lately.
+#[test]
+fn a_priority_with_later_turns_only_is_not_refused_for_a_less_urgent_one() {
+    let start = Instant::now();
+    let (urgent, other) = (TeamId::from("urgent"), TeamId::from("other"));
+    let mut demand = Demand::new(start);
+    demand.record_admitted(urgency(0, 0), &urgent, 1_000, false);
+    for _ in 0..100 {
+        demand.record_first_turn(urgency(1, 0), &other);
+        demand.record_admitted(urgency(1, 0), &other, 1_000, true);
+    }
+    demand.update(0.5, start + Duration::from_millis(100));
+    assert!(demand.refusal_probability(urgency(1, 0), &other) > 0.4);
+    assert_eq!(demand.refusal_probability(urgency(0, 0), &urgent), 0.0);
+}
+
+/// Guards against a team that ends the refusals of all others with one turn that claims a huge number
+/// of tokens.
+#[test]
+fn a_claim_of_many_tokens_does_not_admit_a_flood() {
+    let start = Instant::now();
+    let (claiming, flood) = (TeamId::from("claiming"), TeamId::from("flood"));
+    let mut demand = Demand::new(start);
+    for index in 0..200 {
+        let tokens = if index == 100 { u64::MAX } else { 1_000 };
+        demand.record_first_turn(urgency(1, 0), &claiming);
+        demand.record_admitted(urgency(1, 0), &claiming, tokens, true);
+        for _ in 0..9 {
+            demand.record_first_turn(urgency(1, 0), &flood);
+            demand.record_admitted(urgency(1, 0), &flood, 1_000, true);
+        }
+    }
+    demand.update(0.25, start + Duration::from_millis(100));
+    let refused = demand.refusal_probability(urgency(1, 0), &flood);
+    assert!(refused > 0.7, "{refused}");
+}
+
+/// Guards against a sum of registered slots that overflows.
+#[test]
+fn any_registered_slots_are_accepted() {
+    let start = Instant::now();
+    let server = KnownLoad {
+        slots: u32::MAX,
+        ..loaded(8, Duration::ZERO)
+    };
+    let mut admission = ServiceAdmission::new(start);
+    admission.update([server, server, loaded(8, Duration::ZERO)], start);
+    assert_eq!(admission.load().slots, u32::MAX);
+}
+
 /// Guards against waits that count as long because nothing is learned, or because they were long
 /// some time ago.
 #[test]
