Keep the tokens of a team whose limit is lowered and raised again within a window

A lower limit cuts the bucket, which is then full although its tokens were used. It was filled up when the limit was raised again, and since a lower limit begins a new count, the window did not prevent it.

--- a/src/process/teams/limit_bucket.rs
+++ b/src/process/teams/limit_bucket.rs
@@ -207,12 +207,15 @@
         self.limit.rate_per_s / self.requests_per_program()
     }
 
+    /// Whether the count of the window has all tokens of the team.
+    fn is_window_known(&self, now: BootTime) -> bool {
+        self.granted_since
+            .is_none_or(|since| now.saturating_duration_since(since) >= self.window)
+    }
+
     /// Tokens that the bucket gets in a second.
     fn refill_per_s(&self, now: BootTime) -> f64 {
-        let is_window_known = self
-            .granted_since
-            .is_none_or(|since| now.saturating_duration_since(since) >= self.window);
-        let more_per_s = match is_window_known {
+        let more_per_s = match self.is_window_known(now) {
             true => {
                 let burst_per_s = self.limit.burst / self.window.as_secs_f64();
                 burst_per_s.min(self.slack * REFILL_SLACK_SHARE)
@@ -330,8 +333,9 @@
         }
         self.refill(now);
         // What a full bucket has granted is refilled already, so it may be full under the new limit
-        // as well. Any other bucket keeps its tokens.
-        let was_full = self.requests.level >= self.capacity();
+        // as well. Any other bucket keeps its tokens, and so does one that was cut by a lower limit
+        // within the window.
+        let was_full = self.requests.level >= self.capacity() && self.is_window_known(now);
         let window_before = self.window_limit();
         self.limit = limit;
         self.slack = slack(limit, tolerance);
--- a/tests/limit_window.rs
+++ b/tests/limit_window.rs
@@ -179,3 +179,25 @@
     }
     assert!(runs >= 35, "{runs} of 40 requests");
 }
+
+/// Guards against a limit that is exceeded when it is lowered and raised again within a window: the
+/// bucket was cut to the lower limit, so it is full although its tokens were used.
+#[test]
+fn a_limit_that_is_lowered_and_raised_again_is_kept() {
+    let mut bucket = TeamBucket::new(LIMIT, 1, TOLERANCE, BucketStart::Full, at(0));
+    let mut runs = Vec::new();
+    for now_ms in (0..500).step_by(10) {
+        runs.extend(send(&mut bucket, 400, now_ms));
+    }
+    let lower = TeamLimit {
+        rate_per_s: 1.0,
+        burst: 1.0,
+    };
+    for cycle in 0..4 {
+        let now_ms = 1_000 * (cycle + 1);
+        bucket.set_limit(lower, 2 * cycle + 2, TOLERANCE, at(now_ms));
+        bucket.set_limit(LIMIT, 2 * cycle + 3, TOLERANCE, at(now_ms + 500));
+        runs.extend(send(&mut bucket, 400, now_ms + 500));
+    }
+    assert_window_kept(runs);
+}
