--- a/src/process/overload/demand.rs
+++ b/src/process/overload/demand.rs
@@ -52,6 +52,10 @@
 /// Most tokens of the first turn, when there is no mean. Engines take prompts of fewer.
 const MAX_FIRST_TOKENS: f64 = 1_048_576.0;
 
+/// Largest amount that a gateway can tell. Larger ones are errors, and their sums could be infinite, which
+/// no decay ends.
+const MAX_AMOUNT: f64 = 1e15;
+
 /// The demand of a team at one urgency, with weights that decay over `DEMAND_PERIOD`.
 #[derive(Clone, Copy, Debug, Default)]
 struct TeamDemand {
@@ -277,7 +281,7 @@
             .map(|own| (own, -0.5))
             .chain(other.iter().map(|other| (other, 0.5)))
         {
-            let is_valid = |amount: &f64| amount.is_finite() && *amount >= 0.0;
+            let is_valid = |amount: &f64| (0.0..=MAX_AMOUNT).contains(amount);
             if !shared.amounts.iter().all(is_valid) {
                 continue;
             }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -415,6 +415,24 @@
     assert!(refused > 0.7, "{refused}");
 }
 
+/// Guards against a gateway that stops refusing for good, because a peer has told it amounts whose sum
+/// is infinite.
+#[test]
+fn huge_demands_of_a_peer_do_not_end_the_refusals() {
+    let start = Instant::now();
+    let team = TeamId::from("a");
+    let mut demand = Demand::new(start);
+    demand.record_first_turn(Urgency::default(), &team);
+    let mut told = demand.shared(&[]);
+    told[0].amounts = [f64::MAX; 3];
+    for _ in 0..8 {
+        demand.average(&[], &told);
+    }
+    demand.update(0.25, start + Duration::from_millis(100));
+    let refused = demand.refusal_probability(Urgency::default(), &team);
+    assert!((0.7..0.8).contains(&refused), "{refused}");
+}
+
 /// Guards against a sum of registered slots that overflows.
 #[test]
 fn any_registered_slots_are_accepted() {
