Compare two drawn servers where plain services state different speeds

With speeds, hardly any two servers are equal, so all gateways sent to the same one until its next report: with 75 gateways and loads up to 100 ms old, half of the requests waited at half load.

--- a/src/process/gateway/placement.rs
+++ b/src/process/gateway/placement.rs
@@ -159,3 +159,29 @@
     });
     best.map(|(index, _)| index)
 }
+
+/// Servers that [`select_by_drawn_load`] compares.
+const CHOICES: usize = 2;
+
+/// Selects a server as [`select_by_load`] does, but if servers have different speeds, only of
+/// [`CHOICES`] eligible ones that the random `tie_break_key` draws.
+///
+/// Where speeds are stated, hardly any two servers are equal, so many gateways would all send their
+/// requests to the same server until its next report.
+pub fn select_by_drawn_load(tie_break_key: u64, candidates: &[Candidate<'_>]) -> Option<usize> {
+    let all = candidates.iter().enumerate();
+    let mut drawn: Vec<_> = all.filter(|(_, candidate)| candidate.is_eligible).collect();
+    let first_speed = drawn.first()?.1.speed_percent;
+    let has_first_speed =
+        |(_, candidate): &(usize, &Candidate<'_>)| candidate.speed_percent == first_speed;
+    if drawn.len() <= CHOICES || drawn.iter().all(has_first_speed) {
+        return select_by_load(tie_break_key, candidates);
+    }
+    drawn.select_nth_unstable_by_key(CHOICES - 1, |(_, candidate)| {
+        ranking_weight(tie_break_key, candidate)
+    });
+    drawn.truncate(CHOICES);
+    let compared: Vec<_> = drawn.iter().map(|(_, candidate)| **candidate).collect();
+    let best = select_by_load(tie_break_key, &compared)?;
+    Some(drawn[best].0)
+}
--- a/src/request/gateway/selection.rs
+++ b/src/request/gateway/selection.rs
@@ -140,7 +140,7 @@
             let chosen = placement::select_by_prefix(prefix, &candidates);
             (chosen, PlacementBasis::Prefix)
         } else {
-            let chosen = placement::select_by_load(rand::rng().random(), &candidates);
+            let chosen = placement::select_by_drawn_load(rand::rng().random(), &candidates);
             (chosen, PlacementBasis::Load)
         };
         let chosen = chosen?;
--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -1,7 +1,9 @@
 //! Selection of backend servers by a gateway, tested without a network.
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use sapphireford::process::gateway::placement::{
-    Candidate, Prefix, exclude_loaded, select_by_load, select_by_prefix,
+    Candidate, Prefix, exclude_loaded, select_by_drawn_load, select_by_load, select_by_prefix,
 };
 
 const SERVERS: [&str; 9] = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
@@ -282,3 +284,51 @@
     servers[4].load = 1_900;
     assert_eq!(select_by_load(1, &servers), Some(4));
 }
+
+/// Guards against many gateways that all send to the server with the shortest expected time until its
+/// next report, where slightly different speeds leave no two servers equal. The servers are half busy.
+#[test]
+fn gateways_do_not_follow_the_same_report_to_one_server() {
+    const SERVERS: usize = 20;
+    const GATEWAYS: usize = 75;
+    const REPORT_INTERVAL_MS: u64 = 100;
+    let ids: Vec<String> = (0..SERVERS).map(|index| format!("i-{index}")).collect();
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut ends_ms: Vec<Vec<u64>> = vec![Vec::new(); SERVERS];
+    let mut reported = vec![0; SERVERS];
+    let mut speeds = [100; SERVERS];
+    let mut sent = vec![[0_u32; SERVERS]; GATEWAYS];
+    let (mut requests, mut queued) = (0, 0);
+    for now_ms in 0..8_000 {
+        for ends_ms in &mut ends_ms {
+            ends_ms.retain(|end_ms| *end_ms > now_ms);
+        }
+        if now_ms % REPORT_INTERVAL_MS == 0 {
+            reported = ends_ms.iter().map(|ends_ms| ends_ms.len() as u32).collect();
+            speeds.fill_with(|| rng.random_range(95..=105));
+            sent.fill([0; SERVERS]);
+        }
+        if rng.random::<f64>() >= 0.4 {
+            continue;
+        }
+        let sent = &mut sent[rng.random_range(0..GATEWAYS)];
+        let candidates = (0..SERVERS).map(|index| Candidate {
+            server_id: &ids[index],
+            load: (reported[index] + sent[index]) * 125,
+            is_load_known: true,
+            speed_percent: speeds[index],
+            is_eligible: true,
+            is_same_domain: true,
+        });
+        let candidates: Vec<_> = candidates.collect();
+        let chosen = select_by_drawn_load(rng.random(), &candidates).expect("a server");
+        sent[chosen] += 1;
+        requests += 1;
+        queued += usize::from(ends_ms[chosen].len() >= 8);
+        ends_ms[chosen].push(now_ms + 200);
+    }
+    assert!(
+        queued * 10 < requests,
+        "{queued} of {requests} requests waited"
+    );
+}
