Place first turns on engines as before, not by topic

Cause: a program stays at the engine of its first turn, so placing first turns by topic concentrates programs. Plain services keep placement by topic.

--- a/src/process/topics/selection.rs
+++ b/src/process/topics/selection.rs
@@ -53,7 +53,6 @@
     share: f64,
     tie_break_key: u64,
     candidates: &[Candidate<'_>],
-    is_allowed: impl Fn(&Candidate<'_>) -> bool,
 ) -> Option<usize> {
     let eligible = || candidates.iter().filter(|candidate| candidate.is_eligible);
     let known = || eligible().filter(|candidate| candidate.is_load_known);
@@ -68,9 +67,10 @@
     let is_within_bound = |candidate: &Candidate<'_>| {
         u64::from(candidate.load) <= max_load && u64::from(candidate.expected_time()) <= max_time
     };
-    let all = candidates.iter().enumerate().filter(|(_, candidate)| {
-        candidate.is_eligible && candidate.is_load_known && is_allowed(candidate)
-    });
+    let all = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, candidate)| candidate.is_eligible && candidate.is_load_known);
     let mut ranked: Vec<(u64, usize)> = all
         .map(|(index, server)| (rendezvous_weight(topic, server.server_id), index))
         .collect();
--- a/src/request/gateway/selection.rs
+++ b/src/request/gateway/selection.rs
@@ -128,7 +128,11 @@
         if is_engine && is_rate_limited {
             placement::exclude_loaded(&mut candidates, self.prefix_holder.is_some());
         }
-        let by_topic = self.select_by_topic(is_engine, &candidates, now);
+        let by_topic = match is_engine {
+            // On engines, placement by topic made the busiest one busier and read more prompts again.
+            true => None,
+            false => self.select_by_topic(&candidates, now),
+        };
         let (chosen, basis) = if let Some(chosen) = by_topic {
             (Some(chosen), PlacementBasis::Topic)
         } else if is_engine {
--- a/src/request/gateway/topic.rs
+++ b/src/request/gateway/topic.rs
@@ -19,36 +19,17 @@
 }
 
 impl RequestForwarder {
-    /// What the request is about; `None` if the route is not sticky, or if the request continues on
-    /// the server that has its prefix.
-    fn topic(&self, is_engine: bool) -> Option<TopicHash> {
-        if !self.route.is_sticky {
-            return None;
-        }
-        let call = &self.call;
-        if !is_engine {
-            let key = call.affinity_key.as_ref()?;
-            return Some(hash_bytes(key.as_bytes()));
-        }
-        let continues = self.prefix_holder.is_some()
-            || call.previous_turn_id.is_some()
-            || call.last_event_id.is_some();
-        // Without a budget, no gateway remembers which server has the prefix of the program. All its
-        // turns go to the server that the hash of the program gives.
-        let is_holder_remembered = call
-            .program
-            .as_ref()
-            .is_none_or(|program| program.budget_tokens.is_some());
-        // The last part is the request's own.
-        let shared_parts = call.prompt.parts.split_last().map(|(_, shared)| shared)?;
-        let topic = shared_parts.last()?.id;
-        (!continues && is_holder_remembered).then_some(topic)
+    /// What the request is about; `None` if it does not say so, or if the route is not sticky.
+    fn topic(&self) -> Option<TopicHash> {
+        let key = self.call.affinity_key.as_ref()?;
+        let topic = hash_bytes(key.as_bytes());
+        self.route.is_sticky.then_some(topic)
     }
 
     /// How the request is placed by its topic; `None` if it has none. It is planned once for all
     /// attempts.
-    fn topic_plan(&self, is_engine: bool) -> Option<TopicPlan> {
-        let topic = self.topic(is_engine)?;
+    fn topic_plan(&self) -> Option<TopicPlan> {
+        let topic = self.topic()?;
         let plan = self.topic_plan.get_or_init(|| {
             let since_epoch = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
             let draw = rand::rng().random();
@@ -69,34 +50,20 @@
         ::metrics::gauge!(metrics::TOPIC_AFFINITY_PAYS, &labels).set(f64::from(pays));
     }
 
-    /// Selects a server by the topic of the request. `None` if the request is to be placed as one
-    /// without a topic.
+    /// Selects a server of a plain service by the topic of the request. `None` if the request is to be
+    /// placed as one without a topic.
     pub(super) fn select_by_topic(
         &self,
-        is_engine: bool,
         candidates: &[Candidate<'_>],
         now: Instant,
     ) -> Option<usize> {
-        let plan = self.topic_plan(is_engine)?;
+        let plan = self.topic_plan()?;
         self.gateway.servers.request_loads(now);
         if !plan.is_by_topic {
             return None;
         }
         let tie_break_key = rand::rng().random();
-        let select = |is_allowed: fn(&Candidate<'_>) -> bool| {
-            select_by_topic(
-                plan.topic,
-                plan.share,
-                tie_break_key,
-                candidates,
-                is_allowed,
-            )
-        };
-        // Prompts that grow with each turn are kept within a failure domain, as those without a
-        // topic are.
-        let is_growing = is_engine && self.route.has_stored_history;
-        let in_domain = is_growing.then(|| select(|candidate| candidate.is_same_domain));
-        in_domain.flatten().or_else(|| select(|_| true))
+        select_by_topic(plan.topic, plan.share, tie_break_key, candidates)
     }
 
     /// Records the time to the first event or the answer of a server, once for each attempt.
@@ -115,9 +82,7 @@
     fn record_topic_time(&self, time: Duration) {
         let group = self.topic_plan.get().and_then(|plan| plan.group);
         let is_first_attempt = self.tried_servers.is_empty();
-        // The holder of the prefix is learned after the plan is made.
-        let is_placed_as_planned = is_first_attempt && self.prefix_holder.is_none();
-        if let Some(group) = group.filter(|_| is_placed_as_planned) {
+        if let Some(group) = group.filter(|_| is_first_attempt) {
             let topics = &self.gateway.servers.topics;
             topics.record_time(route_hash(&self.route), group, time);
         }
--- a/tests/topics.rs
+++ b/tests/topics.rs
@@ -140,7 +140,7 @@
         let unix_now = Duration::from_millis(now_ms);
         let plan = topics.plan(ROUTE, topic, self.rng.random(), unix_now);
         let by_topic = (plan.is_by_topic && setting.is_sticky)
-            .then(|| select_by_topic(topic, plan.share, tie_break_key, &candidates, |_| true))
+            .then(|| select_by_topic(topic, plan.share, tie_break_key, &candidates))
             .flatten();
         let by_load = || select_by_load(tie_break_key, &candidates);
         let chosen = by_topic.or_else(by_load).expect("a server");
@@ -272,7 +272,7 @@
 }
 
 fn choose(topic: u64, candidates: &[Candidate<'_>]) -> Option<usize> {
-    select_by_topic(topic, 0.0, topic, candidates, |_| true)
+    select_by_topic(topic, 0.0, topic, candidates)
 }
 
 /// Guards against topics that all move when one server leaves, and against requests to it.
@@ -364,7 +364,7 @@
     let started = Instant::now();
     for request in 0..u64::from(DECISIONS) {
         let plan = topics.plan(ROUTE, request % 50, 0.9, Duration::ZERO);
-        let chosen = select_by_topic(plan.topic, plan.share, request, &candidates, |_| true);
+        let chosen = select_by_topic(plan.topic, plan.share, request, &candidates);
         assert!(chosen.is_some());
     }
     let by_topic = started.elapsed() / DECISIONS;
