--- a/src/process/topics/selection.rs
+++ b/src/process/topics/selection.rs
@@ -45,7 +45,8 @@
 }
 
 /// Selects the server for a request about a topic. `share` is the share of the topic in the
-/// requests, `tie_break_key` is random, and only servers for which `is_allowed` holds are chosen.
+/// requests, and `tie_break_key` is random.
+///
 /// Returns an index into `candidates`, or `None` if the request should be placed by load alone: if
 /// the load of half of the eligible servers is unknown, or no server stays within the bound.
 pub fn select_by_topic(
