--- a/src/request/gateway/selection.rs
+++ b/src/request/gateway/selection.rs
@@ -129,7 +129,7 @@
             placement::exclude_loaded(&mut candidates, self.prefix_holder.is_some());
         }
         let by_topic = match is_engine {
-            // On engines, placement by topic made the busiest one busier and read more prompts again.
+            // Programs stay at the engine of their first turn, so few requests would decide its load.
             true => None,
             false => self.select_by_topic(&candidates, now),
         };
