--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -32,6 +32,8 @@
     Full(u16, Headers, Vec<u8>),
     /// Close the connection without an answer.
     Close,
+    /// The handler has written the whole answer.
+    Written,
 }
 
 pub fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<Option<(String, Headers)>> {
@@ -119,6 +121,7 @@
         };
         match handler(request, &mut writer) {
             Answer::Close => return Ok(()),
+            Answer::Written => {}
             Answer::Full(status, headers, body) => {
                 let mut head = format!("HTTP/1.1 {status} -\r\ncontent-length: {}\r\n", body.len());
                 for (name, value) in headers {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod late_write;
 mod limits;
+mod silence;
 mod site;
 mod store;
 
@@ -20,6 +21,7 @@
     std::panic::set_hook(Box::new(|_| {}));
     let ran = std::panic::catch_unwind(|| match case.as_str() {
         "late-write" => late_write::run(has_trouble, &folder),
+        "silence" => silence::run(has_trouble, &folder),
         "limits" => limits::run(has_trouble, &folder),
         _ => site::cannot_run("unknown case"),
     });
--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -241,6 +241,17 @@
     }
 }
 
+impl Node {
+    /// Asks the process to stop (SIGTERM).
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let ended = Command::new("kill").args(["-TERM", &id]).status();
+        if !ended.is_ok_and(|status| status.success()) {
+            cannot_run("the signal was not sent");
+        }
+    }
+}
+
 /// Ends the case as one that could not run.
 pub fn cannot_run(reason: &str) -> ! {
     println!("the case could not run: {reason}");
