review: servers stay at work on streams whose clients have left (case 8)

While a stream waits for another server to resume it, the gateway does not notice that its client has left.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code)]
 
+mod gone;
 mod http;
 mod json;
 mod late_write;
@@ -21,6 +22,7 @@
     std::panic::set_hook(Box::new(|_| {}));
     let ran = std::panic::catch_unwind(|| match case.as_str() {
         "late-write" => late_write::run(has_trouble, &folder),
+        "gone" => gone::run(has_trouble, &folder),
         "silence" => silence::run(has_trouble, &folder),
         "limits" => limits::run(has_trouble, &folder),
         _ => site::cannot_run("unknown case"),
--- a/review/standins-2/silence.rs
+++ b/review/standins-2/silence.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::http::{self, Answer, Request};
-use crate::site::{self, HOST, Node, Record, ZONE};
+use crate::site::{HOST, Node, Record, ZONE};
 use crate::store::Store;
 
 const STREAMS: usize = 8;
